--- /dev/null
+++ b/crates/dewctl/src/main.rs
@@ -0,0 +1,3 @@
+//! A thin program over the `dewspring` library.
+
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the systems that dewspring meets.
--- /dev/null
+++ b/crates/standins/tests/oxhttp_streaming.rs
@@ -0,0 +1,60 @@
+//! Shows why the request path is not served by `oxhttp`: its server holds
+//! small chunks back until 16 KiB are together.
+
+use std::io::Read;
+use std::net::{Ipv4Addr, TcpListener};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use oxhttp::model::{Body, Request, Response};
+use oxhttp::{Client, Server};
+
+const CHUNKS: usize = 20;
+const CHUNK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A body that gives one short event every [`CHUNK_INTERVAL`].
+struct SlowBody {
+    left: usize,
+}
+
+impl Read for SlowBody {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        if self.left == 0 {
+            return Ok(0);
+        }
+        self.left -= 1;
+        thread::sleep(CHUNK_INTERVAL);
+        let event = b"data: token\n\n";
+        buffer[..event.len()].copy_from_slice(event);
+        Ok(event.len())
+    }
+}
+
+#[test]
+fn small_chunks_are_held_back() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    drop(listener);
+    let _server = Server::new(|_| Response::new(Body::from_read(SlowBody { left: CHUNKS })))
+        .bind(address)
+        .spawn()
+        .expect("the server starts");
+
+    let started = Instant::now();
+    let request = Request::get(format!("http://{address}/"))
+        .body(Body::empty())
+        .expect("a valid request");
+    let mut response = Client::new().request(request).expect("an answer");
+    let mut first = [0];
+    response
+        .body_mut()
+        .read_exact(&mut first)
+        .expect("a first byte");
+    let first_byte = started.elapsed();
+
+    println!("first byte after {first_byte:?}");
+    assert!(
+        first_byte >= CHUNK_INTERVAL * (CHUNKS as u32),
+        "oxhttp streams small chunks now: the choice of the HTTP library can be weighed again"
+    );
+}
