--- /dev/null
+++ b/crates/dewspring/src/admin/mod.rs
@@ -0,0 +1,1 @@
+//! The address for operators and machines: health, metrics, state and drains.
--- /dev/null
+++ b/crates/dewspring/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry: takes callers' requests and streams answers through.
--- a/crates/dewspring/src/lib.rs
+++ b/crates/dewspring/src/lib.rs
@@ -5,11 +5,23 @@
 //!
 //! - [`tables`]: the operators' routes and pools, checked as one document.
 //! - [`platform`]: the platform's key-value service and its list of VMs.
+//! - [`configuration`]: the revision in force on this VM.
+//! - [`entry`]: callers' requests, from the first byte to the last.
 //! - [`broker`]: who is served next, by which replica, and who is refused.
+//! - [`claims`]: keyed requests run at most once.
+//! - [`peer`]: heartbeats, configuration and grants between VMs.
+//! - [`observe`]: logs, metrics and recent decisions.
+//! - [`admin`]: the address for operators.
 //!
 //! The programs `dewspringd` and `dewctl` are thin drivers on top.
 
+pub mod admin;
 pub mod broker;
+pub mod claims;
+pub mod configuration;
+pub mod entry;
 pub mod ids;
+pub mod observe;
+pub mod peer;
 pub mod platform;
 pub mod tables;
--- /dev/null
+++ b/crates/dewspring/src/observe/mod.rs
@@ -0,0 +1,1 @@
+//! What the daemon tells of itself: logs, metrics and recent decisions.
--- /dev/null
+++ b/crates/dewspring/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! What VMs say to each other: heartbeats, configuration, grants.
