--- a/crates/dewspring/src/broker/messages.rs
+++ b/crates/dewspring/src/broker/messages.rs
@@ -18,6 +18,10 @@
 pub struct GrantRequest {
     /// The caller's request.
     pub request: RequestId,
+    /// VM of the entry that asks.
+    pub entry: VmId,
+    /// Boot of that entry.
+    pub entry_boot: BootId,
     /// Pool that is to serve it.
     pub pool: PoolName,
     /// Class of the request.
