--- /dev/null
+++ b/crates/dewspring/src/observe/logs.rs
@@ -0,0 +1,35 @@
+//! Sets up structured logging for the programs.
+
+use logforth::append::Stderr;
+use logforth::filter::RustLogFilter;
+use logforth::layout::{JsonLayout, PlainTextLayout};
+use logforth::starter_log;
+
+/// Form of the log lines.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// Plain text.
+    #[default]
+    Text,
+}
+
+/// Sends log records of `level` or more severe to standard error.
+///
+/// `level` is a filter such as `info` or `warn,dewspring=debug`.
+///
+/// A second call leaves the first one's set-up in force.
+pub fn install_logs(format: LogFormat, level: impl Into<String>) {
+    let filter: RustLogFilter = level.into().as_str().into();
+    let appender = match format {
+        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+        LogFormat::Text => Stderr::default().with_layout(PlainTextLayout::default()),
+    };
+    let installed = starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(appender))
+        .try_apply();
+    if installed.is_err() {
+        log::debug!("observe: Logging is set up already.");
+    }
+}
--- /dev/null
+++ b/crates/dewspring/src/observe/metrics.rs
@@ -0,0 +1,267 @@
+//! The metrics of one daemon, in the form that Prometheus reads.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use crate::broker::RefusalReason;
+use crate::ids::{ClassName, TokenCount};
+
+/// Shortest time that the histograms tell apart, in seconds.
+const FIRST_BUCKET_SECONDS: f64 = 0.001;
+const BUCKET_FACTOR: f64 = 2.0;
+const BUCKET_COUNT: u16 = 20;
+
+/// Labels of the metrics that are kept by class.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ClassLabels {
+    /// Class of the request.
+    pub class: ClassName,
+}
+
+/// Labels of the count of refusals.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RefusalLabels {
+    /// Class of the request.
+    pub class: ClassName,
+    /// Why it was refused.
+    pub reason: String,
+}
+
+/// Why generated tokens were of no use.
+#[derive(Clone, Copy, Debug, EncodeLabelValue, Eq, Hash, PartialEq)]
+pub enum WasteCause {
+    /// The server broke off.
+    Broken,
+    /// The caller hung up.
+    Cancelled,
+    /// The answer came after its target and was worthless.
+    Late,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct WasteLabels {
+    cause: WasteCause,
+}
+
+type TimeFamily = Family<ClassLabels, Histogram, fn() -> Histogram>;
+type ClassFamily = Family<ClassLabels, Counter>;
+
+/// All metrics of one daemon; clones share them.
+///
+/// # Examples
+///
+/// ```
+/// use dewspring::observe::FleetMetrics;
+///
+/// let metrics = FleetMetrics::new();
+/// metrics.count_request("memo");
+/// assert!(metrics.to_text().contains("dewspring_requests_total"));
+/// ```
+#[derive(Clone, Debug)]
+pub struct FleetMetrics {
+    registry: Arc<Registry>,
+    requests: ClassFamily,
+    completed: ClassFamily,
+    attained: ClassFamily,
+    unknown: ClassFamily,
+    retries: ClassFamily,
+    refused: Family<RefusalLabels, Counter>,
+    good_tokens: ClassFamily,
+    wasted_tokens: Family<WasteLabels, Counter>,
+    queue_time: TimeFamily,
+    first_token: TimeFamily,
+    token_interval: TimeFamily,
+    connections: Gauge,
+    revision: Gauge,
+}
+
+impl Default for FleetMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl FleetMetrics {
+    /// Makes and registers all metrics.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("dewspring");
+        let requests = ClassFamily::default();
+        let completed = ClassFamily::default();
+        let attained = ClassFamily::default();
+        let unknown = ClassFamily::default();
+        let retries = ClassFamily::default();
+        let refused = Family::default();
+        let good_tokens = ClassFamily::default();
+        let wasted_tokens = Family::default();
+        let queue_time = time_family();
+        let first_token = time_family();
+        let token_interval = time_family();
+        let connections = Gauge::default();
+        let revision = Gauge::default();
+
+        registry.register("requests", "Requests routed", requests.clone());
+        registry.register("completed", "Whole answers delivered", completed.clone());
+        registry.register(
+            "attained",
+            "Whole answers within the target",
+            attained.clone(),
+        );
+        registry.register("unknown", "Requests that may have run", unknown.clone());
+        registry.register("retries", "Attempts after the first one", retries.clone());
+        registry.register("refused", "Requests refused as not run", refused.clone());
+        registry.register(
+            "good_tokens",
+            "Tokens of answers that were of use",
+            good_tokens.clone(),
+        );
+        registry.register(
+            "wasted_tokens",
+            "Tokens of answers that were of no use",
+            wasted_tokens.clone(),
+        );
+        registry.register_with_unit(
+            "queue_time",
+            "Time from arrival to the grant",
+            Unit::Seconds,
+            queue_time.clone(),
+        );
+        registry.register_with_unit(
+            "first_token",
+            "Time from arrival to the first token",
+            Unit::Seconds,
+            first_token.clone(),
+        );
+        registry.register_with_unit(
+            "token_interval",
+            "Mean time between the tokens of an answer",
+            Unit::Seconds,
+            token_interval.clone(),
+        );
+        registry.register("connections", "Open connections", connections.clone());
+        registry.register("revision", "Configuration in force", revision.clone());
+
+        Self {
+            registry: Arc::new(registry),
+            requests,
+            completed,
+            attained,
+            unknown,
+            retries,
+            refused,
+            good_tokens,
+            wasted_tokens,
+            queue_time,
+            first_token,
+            token_interval,
+            connections,
+            revision,
+        }
+    }
+
+    /// Counts a request that matched a route.
+    pub fn count_request(&self, class: &str) {
+        self.requests.get_or_create(&labels(class)).inc();
+    }
+
+    /// Counts a refusal.
+    pub fn count_refusal(&self, class: &str, reason: RefusalReason) {
+        let labels = RefusalLabels {
+            class: class.into(),
+            reason: format!("{reason:?}"),
+        };
+        self.refused.get_or_create(&labels).inc();
+    }
+
+    /// Counts an answer that was delivered whole, and whether in time.
+    pub fn count_completed(&self, class: &str, in_time: bool, tokens: TokenCount) {
+        let labels = labels(class);
+        self.completed.get_or_create(&labels).inc();
+        self.good_tokens.get_or_create(&labels).inc_by(tokens);
+        if in_time {
+            self.attained.get_or_create(&labels).inc();
+        }
+    }
+
+    /// Counts a request of which it isn't known whether it ran.
+    pub fn count_unknown(&self, class: &str) {
+        self.unknown.get_or_create(&labels(class)).inc();
+    }
+
+    /// Counts an attempt after the first one.
+    pub fn count_retry(&self, class: &str) {
+        self.retries.get_or_create(&labels(class)).inc();
+    }
+
+    /// Counts tokens that were of no use.
+    pub fn count_waste(&self, cause: WasteCause, tokens: TokenCount) {
+        self.wasted_tokens
+            .get_or_create(&WasteLabels { cause })
+            .inc_by(tokens);
+    }
+
+    /// Notes the time from arrival to the grant.
+    pub fn observe_queue(&self, class: &str, time: Duration) {
+        observe(&self.queue_time, class, time);
+    }
+
+    /// Notes the time from arrival to the first token.
+    pub fn observe_first_token(&self, class: &str, time: Duration) {
+        observe(&self.first_token, class, time);
+    }
+
+    /// Notes the mean time between the tokens of one answer.
+    pub fn observe_interval(&self, class: &str, time: Duration) {
+        observe(&self.token_interval, class, time);
+    }
+
+    /// Sets the number of open connections.
+    pub fn set_connections(&self, count: usize) {
+        self.connections
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the revision in force.
+    pub fn set_revision(&self, revision: u64) {
+        self.revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
+    /// Writes all metrics in the OpenMetrics text form.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        let written: Result<(), fmt::Error> = encode(&mut text, &self.registry);
+        assert!(written.is_ok(), "writing to a string can't fail");
+        text
+    }
+}
+
+fn labels(class: &str) -> ClassLabels {
+    ClassLabels {
+        class: class.into(),
+    }
+}
+
+fn observe(family: &TimeFamily, class: &str, time: Duration) {
+    family
+        .get_or_create(&labels(class))
+        .observe(time.as_secs_f64());
+}
+
+fn time_family() -> TimeFamily {
+    Family::new_with_constructor(|| {
+        Histogram::new(exponential_buckets(
+            FIRST_BUCKET_SECONDS,
+            BUCKET_FACTOR,
+            BUCKET_COUNT,
+        ))
+    })
+}
