Add the daemon's settings, checked once with every error listed

Cause: a daemon that starts with a wrong setting must say all that is wrong. Change: the settings slice over the clap builder.

--- a/crates/dewspring/src/lib.rs
+++ b/crates/dewspring/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`peer`]: heartbeats, configuration and grants between VMs.
 //! - [`observe`]: logs, metrics and recent decisions.
 //! - [`admin`]: the address for operators.
+//! - [`settings`]: flags and environment variables, checked once.
 //!
 //! The programs `dewspringd` and `dewctl` are thin drivers on top.
 
@@ -24,4 +25,5 @@
 pub mod observe;
 pub mod peer;
 pub mod platform;
+pub mod settings;
 pub mod tables;
--- /dev/null
+++ b/crates/dewspring/src/settings/command.rs
@@ -0,0 +1,189 @@
+//! The flags of `dewspringd`.
+
+use clap::{Arg, Command};
+
+/// Declares the command line of the daemon.
+///
+/// Every value is taken as text, so that all errors are found together by
+/// [`DaemonSettings::check`](super::DaemonSettings::check).
+///
+/// # Examples
+///
+/// ```
+/// let matches = dewspring::settings::settings_command()
+///     .try_get_matches_from(["dewspringd", "--vm", "a"])?;
+/// assert_eq!(matches.get_one::<String>("vm").map(String::as_str), Some("a"));
+/// # Ok::<(), clap::Error>(())
+/// ```
+pub fn settings_command() -> Command {
+    Command::new("dewspringd")
+        .about("Routes language-model traffic with priorities and service levels")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help("Durations are written with their unit: 250ms, 10s, 2m.")
+        .args(place_flags())
+        .args(platform_flags())
+        .args(caller_flags())
+        .args(server_flags())
+        .args(log_flags())
+}
+
+fn place_flags() -> Vec<Arg> {
+    vec![
+        flag("vm", "DEWSPRING_VM", "Name of this VM, unique in the fleet"),
+        flag(
+            "data-centre",
+            "DEWSPRING_DATA_CENTRE",
+            "Name of the data centre that this VM stands in",
+        ),
+        flag("listen", "DEWSPRING_LISTEN", "Address for callers, IP:PORT")
+            .default_value("127.0.0.1:8080"),
+        flag(
+            "admin-listen",
+            "DEWSPRING_ADMIN_LISTEN",
+            "Address for health, metrics and operators, IP:PORT",
+        )
+        .default_value("127.0.0.1:8081"),
+        flag(
+            "peer-listen",
+            "DEWSPRING_PEER_LISTEN",
+            "Address for the other VMs, IP:PORT",
+        )
+        .default_value("127.0.0.1:8082"),
+        flag(
+            "secret",
+            "DEWSPRING_SECRET",
+            "Shared secret of the fleet, at least 16 bytes; prefer the variable",
+        )
+        .hide_env_values(true),
+    ]
+}
+
+fn platform_flags() -> Vec<Arg> {
+    vec![
+        flag(
+            "fleet",
+            "DEWSPRING_FLEET",
+            "Name of the fleet in the platform's store",
+        )
+        .default_value("default"),
+        flag(
+            "platform",
+            "DEWSPRING_PLATFORM",
+            "IP:PORT of the platform's service, or 'embedded' to run alone",
+        )
+        .default_value("embedded"),
+        flag(
+            "platform-timeout",
+            "DEWSPRING_PLATFORM_TIMEOUT",
+            "Longest wait for an answer of the platform",
+        )
+        .default_value("1s"),
+        flag(
+            "routes",
+            "DEWSPRING_ROUTES",
+            "File with the routes table, for an embedded platform",
+        ),
+        flag(
+            "pools",
+            "DEWSPRING_POOLS",
+            "File with the pools table, for an embedded platform",
+        ),
+    ]
+}
+
+fn caller_flags() -> Vec<Arg> {
+    vec![
+        flag(
+            "entry-threads",
+            "DEWSPRING_ENTRY_THREADS",
+            "Number of threads that serve callers",
+        )
+        .default_value("2"),
+        flag(
+            "max-connections",
+            "DEWSPRING_MAX_CONNECTIONS",
+            "Number of callers' connections at once",
+        )
+        .default_value("4096"),
+        flag(
+            "header-timeout",
+            "DEWSPRING_HEADER_TIMEOUT",
+            "Longest wait for the header of a request",
+        )
+        .default_value("10s"),
+        flag(
+            "body-timeout",
+            "DEWSPRING_BODY_TIMEOUT",
+            "Longest wait for the body of a request",
+        )
+        .default_value("30s"),
+        flag(
+            "workspace-header",
+            "DEWSPRING_WORKSPACE_HEADER",
+            "Header that names the workspace",
+        )
+        .default_value("x-workspace"),
+        flag(
+            "class-header",
+            "DEWSPRING_CLASS_HEADER",
+            "Header that a route's label is compared with",
+        )
+        .default_value("x-request-class"),
+        flag(
+            "shutdown-timeout",
+            "DEWSPRING_SHUTDOWN_TIMEOUT",
+            "Longest wait for answers in flight after SIGTERM",
+        )
+        .default_value("15m"),
+    ]
+}
+
+fn server_flags() -> Vec<Arg> {
+    vec![
+        flag(
+            "connect-timeout",
+            "DEWSPRING_CONNECT_TIMEOUT",
+            "Longest wait for a connection to a backend server",
+        )
+        .default_value("500ms"),
+        flag(
+            "silence-timeout",
+            "DEWSPRING_SILENCE_TIMEOUT",
+            "Longest silence of a backend server within an answer",
+        )
+        .default_value("30s"),
+        flag(
+            "report-interval",
+            "DEWSPRING_REPORT_INTERVAL",
+            "Time between two reads of a server's load report",
+        )
+        .default_value("1s"),
+    ]
+}
+
+fn log_flags() -> Vec<Arg> {
+    vec![
+        flag(
+            "log-format",
+            "DEWSPRING_LOG_FORMAT",
+            "Form of the log: text or json",
+        )
+        .default_value("text"),
+        flag(
+            "log-level",
+            "DEWSPRING_LOG_LEVEL",
+            "Least severe level: error, warn, info, debug or trace",
+        )
+        .default_value("info"),
+        flag(
+            "decision-capacity",
+            "DEWSPRING_DECISION_CAPACITY",
+            "Number of recent requests that can be explained",
+        )
+        .default_value("10000"),
+    ]
+}
+
+fn flag(name: &'static str, variable: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).env(variable).help(help)
+}
--- /dev/null
+++ b/crates/dewspring/src/settings/daemon.rs
@@ -0,0 +1,319 @@
+//! The checked settings of `dewspringd`.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use thiserror::Error;
+
+use crate::ids::{DataCentreName, VmId};
+use crate::observe::LogFormat;
+
+const MIN_SECRET_BYTES: usize = 16;
+
+/// Where the platform's store is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PlatformKind {
+    /// In this process; the tables come from two files.
+    Embedded {
+        /// File with the routes table.
+        routes: PathBuf,
+        /// File with the pools table.
+        pools: PathBuf,
+    },
+    /// The platform's service.
+    Gateway(SocketAddr),
+}
+
+/// The shared secret of the fleet, which is never printed.
+#[derive(Clone, Eq, PartialEq)]
+pub struct SharedSecret(String);
+
+impl SharedSecret {
+    /// Wraps a secret.
+    pub fn new(secret: impl Into<String>) -> Self {
+        Self(secret.into())
+    }
+
+    /// Returns the bytes of the secret.
+    pub fn as_bytes(&self) -> &[u8] {
+        self.0.as_bytes()
+    }
+}
+
+impl fmt::Debug for SharedSecret {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("SharedSecret(..)")
+    }
+}
+
+/// The settings of one daemon.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DaemonSettings {
+    /// Name of this VM.
+    pub vm: VmId,
+    /// Data centre that it stands in.
+    pub data_centre: DataCentreName,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub admin_listen: SocketAddr,
+    /// Address for other VMs.
+    pub peer_listen: SocketAddr,
+    /// Shared secret of the fleet.
+    pub secret: SharedSecret,
+    /// Name of the fleet.
+    pub fleet: String,
+    /// Where the platform's store is.
+    pub platform: PlatformKind,
+    /// Longest wait for an answer of the platform.
+    pub platform_timeout: Duration,
+    /// Number of threads that serve callers.
+    pub entry_threads: usize,
+    /// Number of callers' connections at once.
+    pub max_connections: usize,
+    /// Longest wait for the header of a request.
+    pub header_timeout: Duration,
+    /// Longest wait for the body of a request.
+    pub body_timeout: Duration,
+    /// Header that names the workspace, in lower case.
+    pub workspace_header: String,
+    /// Header that a route's label is compared with, in lower case.
+    pub class_header: String,
+    /// Longest wait for answers in flight after SIGTERM.
+    pub shutdown_timeout: Duration,
+    /// Longest wait for a connection to a backend server.
+    pub connect_timeout: Duration,
+    /// Longest silence of a backend server within an answer.
+    pub silence_timeout: Duration,
+    /// Time between two reads of a server's load report.
+    pub report_interval: Duration,
+    /// Form of the log.
+    pub log_format: LogFormat,
+    /// Least severe level that is logged.
+    pub log_level: String,
+    /// Number of recent requests that can be explained.
+    pub decision_capacity: usize,
+}
+
+/// One setting that is missing or wrong.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("--{flag}: {problem}")]
+pub struct SettingError {
+    /// Name of the flag without dashes.
+    pub flag: &'static str,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+/// Every setting that is missing or wrong.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub struct SettingErrors(pub Vec<SettingError>);
+
+impl fmt::Display for SettingErrors {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for error in &self.0 {
+            writeln!(formatter, "{error}")?;
+        }
+        Ok(())
+    }
+}
+
+impl DaemonSettings {
+    /// Checks all flags together.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingErrors`] with one entry for each wrong flag.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewspring::settings::{DaemonSettings, settings_command};
+    ///
+    /// let matches = settings_command().try_get_matches_from([
+    ///     "dewspringd", "--vm", "a", "--data-centre", "dk-east-1",
+    ///     "--secret", "0123456789abcdef", "--platform", "127.0.0.1:2379",
+    /// ])?;
+    /// assert_eq!(DaemonSettings::check(&matches).unwrap().vm, "a");
+    /// # Ok::<(), clap::Error>(())
+    /// ```
+    pub fn check(matches: &ArgMatches) -> Result<Self, SettingErrors> {
+        let mut reader = SettingReader {
+            matches,
+            errors: Vec::new(),
+        };
+        let settings = Self {
+            vm: reader.name("vm"),
+            data_centre: reader.name("data-centre"),
+            listen: reader.address("listen"),
+            admin_listen: reader.address("admin-listen"),
+            peer_listen: reader.address("peer-listen"),
+            secret: reader.secret("secret"),
+            fleet: reader.name("fleet"),
+            platform: reader.platform(),
+            platform_timeout: reader.duration("platform-timeout"),
+            entry_threads: reader.count("entry-threads"),
+            max_connections: reader.count("max-connections"),
+            header_timeout: reader.duration("header-timeout"),
+            body_timeout: reader.duration("body-timeout"),
+            workspace_header: reader.header("workspace-header"),
+            class_header: reader.header("class-header"),
+            shutdown_timeout: reader.duration("shutdown-timeout"),
+            connect_timeout: reader.duration("connect-timeout"),
+            silence_timeout: reader.duration("silence-timeout"),
+            report_interval: reader.duration("report-interval"),
+            log_format: reader.log_format(),
+            log_level: reader.log_level(),
+            decision_capacity: reader.count("decision-capacity"),
+        };
+        reader.check_addresses(&settings);
+        if reader.errors.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingErrors(reader.errors))
+        }
+    }
+}
+
+/// Reads flags one by one and gathers what is wrong.
+struct SettingReader<'a> {
+    matches: &'a ArgMatches,
+    errors: Vec<SettingError>,
+}
+
+impl SettingReader<'_> {
+    fn report(&mut self, flag: &'static str, problem: impl Into<String>) {
+        self.errors.push(SettingError {
+            flag,
+            problem: problem.into(),
+        });
+    }
+
+    fn text(&mut self, flag: &'static str) -> Option<String> {
+        let text = self.matches.get_one::<String>(flag).cloned();
+        if text.is_none() {
+            self.report(flag, "must be set");
+        }
+        text
+    }
+
+    fn name(&mut self, flag: &'static str) -> String {
+        let Some(text) = self.text(flag) else {
+            return String::new();
+        };
+        let is_plain = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+        if text.is_empty() || !text.chars().all(is_plain) {
+            self.report(flag, "must be of letters, digits, '-', '_' and '.'");
+        }
+        text
+    }
+
+    fn parsed<T: FromStr>(&mut self, flag: &'static str, expected: &str) -> Option<T> {
+        let text = self.text(flag)?;
+        let value = text.parse().ok();
+        if value.is_none() {
+            self.report(flag, format!("must be {expected}, found \"{text}\""));
+        }
+        value
+    }
+
+    fn address(&mut self, flag: &'static str) -> SocketAddr {
+        self.parsed(flag, "an IP number with a port")
+            .unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    fn count(&mut self, flag: &'static str) -> usize {
+        let count = self.parsed(flag, "a whole number").unwrap_or(1);
+        if count == 0 {
+            self.report(flag, "must be above zero");
+        }
+        count
+    }
+
+    fn duration(&mut self, flag: &'static str) -> Duration {
+        let Some(text) = self.text(flag) else {
+            return Duration::ZERO;
+        };
+        match humantime::parse_duration(&text) {
+            Ok(duration) if !duration.is_zero() => duration,
+            Ok(_) => {
+                self.report(flag, "must be above zero");
+                Duration::ZERO
+            }
+            Err(error) => {
+                self.report(flag, format!("must be a duration: {error}"));
+                Duration::ZERO
+            }
+        }
+    }
+
+    fn header(&mut self, flag: &'static str) -> String {
+        let name = self.name(flag).to_ascii_lowercase();
+        if hyper::header::HeaderName::from_str(&name).is_err() {
+            self.report(flag, "must be a header name");
+        }
+        name
+    }
+
+    fn secret(&mut self, flag: &'static str) -> SharedSecret {
+        let secret = self.text(flag).unwrap_or_default();
+        if !secret.is_empty() && secret.len() < MIN_SECRET_BYTES {
+            self.report(flag, format!("must have {MIN_SECRET_BYTES} bytes or more"));
+        }
+        SharedSecret(secret)
+    }
+
+    fn platform(&mut self) -> PlatformKind {
+        let text = self.text("platform").unwrap_or_default();
+        if text == "embedded" {
+            return PlatformKind::Embedded {
+                routes: self.text("routes").unwrap_or_default().into(),
+                pools: self.text("pools").unwrap_or_default().into(),
+            };
+        }
+        if let Ok(address) = text.parse() {
+            return PlatformKind::Gateway(address);
+        }
+        self.report("platform", "must be 'embedded' or an IP number with a port");
+        PlatformKind::Gateway(SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
+    fn log_format(&mut self) -> LogFormat {
+        match self.text("log-format").as_deref() {
+            Some("json") => LogFormat::Json,
+            Some("text") | None => LogFormat::Text,
+            Some(_) => {
+                self.report("log-format", "must be text or json");
+                LogFormat::Text
+            }
+        }
+    }
+
+    fn log_level(&mut self) -> String {
+        let level = self.text("log-level").unwrap_or_default();
+        if log::LevelFilter::from_str(&level).is_err() {
+            self.report("log-level", "must be error, warn, info, debug or trace");
+        }
+        level
+    }
+
+    fn check_addresses(&mut self, settings: &DaemonSettings) {
+        let ports = [
+            ("listen", settings.listen),
+            ("admin-listen", settings.admin_listen),
+            ("peer-listen", settings.peer_listen),
+        ];
+        for (index, (flag, address)) in ports.iter().enumerate() {
+            let taken = ports[..index]
+                .iter()
+                .find(|(_, other)| other == address && address.port() != 0);
+            if let Some((other, _)) = taken {
+                self.report(flag, format!("is the same address as --{other}"));
+            }
+        }
+    }
+}
