Add the platform's stores and lists of VMs

Cause: the library needs the platform's key-value service and its list of VMs, over HTTP and, for a single daemon and tests, in this process.

Ruled out: gRPC, which needs a second HTTP stack and a generator; taking a garbled answer to a write as an error without effect, since the write may stand.

Change: EmbeddedStore and EmbeddedDirectory; GatewayStore and GatewayDirectory, clients of the JSON gateway with bounds on time and size; AnyStore and AnyDirectory, which choose by value.

Conclusion: a write is called unavailable only if it surely had no effect.

--- /dev/null
+++ b/crates/dewspring/src/platform/gateway_directory.rs
@@ -0,0 +1,56 @@
+//! The client of the platform's list of VMs.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use oxhttp::Client;
+use oxhttp::model::{Body, Request, StatusCode};
+
+use super::gateway_call::{CallTarget, MAX_ANSWER_BYTES, read_bounded};
+use super::store::{DirectoryError, VmDirectory, VmEntry};
+
+/// The platform's list of VMs, reached over HTTP.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use dewspring::platform::{GatewayDirectory, VmDirectory};
+///
+/// let address = "127.0.0.1:9".parse().expect("an address");
+/// let directory = GatewayDirectory::open(address, Duration::from_millis(100));
+/// assert!(directory.list().is_err());
+/// ```
+#[derive(Clone, Debug)]
+pub struct GatewayDirectory {
+    target: CallTarget,
+}
+
+impl GatewayDirectory {
+    /// Opens a client whose calls take at most about `timeout` each.
+    pub fn open(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            target: CallTarget { address, timeout },
+        }
+    }
+}
+
+impl VmDirectory for GatewayDirectory {
+    fn list(&self) -> Result<Vec<VmEntry>, DirectoryError> {
+        let deadline = Instant::now() + self.target.timeout;
+        let request = Request::get(format!("http://{}/vms", self.target.address))
+            .body(Body::empty())
+            .expect("an address and a path are a valid URI");
+        let response = Client::new()
+            .with_global_timeout(self.target.timeout)
+            .request(request)
+            .map_err(|error| DirectoryError(error.to_string()))?;
+        if response.status() != StatusCode::OK {
+            return Err(DirectoryError(format!("status {}", response.status())));
+        }
+        let body = read_bounded(response.into_body(), deadline, MAX_ANSWER_BYTES)
+            .map_err(|error| DirectoryError(error.to_string()))?;
+        serde_json::from_slice(&body).map_err(|error| DirectoryError(error.to_string()))
+    }
+}
--- a/crates/dewspring/src/platform/store.rs
+++ b/crates/dewspring/src/platform/store.rs
@@ -8,6 +8,9 @@
 
 use crate::ids::{DataCentreName, VmId};
 
+/// Largest value that a store holds, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
+
 /// Version of a key: it rises with each write of the store.
 pub type StoreVersion = u64;
 
--- /dev/null
+++ b/crates/dewspring/src/platform/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of the stores and the lists of VMs.
+
+mod embedded;
+mod gateway;
+mod servers;
--- /dev/null
+++ b/crates/dewspring/src/platform/tests/servers.rs
@@ -0,0 +1,77 @@
+//! Small HTTP servers that answer as a test wants.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use oxhttp::Server;
+use oxhttp::model::{Body, Response, StatusCode};
+use serde_json::Value;
+
+/// A call as the server saw it.
+#[derive(Clone, Debug)]
+pub struct SeenCall {
+    pub path: String,
+    pub body: Value,
+}
+
+/// A server that gives every call the same answer and notes the calls.
+pub struct ScriptedServer {
+    pub address: SocketAddr,
+    calls: Arc<Mutex<Vec<SeenCall>>>,
+}
+
+impl ScriptedServer {
+    pub fn spawn(status: u16, answer: impl Into<Vec<u8>>, delay: Duration) -> Self {
+        let address = free_address();
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let (seen, answer) = (Arc::clone(&calls), answer.into());
+        Server::new(move |request| {
+            let path = request.uri().path().to_owned();
+            let mut text = String::new();
+            request
+                .body_mut()
+                .read_to_string(&mut text)
+                .expect("a readable body");
+            let body = serde_json::from_str(&text).unwrap_or_default();
+            seen.lock().expect("the list").push(SeenCall { path, body });
+            thread::sleep(delay);
+            Response::builder()
+                .status(StatusCode::from_u16(status).expect("a status"))
+                .body(Body::from(answer.clone()))
+                .expect("an answer")
+        })
+        .bind(address)
+        .spawn()
+        .expect("the server starts");
+        Self { address, calls }
+    }
+
+    pub fn calls(&self) -> Vec<SeenCall> {
+        self.calls.lock().expect("the list").clone()
+    }
+}
+
+/// Serves one connection with these bytes, holds it, then closes it.
+pub fn serve_raw(bytes: impl Into<Vec<u8>>, hold: Duration) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let bytes = bytes.into();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buffer = [0; 4096];
+        let _ = stream.read(&mut buffer);
+        let _ = stream.write_all(&bytes);
+        thread::sleep(hold);
+    });
+    address
+}
+
+/// An address at which nothing listens.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .and_then(|listener| listener.local_addr())
+        .expect("a free port")
+}
