Decide grants in a pure state behind a thread

Cause: entries need one place that counts what runs on each server and says who is next.

Ruled out: a ring for questions and another for releases. A withdrawal could then overtake its question. One ring keeps the order; questions may fill only half of it. Values of which only the latest counts (configuration, marks, reports, share, lost entries) don't go through the ring, as a full ring would lose them; they lie in a mailbox.

Change: BrokerState (tiers, earliest deadline, least work in flight, bounded queue, bounded hold time of grants), BrokerHandle and its thread, status. A grant that nobody awaits any more is given back.

--- /dev/null
+++ b/crates/dewspring/src/broker/grants.rs
@@ -0,0 +1,86 @@
+//! The grants that are out, and when each of them ends by itself.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use crate::ids::{BootId, GrantId, PoolName, RequestId, ServerName, TokenCount, VmId};
+
+/// A grant that is out.
+#[derive(Clone, Debug)]
+pub(super) struct GrantRecord {
+    /// Number of the grant.
+    pub(super) id: GrantId,
+    /// Request that it was given for.
+    pub(super) request: RequestId,
+    /// VM of the entry that holds it.
+    pub(super) entry: VmId,
+    /// Boot of that entry.
+    pub(super) entry_boot: BootId,
+    /// Pool of the server.
+    pub(super) pool: PoolName,
+    /// Server that the grant is for.
+    pub(super) server: ServerName,
+    /// Estimated work, in tokens.
+    pub(super) tokens: TokenCount,
+    /// Time at which the grant ends if the entry never releases it.
+    pub(super) expires_at: Instant,
+}
+
+impl GrantRecord {
+    fn is_held_by(&self, entry: &VmId, boot: BootId) -> bool {
+        self.entry == *entry && self.entry_boot == boot
+    }
+}
+
+/// The grants that are out.
+#[derive(Debug, Default)]
+pub(super) struct GrantTable {
+    records: IndexMap<GrantId, GrantRecord>,
+    expiries: BTreeSet<(Instant, GrantId)>,
+}
+
+impl GrantTable {
+    /// Adds a grant.
+    pub(super) fn insert(&mut self, record: GrantRecord) {
+        self.expiries.insert((record.expires_at, record.id));
+        self.records.insert(record.id, record);
+    }
+
+    /// Ends a grant; `None` if it has ended already.
+    pub(super) fn remove(&mut self, id: GrantId) -> Option<GrantRecord> {
+        let record = self.records.swap_remove(&id)?;
+        self.expiries.remove(&(record.expires_at, id));
+        Some(record)
+    }
+
+    /// Ends a grant that has run out.
+    pub(super) fn pop_expired(&mut self, now: Instant) -> Option<GrantRecord> {
+        let &(expires_at, id) = self.expiries.first()?;
+        if expires_at > now {
+            return None;
+        }
+        self.remove(id)
+    }
+
+    /// Returns the time at which the next grant runs out.
+    pub(super) fn next_expiry(&self) -> Option<Instant> {
+        self.expiries.first().map(|&(expires_at, _)| expires_at)
+    }
+
+    /// Whether this boot of an entry holds a grant.
+    pub(super) fn is_held_by(&self, id: GrantId, entry: &VmId, boot: BootId) -> bool {
+        let record = self.records.get(&id);
+        record.is_some_and(|record| record.is_held_by(entry, boot))
+    }
+
+    /// Lists the grants of one boot of an entry.
+    pub(super) fn of_entry(&self, entry: &VmId, boot: BootId) -> Vec<GrantId> {
+        let records = self.records.values();
+        records
+            .filter(|record| record.is_held_by(entry, boot))
+            .map(|record| record.id)
+            .collect()
+    }
+}
--- a/crates/dewspring/src/broker/mod.rs
+++ b/crates/dewspring/src/broker/mod.rs
@@ -5,8 +5,25 @@
 //! broker counts every grant that it gave out, so it knows what is in flight
 //! at once, while load reports lag.
 
+mod control;
+mod grants;
+mod handle;
+mod mailbox;
 mod messages;
+mod pool;
+mod queue;
+mod replica;
+mod state;
+mod status;
+mod thread;
 
+#[cfg(test)]
+mod tests;
+
+pub use control::{BrokerSettings, CacheHint, ServerMark, ServerReport, ShareDivisor};
+pub use handle::BrokerHandle;
 pub use messages::{
     AttemptOutcome, Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason,
 };
+pub use state::{BrokerState, TicketDecision};
+pub use status::{BrokerStatus, ClassStatus, PoolStatus, ServerState, ServerStatus};
--- /dev/null
+++ b/crates/dewspring/src/broker/state.rs
@@ -0,0 +1,478 @@
+//! The broker's decisions as plain functions of state, event and time.
+//!
+//! Nothing here reads a clock, does I/O or starts a thread. Every question
+//! gets a ticket and exactly one decision, unless it is withdrawn first.
+
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::control::{BrokerSettings, ServerMark, ServerReport, ShareDivisor};
+use super::grants::{GrantRecord, GrantTable};
+use super::messages::{Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason};
+use super::pool::{Placement, PoolState};
+use super::queue::{QueuedRequest, later};
+use super::status::BrokerStatus;
+use crate::ids::{
+    BootId, ClassName, GrantId, PoolName, RequestId, Revision, ServerName, TierLevel,
+};
+use crate::ids::{VmId, WorkspaceId};
+use crate::tables::FleetConfig;
+
+/// Shortest time after which a refused caller may come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A decision with what the log says of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TicketDecision {
+    /// Number of the question, as [`BrokerState::ask`] returned it.
+    pub ticket: GrantId,
+    /// The caller's request.
+    pub request: RequestId,
+    /// Pool that was asked for.
+    pub pool: PoolName,
+    /// Class of the request.
+    pub class: ClassName,
+    /// Tier of the request.
+    pub tier: TierLevel,
+    /// Workspace of the request.
+    pub workspace: WorkspaceId,
+    /// Time for which the question waited at the broker.
+    pub waited: Duration,
+    /// The decision.
+    pub decision: GrantDecision,
+}
+
+/// Where a ticket stands.
+#[derive(Clone, Debug)]
+enum TicketPlace {
+    /// In the queue of this pool.
+    Queued(PoolName),
+    /// In the table of grants.
+    Granted,
+}
+
+/// What a broker knows and decides.
+#[derive(Debug)]
+pub struct BrokerState {
+    settings: BrokerSettings,
+    revision: Revision,
+    share: ShareDivisor,
+    pools: IndexMap<PoolName, PoolState>,
+    server_pools: IndexMap<ServerName, PoolName>,
+    leaving: IndexSet<ServerName>,
+    grants: GrantTable,
+    tickets: IndexMap<GrantId, TicketPlace>,
+    requests: IndexMap<RequestId, Vec<GrantId>>,
+    next_ticket: GrantId,
+    decisions: Vec<TicketDecision>,
+    generator: SmallRng,
+}
+
+impl BrokerState {
+    /// Returns a broker that knows no pool yet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewspring::broker::{BrokerSettings, BrokerState};
+    ///
+    /// let state = BrokerState::new(BrokerSettings::new("vm-1", 7));
+    /// assert_eq!(state.status().in_flight(), 0);
+    /// ```
+    pub fn new(settings: BrokerSettings) -> Self {
+        let generator = SmallRng::seed_from_u64(settings.seed);
+        Self {
+            settings,
+            revision: 0,
+            share: ShareDivisor::WHOLE,
+            pools: IndexMap::new(),
+            server_pools: IndexMap::new(),
+            leaving: IndexSet::new(),
+            grants: GrantTable::default(),
+            tickets: IndexMap::new(),
+            requests: IndexMap::new(),
+            next_ticket: 1,
+            decisions: Vec::new(),
+            generator,
+        }
+    }
+
+    /// Takes a question and returns its ticket.
+    ///
+    /// The decision comes from [`take_decisions`](Self::take_decisions), at
+    /// once or later.
+    pub fn ask(&mut self, request: GrantRequest, now: Instant) -> GrantId {
+        self.advance(now);
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let queued = QueuedRequest::new(ticket, request, now);
+        let Some(pool) = self.pools.get_mut(&queued.request.pool) else {
+            self.refuse(queued, RefusalReason::NoServer, now);
+            return ticket;
+        };
+        if !pool.is_serving() {
+            self.refuse(queued, RefusalReason::NoServer, now);
+            return ticket;
+        }
+        if queued.give_up_at <= now {
+            let reason = expiry_reason(&queued, now);
+            self.refuse(queued, reason, now);
+            return ticket;
+        }
+        let name = queued.request.pool.clone();
+        let victim = Self::make_room(pool, &queued, self.settings.queue_limit);
+        match victim {
+            Some(victim) if victim == ticket => {
+                self.refuse(queued, RefusalReason::QueueFull, now);
+                return ticket;
+            }
+            Some(victim) => {
+                let victim = pool.queue.remove(victim);
+                self.enqueue(&name, queued);
+                let victim = victim.expect("the victim was queued");
+                self.refuse(victim, RefusalReason::QueueFull, now);
+            }
+            None => self.enqueue(&name, queued),
+        }
+        self.dispatch(&name, now);
+        ticket
+    }
+
+    /// Forgets a request whose caller is gone: it leaves the queue, and what
+    /// was granted to it is given back.
+    ///
+    /// Returns the tickets that get no decision any more.
+    pub fn withdraw(
+        &mut self,
+        request: &RequestId,
+        entry: &VmId,
+        boot: BootId,
+        now: Instant,
+    ) -> Vec<GrantId> {
+        self.advance(now);
+        let mut tickets = self.requests.get(request).cloned().unwrap_or_default();
+        tickets.retain(|&ticket| self.is_asked_by(ticket, entry, boot));
+        self.cancel_all(tickets, now)
+    }
+
+    /// Forgets one question: it leaves the queue, or its grant is given back.
+    ///
+    /// Returns whether the ticket waited, so that it gets no decision any more.
+    pub fn cancel(&mut self, ticket: GrantId, now: Instant) -> bool {
+        match self.tickets.get(&ticket).cloned() {
+            None => false,
+            Some(TicketPlace::Queued(name)) => {
+                let pool = self.pools.get_mut(&name);
+                let queued = pool.and_then(|pool| pool.queue.remove(ticket));
+                let queued = queued.expect("a queued ticket is in its pool's queue");
+                self.forget_ticket(ticket, &queued.request.request);
+                true
+            }
+            Some(TicketPlace::Granted) => {
+                let record = self.grants.remove(ticket);
+                let record = record.expect("a granted ticket is in the table of grants");
+                self.end(record, now);
+                false
+            }
+        }
+    }
+
+    /// Ends a grant; a grant of another boot or one that has ended already is
+    /// passed over.
+    pub fn release(&mut self, release: &GrantRelease, now: Instant) {
+        self.advance(now);
+        if release.boot != self.settings.boot {
+            return;
+        }
+        if let Some(record) = self.grants.remove(release.grant) {
+            self.end(record, now);
+        }
+    }
+
+    /// Follows a configuration; one with a lower revision is passed over.
+    pub fn configure(&mut self, config: &FleetConfig, now: Instant) {
+        self.advance(now);
+        if config.revision < self.revision {
+            return;
+        }
+        self.revision = config.revision;
+        for (name, pool) in &mut self.pools {
+            if !config.pools.rows.contains_key(name) {
+                pool.unlist();
+            }
+        }
+        for (name, row) in &config.pools.rows {
+            let pool = self.pools.entry(name.clone()).or_default();
+            pool.configure(row, self.share);
+            for server in row.servers.iter().map(|server| &server.name) {
+                self.server_pools.insert(server.clone(), name.clone());
+                if self.leaving.contains(server) {
+                    pool.mark(server, ServerMark::Leaving);
+                }
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Notes a server's report on its load.
+    pub fn report(&mut self, report: &ServerReport, now: Instant) {
+        self.advance(now);
+        let Some(name) = self.server_pools.get(&report.server).cloned() else {
+            return;
+        };
+        if let Some(pool) = self.pools.get_mut(&name) {
+            pool.report(report);
+        }
+        self.settle_pool(&name, now);
+    }
+
+    /// Notes what the platform's list says of a server.
+    pub fn mark(&mut self, server: &ServerName, mark: ServerMark, now: Instant) {
+        self.advance(now);
+        match mark {
+            ServerMark::Leaving => self.leaving.insert(server.clone()),
+            ServerMark::Live => self.leaving.swap_remove(server),
+        };
+        let Some(name) = self.server_pools.get(server).cloned() else {
+            return;
+        };
+        if let Some(pool) = self.pools.get_mut(&name) {
+            pool.mark(server, mark);
+        }
+        self.settle_pool(&name, now);
+    }
+
+    /// Ends the grants of an entry that is gone, and forgets its questions.
+    ///
+    /// Returns the tickets that get no decision any more.
+    pub fn forget_entry(&mut self, entry: &VmId, boot: BootId, now: Instant) -> Vec<GrantId> {
+        self.advance(now);
+        let queued = self
+            .pools
+            .values()
+            .flat_map(|pool| pool.queue.of_entry(entry, boot));
+        let mut tickets = queued.collect::<Vec<_>>();
+        tickets.extend(self.grants.of_entry(entry, boot));
+        self.cancel_all(tickets, now)
+    }
+
+    /// Follows a new share of the servers' slots.
+    pub fn set_share(&mut self, share: ShareDivisor, now: Instant) {
+        self.advance(now);
+        self.share = share;
+        for pool in self.pools.values_mut() {
+            pool.set_share(share);
+        }
+        self.settle(now);
+    }
+
+    /// Does what has become due: gives up waiting requests and ends grants
+    /// that were never released.
+    pub fn advance(&mut self, now: Instant) {
+        while let Some(record) = self.grants.pop_expired(now) {
+            self.end(record, now);
+        }
+        for index in 0..self.pools.len() {
+            while let Some(queued) = self.pools[index].queue.pop_expired(now) {
+                let reason = expiry_reason(&queued, now);
+                self.refuse(queued, reason, now);
+            }
+        }
+    }
+
+    /// Returns the time at which [`advance`](Self::advance) is due.
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        let queues = self.pools.values().map(|pool| &pool.queue);
+        let expiries = queues.filter_map(|queue| queue.next_expiry());
+        expiries.chain(self.grants.next_expiry()).min()
+    }
+
+    /// Refuses all that waits, because the daemon shuts down.
+    pub fn shut_down(&mut self, now: Instant) {
+        for index in 0..self.pools.len() {
+            self.flush(index, RefusalReason::ShuttingDown, now);
+        }
+    }
+
+    /// Takes the decisions made since the last call, in their order.
+    pub fn take_decisions(&mut self) -> Vec<TicketDecision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// Describes the broker to operators.
+    pub fn status(&self) -> BrokerStatus {
+        let pools = self.pools.iter();
+        BrokerStatus {
+            revision: self.revision,
+            pools: pools.map(|(name, pool)| pool.status(name)).collect(),
+        }
+    }
+
+    /// Cancels the queued tickets first, so that no grant goes to one of them
+    /// when a slot comes free.
+    fn cancel_all(&mut self, mut tickets: Vec<GrantId>, now: Instant) -> Vec<GrantId> {
+        tickets
+            .sort_by_key(|ticket| matches!(self.tickets.get(ticket), Some(TicketPlace::Granted)));
+        tickets.retain(|&ticket| self.cancel(ticket, now));
+        tickets
+    }
+
+    fn make_room(pool: &PoolState, queued: &QueuedRequest, limit: usize) -> Option<GrantId> {
+        if pool.queue.len() < limit {
+            return None;
+        }
+        let victim = pool.queue.victim();
+        Some(match victim {
+            Some(victim) if victim.gives_way_before(queued) => victim.ticket,
+            _ => queued.ticket,
+        })
+    }
+
+    fn enqueue(&mut self, name: &PoolName, queued: QueuedRequest) {
+        let ticket = queued.ticket;
+        let request = queued.request.request.clone();
+        self.requests.entry(request).or_default().push(ticket);
+        self.tickets
+            .insert(ticket, TicketPlace::Queued(name.clone()));
+        let pool = self.pools.get_mut(name).expect("the pool is known");
+        pool.queue.push(queued);
+    }
+
+    fn dispatch(&mut self, name: &PoolName, now: Instant) {
+        while let Some(pool) = self.pools.get_mut(name) {
+            let Some(placement) = pool.place_next(now) else {
+                return;
+            };
+            self.grant(name, placement, now);
+        }
+    }
+
+    fn grant(&mut self, name: &PoolName, placement: Placement, now: Instant) {
+        let Placement {
+            queued,
+            server,
+            tokens,
+            reason,
+        } = placement;
+        let waited = now.saturating_duration_since(queued.asked_at);
+        let validity = self.settings.grant_validity;
+        let request = &queued.request;
+        let record = GrantRecord {
+            id: queued.ticket,
+            request: request.request.clone(),
+            entry: request.entry.clone(),
+            entry_boot: request.entry_boot,
+            pool: name.clone(),
+            server: server.clone(),
+            tokens,
+            expires_at: later(now, validity + request.timeout_left.saturating_sub(waited)),
+        };
+        let pool = &self.pools[name];
+        let replica = pool.replica(&server).expect("the chosen server is known");
+        let grant = Grant {
+            id: queued.ticket,
+            broker: self.settings.vm.clone(),
+            boot: self.settings.boot,
+            address: replica.address,
+            server,
+            valid_for: waited + validity,
+            reason,
+        };
+        self.grants.insert(record);
+        self.tickets.insert(queued.ticket, TicketPlace::Granted);
+        self.decide(queued, GrantDecision::Granted(grant), now);
+    }
+
+    fn end(&mut self, record: GrantRecord, now: Instant) {
+        self.forget_ticket(record.id, &record.request);
+        let pool = self.pools.get_mut(&record.pool);
+        let pool = pool.expect("a pool stays known while it has grants");
+        pool.end(&record.server, record.tokens);
+        self.settle_pool(&record.pool, now);
+    }
+
+    fn settle(&mut self, now: Instant) {
+        let names = self.pools.keys().cloned().collect::<Vec<_>>();
+        for name in names {
+            self.settle_pool(&name, now);
+        }
+    }
+
+    fn settle_pool(&mut self, name: &PoolName, now: Instant) {
+        let Some(index) = self.pools.get_index_of(name) else {
+            return;
+        };
+        if !self.pools[index].is_serving() {
+            self.flush(index, RefusalReason::NoServer, now);
+        }
+        if self.pools[index].is_gone() {
+            self.pools.shift_remove_index(index);
+            self.server_pools.retain(|_, pool| pool != name);
+            return;
+        }
+        self.dispatch(name, now);
+    }
+
+    fn flush(&mut self, index: usize, reason: RefusalReason, now: Instant) {
+        while let Some(queued) = self.pools[index].queue.pop_any() {
+            self.refuse(queued, reason, now);
+        }
+    }
+
+    fn refuse(&mut self, queued: QueuedRequest, reason: RefusalReason, now: Instant) {
+        self.forget_ticket(queued.ticket, &queued.request.request);
+        let spread = self.generator.random_range(1.0..2.0);
+        let refusal = Refusal {
+            reason,
+            retry_after: MIN_RETRY_AFTER.mul_f64(spread),
+        };
+        self.decide(queued, GrantDecision::Refused(refusal), now);
+    }
+
+    fn decide(&mut self, queued: QueuedRequest, decision: GrantDecision, now: Instant) {
+        let request = queued.request;
+        self.decisions.push(TicketDecision {
+            ticket: queued.ticket,
+            request: request.request,
+            pool: request.pool,
+            class: request.class,
+            tier: request.tier,
+            workspace: request.workspace,
+            waited: now.saturating_duration_since(queued.asked_at),
+            decision,
+        });
+    }
+
+    fn is_asked_by(&self, ticket: GrantId, entry: &VmId, boot: BootId) -> bool {
+        match self.tickets.get(&ticket) {
+            None => false,
+            Some(TicketPlace::Granted) => self.grants.is_held_by(ticket, entry, boot),
+            Some(TicketPlace::Queued(name)) => {
+                let pool = self.pools.get(name);
+                pool.is_some_and(|pool| pool.queue.is_asked_by(ticket, entry, boot))
+            }
+        }
+    }
+
+    fn forget_ticket(&mut self, ticket: GrantId, request: &RequestId) {
+        self.tickets.swap_remove(&ticket);
+        let Some(tickets) = self.requests.get_mut(request) else {
+            return;
+        };
+        tickets.retain(|&other| other != ticket);
+        if tickets.is_empty() {
+            self.requests.swap_remove(request);
+        }
+    }
+}
+
+fn expiry_reason(queued: &QueuedRequest, now: Instant) -> RefusalReason {
+    let timeout = later(queued.asked_at, queued.request.timeout_left);
+    match timeout <= now {
+        true => RefusalReason::TimedOut,
+        false => RefusalReason::TargetMissed,
+    }
+}
--- /dev/null
+++ b/crates/dewspring/src/broker/tests.rs
@@ -0,0 +1,103 @@
+//! Tests of the broker, by duty, and what they share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::{AttemptOutcome, GrantDecision, GrantRelease, GrantRequest, Refusal, TicketDecision};
+use crate::ids::{GrantId, Revision};
+use crate::tables::{FleetConfig, PoolKind, PoolRow, PoolTable, RouteTable, ServerRow};
+
+mod handle;
+mod state;
+
+/// Boot of the broker under test.
+const BOOT: u64 = 7;
+/// Pool of the requests under test.
+const POOL: &str = "pool";
+
+/// Returns a server of one slot for each number, as `server-0` and so on.
+fn servers(slots: &[u32]) -> Vec<ServerRow> {
+    let row = |(index, &slots): (usize, &u32)| ServerRow {
+        name: format!("server-{index}"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        data_centre: "centre".into(),
+        slots,
+        drain: false,
+    };
+    slots.iter().enumerate().map(row).collect()
+}
+
+/// Returns a configuration with the one pool under test.
+fn config(revision: Revision, servers: Vec<ServerRow>) -> FleetConfig {
+    let pool = PoolRow {
+        name: POOL.into(),
+        kind: PoolKind::Engine,
+        model: None,
+        servers,
+        honours_priority: false,
+        can_resume: false,
+        checks_fencing: false,
+        refusal_means_not_run: true,
+        retry_percent: 10,
+    };
+    FleetConfig {
+        revision,
+        change_id: String::new(),
+        routes: RouteTable::default(),
+        pools: PoolTable {
+            rows: IndexMap::from([(POOL.into(), pool)]),
+        },
+    }
+}
+
+/// Returns a request of tier 1 that may wait for a minute.
+fn request(id: &str) -> GrantRequest {
+    GrantRequest {
+        request: id.into(),
+        entry: "entry".into(),
+        entry_boot: 1,
+        pool: POOL.into(),
+        class: "class".into(),
+        tier: 1,
+        workspace: "workspace".into(),
+        waited: Duration::ZERO,
+        target_left: Duration::from_secs(30),
+        timeout_left: Duration::from_secs(60),
+        late_is_useful: true,
+        floor_percent: 0,
+        prompt_tokens: 100,
+        max_tokens: Some(100),
+        prefix: None,
+        excluded: Vec::new(),
+    }
+}
+
+/// Returns the release of a grant that ended well.
+fn release(grant: GrantId) -> GrantRelease {
+    GrantRelease {
+        grant,
+        boot: BOOT,
+        outcome: AttemptOutcome::Completed,
+        tokens: 100,
+        first_token: Some(Duration::from_millis(100)),
+        elapsed: Duration::from_secs(1),
+    }
+}
+
+/// Returns the refusal of a decision that must be one.
+fn refusal(decision: &TicketDecision) -> &Refusal {
+    match &decision.decision {
+        GrantDecision::Refused(refusal) => refusal,
+        GrantDecision::Granted(grant) => panic!("granted: {grant:?}"),
+    }
+}
+
+/// Names the requests that were granted, in their order.
+fn granted(decisions: &[TicketDecision]) -> Vec<&str> {
+    let grants = decisions
+        .iter()
+        .filter(|decision| matches!(decision.decision, GrantDecision::Granted(_)));
+    grants.map(|decision| decision.request.as_str()).collect()
+}
--- /dev/null
+++ b/crates/dewspring/src/broker/tests/handle.rs
@@ -0,0 +1,123 @@
+//! The broker behind its thread.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::oneshot;
+
+use super::{BOOT, config, release, request, servers};
+use crate::broker::{BrokerHandle, BrokerSettings, GrantDecision, RefusalReason};
+
+/// Longest time that a test waits for the broker.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn spawn(slots: &[u32]) -> BrokerHandle {
+    let handle = BrokerHandle::spawn(BrokerSettings::new("vm", BOOT));
+    handle.configure(Arc::new(config(1, servers(slots))));
+    handle
+}
+
+fn ask(handle: &BrokerHandle, id: &str) -> oneshot::Receiver<GrantDecision> {
+    let (reply, receiver) = oneshot::channel();
+    handle.ask(request(id), reply).expect("the ring has room");
+    receiver
+}
+
+fn wait_until(handle: &BrokerHandle, queued: usize, in_flight: u32) {
+    let start = Instant::now();
+    loop {
+        let status = handle.status();
+        if (status.queued(), status.in_flight()) == (queued, in_flight) {
+            return;
+        }
+        assert!(start.elapsed() < PATIENCE, "last status: {status:?}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn end(handle: &BrokerHandle) {
+    handle.shut_down();
+    handle.join();
+}
+
+#[test]
+fn a_grant_comes_back_and_is_released() {
+    let handle = spawn(&[1]);
+    let first = ask(&handle, "first").blocking_recv();
+    let Ok(GrantDecision::Granted(grant)) = first else {
+        panic!("not granted: {first:?}");
+    };
+    let second = ask(&handle, "second");
+    handle.release(release(grant.id));
+    assert!(matches!(
+        second.blocking_recv(),
+        Ok(GrantDecision::Granted(_))
+    ));
+    wait_until(&handle, 0, 1);
+    end(&handle);
+}
+
+#[test]
+fn a_grant_that_nobody_awaits_is_given_back() {
+    let handle = spawn(&[1]);
+    let first = ask(&handle, "first").blocking_recv();
+    let Ok(GrantDecision::Granted(grant)) = first else {
+        panic!("not granted: {first:?}");
+    };
+    drop(ask(&handle, "second"));
+    wait_until(&handle, 1, 1);
+    handle.release(release(grant.id));
+    wait_until(&handle, 0, 0);
+    end(&handle);
+}
+
+#[test]
+fn a_withdrawn_request_gets_no_decision() {
+    let handle = spawn(&[1]);
+    let first = ask(&handle, "first").blocking_recv();
+    assert!(matches!(first, Ok(GrantDecision::Granted(_))));
+    let second = ask(&handle, "second");
+    handle.withdraw("second".into(), "entry".into(), 1);
+    assert!(second.blocking_recv().is_err());
+    handle.forget_entry("entry".into(), 1);
+    wait_until(&handle, 0, 0);
+    end(&handle);
+}
+
+#[test]
+fn a_shutdown_refuses_what_waits() {
+    let handle = spawn(&[1]);
+    let first = ask(&handle, "first");
+    let second = ask(&handle, "second");
+    end(&handle);
+    assert!(matches!(
+        first.blocking_recv(),
+        Ok(GrantDecision::Granted(_))
+    ));
+    let Ok(GrantDecision::Refused(refusal)) = second.blocking_recv() else {
+        panic!("not refused");
+    };
+    assert_eq!(refusal.reason, RefusalReason::ShuttingDown);
+    let (reply, _receiver) = oneshot::channel();
+    let refusal = handle
+        .ask(request("late"), reply)
+        .expect_err("the broker has ended");
+    assert_eq!(refusal.reason, RefusalReason::ShuttingDown);
+}
+
+#[test]
+fn a_full_ring_refuses_with_different_times() {
+    let mut settings = BrokerSettings::new("vm", BOOT);
+    settings.ring_capacity = 2;
+    let handle = BrokerHandle::spawn(settings);
+    let mut refusals = Vec::new();
+    let start = Instant::now();
+    while refusals.len() < 2 {
+        let (reply, _receiver) = oneshot::channel();
+        refusals.extend(handle.ask(request("r"), reply).err());
+        assert!(start.elapsed() < PATIENCE, "the ring was never full");
+    }
+    assert_eq!(refusals[0].reason, RefusalReason::Overloaded);
+    assert_ne!(refusals[0].retry_after, refusals[1].retry_after);
+    end(&handle);
+}
