Keep the newest accepted configuration on each VM

Cause: every daemon needs the fleet's document in force, without ever stepping back, also while the store is down or came back with older data.

Ruled out: one thread for the watch and the decisions, since an offer of a peer would wait for the watch to end; writing the newer document back to a store that fell behind, since only the operators know which one they want.

Change: ConfigKeeper, with one thread on the store and one that decides; the decisions are plain functions over KeeperState. FaultyStore is a store for tests that goes down, slows down, loses answers and comes back with older data.

--- /dev/null
+++ b/crates/dewspring/src/configuration/tests/keeper.rs
@@ -0,0 +1,156 @@
+//! Tests of the running duty against a store that fails.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use super::super::exchange::{ConfigExchange, ConfigSnapshot};
+use super::super::keeper::{ConfigKeeper, KeeperSettings};
+use super::super::publish::document_key;
+use super::super::state::ConfigProblem;
+use super::{document, read_plain};
+use crate::ids::Revision;
+use crate::platform::tests::faulty::FaultyStore;
+use crate::platform::{EmbeddedStore, ExpectedVersion, PlatformStore, StoreError, SwapOutcome};
+
+const FLEET: &str = "north";
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn spawn(store: &FaultyStore) -> ConfigKeeper {
+    let settings = KeeperSettings {
+        watch_timeout: Duration::from_millis(100),
+        retry_base: Duration::from_millis(5),
+        retry_limit: Duration::from_millis(20),
+        ..KeeperSettings::new(FLEET, 3)
+    };
+    ConfigKeeper::spawn_with(store.clone(), settings, read_plain)
+}
+
+fn write(store: &EmbeddedStore, bytes: &[u8]) {
+    let key = document_key(FLEET);
+    let expected = match store.get(&key).expect("the store answers") {
+        Some(entry) => ExpectedVersion::Version(entry.version),
+        None => ExpectedVersion::Absent,
+    };
+    let outcome = store.compare_and_swap(&key, expected, bytes, None);
+    assert!(matches!(outcome, Ok(SwapOutcome::Swapped(_))));
+}
+
+fn wait_for(what: &str, mut is_met: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !is_met() {
+        assert!(Instant::now() < deadline, "no {what} in {PATIENCE:?}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+fn wait_for_revision(keeper: &ConfigKeeper, revision: Revision) {
+    wait_for("revision", || keeper.revision() == revision);
+    assert_eq!(keeper.current().revision, revision);
+}
+
+#[test]
+fn follows_the_store_through_faults() {
+    let store = FaultyStore::open();
+    write(&store.inner(), &document(1, "a"));
+    store.set_down(true);
+    let keeper = spawn(&store);
+    let revisions = keeper.subscribe();
+    assert!(!keeper.is_ready());
+    store.set_latency(Duration::from_millis(20));
+    store.set_down(false);
+    wait_for("readiness", || keeper.is_ready());
+    wait_for_revision(&keeper, 1);
+    store.set_latency(Duration::ZERO);
+
+    store.set_down(true);
+    wait_for("outage", || keeper.status().store_down_since.is_some());
+    assert!(keeper.is_ready());
+    write(&store.inner(), &document(2, "b"));
+    store.set_down(false);
+    wait_for_revision(&keeper, 2);
+
+    write(&store.inner(), b"no document");
+    wait_for("problem", || keeper.status().store_problem.is_some());
+    assert_eq!(keeper.current().change_id, "b");
+    let held = store.inner().get(&document_key(FLEET));
+    let version = held.expect("an answer").expect("a document").version;
+    store.lose_answers(1);
+    let lost = store.compare_and_swap(
+        &document_key(FLEET),
+        ExpectedVersion::Version(version),
+        &document(3, "c"),
+        None,
+    );
+    assert!(matches!(lost, Err(StoreError::AnswerLost(_))));
+    wait_for_revision(&keeper, 3);
+    assert_eq!(keeper.status().store_problem, None);
+    assert_eq!(revisions.try_iter().collect::<Vec<_>>(), [1, 2, 3]);
+}
+
+#[test]
+fn reports_a_restored_store_and_writes_nothing_back() {
+    let store = FaultyStore::open();
+    write(&store.inner(), &document(1, "a"));
+    write(&store.inner(), &document(2, "b"));
+    let keeper = spawn(&store);
+    wait_for_revision(&keeper, 2);
+
+    let old = EmbeddedStore::open();
+    write(&old, &document(1, "a"));
+    store.restore(old.clone());
+    let behind = ConfigProblem::StoreBehind {
+        stored: 1,
+        in_force: 2,
+    };
+    wait_for("report", || {
+        keeper.status().store_problem == Some(behind.clone())
+    });
+    write(&old, &document(2, "other"));
+    wait_for("conflict", || {
+        let problem = keeper.status().store_problem;
+        matches!(problem, Some(ConfigProblem::ChangeConflict { .. }))
+    });
+    assert_eq!(keeper.current().change_id, "b");
+    let entry = old.get(&document_key(FLEET)).expect("the store answers");
+    assert_eq!(entry.expect("a document").value, document(2, "other"));
+    write(&old, &document(3, "c"));
+    wait_for_revision(&keeper, 3);
+}
+
+#[test]
+fn takes_offers_while_the_store_is_down() {
+    let store = FaultyStore::open();
+    store.set_down(true);
+    let keeper = spawn(&store);
+    assert_eq!(keeper.snapshot(), None);
+    wait_for("outage", || keeper.status().store_down_since.is_some());
+    let offer = ConfigSnapshot {
+        revision: 4,
+        document: document(4, "d"),
+    };
+    keeper.offer(offer.clone());
+    wait_for_revision(&keeper, 4);
+    assert!(!keeper.is_ready());
+    keeper.peers_heard();
+    wait_for("readiness", || keeper.is_ready());
+    assert_eq!(keeper.snapshot(), Some(offer));
+}
+
+#[test]
+fn paces_a_failing_store_and_ends_with_its_handle() {
+    let store = FaultyStore::open();
+    store.set_down(true);
+    let started = Instant::now();
+    let keeper = spawn(&store);
+    thread::sleep(Duration::from_millis(200));
+    let calls = store.calls();
+    // The first two pauses may be shorter than half of the limit of 20 ms.
+    let limit = started.elapsed().as_millis() / 10 + 4;
+    assert!(u128::from(calls) <= limit, "{calls} calls, limit {limit}");
+    drop(keeper);
+    wait_for("end", || {
+        let before = store.calls();
+        thread::sleep(Duration::from_millis(60));
+        store.calls() == before
+    });
+}
--- /dev/null
+++ b/crates/dewspring/src/configuration/tests/state.rs
@@ -0,0 +1,348 @@
+//! Tests of the decisions, without threads.
+
+use std::time::{Duration, Instant};
+
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::super::backoff::backoff_delay;
+use super::super::exchange::ConfigSnapshot;
+use super::super::reading::{ReadingError, read_bounded};
+use super::super::state::{
+    ConfigProblem, DocumentOrigin, KeeperEvent, KeeperState, KeeperStep, ReadDocument,
+};
+use super::{document, read_plain};
+use crate::ids::Revision;
+use crate::platform::MAX_VALUE_BYTES;
+
+fn read(bytes: Vec<u8>) -> ReadDocument {
+    let reading = read_bounded(&read_plain, &bytes);
+    ReadDocument { bytes, reading }
+}
+
+fn stored(bytes: Vec<u8>) -> KeeperEvent {
+    KeeperEvent::Stored(Some(read(bytes)))
+}
+
+fn offered(declared: Revision, bytes: Vec<u8>) -> KeeperEvent {
+    let document = read(bytes);
+    KeeperEvent::Offered { declared, document }
+}
+
+fn in_force(state: &KeeperState) -> (Revision, &str) {
+    state.accepted().map_or((0, ""), |accepted| {
+        (accepted.config.revision, &accepted.config.change_id)
+    })
+}
+
+#[test]
+fn keeps_the_newest_good_document() {
+    struct EventCase {
+        name: &'static str,
+        event: KeeperEvent,
+        adopts: bool,
+        reports: Option<fn(&ConfigProblem) -> bool>,
+    }
+    let is_unreadable: fn(&ConfigProblem) -> bool = |problem| {
+        matches!(
+            problem,
+            ConfigProblem::Unreadable(ReadingError::Unusable(_))
+        )
+    };
+    let is_oversized: fn(&ConfigProblem) -> bool = |problem| {
+        matches!(
+            problem,
+            ConfigProblem::Unreadable(ReadingError::Oversized(_))
+        )
+    };
+    let is_behind: fn(&ConfigProblem) -> bool =
+        |problem| matches!(problem, ConfigProblem::StoreBehind { .. });
+    let is_conflict: fn(&ConfigProblem) -> bool =
+        |problem| matches!(problem, ConfigProblem::ChangeConflict { .. });
+    let is_declaration: fn(&ConfigProblem) -> bool =
+        |problem| matches!(problem, ConfigProblem::WrongDeclaration { .. });
+    let case = |name, event, adopts, reports| EventCase {
+        name,
+        event,
+        adopts,
+        reports,
+    };
+    let cases = [
+        case("first", stored(document(5, "e")), true, None),
+        case("same again", stored(document(5, "e")), false, None),
+        case("garbage", stored(b"{".to_vec()), false, Some(is_unreadable)),
+        case(
+            "revision 0",
+            stored(document(0, "z")),
+            false,
+            Some(is_unreadable),
+        ),
+        case(
+            "oversized",
+            stored(vec![b' '; MAX_VALUE_BYTES + 1]),
+            false,
+            Some(is_oversized),
+        ),
+        case("older", stored(document(4, "d")), false, Some(is_behind)),
+        case("gone", KeeperEvent::Stored(None), false, Some(is_behind)),
+        case(
+            "other change",
+            stored(document(5, "x")),
+            false,
+            Some(is_conflict),
+        ),
+        case("lagging peer", offered(4, document(4, "d")), false, None),
+        case(
+            "lying peer",
+            offered(9, document(6, "f")),
+            false,
+            Some(is_declaration),
+        ),
+        case(
+            "garbage peer",
+            offered(9, b"{".to_vec()),
+            false,
+            Some(is_unreadable),
+        ),
+        case(
+            "other peer",
+            offered(5, document(5, "x")),
+            false,
+            Some(is_conflict),
+        ),
+        case("newer peer", offered(6, document(6, "f")), true, None),
+        case("store catches up", stored(document(6, "f")), false, None),
+        case("newer", stored(document(8, "h")), true, None),
+    ];
+    let mut state = KeeperState::default();
+    for case in cases {
+        let step = state.apply(case.event, Instant::now());
+        assert_eq!(step.adopted.is_some(), case.adopts, "{}", case.name);
+        let problem = step.report.map(|(_, problem)| problem);
+        match (case.reports, problem) {
+            (Some(is_expected), Some(problem)) => assert!(is_expected(&problem), "{}", case.name),
+            (expected, problem) => {
+                assert!(expected.is_none() && problem.is_none(), "{}", case.name);
+            }
+        }
+    }
+    assert_eq!(in_force(&state), (8, "h"));
+    assert_eq!(state.store_problem(), None);
+}
+
+#[test]
+fn reports_a_lasting_problem_once() {
+    let mut state = KeeperState::default();
+    let now = Instant::now();
+    state.apply(stored(document(5, "e")), now);
+    let reports = |step: KeeperStep| step.report.is_some();
+    assert!(reports(state.apply(stored(document(4, "d")), now)));
+    assert!(!reports(state.apply(stored(document(4, "d")), now)));
+    assert!(state.store_problem().is_some());
+    assert!(!reports(state.apply(stored(document(5, "e")), now)));
+    assert!(reports(state.apply(stored(document(4, "d")), now)));
+}
+
+#[test]
+fn reads_only_offers_that_matter() {
+    let offer = |declared, bytes: Vec<u8>| ConfigSnapshot {
+        revision: declared,
+        document: bytes,
+    };
+    let mut state = KeeperState::default();
+    state.apply(stored(document(5, "e")), Instant::now());
+    assert!(!state.is_worth_reading(&offer(4, document(4, "d"))));
+    assert!(!state.is_worth_reading(&offer(5, document(5, "e"))));
+    assert!(state.is_worth_reading(&offer(5, document(5, "x"))));
+    assert!(state.is_worth_reading(&offer(6, b"{".to_vec())));
+    state.apply(offered(6, b"{".to_vec()), Instant::now());
+    assert!(!state.is_worth_reading(&offer(6, b"{".to_vec())));
+    assert!(state.is_worth_reading(&offer(6, document(6, "f"))));
+}
+
+#[test]
+fn is_ready_by_the_store_or_all_peers() {
+    struct ReadyCase {
+        name: &'static str,
+        events: Vec<KeeperEvent>,
+        ready: bool,
+    }
+    let offer = || offered(5, document(5, "e"));
+    let cases = [
+        ReadyCase {
+            name: "store with a document",
+            events: vec![stored(document(5, "e"))],
+            ready: true,
+        },
+        ReadyCase {
+            name: "store without a document",
+            events: vec![KeeperEvent::Stored(None)],
+            ready: false,
+        },
+        ReadyCase {
+            name: "one peer",
+            events: vec![KeeperEvent::StoreFailed, offer()],
+            ready: false,
+        },
+        ReadyCase {
+            name: "all peers while the store is down",
+            events: vec![KeeperEvent::StoreFailed, offer(), KeeperEvent::PeersHeard],
+            ready: true,
+        },
+        ReadyCase {
+            name: "all peers before the store is heard of",
+            events: vec![offer(), KeeperEvent::PeersHeard],
+            ready: false,
+        },
+        ReadyCase {
+            name: "peers that know nothing",
+            events: vec![KeeperEvent::StoreFailed, KeeperEvent::PeersHeard, offer()],
+            ready: false,
+        },
+        ReadyCase {
+            name: "an outage after that",
+            events: vec![stored(document(5, "e")), KeeperEvent::StoreFailed],
+            ready: true,
+        },
+        ReadyCase {
+            name: "a peer's document and a broken one in the store",
+            events: vec![offer(), stored(b"{".to_vec())],
+            ready: true,
+        },
+    ];
+    for case in cases {
+        let mut state = KeeperState::default();
+        for event in case.events {
+            state.apply(event, Instant::now());
+        }
+        assert_eq!(state.is_ready(), case.ready, "{}", case.name);
+    }
+}
+
+/// A random event of few revisions and changes, so that they meet often.
+#[derive(Clone, Debug)]
+enum RandomEvent {
+    Stored(Option<RandomDocument>),
+    Offered(Revision, RandomDocument),
+    StoreFailed,
+    PeersHeard,
+}
+
+#[derive(Clone, Debug)]
+struct RandomDocument {
+    revision: Revision,
+    change: char,
+    is_good: bool,
+}
+
+impl RandomDocument {
+    fn bytes(&self) -> Vec<u8> {
+        let mut bytes = document(self.revision, &self.change.to_string());
+        if !self.is_good {
+            bytes.pop();
+        }
+        bytes
+    }
+}
+
+impl Arbitrary for RandomDocument {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self {
+            revision: u64::arbitrary(g) % 12,
+            change: *g.choose(&['a', 'b']).expect("a choice"),
+            is_good: u8::arbitrary(g) % 4 != 0,
+        }
+    }
+}
+
+impl Arbitrary for RandomEvent {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 8 {
+            0..=2 => Self::Stored(Some(RandomDocument::arbitrary(g))),
+            3..=4 => {
+                let document = RandomDocument::arbitrary(g);
+                let is_honest = u8::arbitrary(g) % 4 != 0;
+                let declared = document.revision + u64::from(!is_honest);
+                Self::Offered(declared, document)
+            }
+            5 => Self::Stored(None),
+            6 => Self::StoreFailed,
+            _ => Self::PeersHeard,
+        }
+    }
+}
+
+/// What must be in force: the first change of the highest good revision.
+fn follow(event: &RandomEvent, expected: &mut (Revision, String)) {
+    let document = match event {
+        RandomEvent::Stored(Some(document)) => document,
+        RandomEvent::Offered(declared, document) if *declared == document.revision => document,
+        _ => return,
+    };
+    if document.is_good && document.revision > expected.0 {
+        *expected = (document.revision, document.change.to_string());
+    }
+}
+
+fn never_steps_back(events: Vec<RandomEvent>) -> bool {
+    let mut state = KeeperState::default();
+    let mut expected = (0, String::new());
+    let mut now = Instant::now();
+    for event in events {
+        follow(&event, &mut expected);
+        let (before, was_ready) = (state.revision(), state.is_ready());
+        now += Duration::from_millis(10);
+        let step = state.apply(
+            match event {
+                RandomEvent::Stored(document) => {
+                    KeeperEvent::Stored(document.map(|document| read(document.bytes())))
+                }
+                RandomEvent::Offered(declared, document) => offered(declared, document.bytes()),
+                RandomEvent::StoreFailed => KeeperEvent::StoreFailed,
+                RandomEvent::PeersHeard => KeeperEvent::PeersHeard,
+            },
+            now,
+        );
+        let rose = state.revision() > before;
+        let is_right = in_force(&state) == (expected.0, expected.1.as_str())
+            && state.revision() >= before
+            && step.adopted.is_some() == rose
+            && (state.is_ready() || !was_ready);
+        if !is_right {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn random_events_never_lower_the_revision() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 0x0c0f_fee0))
+        .tests(2_000)
+        .min_tests_passed(2_000)
+        .quickcheck(never_steps_back as fn(Vec<RandomEvent>) -> bool);
+}
+
+#[test]
+fn backoff_grows_to_its_limit() {
+    let (base, limit) = (Duration::from_millis(200), Duration::from_secs(5));
+    let mut rng = StdRng::seed_from_u64(1);
+    for failures in 1..100_u32 {
+        let full = base.saturating_mul(1 << (failures - 1).min(16)).min(limit);
+        let delay = backoff_delay(failures, base, limit, &mut rng);
+        assert!(delay >= full / 2 && delay <= full, "{failures}: {delay:?}");
+    }
+}
+
+#[test]
+fn store_reports_name_their_origin() {
+    let mut state = KeeperState::default();
+    let step = state.apply(stored(b"{".to_vec()), Instant::now());
+    let (origin, _) = step.report.expect("a report");
+    assert_eq!(origin, DocumentOrigin::Store);
+    let step = state.apply(offered(1, b"{".to_vec()), Instant::now());
+    let (origin, _) = step.report.expect("a report");
+    assert_eq!(origin, DocumentOrigin::Peer);
+}
--- /dev/null
+++ b/crates/dewspring/src/configuration/watcher.rs
@@ -0,0 +1,111 @@
+//! The thread that waits on the store for a newer document.
+//!
+//! It reads the key, watches from the version that it read, and reads again
+//! after each quiet watch, which shows a store that came back with older data.
+//! It has at most one call under way.
+
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::backoff::backoff_delay;
+use super::keeper::{KeeperMessage, KeeperSettings};
+use super::publish::document_key;
+use crate::platform::{PlatformStore, StoreEntry, StoreError, StoreVersion};
+
+/// Shortest time from one watch to the next, if the store ends them early.
+const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The watching thread's part of the duty has ended.
+struct WatcherStopped;
+
+pub(super) struct StoreWatcher<S> {
+    store: S,
+    key: String,
+    settings: KeeperSettings,
+    messages: Sender<KeeperMessage>,
+    stop: Receiver<()>,
+    rng: StdRng,
+    failures: u32,
+}
+
+impl<S: PlatformStore> StoreWatcher<S> {
+    pub fn new(
+        store: S,
+        settings: KeeperSettings,
+        messages: Sender<KeeperMessage>,
+        stop: Receiver<()>,
+    ) -> Self {
+        Self {
+            store,
+            key: document_key(&settings.fleet),
+            rng: StdRng::seed_from_u64(settings.seed),
+            settings,
+            messages,
+            stop,
+            failures: 0,
+        }
+    }
+
+    /// Watches until the handles of the duty are gone.
+    pub fn run(mut self) {
+        while self.cycle().is_ok() {}
+    }
+
+    /// Reads the key and watches it until the store falls silent or fails.
+    fn cycle(&mut self) -> Result<(), WatcherStopped> {
+        let mut version = match self.store.get(&self.key) {
+            Ok(entry) => self.hear(entry)?,
+            Err(error) => return self.fail(&error),
+        };
+        loop {
+            let started = Instant::now();
+            let watched = self
+                .store
+                .watch(&self.key, version, self.settings.watch_timeout);
+            match watched {
+                Ok(Some(entry)) => version = self.hear(Some(entry))?,
+                Ok(None) => return self.pace(started),
+                Err(error) => return self.fail(&error),
+            }
+        }
+    }
+
+    fn hear(&mut self, entry: Option<StoreEntry>) -> Result<StoreVersion, WatcherStopped> {
+        self.failures = 0;
+        let version = entry.as_ref().map_or(0, |entry| entry.version);
+        let bytes = entry.map(|entry| entry.value);
+        self.send(KeeperMessage::Stored(bytes))?;
+        Ok(version)
+    }
+
+    fn fail(&mut self, error: &StoreError) -> Result<(), WatcherStopped> {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures == 1 {
+            log::warn!("configuration: store failed: {error}");
+        }
+        self.send(KeeperMessage::StoreFailed)?;
+        let (base, limit) = (self.settings.retry_base, self.settings.retry_limit);
+        let delay = backoff_delay(self.failures, base, limit, &mut self.rng);
+        self.pause(delay)
+    }
+
+    fn pace(&mut self, started: Instant) -> Result<(), WatcherStopped> {
+        let shortest = MIN_WATCH_INTERVAL.min(self.settings.watch_timeout);
+        self.pause(shortest.saturating_sub(started.elapsed()))
+    }
+
+    fn send(&self, message: KeeperMessage) -> Result<(), WatcherStopped> {
+        self.messages.send(message).map_err(|_| WatcherStopped)
+    }
+
+    /// Waits, but no longer than the handles live.
+    fn pause(&self, delay: Duration) -> Result<(), WatcherStopped> {
+        match self.stop.recv_timeout(delay) {
+            Err(RecvTimeoutError::Timeout) => Ok(()),
+            _ => Err(WatcherStopped),
+        }
+    }
+}
--- a/crates/dewspring/src/platform/mod.rs
+++ b/crates/dewspring/src/platform/mod.rs
@@ -15,7 +15,7 @@
 mod store;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 pub use choice::{AnyDirectory, AnyStore};
 pub use embedded::{EmbeddedDirectory, EmbeddedStore};
--- /dev/null
+++ b/crates/dewspring/src/platform/tests/faulty.rs
@@ -0,0 +1,138 @@
+//! A store that fails as a test wants.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::platform::{
+    EmbeddedStore, ExpectedVersion, LeaseGrant, LeaseId, PlatformStore, StoreEntry, StoreError,
+    StoreVersion, SwapOutcome,
+};
+
+/// How long a watch of a store that goes down goes unnoticed.
+const WATCH_SLICE: Duration = Duration::from_millis(5);
+
+#[derive(Debug)]
+struct FaultSwitches {
+    inner: Mutex<EmbeddedStore>,
+    is_down: AtomicBool,
+    latency_millis: AtomicU64,
+    lost_answers: AtomicU64,
+    calls: AtomicU64,
+}
+
+/// An embedded store with switches for its faults.
+#[derive(Clone, Debug)]
+pub(crate) struct FaultyStore {
+    switches: Arc<FaultSwitches>,
+}
+
+impl FaultyStore {
+    pub fn open() -> Self {
+        Self {
+            switches: Arc::new(FaultSwitches {
+                inner: Mutex::new(EmbeddedStore::open()),
+                is_down: AtomicBool::new(false),
+                latency_millis: AtomicU64::new(0),
+                lost_answers: AtomicU64::new(0),
+                calls: AtomicU64::new(0),
+            }),
+        }
+    }
+
+    pub fn set_down(&self, is_down: bool) {
+        self.switches.is_down.store(is_down, Ordering::SeqCst);
+    }
+
+    pub fn set_latency(&self, latency: Duration) {
+        let millis = u64::try_from(latency.as_millis()).expect("a short time");
+        self.switches.latency_millis.store(millis, Ordering::SeqCst);
+    }
+
+    /// Loses the answers to the next writes, which take effect.
+    pub fn lose_answers(&self, count: u64) {
+        self.switches.lost_answers.store(count, Ordering::SeqCst);
+    }
+
+    /// Comes back with other contents, as after a restore from a copy.
+    pub fn restore(&self, store: EmbeddedStore) {
+        *self.switches.inner.lock().expect("the store") = store;
+    }
+
+    /// Returns the number of calls so far, without watches.
+    pub fn calls(&self) -> u64 {
+        self.switches.calls.load(Ordering::SeqCst)
+    }
+
+    /// Returns the contents past all faults.
+    pub fn inner(&self) -> EmbeddedStore {
+        self.switches.inner.lock().expect("the store").clone()
+    }
+
+    fn enter(&self) -> Result<EmbeddedStore, StoreError> {
+        let latency = self.switches.latency_millis.load(Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(latency));
+        if self.switches.is_down.load(Ordering::SeqCst) {
+            return Err(StoreError::Unavailable("down".to_owned()));
+        }
+        Ok(self.inner())
+    }
+
+    fn enter_call(&self) -> Result<EmbeddedStore, StoreError> {
+        self.switches.calls.fetch_add(1, Ordering::SeqCst);
+        self.enter()
+    }
+}
+
+impl PlatformStore for FaultyStore {
+    fn get(&self, key: &str) -> Result<Option<StoreEntry>, StoreError> {
+        self.enter_call()?.get(key)
+    }
+
+    fn compare_and_swap(
+        &self,
+        key: &str,
+        expected: ExpectedVersion,
+        value: &[u8],
+        lease: Option<LeaseId>,
+    ) -> Result<SwapOutcome, StoreError> {
+        let outcome = self
+            .enter_call()?
+            .compare_and_swap(key, expected, value, lease);
+        let lost = &self.switches.lost_answers;
+        let take = |left: u64| left.checked_sub(1);
+        if lost
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take)
+            .is_ok()
+        {
+            return Err(StoreError::AnswerLost("lost".to_owned()));
+        }
+        outcome
+    }
+
+    fn watch(
+        &self,
+        key: &str,
+        after: StoreVersion,
+        timeout: Duration,
+    ) -> Result<Option<StoreEntry>, StoreError> {
+        let mut left = timeout;
+        while !left.is_zero() {
+            let slice = left.min(WATCH_SLICE);
+            if let Some(entry) = self.enter()?.watch(key, after, slice)? {
+                return Ok(Some(entry));
+            }
+            left -= slice;
+        }
+        Ok(None)
+    }
+
+    fn grant_lease(&self, time_to_live: Duration) -> Result<LeaseGrant, StoreError> {
+        self.enter_call()?.grant_lease(time_to_live)
+    }
+
+    fn renew_lease(&self, lease: LeaseId) -> Result<Duration, StoreError> {
+        self.enter_call()?.renew_lease(lease)
+    }
+}
--- a/crates/dewspring/src/platform/tests/mod.rs
+++ b/crates/dewspring/src/platform/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the stores and the lists of VMs.
 
 mod embedded;
+pub(crate) mod faulty;
 mod gateway;
 mod servers;
