Add the stand-ins for engines, plain services and the platform

Cause: the daemons need backend servers and a platform to be tested against, with faults that a test can order.

Ruled out: oxhttp for their servers, since it holds small chunks back; the engine has to stream token by token.

--- /dev/null
+++ b/crates/standins/src/engine/settings.rs
@@ -0,0 +1,150 @@
+//! Settings of one engine, read from flags.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::service::listen_flag;
+
+const NANOS_PER_MILLI: f64 = 1e6;
+
+/// Settings of one engine.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Name that the answers give.
+    pub name: String,
+    /// Models that it serves.
+    pub models: Vec<String>,
+    /// Requests that are decoded at once.
+    pub slots: usize,
+    /// Whether waiting requests are ordered by the priority they carry.
+    pub honour_priority: bool,
+    /// Time to prefill one token of a prompt.
+    pub prefill_per_token: Duration,
+    /// Time between tokens when one request is decoded.
+    pub token_interval: Duration,
+    /// Share added to the interval by each further request in the batch.
+    pub batch_slowdown: f64,
+    /// Factor on all speeds; 1 is normal.
+    pub speed: f64,
+    /// Age of the load reports and cache events.
+    pub report_lag: Duration,
+    /// Prompt prefixes that the cache holds.
+    pub cache_prefixes: usize,
+    /// Cache events that are left out, in percent.
+    pub event_gaps_percent: u64,
+    /// Whether requests are refused when the queue is full.
+    pub not_run_503: bool,
+    /// Waiting requests above which the queue counts as full.
+    pub queue_limit: usize,
+}
+
+fn number_flag(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_parser(value_parser!(u64))
+        .default_value(default)
+        .help(help)
+}
+
+fn factor_flag(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    number_flag(name, default, help).value_parser(value_parser!(f64))
+}
+
+fn switch_flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .action(ArgAction::SetTrue)
+        .help(help)
+}
+
+impl EngineSettings {
+    /// Adds the flags of the engine to a command.
+    #[must_use]
+    pub fn flags(command: Command) -> Command {
+        command
+            .arg(listen_flag())
+            .arg(Arg::new("name").long("name").default_value("engine"))
+            .arg(
+                Arg::new("model")
+                    .long("model")
+                    .action(ArgAction::Append)
+                    .default_value("model")
+                    .help("A model that it serves; may be repeated"),
+            )
+            .arg(number_flag("slots", "8", "Requests decoded at once"))
+            .arg(switch_flag(
+                "honour-priority",
+                "Order waiting requests by x-priority",
+            ))
+            .arg(factor_flag(
+                "prefill-us-per-token",
+                "0",
+                "Time to prefill one token",
+            ))
+            .arg(factor_flag(
+                "token-interval-ms",
+                "5",
+                "Time between tokens at batch size 1",
+            ))
+            .arg(factor_flag(
+                "batch-slowdown",
+                "0",
+                "Share of the interval added by each further request",
+            ))
+            .arg(factor_flag("speed", "1", "Factor on all speeds"))
+            .arg(number_flag("report-lag-ms", "0", "Age of the reports"))
+            .arg(number_flag("cache-prefixes", "64", "Prefixes in the cache"))
+            .arg(number_flag(
+                "event-gaps-percent",
+                "0",
+                "Cache events left out",
+            ))
+            .arg(switch_flag(
+                "not-run-503",
+                "Refuse with 503 when the queue is full",
+            ))
+            .arg(number_flag(
+                "queue-limit",
+                "64",
+                "Waiting requests that make the queue full",
+            ))
+    }
+
+    /// Reads the settings from parsed flags.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the matches come from another command.
+    #[must_use]
+    pub fn from_matches(matches: &ArgMatches) -> Self {
+        let number = |name| *matches.get_one::<u64>(name).expect("a default");
+        let factor = |name| *matches.get_one::<f64>(name).expect("a default");
+        let count = |name| usize::try_from(number(name)).expect("a count fits the machine");
+        let millis = factor("token-interval-ms");
+        let micros = factor("prefill-us-per-token");
+        Self {
+            listen: *matches.get_one("listen").expect("a default"),
+            name: matches.get_one("name").cloned().expect("a default"),
+            models: matches
+                .get_many("model")
+                .expect("a default")
+                .cloned()
+                .collect(),
+            slots: count("slots"),
+            honour_priority: matches.get_flag("honour-priority"),
+            prefill_per_token: Duration::from_nanos((micros * 1e3) as u64),
+            token_interval: Duration::from_nanos((millis * NANOS_PER_MILLI) as u64),
+            batch_slowdown: factor("batch-slowdown"),
+            speed: factor("speed"),
+            report_lag: Duration::from_millis(number("report-lag-ms")),
+            cache_prefixes: count("cache-prefixes"),
+            event_gaps_percent: number("event-gaps-percent"),
+            not_run_503: matches.get_flag("not-run-503"),
+            queue_limit: count("queue-limit"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lag.rs
@@ -0,0 +1,47 @@
+//! Values that are reported later than they change.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// A value with its recent past, so that it can be read as it was.
+///
+/// The newest entry that is older than the lag is always kept.
+#[derive(Debug)]
+pub(crate) struct LaggedValue<T> {
+    entries: VecDeque<(Instant, T)>,
+    lag: Duration,
+}
+
+impl<T: Clone> LaggedValue<T> {
+    pub(crate) fn new(value: T, lag: Duration, now: Instant) -> Self {
+        Self {
+            entries: VecDeque::from([(now, value)]),
+            lag,
+        }
+    }
+
+    pub(crate) fn set_lag(&mut self, lag: Duration) {
+        self.lag = lag;
+    }
+
+    pub(crate) fn record(&mut self, value: T, now: Instant) {
+        self.entries.push_back((now, value));
+        self.forget_old(now);
+    }
+
+    /// Returns the value as it was before the lag.
+    pub(crate) fn read(&mut self, now: Instant) -> T {
+        self.forget_old(now);
+        let (_, value) = self.entries.front().expect("one entry is always kept");
+        value.clone()
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        while let Some((recorded, _)) = self.entries.get(1) {
+            if now.duration_since(*recorded) < self.lag {
+                break;
+            }
+            self.entries.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/settings.rs
@@ -0,0 +1,88 @@
+//! Settings of the platform, read from flags.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use serde::{Deserialize, Serialize};
+
+use crate::service::listen_flag;
+
+/// State of a VM in the list.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListedState {
+    /// The VM is about to leave.
+    Leaving,
+    /// The VM runs.
+    Live,
+}
+
+/// One VM of the list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ListedVm {
+    /// Name of the VM.
+    pub vm: String,
+    /// Address of the VM's port.
+    pub address: SocketAddr,
+    /// Data centre that it stands in.
+    pub data_centre: String,
+    /// State of the VM.
+    pub state: ListedState,
+}
+
+/// Settings of the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Age of the list of VMs.
+    pub list_lag: Duration,
+    /// VMs at the start.
+    pub vms: Vec<ListedVm>,
+}
+
+impl PlatformSettings {
+    /// Adds the flags of the platform to a command.
+    #[must_use]
+    pub fn flags(command: Command) -> Command {
+        command
+            .arg(listen_flag())
+            .arg(
+                Arg::new("list-lag-ms")
+                    .long("list-lag-ms")
+                    .value_parser(value_parser!(u64))
+                    .default_value("0")
+                    .help("Age of the list of VMs"),
+            )
+            .arg(
+                Arg::new("vms")
+                    .long("vms")
+                    .value_name("FILE")
+                    .value_parser(value_parser!(PathBuf))
+                    .help("JSON file with the list of VMs at the start"),
+            )
+    }
+
+    /// Reads the settings from parsed flags.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the list of VMs can't be read, or if the matches come from
+    /// another command.
+    #[must_use]
+    pub fn from_matches(matches: &ArgMatches) -> Self {
+        let vms = matches.get_one::<PathBuf>("vms").map(|path| {
+            let bytes = fs::read(path).expect("the list of VMs can be opened");
+            serde_json::from_slice(&bytes).expect("the list of VMs is valid")
+        });
+        let list_lag = *matches.get_one("list-lag-ms").expect("a default");
+        Self {
+            listen: *matches.get_one("listen").expect("a default"),
+            list_lag: Duration::from_millis(list_lag),
+            vms: vms.unwrap_or_default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/slots.rs
@@ -0,0 +1,120 @@
+//! A bounded number of slots with an ordered queue in front.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use tokio::sync::oneshot;
+
+/// A request that waits for a slot.
+struct QueuedWaiter {
+    priority: i64,
+    sequence: u64,
+    sender: oneshot::Sender<SlotGuard>,
+}
+
+#[derive(Default)]
+struct SlotState {
+    running: usize,
+    max_running: usize,
+    next_sequence: u64,
+    waiters: Vec<QueuedWaiter>,
+}
+
+/// Numbers of requests in the slots and before them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct SlotUsage {
+    pub(crate) running: usize,
+    pub(crate) waiting: usize,
+    pub(crate) max_running: usize,
+}
+
+/// The slots of one server; the lowest priority value is served first, and
+/// among equals the one that came first.
+#[derive(Clone)]
+pub(crate) struct SlotQueue {
+    capacity: usize,
+    state: Arc<Mutex<SlotState>>,
+}
+
+impl SlotQueue {
+    pub(crate) fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            state: Arc::default(),
+        }
+    }
+
+    pub(crate) fn usage(&self) -> SlotUsage {
+        let mut state = self.lock();
+        state.waiters.retain(|waiter| !waiter.sender.is_closed());
+        SlotUsage {
+            running: state.running,
+            waiting: state.waiters.len(),
+            max_running: state.max_running,
+        }
+    }
+
+    /// Takes a place in the queue; the receiver gets the slot. A receiver that
+    /// is dropped gives its place or its slot back.
+    pub(crate) fn enter(&self, priority: i64) -> oneshot::Receiver<SlotGuard> {
+        let (sender, receiver) = oneshot::channel();
+        let mut state = self.lock();
+        let sequence = state.next_sequence;
+        state.next_sequence += 1;
+        state.waiters.push(QueuedWaiter {
+            priority,
+            sequence,
+            sender,
+        });
+        self.fill(&mut state);
+        receiver
+    }
+
+    fn fill(&self, state: &mut SlotState) {
+        while state.running < self.capacity {
+            let Some(waiter) = take_first(&mut state.waiters) else {
+                return;
+            };
+            let guard = SlotGuard {
+                queue: Some(self.clone()),
+            };
+            match waiter.sender.send(guard) {
+                Ok(()) => {
+                    state.running += 1;
+                    state.max_running = state.max_running.max(state.running);
+                }
+                Err(mut unused) => unused.queue = None,
+            }
+        }
+    }
+
+    fn release(&self) {
+        let mut state = self.lock();
+        state.running -= 1;
+        self.fill(&mut state);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SlotState> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+fn take_first(waiters: &mut Vec<QueuedWaiter>) -> Option<QueuedWaiter> {
+    let (index, _) = waiters
+        .iter()
+        .enumerate()
+        .min_by_key(|(_, waiter)| (waiter.priority, waiter.sequence))?;
+    Some(waiters.remove(index))
+}
+
+/// A slot in use; it is given back on drop.
+pub(crate) struct SlotGuard {
+    queue: Option<SlotQueue>,
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        if let Some(queue) = self.queue.take() {
+            queue.release();
+        }
+    }
+}
