Check, compare and join the operators' tables

Cause: the types of the tables stood without a parser, a lookup or a stored form. serde's derived readers were ruled out because they stop at the first error; the rows are walked over the spanned tree of the toml crate instead, so one run names every fault with file, line and key. A fault of syntax suppresses what may follow from it: missing keys of the file, its own line and the checks between rows.

A route without a model ignores the model of the request, since services get bodies of any shape; one path can't serve engines and services. Routes of one class and pool must agree on tier and floor, and floors are summed by class.

A rebase merges rows three-way and then the texts by lines; the text counts only if its rows are those of the row merge, otherwise the tables are printed.

--- a/crates/dewspring/src/tables/document.rs
+++ b/crates/dewspring/src/tables/document.rs
@@ -1,9 +1,113 @@
 //! The stored form of the two tables: one document under one revision.
+//!
+//! The store replaces the document by compare-and-swap, so revisions rise by
+//! one and each belongs to one change.
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
+use super::error::{TableErrors, TableSource};
+use super::model::FleetConfig;
+use super::verify::{CheckedTables, check_tables};
 use crate::ids::Revision;
 
+/// Largest document that the platform's store holds, in bytes.
+pub const MAX_DOCUMENT_BYTES: usize = 1 << 20;
+
+/// Number of earlier changes that a document remembers.
+pub const HISTORY_LIMIT: usize = 20;
+
+/// Name of the routes table in errors.
+pub const ROUTES_FILE: &str = "routes.toml";
+
+/// Name of the pools table in errors.
+pub const POOLS_FILE: &str = "pools.toml";
+
+/// Returns the store's key of a fleet's document.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(dewspring::tables::config_key("north"), "/dewspring/north/config");
+/// ```
+#[must_use]
+pub fn config_key(fleet: &str) -> String {
+    format!("/dewspring/{fleet}/config")
+}
+
+/// Draws the identity of a new change.
+///
+/// # Examples
+///
+/// ```
+/// use dewspring::tables::draw_change_id;
+///
+/// assert_ne!(draw_change_id(), draw_change_id());
+/// ```
+#[must_use]
+pub fn draw_change_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+/// The texts of both tables as the operators wrote them.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct TableTexts {
+    /// Text of the routes table in TOML.
+    pub routes: String,
+    /// Text of the pools table in TOML.
+    pub pools: String,
+}
+
+impl TableTexts {
+    /// Checks both tables under their usual file names.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of both tables.
+    pub fn check(&self) -> Result<CheckedTables, TableErrors> {
+        check_texts(&self.routes, &self.pools)
+    }
+}
+
+fn check_texts(routes: &str, pools: &str) -> Result<CheckedTables, TableErrors> {
+    let routes = TableSource {
+        file: ROUTES_FILE,
+        text: routes,
+    };
+    let pools = TableSource {
+        file: POOLS_FILE,
+        text: pools,
+    };
+    check_tables(routes, pools)
+}
+
+/// Why bytes are no document, or a document can't be stored.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum DocumentError {
+    /// The document is larger than [`MAX_DOCUMENT_BYTES`].
+    #[error("the document has {0} bytes, more than the {MAX_DOCUMENT_BYTES} that the store holds")]
+    TooLarge(usize),
+    /// The bytes are no document in JSON.
+    #[error("the document can't be read: {0}")]
+    Unreadable(String),
+    /// The revision is zero, which stands for no document.
+    #[error("the document has revision 0")]
+    ZeroRevision,
+}
+
+/// A change that an operator asks for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DocumentChange {
+    /// Identity of the change, drawn once for all its attempts.
+    pub change_id: String,
+    /// Name of the operator.
+    pub operator: String,
+    /// Time of the change in seconds since the Unix epoch.
+    pub applied_at: u64,
+    /// The new tables.
+    pub texts: TableTexts,
+}
+
 /// Both tables as the platform's store keeps them, in JSON.
 ///
 /// The texts are kept as the operators wrote them, so that `show` gives them
@@ -27,6 +131,146 @@
     pub history: Vec<HistoryEntry>,
 }
 
+impl ConfigDocument {
+    /// Makes the first document of a fleet, with revision 1.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewspring::tables::{ConfigDocument, DocumentChange, TableTexts};
+    ///
+    /// let change = DocumentChange {
+    ///     change_id: "c1".to_owned(),
+    ///     operator: "ada".to_owned(),
+    ///     applied_at: 1_700_000_000,
+    ///     texts: TableTexts::default(),
+    /// };
+    /// let first = ConfigDocument::first(change.clone());
+    /// assert_eq!(first.revision, 1);
+    /// assert_eq!(first.successor(change).revision, 2);
+    /// ```
+    #[must_use]
+    pub fn first(change: DocumentChange) -> Self {
+        Self::at_revision(1, change, Vec::new())
+    }
+
+    /// Makes the document that replaces this one.
+    ///
+    /// # Panics
+    ///
+    /// Panics after the last revision, which no fleet reaches.
+    #[must_use]
+    pub fn successor(&self, change: DocumentChange) -> Self {
+        let next = self.revision.checked_add(1);
+        let revision = next.expect("a fleet has fewer changes than revisions");
+        let earlier = self.history.iter().cloned();
+        let history = std::iter::once(self.entry()).chain(earlier);
+        Self::at_revision(revision, change, history.take(HISTORY_LIMIT).collect())
+    }
+
+    fn at_revision(revision: Revision, change: DocumentChange, history: Vec<HistoryEntry>) -> Self {
+        Self {
+            revision,
+            change_id: change.change_id,
+            operator: change.operator,
+            applied_at: change.applied_at,
+            routes: change.texts.routes,
+            pools: change.texts.pools,
+            history,
+        }
+    }
+
+    /// Returns what is remembered of this document's own change.
+    #[must_use]
+    pub fn entry(&self) -> HistoryEntry {
+        HistoryEntry {
+            revision: self.revision,
+            change_id: self.change_id.clone(),
+            operator: self.operator.clone(),
+            applied_at: self.applied_at,
+        }
+    }
+
+    /// Returns whether this document holds or follows a change.
+    ///
+    /// A change that is older than the history is not found.
+    #[must_use]
+    pub fn includes_change(&self, change_id: &str) -> bool {
+        self.change_id == change_id
+            || self
+                .history
+                .iter()
+                .any(|entry| entry.change_id == change_id)
+    }
+
+    /// Returns the texts of both tables.
+    #[must_use]
+    pub fn texts(&self) -> TableTexts {
+        TableTexts {
+            routes: self.routes.clone(),
+            pools: self.pools.clone(),
+        }
+    }
+
+    /// Checks both tables.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of both tables.
+    pub fn check(&self) -> Result<FleetConfig, TableErrors> {
+        let tables = check_texts(&self.routes, &self.pools)?;
+        Ok(FleetConfig {
+            revision: self.revision,
+            change_id: self.change_id.clone(),
+            routes: tables.routes,
+            pools: tables.pools,
+        })
+    }
+
+    /// Writes the document in JSON.
+    ///
+    /// # Errors
+    ///
+    /// [`DocumentError::TooLarge`] if the store can't hold it.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, DocumentError> {
+        let bytes = serde_json::to_vec(self);
+        let bytes = bytes.map_err(|error| DocumentError::Unreadable(error.to_string()))?;
+        check_size(&bytes)?;
+        Ok(bytes)
+    }
+
+    /// Reads a document in JSON.
+    ///
+    /// # Errors
+    ///
+    /// Any [`DocumentError`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewspring::tables::{ConfigDocument, DocumentError};
+    ///
+    /// let outcome = ConfigDocument::from_bytes(b"{}");
+    /// assert!(matches!(outcome, Err(DocumentError::Unreadable(_))));
+    /// ```
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, DocumentError> {
+        check_size(bytes)?;
+        let document: Self = serde_json::from_slice(bytes)
+            .map_err(|error| DocumentError::Unreadable(error.to_string()))?;
+        if document.revision == 0 {
+            return Err(DocumentError::ZeroRevision);
+        }
+        Ok(document)
+    }
+}
+
+fn check_size(bytes: &[u8]) -> Result<(), DocumentError> {
+    if bytes.len() > MAX_DOCUMENT_BYTES {
+        return Err(DocumentError::TooLarge(bytes.len()));
+    }
+    Ok(())
+}
+
 /// What is remembered of an earlier change.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/dewspring/src/tables/tests/rebase.rs
@@ -0,0 +1,191 @@
+//! Joining two operators' changes.
+
+use super::samples::{Edit, POOLS, ROUTES, edited, sample_texts};
+use crate::tables::{RebaseError, TableTexts, rebase_tables};
+
+struct RebaseCase {
+    name: &'static str,
+    mine: &'static [Edit],
+    theirs: &'static [Edit],
+    expected: RebaseExpectation,
+}
+
+enum RebaseExpectation {
+    /// The pools table is the sample with these edits, comments included.
+    Joined(&'static [Edit]),
+    /// The rows are joined but a table is printed anew.
+    Printed,
+    /// These rows conflict.
+    Conflicts(&'static str),
+    /// The joined tables fail a check.
+    Invalid(&'static str),
+}
+
+const NEW_SERVER: &str = "slots = 4\n[[pool.server]]\nname = \"d2\"\naddress = \"127.0.0.1:9102\"\ndata_centre = \"dc-1\"\nslots = 4\n";
+const OTHER_SERVER: &str = "slots = 4\n[[pool.server]]\nname = \"d3\"\naddress = \"127.0.0.1:9102\"\ndata_centre = \"dc-1\"\nslots = 4\n";
+const E1_9: Edit = Edit {
+    from: "\"dc-1\", slots = 8",
+    to: "\"dc-1\", slots = 9",
+};
+const E2_9: Edit = Edit {
+    from: "\"dc-2\", slots = 8",
+    to: "\"dc-2\", slots = 9",
+};
+const E1_7: Edit = Edit {
+    from: "\"dc-1\", slots = 8",
+    to: "\"dc-1\", slots = 7",
+};
+
+const CASES: &[RebaseCase] = &[
+    RebaseCase {
+        name: "neighbouring servers",
+        mine: &[E1_9],
+        theirs: &[E2_9],
+        expected: RebaseExpectation::Joined(&[E1_9, E2_9]),
+    },
+    RebaseCase {
+        name: "the same change",
+        mine: &[E1_9, E2_9],
+        theirs: &[E1_9],
+        expected: RebaseExpectation::Joined(&[E1_9, E2_9]),
+    },
+    RebaseCase {
+        name: "nothing of mine",
+        mine: &[],
+        theirs: &[E1_9],
+        expected: RebaseExpectation::Joined(&[E1_9]),
+    },
+    RebaseCase {
+        name: "one server changed twice",
+        mine: &[E1_9],
+        theirs: &[E1_7],
+        expected: RebaseExpectation::Conflicts("changed on both sides: server \"e1\""),
+    },
+    RebaseCase {
+        name: "rows and a comment on one line",
+        mine: &[
+            Edit {
+                from: "kind = \"engine\"",
+                to: "kind = \"engine\"\ncan_resume = true",
+            },
+            Edit {
+                from: "# The first of two.",
+                to: "{ name = \"e0\", address = \"127.0.0.1:9000\", data_centre = \"dc-1\", slots = 1 },",
+            },
+        ],
+        theirs: &[
+            Edit {
+                from: "# The first of two.",
+                to: "# The first pair.",
+            },
+            Edit {
+                from: "\"dc-1\", slots = 8",
+                to: "\"dc-1\", slots = 6",
+            },
+        ],
+        expected: RebaseExpectation::Printed,
+    },
+    RebaseCase {
+        name: "a server removed here and changed there",
+        mine: &[Edit {
+            from: "    { name = \"e2\", address = \"127.0.0.1:9002\", data_centre = \"dc-2\", slots = 8 },\n",
+            to: "",
+        }],
+        theirs: &[E2_9],
+        expected: RebaseExpectation::Conflicts("changed on both sides: server \"e2\""),
+    },
+    RebaseCase {
+        name: "one address for two new servers",
+        mine: &[Edit {
+            from: "slots = 4\n",
+            to: NEW_SERVER,
+        }],
+        theirs: &[Edit {
+            from: "slots = 4\n",
+            to: OTHER_SERVER,
+        }],
+        expected: RebaseExpectation::Invalid("\"127.0.0.1:9102\" is already taken at line 25"),
+    },
+];
+
+fn pools_with(edits: &[Edit]) -> TableTexts {
+    TableTexts {
+        pools: edited(POOLS, edits),
+        ..sample_texts()
+    }
+}
+
+#[test]
+fn disjoint_rows_are_joined_and_others_listed() {
+    for case in CASES {
+        let base = sample_texts();
+        let outcome = rebase_tables(&base, &pools_with(case.mine), &pools_with(case.theirs));
+        match (&case.expected, outcome) {
+            (RebaseExpectation::Joined(edits), Ok(joined)) => {
+                assert!(joined.keeps_layout, "case {}", case.name);
+                assert_eq!(joined.texts, pools_with(edits), "case {}", case.name);
+            }
+            (RebaseExpectation::Printed, Ok(joined)) => {
+                assert!(!joined.keeps_layout, "case {}", case.name);
+                let tables = joined.texts.check().expect("checked already");
+                let pool = &tables.pools.rows["engines"];
+                assert!(
+                    pool.can_resume && pool.servers[0].slots == 6,
+                    "case {}",
+                    case.name
+                );
+            }
+            (RebaseExpectation::Conflicts(text), Err(error @ RebaseError::Conflicts(_))) => {
+                assert_eq!(error.to_string(), *text, "case {}", case.name);
+            }
+            (RebaseExpectation::Invalid(text), Err(error @ RebaseError::Invalid(_))) => {
+                assert!(
+                    error.to_string().contains(text),
+                    "case {}: {error}",
+                    case.name
+                );
+            }
+            (_, outcome) => panic!("case {}: {outcome:?}", case.name),
+        }
+    }
+}
+
+#[test]
+fn changes_of_both_tables_are_joined() {
+    let mine = TableTexts {
+        routes: edited(
+            ROUTES,
+            &[Edit {
+                from: "\"20s\"",
+                to: "\"30s\"",
+            }],
+        ),
+        ..sample_texts()
+    };
+    let joined = rebase_tables(&sample_texts(), &mine, &pools_with(&[E1_9])).expect("disjoint");
+    let expected = TableTexts {
+        routes: mine.routes,
+        ..pools_with(&[E1_9])
+    };
+    assert_eq!(joined.texts, expected);
+}
+
+#[test]
+fn a_server_for_a_removed_pool_is_a_conflict() {
+    let desk_at = POOLS
+        .find("\n[[pool]]\nname = \"desk\"")
+        .expect("in the sample");
+    let pay_at = ROUTES
+        .find("\n[[route]]\nname = \"payment\"")
+        .expect("in the sample");
+    let mine = TableTexts {
+        routes: ROUTES[..pay_at].to_owned(),
+        pools: POOLS[..desk_at].to_owned(),
+    };
+    let theirs = pools_with(&[Edit {
+        from: "slots = 4\n",
+        to: NEW_SERVER,
+    }]);
+    let outcome = rebase_tables(&sample_texts(), &mine, &theirs).expect_err("no such pool");
+    assert_eq!(outcome.to_string(), "changed on both sides: server \"d2\"");
+}
