Serve the whole path, thin, with separate processes

Cause: a caller's request must go through a daemon, a decision and a backend server and come back as a stream before anything is grown on it.

Ruled out: passing the grant's validity by a wall clock; the entry compares its own monotonic clock with the time that the broker counted.

Change: the entry (hyper: limits, problem answers, streaming pump, resume, retries only of what surely didn't run or is idempotent, shutdown after the last flush), grants of the local broker, load reports, the operators' address, the daemon that ties them together, and process tests with the stand-ins.

Brokers of different daemons do not know of each other yet.

Conclusion: the path stands; it is grown from here.

--- /dev/null
+++ b/crates/dewspring/src/daemon/error.rs
@@ -0,0 +1,31 @@
+//! Why a daemon can't start.
+
+use std::io;
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+use crate::configuration::LoadError;
+use crate::platform::StoreError;
+
+/// Why a daemon can't start.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    /// An address can't be bound.
+    #[error("{address} can't be bound: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// Why it can't be bound.
+        source: io::Error,
+    },
+    /// A table's file can't be read.
+    #[error(transparent)]
+    Load(#[from] LoadError),
+    /// The tables from files are wrong.
+    #[error("the tables are wrong:\n{0}")]
+    Tables(String),
+    /// The embedded store took no document.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+}
--- /dev/null
+++ b/crates/dewspring/src/daemon/mod.rs
@@ -0,0 +1,14 @@
+//! The duties of one VM, started and stopped together.
+//!
+//! [`Daemon::spawn`] opens the platform, the configuration, the broker, the
+//! entry and the operators' address in that order, and [`Daemon::shut_down`]
+//! ends them in an order that cuts off no request.
+
+mod director;
+mod error;
+mod follower;
+mod run;
+mod state;
+
+pub use error::DaemonError;
+pub use run::Daemon;
--- /dev/null
+++ b/crates/dewspring/src/daemon/state.rs
@@ -0,0 +1,123 @@
+//! What the operators' address sees of the daemon.
+
+use std::sync::Arc;
+
+use crossbeam::channel::Sender;
+
+use crate::admin::{
+    AdminSource, DrainReport, ExplainReport, ExplainStep, PoolStatus, ServerState, ServerStatus,
+    StatusReport,
+};
+use crate::broker::{self, BrokerHandle};
+use crate::configuration::ConfigKeeper;
+use crate::entry::{ConfigSource, EntryContext};
+use crate::grants::LocalGrants;
+use crate::ids::DataCentreName;
+use crate::tables::FleetConfig;
+
+/// The entry's context as this daemon uses it.
+pub(super) type DaemonContext = EntryContext<ConfigKeeper, LocalGrants>;
+
+impl ConfigSource for ConfigKeeper {
+    fn current(&self) -> Arc<FleetConfig> {
+        ConfigKeeper::current(self)
+    }
+}
+
+/// The parts that answer operators.
+#[derive(Clone, Debug)]
+pub(super) struct DaemonState {
+    pub context: Arc<DaemonContext>,
+    pub broker: BrokerHandle,
+    pub data_centre: DataCentreName,
+    /// Tells the program to shut down.
+    pub stop: Sender<()>,
+}
+
+impl AdminSource for DaemonState {
+    fn is_ready(&self) -> bool {
+        self.context.config.is_ready() && !self.context.is_draining()
+    }
+
+    fn metrics(&self) -> String {
+        self.context.metrics.to_text()
+    }
+
+    fn status(&self) -> StatusReport {
+        let settings = &self.context.settings;
+        StatusReport {
+            vm: settings.vm.clone(),
+            boot: settings.boot,
+            data_centre: self.data_centre.clone(),
+            revision: self.context.config.current().revision,
+            ready: self.is_ready(),
+            draining: self.context.is_draining(),
+            peers: Vec::new(),
+            pools: self.pools(),
+        }
+    }
+
+    fn explain(&self, request: &str) -> Option<ExplainReport> {
+        let steps = self.context.decisions.steps(request);
+        if steps.is_empty() {
+            return None;
+        }
+        let to_step = |step: crate::observe::DecisionStep| ExplainStep {
+            at_ms: u64::try_from(step.after.as_millis()).unwrap_or(u64::MAX),
+            part: step.part.into(),
+            text: step.text,
+        };
+        Some(ExplainReport {
+            request: request.into(),
+            vm: self.context.settings.vm.clone(),
+            steps: steps.into_iter().map(to_step).collect(),
+        })
+    }
+
+    fn drain(&self) -> DrainReport {
+        log::info!("daemon: An operator asked for a shutdown.");
+        // A full ring holds a stop already.
+        let _sent = self.stop.try_send(());
+        DrainReport {
+            vm: self.context.settings.vm.clone(),
+            in_flight: self.context.in_flight() as u64,
+        }
+    }
+}
+
+impl DaemonState {
+    fn pools(&self) -> Vec<PoolStatus> {
+        let status = self.broker.status();
+        status
+            .pools
+            .into_iter()
+            .map(|pool| self.pool(pool))
+            .collect()
+    }
+
+    fn pool(&self, pool: broker::PoolStatus) -> PoolStatus {
+        let queued: usize = pool.classes.iter().map(|class| class.queued).sum();
+        let in_flight: u32 = pool.servers.iter().map(|server| server.in_flight).sum();
+        PoolStatus {
+            broker: Some(self.context.settings.vm.clone()),
+            queued: queued as u64,
+            in_flight: u64::from(in_flight),
+            servers: pool.servers.into_iter().map(server_status).collect(),
+            pool: pool.pool,
+        }
+    }
+}
+
+fn server_status(server: broker::ServerStatus) -> ServerStatus {
+    ServerStatus {
+        state: match server.state {
+            broker::ServerState::Active => ServerState::Active,
+            broker::ServerState::Draining | broker::ServerState::Leaving => ServerState::Draining,
+            broker::ServerState::Ejected => ServerState::Ejected,
+            broker::ServerState::Probing => ServerState::Probing,
+        },
+        in_flight: u64::from(server.in_flight),
+        slots: server.slots,
+        server: server.server,
+    }
+}
--- /dev/null
+++ b/crates/dewspring/src/entry/context.rs
@@ -0,0 +1,139 @@
+//! What all requests of one entry share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use super::grants::GrantSource;
+use super::problem::Problem;
+use crate::broker::{Refusal, RefusalReason};
+use crate::ids::{BootId, RequestId, VmId};
+use crate::observe::{DecisionLog, FleetMetrics};
+use crate::tables::FleetConfig;
+
+/// Longest time that a caller is told to stay away from a VM that leaves.
+const SHUTDOWN_RETRY: Duration = Duration::from_secs(1);
+
+/// Settings of the entry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EntrySettings {
+    /// Name of this VM.
+    pub vm: VmId,
+    /// Boot of this VM.
+    pub boot: BootId,
+    /// Number of threads that serve callers.
+    pub threads: usize,
+    /// Number of callers' connections at once.
+    pub max_connections: usize,
+    /// Longest wait for the header of a request.
+    pub header_timeout: Duration,
+    /// Longest wait for the body of a request.
+    pub body_timeout: Duration,
+    /// Longest wait for a connection to a backend server.
+    pub connect_timeout: Duration,
+    /// Longest silence of a backend server, or of a caller, in an answer.
+    pub silence_timeout: Duration,
+    /// Header that names the workspace, in lower case.
+    pub workspace_header: String,
+    /// Header that a route's label is compared with, in lower case.
+    pub class_header: String,
+}
+
+/// Gives the configuration in force.
+pub trait ConfigSource: Clone + Send + Sync + 'static {
+    /// Returns the newest configuration that this VM has.
+    fn current(&self) -> Arc<FleetConfig>;
+}
+
+/// What all requests of one entry share.
+#[derive(Debug)]
+pub struct EntryContext<C, G> {
+    /// Settings of the entry.
+    pub settings: EntrySettings,
+    /// The configuration in force.
+    pub config: C,
+    /// Where grants come from.
+    pub grants: G,
+    /// Metrics of this VM.
+    pub metrics: FleetMetrics,
+    /// Recent decisions of this VM.
+    pub decisions: DecisionLog,
+    /// Whether new requests are refused because the VM shuts down.
+    draining: AtomicBool,
+    /// Requests that are being answered.
+    in_flight: AtomicUsize,
+    /// Number of the latest request.
+    counter: AtomicU64,
+}
+
+impl<C: ConfigSource, G: GrantSource> EntryContext<C, G> {
+    /// Puts the parts together.
+    pub fn new(
+        settings: EntrySettings,
+        config: C,
+        grants: G,
+        metrics: FleetMetrics,
+        decisions: DecisionLog,
+    ) -> Self {
+        Self {
+            settings,
+            config,
+            grants,
+            metrics,
+            decisions,
+            draining: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            counter: AtomicU64::new(0),
+        }
+    }
+
+    /// Refuses new requests from now on.
+    pub fn start_draining(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether new requests are refused.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of requests that are being answered.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Counts a request in until the guard is dropped.
+    pub(super) fn enter(self: &Arc<Self>) -> FlightGuard<C, G> {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        FlightGuard {
+            context: Arc::clone(self),
+        }
+    }
+
+    /// Returns an id that no other request of the fleet has.
+    pub(super) fn next_id(&self) -> RequestId {
+        let number = self.counter.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{number}", self.settings.vm, self.settings.boot)
+    }
+
+    /// Returns the refusal of a VM that shuts down.
+    pub(super) fn shutdown_problem(&self) -> Problem {
+        let part: f64 = rand::random();
+        Problem::Refused(Refusal {
+            reason: RefusalReason::ShuttingDown,
+            retry_after: SHUTDOWN_RETRY.mul_f64(part),
+        })
+    }
+}
+
+/// Counts a request as in flight until it is dropped.
+#[derive(Debug)]
+pub(super) struct FlightGuard<C, G> {
+    context: Arc<EntryContext<C, G>>,
+}
+
+impl<C, G> Drop for FlightGuard<C, G> {
+    fn drop(&mut self) {
+        self.context.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/dewspring/src/entry/handler.rs
@@ -0,0 +1,203 @@
+//! From a caller's bytes to a route: every check before the request is queued.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response};
+use indexmap::IndexSet;
+use serde::Serialize;
+
+use super::body::AnswerBody;
+use super::context::{ConfigSource, EntryContext};
+use super::exchange::Exchange;
+use super::grants::GrantSource;
+use super::headers::{REQUEST_ID, VM_NAME};
+use super::problem::Problem;
+use super::request::{ModelRequest, read_body};
+use crate::ids::RequestId;
+use crate::tables::{FleetConfig, RouteMatch, RouteRow, RouteTable};
+
+const MODELS_PATH: &str = "/v1/models";
+
+/// Longest workspace name that a caller may send, in bytes.
+const MAX_WORKSPACE_BYTES: usize = 128;
+
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'static str,
+    data: Vec<ModelEntry<'a>>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry<'a> {
+    id: &'a str,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+/// Answers one request.
+pub(super) async fn handle<C: ConfigSource, G: GrantSource>(
+    context: Arc<EntryContext<C, G>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let id = context.next_id();
+    let is_draining = context.is_draining();
+    let mut response = match accept(&context, &id, request).await {
+        Ok(Accepted::Exchange(exchange)) => exchange.serve().await,
+        Ok(Accepted::Answer(response)) => response,
+        Err(problem) => {
+            let text = format!("Answered {problem:?}.");
+            context.decisions.note(&id, "entry", text);
+            problem.to_response(&id)
+        }
+    };
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(&context.settings.vm) {
+        headers.insert(VM_NAME, value);
+    }
+    if let Ok(value) = HeaderValue::from_str(&id) {
+        headers.insert(REQUEST_ID, value);
+    }
+    if is_draining {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+enum Accepted<C: ConfigSource, G: GrantSource> {
+    /// The request has a route and goes on to the broker.
+    Exchange(Box<Exchange<C, G>>),
+    /// The entry answers by itself.
+    Answer(Response<AnswerBody>),
+}
+
+async fn accept<C: ConfigSource, G: GrantSource>(
+    context: &Arc<EntryContext<C, G>>,
+    id: &RequestId,
+    request: Request<Incoming>,
+) -> Result<Accepted<C, G>, Problem> {
+    let arrived = Instant::now();
+    // Counted in before the check, so that a shutdown waits for all that it
+    // did not refuse.
+    let flight = context.enter();
+    if context.is_draining() {
+        return Err(context.shutdown_problem());
+    }
+    let config = context.config.current();
+    let (parts, incoming) = request.into_parts();
+    let path = parts.uri.path();
+    if path == MODELS_PATH && parts.method == Method::GET {
+        return Ok(Accepted::Answer(model_list(&config.routes)));
+    }
+
+    let limit = body_limit(&config.routes, path).ok_or(Problem::UnknownPath)?;
+    let body = read_body(incoming, limit, context.settings.body_timeout).await?;
+    let model = if takes_model(&config.routes, path) {
+        Some(ModelRequest::parse(&body)?)
+    } else {
+        None
+    };
+    let label = header_text(&parts, &context.settings.class_header);
+    let route = find_route(&config, &parts, model.as_ref(), label)?.clone();
+    if body.len() as u64 > route.max_body_bytes {
+        return Err(Problem::BodyTooLarge(route.max_body_bytes));
+    }
+    let workspace = header_text(&parts, &context.settings.workspace_header)
+        .map_or_else(|| route.workspace.clone(), String::from);
+    if workspace.len() > MAX_WORKSPACE_BYTES {
+        return Err(Problem::Malformed("The workspace name is too long.".into()));
+    }
+    context.metrics.count_request(&route.class);
+    let text = format!(
+        "Matched route {}, class {}, tier {}, workspace {workspace}, pool {}.",
+        route.name, route.class, route.tier, route.pool
+    );
+    context.decisions.note(id, "entry", text);
+    Ok(Accepted::Exchange(Box::new(Exchange {
+        context: Arc::clone(context),
+        id: id.clone(),
+        arrived,
+        config,
+        route,
+        workspace,
+        parts,
+        body,
+        model,
+        excluded: Vec::new(),
+        attempts: 0,
+        _flight: flight,
+    })))
+}
+
+fn find_route<'a>(
+    config: &'a FleetConfig,
+    parts: &Parts,
+    model: Option<&ModelRequest>,
+    label: Option<&str>,
+) -> Result<&'a RouteRow, Problem> {
+    let name = model.map(|model| model.model.as_str());
+    let method = parts.method.as_str();
+    match config.routes.find(method, parts.uri.path(), name, label) {
+        RouteMatch::Route(route) => Ok(route),
+        RouteMatch::UnknownPath => Err(Problem::UnknownPath),
+        RouteMatch::UnknownModel => {
+            let name = name.unwrap_or_default().to_string();
+            Err(Problem::UnknownModel(name))
+        }
+        RouteMatch::UnknownLabel => {
+            let label = label.unwrap_or_default().to_string();
+            Err(Problem::UnknownLabel(label))
+        }
+        RouteMatch::MethodNotAllowed => Err(Problem::MethodNotAllowed),
+    }
+}
+
+/// Returns the largest body of any route with this path.
+fn body_limit(routes: &RouteTable, path: &str) -> Option<u64> {
+    routes_of(routes, path)
+        .map(|route| route.max_body_bytes)
+        .max()
+}
+
+fn takes_model(routes: &RouteTable, path: &str) -> bool {
+    routes_of(routes, path).any(|route| route.model.is_some())
+}
+
+fn routes_of<'a>(routes: &'a RouteTable, path: &'a str) -> impl Iterator<Item = &'a RouteRow> {
+    routes
+        .rows
+        .values()
+        .filter(move |route| route.matches_path(path))
+}
+
+fn header_text<'a>(parts: &'a Parts, name: &str) -> Option<&'a str> {
+    let value = parts.headers.get(name)?;
+    value.to_str().ok().filter(|text| !text.is_empty())
+}
+
+fn model_list(routes: &RouteTable) -> Response<AnswerBody> {
+    let names: IndexSet<&str> = routes
+        .rows
+        .values()
+        .filter_map(|route| route.model.as_deref())
+        .collect();
+    let list = ModelList {
+        object: "list",
+        data: names
+            .into_iter()
+            .map(|id| ModelEntry {
+                id,
+                object: "model",
+                owned_by: "dewspring",
+            })
+            .collect(),
+    };
+    let text = serde_json::to_vec(&list).expect("a list of names is plain JSON");
+    let mut response = Response::new(AnswerBody::ready(text));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/crates/dewspring/src/entry/problem.rs
@@ -0,0 +1,185 @@
+//! The answers of the entry itself: refusals and errors.
+
+use std::time::Duration;
+
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+use super::body::AnswerBody;
+use super::headers::{RAN, REQUEST_ID, RETRY_AFTER_MS};
+use crate::broker::{Refusal, RefusalReason};
+use crate::ids::RequestId;
+
+const PROBLEM_TYPE: &str = "application/problem+json";
+
+/// Whether the caller's request ran at a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RanState {
+    /// It surely didn't run.
+    No,
+    /// It may have run.
+    Unknown,
+    /// It ran.
+    Yes,
+}
+
+impl RanState {
+    /// Returns the value of the header that tells the caller.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::No => "no",
+            Self::Unknown => "unknown",
+            Self::Yes => "yes",
+        }
+    }
+}
+
+/// What went wrong with a request, as far as its caller is concerned.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Problem {
+    /// The request can't be read.
+    Malformed(String),
+    /// No route has this path.
+    UnknownPath,
+    /// No route has this model.
+    UnknownModel(String),
+    /// No route of this model has this label.
+    UnknownLabel(String),
+    /// The path takes other methods.
+    MethodNotAllowed,
+    /// The body is above the route's limit, in bytes.
+    BodyTooLarge(u64),
+    /// The body didn't come in time.
+    SlowSender,
+    /// The request is refused and didn't run.
+    Refused(Refusal),
+    /// Every attempt failed before the request was sent.
+    Unreachable(Duration),
+    /// A server broke off or was silent; the request may have run.
+    Unknown(String),
+    /// The timeout passed at a server; the request may have run.
+    TimedOut,
+    /// A request with the same key is running or its outcome isn't known.
+    InProgress,
+    /// The key was used for another request.
+    KeyReused,
+    /// The key can't be claimed, so the request was not run.
+    KeyRefused {
+        /// Why it can't be claimed.
+        detail: String,
+        /// Time after which the caller may come back.
+        retry_after: Duration,
+    },
+}
+
+#[derive(Serialize)]
+struct ProblemBody<'a> {
+    r#type: String,
+    title: &'a str,
+    status: u16,
+    detail: &'a str,
+    request_id: &'a str,
+}
+
+/// The fixed parts of a kind of problem.
+struct ProblemKind {
+    status: StatusCode,
+    slug: &'static str,
+    title: &'static str,
+}
+
+impl Problem {
+    /// Returns whether the request ran.
+    pub fn ran(&self) -> RanState {
+        match self {
+            Self::Unknown(_) | Self::TimedOut | Self::InProgress => RanState::Unknown,
+            _ => RanState::No,
+        }
+    }
+
+    /// Writes the problem as an answer.
+    pub fn to_response(&self, request: &RequestId) -> Response<AnswerBody> {
+        let kind = self.kind();
+        let body = ProblemBody {
+            r#type: format!("urn:dewspring:problem:{}", kind.slug),
+            title: kind.title,
+            status: kind.status.as_u16(),
+            detail: &self.detail(),
+            request_id: request,
+        };
+        let text = serde_json::to_vec(&body).expect("a problem is plain text and numbers");
+        let mut response = Response::new(AnswerBody::ready(text));
+        *response.status_mut() = kind.status;
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(PROBLEM_TYPE));
+        headers.insert(RAN, HeaderValue::from_static(self.ran().as_str()));
+        if let Ok(value) = HeaderValue::from_str(request) {
+            headers.insert(REQUEST_ID, value);
+        }
+        if let Some(retry_after) = self.retry_after() {
+            let seconds = retry_after.as_millis().div_ceil(1000) as u64;
+            headers.insert(RETRY_AFTER, seconds.into());
+            headers.insert(RETRY_AFTER_MS, (retry_after.as_millis() as u64).into());
+        }
+        response
+    }
+
+    fn kind(&self) -> ProblemKind {
+        let (status, slug, title) = match self {
+            Self::Malformed(_) => (400, "malformed", "The request can't be read"),
+            Self::UnknownPath => (404, "unknown-path", "No route has this path"),
+            Self::UnknownModel(_) => (404, "unknown-model", "No route has this model"),
+            Self::UnknownLabel(_) => (404, "unknown-label", "No route has this label"),
+            Self::MethodNotAllowed => (405, "method", "The path takes other methods"),
+            Self::BodyTooLarge(_) => (413, "too-large", "The body is too large"),
+            Self::SlowSender => (408, "slow-sender", "The body didn't come in time"),
+            Self::Refused(refusal) => refusal_status(refusal.reason),
+            Self::Unreachable(_) => (503, "unreachable", "No server could be reached"),
+            Self::Unknown(_) => (502, "unknown", "The request may have run"),
+            Self::TimedOut => (504, "timeout", "The request may have run"),
+            Self::InProgress => (409, "in-progress", "A request with this key was sent"),
+            Self::KeyReused => (422, "key-reused", "The key belongs to another request"),
+            Self::KeyRefused { .. } => (503, "key-refused", "The key can't be claimed"),
+        };
+        ProblemKind {
+            status: StatusCode::from_u16(status).expect("the status is in range"),
+            slug,
+            title,
+        }
+    }
+
+    fn detail(&self) -> String {
+        match self {
+            Self::Malformed(detail) | Self::Unknown(detail) => detail.clone(),
+            Self::UnknownModel(model) => format!("The model \"{model}\" is in no route."),
+            Self::UnknownLabel(label) => format!("The label \"{label}\" is in no route."),
+            Self::BodyTooLarge(limit) => format!("The limit is {limit} bytes."),
+            Self::Refused(refusal) => format!("Refused: {:?}. Nothing ran.", refusal.reason),
+            Self::KeyRefused { detail, .. } => detail.clone(),
+            Self::Unreachable(_) => "Nothing ran.".into(),
+            Self::InProgress => "It is running, or its outcome isn't known.".into(),
+            _ => String::new(),
+        }
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Refused(refusal) => Some(refusal.retry_after),
+            Self::Unreachable(retry_after) => Some(*retry_after),
+            Self::KeyRefused { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        }
+    }
+}
+
+fn refusal_status(reason: RefusalReason) -> (u16, &'static str, &'static str) {
+    match reason {
+        RefusalReason::Overloaded => (503, "overloaded", "The daemon can't take more"),
+        RefusalReason::NoServer => (503, "no-server", "No server takes work"),
+        RefusalReason::QueueFull => (429, "queue-full", "The queue has no room"),
+        RefusalReason::TargetMissed => (429, "target-missed", "The target can't be met"),
+        RefusalReason::TimedOut => (429, "timed-out", "No server was free in time"),
+        RefusalReason::ShuttingDown => (503, "shutting-down", "The daemon is shutting down"),
+    }
+}
--- /dev/null
+++ b/crates/dewspring/src/entry/pump.rs
@@ -0,0 +1,250 @@
+//! Moves an answer from the backend server to the caller, piece by piece.
+//!
+//! The pump is the only place that knows how an answer ended: whole, cut off
+//! by the server, or cancelled by the caller. Dropping its upstream closes
+//! the server's connection, so a caller that hangs up cancels the call.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use tokio::time::timeout;
+
+use super::attempt::AttemptGuard;
+use super::body::{BrokenAnswer, PieceSender};
+use super::context::ConfigSource;
+use super::events::EventScanner;
+use super::exchange::{BegunAnswer, Exchange};
+use super::grants::GrantSource;
+use super::upstream::UpstreamAnswer;
+use crate::broker::AttemptOutcome;
+use crate::ids::TokenCount;
+use crate::observe::WasteCause;
+use crate::tables::LatePolicy;
+
+/// Most times that one broken stream is resumed.
+const MAX_RESUMES: usize = 2;
+
+/// What the next read of the server's answer gave.
+enum PumpStep {
+    /// Bytes of the answer.
+    Piece(Bytes),
+    /// The whole answer has come.
+    End,
+    /// The server broke off or was silent.
+    Broken(String),
+    /// The caller hung up.
+    CallerGone,
+}
+
+/// The state of one answer on its way.
+pub(super) struct AnswerPump<C: ConfigSource, G: GrantSource> {
+    exchange: Exchange<C, G>,
+    attempt: AttemptGuard<C, G>,
+    upstream: UpstreamAnswer,
+    sender: PieceSender,
+    /// Present if the answer is an engine's stream of events.
+    scanner: Option<EventScanner>,
+    /// Tokens that the caller had when this attempt began.
+    resumed_from: TokenCount,
+    resumes: usize,
+    /// When the caller's first token came, over all attempts.
+    first_token: Option<Instant>,
+}
+
+impl<C: ConfigSource, G: GrantSource> AnswerPump<C, G> {
+    pub(super) fn new(
+        exchange: Exchange<C, G>,
+        begun: BegunAnswer<C, G>,
+        sender: PieceSender,
+        is_events: bool,
+    ) -> Self {
+        Self {
+            exchange,
+            attempt: begun.attempt,
+            upstream: begun.upstream,
+            sender,
+            scanner: is_events.then(EventScanner::default),
+            resumed_from: 0,
+            resumes: 0,
+            first_token: None,
+        }
+    }
+
+    /// Moves the answer until it ends in one way or another.
+    pub(super) async fn run(mut self) {
+        loop {
+            let step = self.next_step().await;
+            match self.after_step(step).await {
+                PumpStep::Piece(_) => {}
+                PumpStep::End => return self.complete(),
+                PumpStep::CallerGone => return self.cancel(),
+                PumpStep::Broken(text) => match self.resume(text).await {
+                    Ok(resumed) => self = resumed,
+                    Err(broken) => return broken.abort().await,
+                },
+            }
+        }
+    }
+
+    /// Reads on, and notices at once when the caller hangs up.
+    async fn next_step(&mut self) -> PumpStep {
+        let silence = self.exchange.context.settings.silence_timeout;
+        let wait = silence.min(self.exchange.time_left());
+        let body = self.upstream.response.body_mut();
+        tokio::select! {
+            () = self.sender.closed() => PumpStep::CallerGone,
+            frame = timeout(wait, body.frame()) => match frame {
+                Err(_) => PumpStep::Broken("the server was silent".into()),
+                Ok(None) => PumpStep::End,
+                Ok(Some(Err(error))) => PumpStep::Broken(error.to_string()),
+                Ok(Some(Ok(frame))) => {
+                    PumpStep::Piece(frame.into_data().unwrap_or_default())
+                }
+            },
+        }
+    }
+
+    /// Delivers a piece, and checks that an end is a real end.
+    async fn after_step(&mut self, step: PumpStep) -> PumpStep {
+        match step {
+            PumpStep::Piece(bytes) => self.deliver(bytes).await,
+            PumpStep::End if self.is_short() => {
+                PumpStep::Broken("the stream ended without its last event".into())
+            }
+            other => other,
+        }
+    }
+
+    async fn deliver(&mut self, bytes: Bytes) -> PumpStep {
+        let piece = match &mut self.scanner {
+            None => bytes,
+            Some(scanner) => {
+                let piece = scanner.push(bytes);
+                self.attempt
+                    .note_tokens(scanner.tokens() - self.resumed_from);
+                self.first_token = self.first_token.or(self.attempt.first_token());
+                piece
+            }
+        };
+        if piece.is_empty() {
+            return PumpStep::Piece(piece);
+        }
+        let silence = self.exchange.context.settings.silence_timeout;
+        match self.sender.send_timeout(Ok(piece), silence).await {
+            Ok(()) => PumpStep::Piece(Bytes::new()),
+            Err(_) => PumpStep::CallerGone,
+        }
+    }
+
+    fn is_short(&self) -> bool {
+        let is_ok = self.upstream.response.status().is_success();
+        is_ok
+            && self
+                .scanner
+                .as_ref()
+                .is_some_and(|scanner| !scanner.is_done())
+    }
+
+    /// Goes on with the stream at another server, if that is allowed.
+    async fn resume(mut self, text: String) -> Result<Self, Self> {
+        self.exchange.note(format!("The answer broke: {text}."));
+        let may_resume = self.exchange.pool().can_resume
+            && self.exchange.route.idempotent
+            && self.resumes < MAX_RESUMES
+            && self.scanner.is_some();
+        if !may_resume {
+            return Err(self);
+        }
+        let tokens = self.tokens();
+        let server = self.attempt.grant().server.clone();
+        self.exchange.excluded.push(server);
+        match self.exchange.begin(Some(tokens)).await {
+            Ok(begun) if begun.upstream.response.status().is_success() => {
+                Ok(self.switch(begun, tokens))
+            }
+            Ok(_) | Err(_) => Err(self),
+        }
+    }
+
+    fn switch(mut self, begun: BegunAnswer<C, G>, tokens: TokenCount) -> Self {
+        self.exchange
+            .note(format!("Resumed after {tokens} tokens."));
+        self.exchange
+            .context
+            .metrics
+            .count_retry(&self.exchange.route.class);
+        if let Some(scanner) = &mut self.scanner {
+            scanner.restart();
+        }
+        let broken = std::mem::replace(&mut self.attempt, begun.attempt);
+        broken.finish(AttemptOutcome::Unknown);
+        self.upstream = begun.upstream;
+        self.resumed_from = tokens;
+        self.resumes += 1;
+        self
+    }
+
+    fn tokens(&self) -> TokenCount {
+        self.scanner.as_ref().map_or(0, EventScanner::tokens)
+    }
+
+    fn complete(self) {
+        let tokens = self.tokens();
+        let route = &self.exchange.route;
+        let metrics = &self.exchange.context.metrics;
+        let elapsed = self.exchange.arrived.elapsed();
+        let first_token = self
+            .first_token
+            .map(|time| time.duration_since(self.exchange.arrived));
+        let first_in_time = match (route.first_token, first_token) {
+            (Some(target), Some(time)) => time <= target,
+            _ => true,
+        };
+        let in_time = elapsed <= route.target && first_in_time;
+        if let Some(time) = first_token {
+            metrics.observe_first_token(&route.class, time);
+            if tokens > 1 {
+                let interval = (elapsed - time) / u32::try_from(tokens - 1).unwrap_or(u32::MAX);
+                metrics.observe_interval(&route.class, interval);
+            }
+        }
+        if !in_time && route.late == LatePolicy::Worthless {
+            metrics.count_waste(WasteCause::Late, tokens);
+        }
+        metrics.count_completed(&route.class, in_time, tokens);
+        self.exchange.note(format!(
+            "Completed with {tokens} tokens after {} ms; the server took {} ms.",
+            elapsed.as_millis(),
+            self.attempt.sent().elapsed().as_millis()
+        ));
+        let outcome = if self.upstream.response.status().is_server_error() {
+            AttemptOutcome::Failed
+        } else {
+            AttemptOutcome::Completed
+        };
+        self.attempt.finish(outcome);
+    }
+
+    fn cancel(self) {
+        let tokens = self.attempt.tokens();
+        let metrics = &self.exchange.context.metrics;
+        metrics.count_waste(WasteCause::Cancelled, tokens);
+        self.exchange
+            .note(format!("The caller hung up after {tokens} tokens."));
+        self.attempt.finish(AttemptOutcome::Cancelled);
+    }
+
+    /// Lets the caller see that the answer isn't whole.
+    async fn abort(self) {
+        let tokens = self.tokens();
+        let metrics = &self.exchange.context.metrics;
+        metrics.count_waste(WasteCause::Broken, tokens);
+        metrics.count_unknown(&self.exchange.route.class);
+        self.exchange
+            .note(format!("Cut the answer off after {tokens} tokens."));
+        self.attempt.finish(AttemptOutcome::Unknown);
+        // A caller that has hung up needs no sign.
+        let _gone = self.sender.send(Err(BrokenAnswer)).await;
+    }
+}
--- /dev/null
+++ b/crates/dewspring/src/entry/tests.rs
@@ -0,0 +1,241 @@
+//! Tests of the entry's plain functions.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use quickcheck::{Gen, QuickCheck};
+
+use super::headers::{RAN, REQUEST_ID, forwarded_headers};
+use super::{
+    AttemptFailure, EventScanner, ModelRequest, Problem, RetryState, RetryStep, next_step,
+};
+use crate::broker::{Refusal, RefusalReason};
+
+const SEED: u64 = 0x5eed;
+const CASES: u64 = 300;
+
+fn checker() -> QuickCheck {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, SEED))
+        .tests(CASES)
+}
+
+struct RetryCase {
+    failure: AttemptFailure,
+    idempotent: bool,
+    attempts: usize,
+    budget_left: bool,
+    retried: bool,
+}
+
+#[test]
+fn only_what_did_not_run_or_is_idempotent_is_retried() {
+    let not_run = || AttemptFailure::NotRun("refused".into());
+    let broken = || AttemptFailure::BrokenOff("reset".into());
+    let case = |failure, idempotent, attempts, budget_left, retried| RetryCase {
+        failure,
+        idempotent,
+        attempts,
+        budget_left,
+        retried,
+    };
+    let cases = [
+        case(not_run(), false, 1, true, true),
+        case(not_run(), false, 3, true, false),
+        case(not_run(), false, 1, false, false),
+        case(broken(), false, 1, true, false),
+        case(broken(), true, 1, true, true),
+        case(broken(), true, 3, true, false),
+        case(AttemptFailure::TimedOut, true, 1, true, false),
+    ];
+    for case in cases {
+        let state = RetryState {
+            attempts: case.attempts,
+            idempotent: case.idempotent,
+            time_left: Duration::from_secs(1),
+            budget_left: case.budget_left,
+        };
+        let step = next_step(&case.failure, state);
+        assert_eq!(
+            step == RetryStep::Retry,
+            case.retried,
+            "{:?} {state:?}",
+            case.failure
+        );
+    }
+}
+
+struct ProblemCase {
+    problem: Problem,
+    status: u16,
+    ran: &'static str,
+    retry_after: Option<&'static str>,
+}
+
+#[test]
+fn problems_say_whether_the_request_ran() {
+    let refusal = |reason, millis| {
+        Problem::Refused(Refusal {
+            reason,
+            retry_after: Duration::from_millis(millis),
+        })
+    };
+    let case = |problem, status, ran, retry_after| ProblemCase {
+        problem,
+        status,
+        ran,
+        retry_after,
+    };
+    let cases = [
+        case(
+            refusal(RefusalReason::QueueFull, 1200),
+            429,
+            "no",
+            Some("2"),
+        ),
+        case(
+            refusal(RefusalReason::ShuttingDown, 0),
+            503,
+            "no",
+            Some("0"),
+        ),
+        case(Problem::UnknownPath, 404, "no", None),
+        case(Problem::BodyTooLarge(9), 413, "no", None),
+        case(Problem::Unknown("reset".into()), 502, "unknown", None),
+        case(Problem::TimedOut, 504, "unknown", None),
+        case(Problem::InProgress, 409, "unknown", None),
+    ];
+    for case in cases {
+        let response = case.problem.to_response(&"a-1-1".into());
+        let headers = response.headers();
+        assert_eq!(response.status().as_u16(), case.status);
+        assert_eq!(headers[RAN], case.ran);
+        assert_eq!(headers[REQUEST_ID], "a-1-1");
+        let retry_after = headers.get(RETRY_AFTER).map(HeaderValue::as_bytes);
+        assert_eq!(retry_after, case.retry_after.map(str::as_bytes));
+    }
+}
+
+#[test]
+fn hop_by_hop_headers_are_not_forwarded() {
+    let mut headers = HeaderMap::new();
+    let pairs = [
+        ("connection", "close, x-private"),
+        ("x-private", "1"),
+        ("transfer-encoding", "chunked"),
+        ("host", "router"),
+        ("x-request-id", "forged"),
+        ("x-resume-from", "7"),
+        ("authorization", "Bearer token"),
+        ("idempotency-key", "k1"),
+    ];
+    for (name, value) in pairs {
+        headers.insert(
+            HeaderName::from_static(name),
+            HeaderValue::from_static(value),
+        );
+    }
+    let forwarded = forwarded_headers(&headers);
+    let names: Vec<&str> = forwarded.keys().map(HeaderName::as_str).collect();
+    assert_eq!(names.len(), 2, "{names:?}");
+    assert!(names.contains(&"authorization") && names.contains(&"idempotency-key"));
+}
+
+/// Builds a stream of events from token texts.
+fn stream_of(tokens: &[u8]) -> Vec<u8> {
+    let mut stream = Vec::new();
+    for token in tokens {
+        let event = format!("data: {{\"choices\":[{{\"text\":\"t{token}\"}}]}}\n\n");
+        stream.extend_from_slice(event.as_bytes());
+    }
+    stream.extend_from_slice(b"data: [DONE]\n\n");
+    stream
+}
+
+#[test]
+fn any_cut_of_a_stream_gives_the_same_events() {
+    fn property(tokens: Vec<u8>, cuts: Vec<u8>) -> bool {
+        let stream = stream_of(&tokens);
+        let mut scanner = EventScanner::default();
+        let mut delivered = Vec::new();
+        let mut rest = &stream[..];
+        let mut cuts = cuts.iter().cycle();
+        while !rest.is_empty() {
+            let cut = cuts.next().map_or(1, |cut| usize::from(*cut) % 40 + 1);
+            let (piece, left) = rest.split_at(cut.min(rest.len()));
+            let whole = scanner.push(Bytes::copy_from_slice(piece));
+            assert!(whole.is_empty() || whole.ends_with(b"\n\n"));
+            delivered.extend_from_slice(&whole);
+            rest = left;
+        }
+        delivered == stream && scanner.is_done() && scanner.tokens() == tokens.len() as u64
+    }
+    checker().quickcheck(property as fn(Vec<u8>, Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_broken_stream_counts_only_whole_events() {
+    fn property(tokens: Vec<u8>, cut: u16) -> bool {
+        let stream = stream_of(&tokens);
+        let cut = usize::from(cut) % stream.len();
+        let mut scanner = EventScanner::default();
+        let whole = scanner.push(Bytes::copy_from_slice(&stream[..cut]));
+        let ends = stream[..cut]
+            .windows(2)
+            .filter(|end| end == b"\n\n")
+            .count();
+        !scanner.is_done() && scanner.tokens() == ends as u64 && stream.starts_with(&whole)
+    }
+    checker().quickcheck(property as fn(Vec<u8>, u16) -> bool);
+}
+
+#[test]
+fn no_body_makes_the_reader_panic() {
+    fn property(bytes: Vec<u8>, cut: u8) -> bool {
+        // Arbitrary bytes, and a valid body cut anywhere.
+        let arbitrary = ModelRequest::parse(&bytes);
+        let valid = r#"{"model":"wire","messages":[{"role":"user","content":"ä€"}]}"#;
+        let cut = usize::from(cut) % valid.len();
+        let truncated = ModelRequest::parse(&valid.as_bytes()[..cut]);
+        arbitrary.is_err() && truncated.is_err()
+    }
+    checker().quickcheck(property as fn(Vec<u8>, u8) -> bool);
+}
+
+struct BodyCase {
+    body: &'static str,
+    model: Option<&'static str>,
+}
+
+#[test]
+fn bodies_are_read_for_routing() {
+    let cases = [
+        BodyCase {
+            body: r#"{"model":"m","prompt":"p","stream":true,"other":1}"#,
+            model: Some("m"),
+        },
+        BodyCase {
+            body: r#"{"model":"m","messages":[{"role":"user","content":[{"type":"text"}]}]}"#,
+            model: Some("m"),
+        },
+        BodyCase {
+            body: r#"{"model":"m"}"#,
+            model: None,
+        },
+        BodyCase {
+            body: r#"{"prompt":"p"}"#,
+            model: None,
+        },
+        BodyCase {
+            body: r#"["m"]"#,
+            model: None,
+        },
+    ];
+    for case in cases {
+        let parsed = ModelRequest::parse(case.body.as_bytes()).ok();
+        let model = parsed.map(|request| request.model);
+        assert_eq!(model.as_deref(), case.model, "{}", case.body);
+    }
+}
--- /dev/null
+++ b/crates/dewspring/src/entry/upstream.rs
@@ -0,0 +1,88 @@
+//! One call to a backend server over a connection of its own.
+//!
+//! Connecting is a step before sending, so a failed connect surely ran
+//! nothing. Dropping an [`UpstreamAnswer`] closes the connection at once,
+//! which cancels the call at the server.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Why a call gave no answer.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum CallError {
+    /// Nothing of the request was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The request was sent, and the server broke off without an answer.
+    #[error("broken off: {0}")]
+    BrokenOff(String),
+    /// The request was sent, and the time is up.
+    #[error("timed out")]
+    TimedOut,
+}
+
+/// Closes a connection when it is dropped.
+#[derive(Debug)]
+pub(crate) struct ConnectionGuard(AbortHandle);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// The header of a server's answer, with the body still to come.
+#[derive(Debug)]
+pub(crate) struct UpstreamAnswer {
+    /// The answer.
+    pub response: Response<Incoming>,
+    /// Keeps the connection open.
+    pub _connection: ConnectionGuard,
+}
+
+/// Sends a request and waits for the header of its answer.
+pub(crate) async fn call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    connect_timeout: Duration,
+    deadline: Instant,
+) -> Result<UpstreamAnswer, CallError> {
+    let not_sent = |error: String| CallError::NotSent(error);
+    let stream = timeout(connect_timeout, TcpStream::connect(address))
+        .await
+        .map_err(|_| not_sent("the connect timed out".into()))?
+        .map_err(|error| not_sent(error.to_string()))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| not_sent(error.to_string()))?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| not_sent(error.to_string()))?;
+    let connection = ConnectionGuard(tokio::spawn(connection).abort_handle());
+
+    match timeout_at(deadline, sender.try_send_request(request)).await {
+        Err(_) => Err(CallError::TimedOut),
+        Ok(Ok(response)) => Ok(UpstreamAnswer {
+            response,
+            _connection: connection,
+        }),
+        Ok(Err(mut error)) => {
+            if error.take_message().is_some() {
+                Err(not_sent("the connection closed".into()))
+            } else {
+                Err(CallError::BrokenOff(error.into_error().to_string()))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewspring/src/grants/local.rs
@@ -0,0 +1,90 @@
+//! Grants of a broker in this process.
+
+use tokio::sync::oneshot;
+
+use crate::broker::{
+    BrokerHandle, Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason,
+    ServerMark,
+};
+use crate::entry::GrantSource;
+use crate::ids::{BootId, RequestId, ServerName, VmId};
+
+/// Time after which a caller may come back when the broker has ended.
+const ENDED_RETRY: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Asks a broker in this process.
+#[derive(Clone, Debug)]
+pub struct LocalGrants {
+    broker: BrokerHandle,
+}
+
+impl LocalGrants {
+    /// Wraps a running broker.
+    pub fn new(broker: BrokerHandle) -> Self {
+        Self { broker }
+    }
+}
+
+impl GrantSource for LocalGrants {
+    async fn ask(&self, request: GrantRequest) -> GrantDecision {
+        let guard = WithdrawGuard::new(&self.broker, &request);
+        let (reply, decision) = oneshot::channel();
+        let asked = self.broker.ask(request, reply);
+        let decision = match asked {
+            Ok(()) => decision.await.unwrap_or_else(|_| ended()),
+            Err(refusal) => GrantDecision::Refused(refusal),
+        };
+        guard.disarm();
+        decision
+    }
+
+    fn release(&self, _grant: &Grant, release: GrantRelease) {
+        self.broker.release(release);
+    }
+
+    fn mark_leaving(&self, server: &ServerName) {
+        self.broker.mark(server.clone(), ServerMark::Leaving);
+    }
+}
+
+fn ended() -> GrantDecision {
+    GrantDecision::Refused(Refusal {
+        reason: RefusalReason::ShuttingDown,
+        retry_after: ENDED_RETRY,
+    })
+}
+
+/// Withdraws a question whose asker is dropped before the decision.
+struct WithdrawGuard {
+    broker: BrokerHandle,
+    request: RequestId,
+    entry: VmId,
+    boot: BootId,
+    armed: bool,
+}
+
+impl WithdrawGuard {
+    fn new(broker: &BrokerHandle, request: &GrantRequest) -> Self {
+        Self {
+            broker: broker.clone(),
+            request: request.request.clone(),
+            entry: request.entry.clone(),
+            boot: request.entry_boot,
+            armed: true,
+        }
+    }
+
+    fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for WithdrawGuard {
+    fn drop(&mut self) {
+        if self.armed {
+            let request = std::mem::take(&mut self.request);
+            let entry = std::mem::take(&mut self.entry);
+            self.broker.withdraw(request, entry, self.boot);
+        }
+    }
+}
--- a/crates/dewspring/src/lib.rs
+++ b/crates/dewspring/src/lib.rs
@@ -7,11 +7,14 @@
 //! - [`platform`]: the platform's key-value service and its list of VMs.
 //! - [`configuration`]: the revision in force on this VM.
 //! - [`entry`]: callers' requests, from the first byte to the last.
+//! - [`grants`]: which broker an entry asks.
 //! - [`broker`]: who is served next, by which replica, and who is refused.
+//! - [`reports`]: the load that backend servers report.
 //! - [`claims`]: keyed requests run at most once.
 //! - [`peer`]: heartbeats, configuration and grants between VMs.
 //! - [`observe`]: logs, metrics and recent decisions.
 //! - [`admin`]: the address for operators.
+//! - [`daemon`]: the duties of one VM, started and stopped together.
 //! - [`settings`]: flags and environment variables, checked once.
 //!
 //! The programs `dewspringd` and `dewctl` are thin drivers on top.
@@ -20,10 +23,13 @@
 pub mod broker;
 pub mod claims;
 pub mod configuration;
+pub mod daemon;
 pub mod entry;
+pub mod grants;
 pub mod ids;
 pub mod observe;
 pub mod peer;
 pub mod platform;
+pub mod reports;
 pub mod settings;
 pub mod tables;
--- /dev/null
+++ b/crates/dewspringd/tests/whole_path.rs
@@ -0,0 +1,137 @@
+//! The whole path with real processes: caller, daemon, engine or service,
+//! with the tables in a fake platform's store.
+
+mod common;
+
+use common::{CallAnswer, ChatCall, FleetPlan, TestFleet, admin_json, send};
+use oxhttp::model::{Body, Request};
+use serde_json::Value;
+
+#[test]
+fn requests_are_served_through_every_daemon() {
+    let fleet = TestFleet::start(FleetPlan::default());
+    for daemon in &fleet.daemons {
+        let streamed = ChatCall::new(daemon.entry, 20).send();
+        assert_eq!(streamed.status, 200, "{streamed:?}");
+        assert_eq!(streamed.ran, "yes");
+        assert!(streamed.is_own_stream(20), "{streamed:?}");
+
+        let plain = ChatCall {
+            stream: false,
+            ..ChatCall::new(daemon.entry, 3)
+        }
+        .send();
+        let body: Value = serde_json::from_str(plain.body.as_ref().expect("a whole answer"))
+            .expect("the answer is JSON");
+        let expected = format!("{0}:0 {0}:1 {0}:2 ", plain.request);
+        assert_eq!(body["choices"][0]["message"]["content"], expected);
+
+        let archive = Request::get(format!("http://{}/archive/1927", daemon.entry));
+        let answer = send(archive.body(Body::empty()).expect("a valid request"));
+        assert_eq!(answer.expect("an answer").status, 200);
+
+        let explained = admin_json(daemon, &format!("/v1/explain/{}", streamed.request));
+        let steps = explained.body["steps"].as_array().expect("steps are known");
+        assert!(steps.len() >= 3, "{steps:?}");
+        assert_eq!(admin_json(daemon, "/v1/status").body["revision"], 1);
+    }
+    for (request, count) in fleet.executions() {
+        assert_eq!(count, 1, "{request} ran {count} times");
+    }
+}
+
+struct BadCase {
+    name: &'static str,
+    method: &'static str,
+    path: &'static str,
+    body: String,
+    status: u16,
+    problem: &'static str,
+}
+
+#[test]
+fn bad_requests_get_a_clear_answer() {
+    let fleet = TestFleet::start(FleetPlan {
+        daemons: 1,
+        engines: 1,
+        ..FleetPlan::default()
+    });
+    let chat = "/v1/chat/completions";
+    let case = |name, method, path, body: &str, status, problem| BadCase {
+        name,
+        method,
+        path,
+        body: body.into(),
+        status,
+        problem,
+    };
+    let large = format!(r#"{{"model":"small","prompt":"{}"}}"#, "x".repeat(1 << 21));
+    let cases = [
+        case("not JSON", "POST", chat, "{", 400, "malformed"),
+        case(
+            "no prompt",
+            "POST",
+            chat,
+            r#"{"model":"small"}"#,
+            400,
+            "malformed",
+        ),
+        case(
+            "unknown model",
+            "POST",
+            chat,
+            r#"{"model":"other","prompt":"x"}"#,
+            404,
+            "unknown-model",
+        ),
+        case("unknown path", "POST", "/v2/x", "{}", 404, "unknown-path"),
+        case(
+            "method",
+            "DELETE",
+            chat,
+            r#"{"model":"small","prompt":"x"}"#,
+            405,
+            "method",
+        ),
+        case("too large", "POST", chat, &large, 413, "too-large"),
+    ];
+    for case in cases {
+        let entry = fleet.daemons[0].entry;
+        let request = Request::builder()
+            .method(case.method)
+            .uri(format!("http://{entry}{}", case.path))
+            .body(Body::from(case.body))
+            .expect("a valid request");
+        let answer: CallAnswer = send(request).expect(case.name);
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.name);
+        assert_eq!(answer.ran, "no", "{}", case.name);
+        let body: Value = serde_json::from_str(answer.body.as_ref().expect("a whole answer"))
+            .expect("the problem is JSON");
+        let kind = format!("urn:dewspring:problem:{}", case.problem);
+        assert_eq!(body["type"], kind, "{}", case.name);
+        assert_eq!(body["request_id"], answer.request, "{}", case.name);
+    }
+    assert!(fleet.executions().is_empty());
+    assert!(
+        ChatCall::new(fleet.daemons[0].entry, 5)
+            .send()
+            .is_own_stream(5)
+    );
+}
+
+#[test]
+fn models_are_listed() {
+    let fleet = TestFleet::start(FleetPlan {
+        daemons: 1,
+        engines: 1,
+        ..FleetPlan::default()
+    });
+    let uri = format!("http://{}/v1/models", fleet.daemons[0].entry);
+    let request = Request::get(uri)
+        .body(Body::empty())
+        .expect("a valid request");
+    let answer = send(request).expect("an answer");
+    let body: Value =
+        serde_json::from_str(&answer.body.expect("a whole answer")).expect("the list is JSON");
+    assert_eq!(body["data"][0]["id"], "small");
+}
