Share faults, load reports and flags between the stand-ins

Cause: the engine and the plain service held the same fault counters, load reports and flags, and a caller that left took a begun service call with it.

Ruled out: one settings type for all programs; only a few flags are common.

Change: the modules faults, load and flags; a service finishes what it has begun, and refuses an order about tokens.

--- a/crates/standins/src/engine/decode.rs
+++ b/crates/standins/src/engine/decode.rs
@@ -7,7 +7,8 @@
 
 use super::answer::{DONE_EVENT, final_event, token_event, token_text, whole_answer};
 use super::request::AnswerRequest;
-use super::state::{EngineState, RunFault};
+use super::state::EngineState;
+use crate::faults::RunFault;
 use crate::race::race;
 use crate::web::{ChunkSender, DroppedConnection};
 
@@ -102,12 +103,12 @@
     /// false if the caller went away.
     async fn wait_until(&self, due: &mut Instant) -> bool {
         loop {
-            *due = (*due).max(self.state.stalled_until());
+            *due = (*due).max(self.state.faults().stalled_until());
             let wait = due.saturating_duration_since(Instant::now());
             if race(sleep(wait), self.sender.closed()).await.is_none() {
                 return false;
             }
-            if self.state.stalled_until() <= Instant::now() {
+            if self.state.faults().stalled_until() <= Instant::now() {
                 return !self.sender.is_closed();
             }
         }
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -21,7 +21,7 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use crate::service::{mark_leaving, refusal, take_one};
+use crate::faults::{mark_leaving, ordered_failure, refusal};
 use crate::web::{
     AnswerBody, DroppedConnection, RequestHandler, WebAnswer, WebRequest, error_answer, json_answer,
 };
@@ -69,8 +69,8 @@
 
     fn control(&self, request: &WebRequest) -> Response<AnswerBody> {
         match request.json() {
-            Ok(control) => {
-                self.state.control(control, Instant::now());
+            Ok(order) => {
+                self.state.control(&order, Instant::now());
                 json_answer(StatusCode::OK, &json!({}))
             }
             Err(error) => error.into(),
@@ -78,7 +78,7 @@
     }
 
     fn refuses(&self) -> bool {
-        if take_one(&mut self.state.faults().refuse_next) {
+        if self.state.faults().take_refusal() {
             return true;
         }
         let settings = self.settings();
@@ -124,10 +124,7 @@
 ) -> WebAnswer {
     let Some(first) = chunks.recv().await else {
         return match work.await {
-            Ok(DecodeEnd::Failed) => {
-                let message = "the engine fails as it was told";
-                Ok(error_answer(StatusCode::INTERNAL_SERVER_ERROR, message))
-            }
+            Ok(DecodeEnd::Failed) => Ok(ordered_failure()),
             _ => Err(DroppedConnection),
         };
     };
@@ -156,7 +153,7 @@
             (&Method::POST, "/control") => self.control(&request),
             _ => error_answer(StatusCode::NOT_FOUND, "no such path"),
         };
-        mark_leaving(&mut answer, self.state.is_leaving());
+        mark_leaving(&mut answer, self.state.faults().is_leaving());
         Ok(answer)
     }
 }
--- a/crates/standins/src/engine/settings.rs
+++ b/crates/standins/src/engine/settings.rs
@@ -5,8 +5,9 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
-use crate::service::listen_flag;
+use crate::flags::{count, listen_address, listen_flag, millis, number, number_flag};
 
+const NANOS_PER_MICRO: f64 = 1e3;
 const NANOS_PER_MILLI: f64 = 1e6;
 
 /// Settings of one engine.
@@ -42,14 +43,6 @@
     pub queue_limit: usize,
 }
 
-fn number_flag(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .value_parser(value_parser!(u64))
-        .default_value(default)
-        .help(help)
-}
-
 fn factor_flag(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     number_flag(name, default, help).value_parser(value_parser!(f64))
 }
@@ -121,13 +114,12 @@
     /// Panics if the matches come from another command.
     #[must_use]
     pub fn from_matches(matches: &ArgMatches) -> Self {
-        let number = |name| *matches.get_one::<u64>(name).expect("a default");
         let factor = |name| *matches.get_one::<f64>(name).expect("a default");
-        let count = |name| usize::try_from(number(name)).expect("a count fits the machine");
-        let millis = factor("token-interval-ms");
-        let micros = factor("prefill-us-per-token");
+        let count = |name| count(matches, name);
+        let interval = factor("token-interval-ms");
+        let prefill = factor("prefill-us-per-token");
         Self {
-            listen: *matches.get_one("listen").expect("a default"),
+            listen: listen_address(matches),
             name: matches.get_one("name").cloned().expect("a default"),
             models: matches
                 .get_many("model")
@@ -136,13 +128,13 @@
                 .collect(),
             slots: count("slots"),
             honour_priority: matches.get_flag("honour-priority"),
-            prefill_per_token: Duration::from_nanos((micros * 1e3) as u64),
-            token_interval: Duration::from_nanos((millis * NANOS_PER_MILLI) as u64),
+            prefill_per_token: Duration::from_nanos((prefill * NANOS_PER_MICRO) as u64),
+            token_interval: Duration::from_nanos((interval * NANOS_PER_MILLI) as u64),
             batch_slowdown: factor("batch-slowdown"),
             speed: factor("speed"),
-            report_lag: Duration::from_millis(number("report-lag-ms")),
+            report_lag: millis(matches, "report-lag-ms"),
             cache_prefixes: count("cache-prefixes"),
-            event_gaps_percent: number("event-gaps-percent"),
+            event_gaps_percent: number(matches, "event-gaps-percent"),
             not_run_503: matches.get_flag("not-run-503"),
             queue_limit: count("queue-limit"),
         }
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -4,45 +4,15 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::Serialize;
 
 use super::cache::{EventPage, PrefixCache};
 use super::request::AnswerRequest;
 use super::settings::EngineSettings;
-use crate::lag::LaggedValue;
-use crate::service::{MIN_SPEED, take_one};
+use crate::faults::{FaultOrder, FaultPlan, RunFault};
+use crate::load::{LoadLog, LoadReport};
 use crate::slots::SlotQueue;
 
-/// What a test changes while the engine runs.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(super) struct EngineControl {
-    speed: Option<f64>,
-    leaving: Option<bool>,
-    fail_next: Option<u64>,
-    #[serde(default, deserialize_with = "present")]
-    reset_after_tokens: Option<Option<u64>>,
-    reset_before_answer: Option<u64>,
-    refuse_next: Option<u64>,
-    stall_ms: Option<u64>,
-}
-
-/// Tells a null from a field that isn't there.
-fn present<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Option<u64>>, D::Error> {
-    Option::deserialize(deserializer).map(Some)
-}
-
-/// A report of the engine's load.
-#[derive(Clone, Debug, Serialize)]
-pub(super) struct LoadReport {
-    running: usize,
-    waiting: usize,
-    slots: usize,
-    tokens_in_flight: u64,
-    leaving: bool,
-    models: Vec<String>,
-}
-
 /// Counts of what the engine ran.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(super) struct ExecutionReport {
@@ -54,28 +24,8 @@
     max_running: usize,
 }
 
-/// Faults that are to come.
-#[derive(Clone, Debug)]
-pub(super) struct FaultPlan {
-    pub(super) refuse_next: u64,
-    fail_next: u64,
-    reset_before_answer: u64,
-    reset_after_tokens: Option<u64>,
-    stalled_until: Instant,
-}
-
-/// The fault that meets one execution.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum RunFault {
-    None,
-    Fail,
-    ResetBeforeAnswer,
-    ResetAfterTokens(u64),
-}
-
+#[derive(Default)]
 struct RunCounts {
-    speed: f64,
-    leaving: bool,
     tokens_in_flight: u64,
     report: ExecutionReport,
 }
@@ -87,7 +37,7 @@
     counts: Mutex<RunCounts>,
     faults: Mutex<FaultPlan>,
     cache: Mutex<PrefixCache>,
-    loads: Mutex<LaggedValue<LoadReport>>,
+    loads: LoadLog,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -96,34 +46,14 @@
 
 impl EngineState {
     pub(super) fn new(settings: EngineSettings) -> Self {
-        let now = Instant::now();
-        let report = LoadReport {
-            running: 0,
-            waiting: 0,
-            slots: settings.slots,
-            tokens_in_flight: 0,
-            leaving: false,
-            models: settings.models.clone(),
-        };
-        let counts = RunCounts {
-            speed: settings.speed,
-            leaving: false,
-            tokens_in_flight: 0,
-            report: ExecutionReport::default(),
-        };
-        let faults = FaultPlan {
-            refuse_next: 0,
-            fail_next: 0,
-            reset_before_answer: 0,
-            reset_after_tokens: None,
-            stalled_until: now,
-        };
+        let faults = FaultPlan::new(settings.speed, Instant::now());
+        let models = settings.models.clone();
         Self {
             slots: SlotQueue::new(settings.slots),
-            counts: Mutex::new(counts),
+            counts: Mutex::default(),
             faults: Mutex::new(faults),
             cache: Mutex::new(PrefixCache::new(settings.cache_prefixes)),
-            loads: Mutex::new(LaggedValue::new(report, settings.report_lag, now)),
+            loads: LoadLog::new(settings.slots, models, settings.report_lag),
             settings,
         }
     }
@@ -132,28 +62,8 @@
         lock(&self.faults)
     }
 
-    pub(super) fn is_leaving(&self) -> bool {
-        lock(&self.counts).leaving
-    }
-
-    pub(super) fn control(&self, control: EngineControl, now: Instant) {
-        let mut counts = lock(&self.counts);
-        counts.speed = control.speed.unwrap_or(counts.speed);
-        counts.leaving = control.leaving.unwrap_or(counts.leaving);
-        drop(counts);
-        let mut faults = self.faults();
-        faults.fail_next = control.fail_next.unwrap_or(faults.fail_next);
-        faults.refuse_next = control.refuse_next.unwrap_or(faults.refuse_next);
-        faults.reset_before_answer = control
-            .reset_before_answer
-            .unwrap_or(faults.reset_before_answer);
-        faults.reset_after_tokens = control
-            .reset_after_tokens
-            .unwrap_or(faults.reset_after_tokens);
-        if let Some(stall) = control.stall_ms {
-            faults.stalled_until = now + Duration::from_millis(stall);
-        }
-        drop(faults);
+    pub(super) fn control(&self, order: &FaultOrder, now: Instant) {
+        self.faults().apply(order, now);
         self.record_load();
     }
 
@@ -169,17 +79,7 @@
         counts.tokens_in_flight += wanted.prompt_tokens;
         drop(counts);
         self.record_load();
-        let mut faults = self.faults();
-        if take_one(&mut faults.reset_before_answer) {
-            return RunFault::ResetBeforeAnswer;
-        }
-        if take_one(&mut faults.fail_next) {
-            return RunFault::Fail;
-        }
-        match faults.reset_after_tokens {
-            Some(tokens) => RunFault::ResetAfterTokens(tokens),
-            None => RunFault::None,
-        }
+        self.faults().take_run_fault()
     }
 
     pub(super) fn count_token(&self) {
@@ -204,44 +104,32 @@
         lock(&self.counts).report.tokens_cut_off += tokens;
     }
 
-    pub(super) fn stalled_until(&self) -> Instant {
-        self.faults().stalled_until
-    }
-
     /// Returns the time to prefill a prompt, and stores its prefix.
     pub(super) fn prefill_time(&self, wanted: &AnswerRequest) -> Duration {
         let cached = wanted.prefix.as_ref().map_or(0, |(hash, tokens)| {
             lock(&self.cache).touch(hash, *tokens, Instant::now())
         });
         let tokens = (wanted.prompt_tokens - cached) as f64;
-        let speed = lock(&self.counts).speed.max(MIN_SPEED);
+        let speed = self.faults().speed();
         self.settings.prefill_per_token.mul_f64(tokens / speed)
     }
 
     /// Returns the time to the next token at the present batch size.
     pub(super) fn token_time(&self) -> Duration {
         let further = self.slots.usage().running.saturating_sub(1) as f64;
-        let speed = lock(&self.counts).speed.max(MIN_SPEED);
+        let speed = self.faults().speed();
         let slowdown = 1.0 + self.settings.batch_slowdown * further;
         self.settings.token_interval.mul_f64(slowdown / speed)
     }
 
     pub(super) fn record_load(&self) {
-        let usage = self.slots.usage();
-        let counts = lock(&self.counts);
-        let report = LoadReport {
-            running: usage.running,
-            waiting: usage.waiting,
-            slots: self.settings.slots,
-            tokens_in_flight: counts.tokens_in_flight,
-            leaving: counts.leaving,
-            models: self.settings.models.clone(),
-        };
-        lock(&self.loads).record(report, Instant::now());
+        let leaving = self.faults().is_leaving();
+        let tokens = lock(&self.counts).tokens_in_flight;
+        self.loads.record(self.slots.usage(), tokens, leaving);
     }
 
     pub(super) fn load(&self) -> LoadReport {
-        lock(&self.loads).read(Instant::now())
+        self.loads.read()
     }
 
     pub(super) fn cache_events(&self, after: u64, now: Instant) -> EventPage {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,7 +5,10 @@
 //! The [`process`] module starts programs of the workspace in tests.
 
 pub mod engine;
+mod faults;
+mod flags;
 mod lag;
+mod load;
 pub mod platform;
 pub mod process;
 mod race;
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -19,9 +19,9 @@
 use serde_json::json;
 use tokio::sync::{mpsc, watch};
 
+use crate::faults::take_one;
 use crate::lag::LaggedValue;
 use crate::race::race;
-use crate::service::take_one;
 use crate::web::{
     AnswerBody, ChunkSender, DroppedConnection, RequestHandler, WebAnswer, WebRequest, json_answer,
 };
--- a/crates/standins/src/platform/settings.rs
+++ b/crates/standins/src/platform/settings.rs
@@ -8,7 +8,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use serde::{Deserialize, Serialize};
 
-use crate::service::listen_flag;
+use crate::flags::{listen_address, listen_flag, millis, number_flag};
 
 /// State of a VM in the list.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -50,13 +50,7 @@
     pub fn flags(command: Command) -> Command {
         command
             .arg(listen_flag())
-            .arg(
-                Arg::new("list-lag-ms")
-                    .long("list-lag-ms")
-                    .value_parser(value_parser!(u64))
-                    .default_value("0")
-                    .help("Age of the list of VMs"),
-            )
+            .arg(number_flag("list-lag-ms", "0", "Age of the list of VMs"))
             .arg(
                 Arg::new("vms")
                     .long("vms")
@@ -78,10 +72,9 @@
             let bytes = fs::read(path).expect("the list of VMs can be opened");
             serde_json::from_slice(&bytes).expect("the list of VMs is valid")
         });
-        let list_lag = *matches.get_one("list-lag-ms").expect("a default");
         Self {
-            listen: *matches.get_one("listen").expect("a default"),
-            list_lag: Duration::from_millis(list_lag),
+            listen: listen_address(matches),
+            list_lag: millis(matches, "list-lag-ms"),
             vms: vms.unwrap_or_default(),
         }
     }
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -4,21 +4,21 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use clap::{Arg, ArgMatches, Command, value_parser};
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use clap::{Arg, ArgMatches, Command};
 use hyper::{Method, Response, StatusCode};
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::lag::LaggedValue;
+use crate::faults::{FaultOrder, FaultPlan, RunFault, mark_leaving, ordered_failure, refusal};
+use crate::flags::{count, listen_address, listen_flag, millis, number_flag};
+use crate::load::LoadLog;
 use crate::slots::SlotQueue;
 use crate::web::{
-    AnswerBody, DroppedConnection, RequestHandler, WebAnswer, WebRequest, error_answer, json_answer,
+    AnswerBody, DroppedConnection, MalformedRequest, RequestHandler, WebAnswer, WebRequest,
+    json_answer,
 };
 
-/// Lowest speed that can be set, as a factor.
-pub(crate) const MIN_SPEED: f64 = 0.001;
+const NORMAL_SPEED: f64 = 1.0;
 
 /// Settings of one plain service.
 #[derive(Clone, Debug)]
@@ -39,24 +39,16 @@
     /// Adds the flags of the service to a command.
     #[must_use]
     pub fn flags(command: Command) -> Command {
-        let millis = |name: &'static str| {
-            Arg::new(name)
-                .long(name)
-                .value_parser(value_parser!(u64))
-                .default_value("0")
-        };
         command
             .arg(listen_flag())
             .arg(Arg::new("name").long("name").default_value("service"))
-            .arg(millis("delay-ms").help("Time that each request takes"))
-            .arg(millis("report-lag-ms").help("Age of the load reports"))
-            .arg(
-                Arg::new("slots")
-                    .long("slots")
-                    .value_parser(value_parser!(u32))
-                    .default_value("64")
-                    .help("Requests served at once; others wait"),
-            )
+            .arg(number_flag("delay-ms", "0", "Time that each request takes"))
+            .arg(number_flag(
+                "slots",
+                "64",
+                "Requests served at once; others wait",
+            ))
+            .arg(number_flag("report-lag-ms", "0", "Age of the load reports"))
     }
 
     /// Reads the settings from parsed flags.
@@ -66,70 +58,35 @@
     /// Panics if the matches come from another command.
     #[must_use]
     pub fn from_matches(matches: &ArgMatches) -> Self {
-        let millis =
-            |name| Duration::from_millis(*matches.get_one::<u64>(name).expect("a default"));
-        let slots: u32 = *matches.get_one("slots").expect("a default");
         Self {
-            listen: *matches.get_one("listen").expect("a default"),
+            listen: listen_address(matches),
             name: matches.get_one("name").cloned().expect("a default"),
-            delay: millis("delay-ms"),
-            slots: slots as usize,
-            report_lag: millis("report-lag-ms"),
+            delay: millis(matches, "delay-ms"),
+            slots: count(matches, "slots"),
+            report_lag: millis(matches, "report-lag-ms"),
         }
     }
 }
 
-/// The flag for the address to listen on.
-pub(crate) fn listen_flag() -> Arg {
-    Arg::new("listen")
-        .long("listen")
-        .value_name("IP:PORT")
-        .value_parser(value_parser!(SocketAddr))
-        .default_value("127.0.0.1:0")
-        .help("Address to listen on")
-}
-
-/// What a test changes while the service runs.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct ServiceControl {
-    speed: Option<f64>,
-    leaving: Option<bool>,
-    fail_next: Option<u64>,
-    reset_before_answer: Option<u64>,
-    refuse_next: Option<u64>,
-    stall_ms: Option<u64>,
-}
-
-/// A report of the service's load.
-#[derive(Clone, Debug, Serialize)]
-struct LoadReport {
-    running: usize,
-    waiting: usize,
-    slots: usize,
-    tokens_in_flight: u64,
-    leaving: bool,
-    models: Vec<String>,
+/// Executions by request and by key.
+#[derive(Default)]
+struct ExecutionCounts {
+    requests: IndexMap<String, u64>,
+    keys: IndexMap<String, u64>,
 }
 
 struct ServiceState {
-    speed: f64,
-    leaving: bool,
-    fail_next: u64,
-    reset_before_answer: u64,
-    refuse_next: u64,
-    stalled_until: Instant,
-    executions: IndexMap<String, u64>,
-    keys: IndexMap<String, u64>,
-    reports: LaggedValue<LoadReport>,
+    settings: ServiceSettings,
+    slots: SlotQueue,
+    loads: LoadLog,
+    faults: Mutex<FaultPlan>,
+    counts: Mutex<ExecutionCounts>,
 }
 
 /// A running plain service.
 #[derive(Clone)]
 pub struct FakeService {
-    settings: Arc<ServiceSettings>,
-    slots: SlotQueue,
-    state: Arc<Mutex<ServiceState>>,
+    state: Arc<ServiceState>,
 }
 
 /// Records the load when a request ends, also when its caller went away; it
@@ -142,146 +99,107 @@
     }
 }
 
-/// Takes one from a counter of requests that are to go wrong.
-pub(crate) fn take_one(counter: &mut u64) -> bool {
-    let due = *counter > 0;
-    *counter = counter.saturating_sub(1);
-    due
-}
-
 impl FakeService {
     /// Creates the service.
     #[must_use]
     pub fn new(settings: ServiceSettings) -> Self {
-        let now = Instant::now();
-        let report = LoadReport {
-            running: 0,
-            waiting: 0,
-            slots: settings.slots,
-            tokens_in_flight: 0,
-            leaving: false,
-            models: Vec::new(),
-        };
         let state = ServiceState {
-            speed: 1.0,
-            leaving: false,
-            fail_next: 0,
-            reset_before_answer: 0,
-            refuse_next: 0,
-            stalled_until: now,
-            executions: IndexMap::new(),
-            keys: IndexMap::new(),
-            reports: LaggedValue::new(report, settings.report_lag, now),
+            slots: SlotQueue::new(settings.slots),
+            loads: LoadLog::new(settings.slots, Vec::new(), settings.report_lag),
+            faults: Mutex::new(FaultPlan::new(NORMAL_SPEED, Instant::now())),
+            counts: Mutex::default(),
+            settings,
         };
         Self {
-            slots: SlotQueue::new(settings.slots),
-            settings: Arc::new(settings),
-            state: Arc::new(Mutex::new(state)),
+            state: Arc::new(state),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, ServiceState> {
-        self.state.lock().expect("no holder of the lock panics")
+    fn faults(&self) -> MutexGuard<'_, FaultPlan> {
+        let faults = self.state.faults.lock();
+        faults.expect("no holder of the lock panics")
     }
 
-    fn record_load(&self) {
-        let usage = self.slots.usage();
-        let mut state = self.lock();
-        let report = LoadReport {
-            running: usage.running,
-            waiting: usage.waiting,
-            slots: self.settings.slots,
-            tokens_in_flight: 0,
-            leaving: state.leaving,
-            models: Vec::new(),
-        };
-        state.reports.record(report, Instant::now());
+    fn counts(&self) -> MutexGuard<'_, ExecutionCounts> {
+        let counts = self.state.counts.lock();
+        counts.expect("no holder of the lock panics")
     }
 
-    fn load(&self) -> Response<AnswerBody> {
-        let report = self.lock().reports.read(Instant::now());
-        json_answer(StatusCode::OK, &report)
+    fn record_load(&self) {
+        let leaving = self.faults().is_leaving();
+        self.state
+            .loads
+            .record(self.state.slots.usage(), 0, leaving);
     }
 
     fn executions(&self) -> Response<AnswerBody> {
-        let max_running = self.slots.usage().max_running;
-        let state = self.lock();
+        let max_running = self.state.slots.usage().max_running;
+        let counts = self.counts();
         let value = json!({
-            "executions": state.executions,
-            "keys": state.keys,
+            "executions": counts.requests,
+            "keys": counts.keys,
             "max_running": max_running,
         });
         json_answer(StatusCode::OK, &value)
     }
 
     fn control(&self, request: &WebRequest) -> Response<AnswerBody> {
-        let control: ServiceControl = match request.json() {
-            Ok(control) => control,
+        let order: FaultOrder = match request.json() {
+            Ok(order) => order,
             Err(error) => return error.into(),
         };
-        let mut state = self.lock();
-        state.speed = control.speed.unwrap_or(state.speed);
-        state.leaving = control.leaving.unwrap_or(state.leaving);
-        state.fail_next = control.fail_next.unwrap_or(state.fail_next);
-        state.refuse_next = control.refuse_next.unwrap_or(state.refuse_next);
-        state.reset_before_answer = control
-            .reset_before_answer
-            .unwrap_or(state.reset_before_answer);
-        if let Some(stall) = control.stall_ms {
-            state.stalled_until = Instant::now() + Duration::from_millis(stall);
+        if order.is_about_tokens() {
+            return MalformedRequest("a service gives no tokens".to_owned()).into();
         }
-        drop(state);
+        self.faults().apply(&order, Instant::now());
         self.record_load();
         json_answer(StatusCode::OK, &json!({}))
     }
 
     /// Counts the execution; returns its number.
     fn count(&self, request_id: &str, key: Option<&str>) -> u64 {
-        let mut state = self.lock();
+        let mut counts = self.counts();
         if let Some(key) = key {
-            *state.keys.entry(key.to_owned()).or_default() += 1;
+            *counts.keys.entry(key.to_owned()).or_default() += 1;
         }
-        let count = state.executions.entry(request_id.to_owned()).or_default();
+        let count = counts.requests.entry(request_id.to_owned()).or_default();
         *count += 1;
         *count
     }
 
     async fn work(&self, request: WebRequest) -> WebAnswer {
-        if take_one(&mut self.lock().refuse_next) {
+        if self.faults().take_refusal() {
             return Ok(refusal());
         }
-        let _recorder = LoadRecorder(self.clone());
-        let place = self.slots.enter(0);
+        let recorder = LoadRecorder(self.clone());
+        let place = self.state.slots.enter(0);
         self.record_load();
-        let _slot = place.await.map_err(|_| DroppedConnection)?;
+        let slot = place.await.map_err(|_| DroppedConnection)?;
         self.record_load();
-        self.execute(&request).await
+        let service = self.clone();
+        // What has begun is finished, also when the caller goes away.
+        let work = tokio::spawn(async move {
+            let _recorder = recorder;
+            let _slot = slot;
+            service.execute(&request).await
+        });
+        work.await.unwrap_or(Err(DroppedConnection))
     }
 
     async fn execute(&self, request: &WebRequest) -> WebAnswer {
         let request_id = request.header("x-request-id").unwrap_or("anonymous");
         let key = request.header("idempotency-key");
         let execution = self.count(request_id, key);
-        let (fail, reset, leaving, wait) = {
-            let mut state = self.lock();
-            let reset = take_one(&mut state.reset_before_answer);
-            let fail = !reset && take_one(&mut state.fail_next);
-            let stall = state
-                .stalled_until
-                .saturating_duration_since(Instant::now());
-            let wait = stall + self.settings.delay.div_f64(state.speed.max(MIN_SPEED));
-            (fail, reset, state.leaving, wait)
-        };
-        if reset {
+        let fault = self.faults().take_run_fault();
+        if fault == RunFault::ResetBeforeAnswer {
             return Err(DroppedConnection);
         }
-        tokio::time::sleep(wait).await;
-        if fail {
-            let message = "the service fails as it was told";
-            return Ok(error_answer(StatusCode::INTERNAL_SERVER_ERROR, message));
+        tokio::time::sleep(self.service_time()).await;
+        if fault == RunFault::Fail {
+            return Ok(ordered_failure());
         }
         let value = json!({
-            "service": self.settings.name,
+            "service": self.state.settings.name,
             "method": request.method.as_str(),
             "path": request.path,
             "request_id": request_id,
@@ -289,38 +207,27 @@
             "execution": execution,
             "body_bytes": request.body.len(),
         });
-        let mut answer = json_answer(StatusCode::OK, &value);
-        mark_leaving(&mut answer, leaving);
-        Ok(answer)
+        Ok(json_answer(StatusCode::OK, &value))
     }
-}
-
-/// A 503 answer for a request that is not run.
-pub(crate) fn refusal() -> Response<AnswerBody> {
-    let mut answer = error_answer(StatusCode::SERVICE_UNAVAILABLE, "not run");
-    answer
-        .headers_mut()
-        .insert(RETRY_AFTER, HeaderValue::from_static("1"));
-    answer
-}
 
-/// Adds the header of a leaving server.
-pub(crate) fn mark_leaving(answer: &mut Response<AnswerBody>, leaving: bool) {
-    if leaving {
-        answer
-            .headers_mut()
-            .insert("x-leaving", HeaderValue::from_static("true"));
+    fn service_time(&self) -> Duration {
+        let faults = self.faults();
+        let stall = faults.stalled_until();
+        let stall = stall.saturating_duration_since(Instant::now());
+        stall + self.state.settings.delay.div_f64(faults.speed())
     }
 }
 
 impl RequestHandler for FakeService {
     async fn handle(&self, request: WebRequest) -> WebAnswer {
-        match (&request.method, request.path.as_str()) {
-            (&Method::GET, "/load") => Ok(self.load()),
-            (&Method::GET, "/executions") => Ok(self.executions()),
-            (&Method::GET, "/healthz") => Ok(json_answer(StatusCode::OK, &json!({"ok": true}))),
-            (&Method::POST, "/control") => Ok(self.control(&request)),
-            _ => self.work(request).await,
-        }
+        let mut answer = match (&request.method, request.path.as_str()) {
+            (&Method::GET, "/load") => json_answer(StatusCode::OK, &self.state.loads.read()),
+            (&Method::GET, "/executions") => self.executions(),
+            (&Method::GET, "/healthz") => json_answer(StatusCode::OK, &json!({"ok": true})),
+            (&Method::POST, "/control") => self.control(&request),
+            _ => self.work(request).await?,
+        };
+        mark_leaving(&mut answer, self.faults().is_leaving());
+        Ok(answer)
     }
 }
