Refuse at once when every server of the pool has failed the request

Cause: with the only server of a pool gone, the retry asked for a grant that excluded it and waited in the queue until its timeout: the caller had heard nothing after 30 s (test a_pool_that_cannot_be_reached_is_refused_as_not_run).

Ruled out: a shorter timeout of the question; the broker may rightly keep a request waiting while servers are busy.

Change: the retry rule knows whether the pool has an untried server.

--- a/crates/dewspring/src/entry/exchange.rs
+++ b/crates/dewspring/src/entry/exchange.rs
@@ -244,6 +244,7 @@
             idempotent: self.route.idempotent,
             time_left: self.time_left(),
             budget_left: true,
+            server_left: self.has_untried_server(&server),
         };
         let step = next_step(failure, state);
         self.note(format!("Server {server} failed: {failure:?}."));
@@ -258,6 +259,13 @@
         }
     }
 
+    /// Returns whether the pool has a server besides this one and those that
+    /// have failed the request before.
+    fn has_untried_server(&self, failed: &ServerName) -> bool {
+        let mut servers = self.pool().servers.iter();
+        servers.any(|server| server.name != *failed && !self.excluded.contains(&server.name))
+    }
+
     fn refuse(&self, problem: &Problem) -> Response<AnswerBody> {
         let class = &self.route.class;
         if let Problem::Refused(refusal) = problem {
--- a/crates/dewspring/src/entry/retry.rs
+++ b/crates/dewspring/src/entry/retry.rs
@@ -35,6 +35,8 @@
     pub time_left: Duration,
     /// Whether the pool's budget allows one more retry.
     pub budget_left: bool,
+    /// Whether the pool has a server that has not failed this request.
+    pub server_left: bool,
 }
 
 /// What follows a failed attempt.
@@ -59,6 +61,7 @@
 ///     idempotent: false,
 ///     time_left: Duration::from_secs(5),
 ///     budget_left: true,
+///     server_left: true,
 /// };
 /// let broken = AttemptFailure::BrokenOff("reset".into());
 /// assert!(matches!(next_step(&broken, state), RetryStep::GiveUp(_)));
@@ -71,7 +74,7 @@
         AttemptFailure::BrokenOff(_) => state.idempotent,
         AttemptFailure::TimedOut => false,
     };
-    let has_room = state.attempts < MAX_ATTEMPTS && state.budget_left;
+    let has_room = state.attempts < MAX_ATTEMPTS && state.budget_left && state.server_left;
     if may_repeat && has_room && !state.time_left.is_zero() {
         return RetryStep::Retry;
     }
--- a/crates/dewspring/src/entry/tests.rs
+++ b/crates/dewspring/src/entry/tests.rs
@@ -27,6 +27,7 @@
     idempotent: bool,
     attempts: usize,
     budget_left: bool,
+    server_left: bool,
     retried: bool,
 }
 
@@ -34,21 +35,25 @@
 fn only_what_did_not_run_or_is_idempotent_is_retried() {
     let not_run = || AttemptFailure::NotRun("refused".into());
     let broken = || AttemptFailure::BrokenOff("reset".into());
-    let case = |failure, idempotent, attempts, budget_left, retried| RetryCase {
-        failure,
-        idempotent,
-        attempts,
-        budget_left,
-        retried,
-    };
+    let case =
+        |failure, idempotent, attempts, [budget_left, server_left]: [bool; 2], retried| RetryCase {
+            failure,
+            idempotent,
+            attempts,
+            budget_left,
+            server_left,
+            retried,
+        };
+    let both = [true, true];
     let cases = [
-        case(not_run(), false, 1, true, true),
-        case(not_run(), false, 3, true, false),
-        case(not_run(), false, 1, false, false),
-        case(broken(), false, 1, true, false),
-        case(broken(), true, 1, true, true),
-        case(broken(), true, 3, true, false),
-        case(AttemptFailure::TimedOut, true, 1, true, false),
+        case(not_run(), false, 1, both, true),
+        case(not_run(), false, 3, both, false),
+        case(not_run(), false, 1, [false, true], false),
+        case(not_run(), false, 1, [true, false], false),
+        case(broken(), false, 1, both, false),
+        case(broken(), true, 1, both, true),
+        case(broken(), true, 3, both, false),
+        case(AttemptFailure::TimedOut, true, 1, both, false),
     ];
     for case in cases {
         let state = RetryState {
@@ -56,6 +61,7 @@
             idempotent: case.idempotent,
             time_left: Duration::from_secs(1),
             budget_left: case.budget_left,
+            server_left: case.server_left,
         };
         let step = next_step(&case.failure, state);
         assert_eq!(
--- a/crates/dewspringd/tests/common/mod.rs
+++ b/crates/dewspringd/tests/common/mod.rs
@@ -8,6 +8,7 @@
 )]
 
 use std::fmt::Write;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -405,6 +406,15 @@
 
     /// Sends the request and reads the whole answer.
     pub fn send(&self) -> CallAnswer {
+        self.try_send().expect("the entry answers")
+    }
+
+    /// Sends the request; `None` if the entry takes no connection.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the entry takes the request and gives no answer.
+    pub fn try_send(&self) -> Option<CallAnswer> {
         let body = json!({
             "model": "small",
             "stream": self.stream,
@@ -420,7 +430,11 @@
         let request = builder
             .body(Body::from(body.to_string()))
             .expect("a valid request");
-        send(request).expect("the entry answers")
+        match send(request) {
+            Ok(answer) => Some(answer),
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => None,
+            Err(error) => panic!("the entry gives no answer: {error}"),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/dewspringd/tests/failures.rs
@@ -0,0 +1,175 @@
+//! Failures of backend servers and callers: what callers are told is true.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use common::{CallAnswer, ChatCall, FleetPlan, TestFleet, admin_json, send, wait_until};
+use oxhttp::model::{Body, Request};
+use serde_json::{Value, json};
+use standins::process::{get_json, post_json};
+
+fn control(server: std::net::SocketAddr, order: &Value) {
+    let answer = post_json(server, "/control", order).expect("the server answers");
+    assert_eq!(answer.status, 200);
+}
+
+fn small_fleet(engines: usize, services: usize, engine_pool: &str) -> TestFleet {
+    TestFleet::start(FleetPlan {
+        daemons: 1,
+        engines,
+        services,
+        engine_pool: engine_pool.into(),
+        ..FleetPlan::default()
+    })
+}
+
+fn call_service(fleet: &TestFleet, path: &str) -> CallAnswer {
+    let uri = format!("http://{}{path}", fleet.daemons[0].entry);
+    let request = Request::post(uri)
+        .body(Body::from("amount=100"))
+        .expect("a valid request");
+    send(request).expect("an answer")
+}
+
+fn in_flight(fleet: &TestFleet) -> u64 {
+    let status = admin_json(&fleet.daemons[0], "/v1/status").body;
+    let pools = status["pools"].as_array().expect("pools are listed");
+    pools
+        .iter()
+        .map(|pool| pool["in_flight"].as_u64().unwrap_or(0))
+        .sum()
+}
+
+#[test]
+fn a_request_that_did_not_run_goes_to_another_server() {
+    let mut fleet = small_fleet(2, 1, "refusal_means_not_run = true\n");
+    let entry = fleet.daemons[0].entry;
+    control(fleet.engines[1].address(), &json!({ "refuse_next": 1000 }));
+    for _ in 0..10 {
+        let answer = ChatCall::new(entry, 5).send();
+        assert!(answer.is_own_stream(5), "{answer:?}");
+        assert_eq!(fleet.executions_of(&answer.request), 1);
+    }
+    fleet.engines[1].kill();
+    for _ in 0..10 {
+        let answer = ChatCall::new(entry, 5).send();
+        assert!(answer.is_own_stream(5), "{answer:?}");
+        assert_eq!(fleet.executions_of(&answer.request), 1);
+    }
+}
+
+#[test]
+fn a_pool_that_cannot_be_reached_is_refused_as_not_run() {
+    let mut fleet = small_fleet(1, 1, "");
+    fleet.engines[0].kill();
+    let answer = ChatCall::new(fleet.daemons[0].entry, 5).send();
+    assert!([429, 503].contains(&answer.status), "{answer:?}");
+    assert_eq!(answer.ran, "no");
+    assert!(answer.retry_after.is_some());
+    assert!(answer.elapsed < Duration::from_secs(5), "{answer:?}");
+}
+
+#[test]
+fn a_request_that_may_have_run_is_sent_again_only_if_idempotent() {
+    let fleet = small_fleet(1, 2, "");
+    for service in &fleet.services {
+        control(service.address(), &json!({ "reset_before_answer": 1 }));
+    }
+    let payment = call_service(&fleet, "/payment/1");
+    assert_eq!(payment.status, 502, "{payment:?}");
+    assert_eq!(payment.ran, "unknown");
+    assert_eq!(fleet.executions_of(&payment.request), 1);
+
+    // One of the two services still resets; the other one answers.
+    let archive = call_service(&fleet, "/archive/1");
+    assert_eq!(archive.status, 200, "{archive:?}");
+    assert!(fleet.executions_of(&archive.request) <= 2);
+}
+
+#[test]
+fn a_broken_stream_is_resumed_without_a_gap() {
+    let fleet = small_fleet(2, 1, "can_resume = true\n");
+    control(
+        fleet.engines[0].address(),
+        &json!({ "reset_after_tokens": 7 }),
+    );
+    let mut resumed = 0;
+    for _ in 0..10 {
+        let answer = ChatCall::new(fleet.daemons[0].entry, 20).send();
+        assert!(answer.is_own_stream(20), "{answer:?}");
+        resumed += u32::from(answer.server == "engine-1");
+    }
+    assert!(resumed > 0, "no request met the engine that breaks off");
+}
+
+#[test]
+fn a_broken_stream_that_cannot_be_resumed_is_visibly_broken() {
+    let fleet = small_fleet(1, 1, "");
+    control(
+        fleet.engines[0].address(),
+        &json!({ "reset_after_tokens": 7 }),
+    );
+    let answer = ChatCall::new(fleet.daemons[0].entry, 20).send();
+    assert_eq!(answer.status, 200);
+    assert!(answer.body.is_err(), "{answer:?}");
+}
+
+#[test]
+fn a_caller_that_hangs_up_cancels_its_call() {
+    let fleet = small_fleet(1, 1, "");
+    let entry = fleet.daemons[0].entry;
+    let body = r#"{"model":"small","stream":true,"messages":[{"role":"user","content":"x"}]}"#;
+    for stage in ["before the answer", "within the answer"] {
+        let mut stream = TcpStream::connect(entry).expect("a connection");
+        write!(
+            stream,
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-answer-tokens: 5000\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        )
+        .expect("the request is sent");
+        if stage == "within the answer" {
+            let mut start = [0; 16];
+            stream.read_exact(&mut start).expect("an answer begins");
+        }
+        wait_until("the request runs", || in_flight(&fleet) == 1);
+        drop(stream);
+        wait_until("the grant is given back", || in_flight(&fleet) == 0);
+        let engine = fleet.engines[0].address();
+        wait_until("the engine is free", || {
+            let load = get_json(engine, "/load").expect("the engine answers");
+            load.body["running"] == 0
+        });
+        let counts = get_json(engine, "/executions").expect("the engine answers");
+        let generated = counts.body["tokens_generated"].as_u64().expect("a count");
+        assert!(generated < 5000, "{stage}: {generated} tokens");
+    }
+}
+
+#[test]
+fn a_slow_caller_harms_no_one_else() {
+    let fleet = small_fleet(1, 1, "");
+    let entry = fleet.daemons[0].entry;
+    // Callers that send half a header or half a body and then nothing.
+    let mut slow = Vec::new();
+    for _ in 0..20 {
+        let mut stream = TcpStream::connect(entry).expect("a connection");
+        stream
+            .write_all(
+                b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 99\r\n\r\n{",
+            )
+            .expect("the request is sent");
+        slow.push(stream);
+    }
+    let calls: Vec<_> = (0..8)
+        .map(|_| thread::spawn(move || ChatCall::new(entry, 20).send()))
+        .collect();
+    for call in calls {
+        let answer = call.join().expect("the caller ends");
+        assert!(answer.is_own_stream(20), "{answer:?}");
+    }
+}
