Keep the operators' tables and load them from files

Cause: the tables can be parsed and checked now, so the configuration duty needs no reader from outside.

Ruled out: empty tables for a daemon without the platform; the check refuses them, and so does load_files.

Change: ConfigKeeper::spawn reads ConfigDocument; load_files gives a checked first document, which store_document puts into an embedded store. The key of the document comes from the tables alone.

Conclusion: a document that fails the check leaves the daemon as it was.

--- a/crates/dewspring/src/configuration/files.rs
+++ b/crates/dewspring/src/configuration/files.rs
@@ -5,26 +5,30 @@
 
 use thiserror::Error;
 
-use crate::tables::ConfigDocument;
+use crate::tables::{ConfigDocument, DocumentChange, TableErrors, TableTexts};
 
-/// Revision of tables that were loaded from files.
-const FILE_REVISION: u64 = 1;
-
-/// A file of the tables that can't be read.
+/// Why the tables can't be loaded.
 #[derive(Debug, Error)]
-#[error("{path} can't be read: {source}")]
-pub struct LoadError {
-    /// The file.
-    pub path: PathBuf,
-    /// Why it can't be read.
-    pub source: io::Error,
+pub enum LoadError {
+    /// A file can't be read as text.
+    #[error("{path} can't be read: {source}")]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// Why it can't be read.
+        source: io::Error,
+    },
+    /// The tables have faults.
+    #[error("{0}")]
+    Tables(#[from] TableErrors),
 }
 
-/// Loads the two tables as a first, unchecked document.
+/// Loads and checks the two tables as a fleet's first document.
 ///
 /// # Errors
 ///
-/// [`LoadError`] names the file that can't be read as text.
+/// [`LoadError`] names the file that can't be read, or all faults of the
+/// tables.
 ///
 /// # Examples
 ///
@@ -37,19 +41,21 @@
     routes: impl AsRef<Path>,
     pools: impl AsRef<Path>,
 ) -> Result<ConfigDocument, LoadError> {
-    Ok(ConfigDocument {
-        revision: FILE_REVISION,
+    let texts = TableTexts {
+        routes: load_text(routes.as_ref())?,
+        pools: load_text(pools.as_ref())?,
+    };
+    texts.check()?;
+    Ok(ConfigDocument::first(DocumentChange {
         change_id: "files".to_owned(),
         operator: "settings".to_owned(),
         applied_at: 0,
-        routes: load_text(routes.as_ref())?,
-        pools: load_text(pools.as_ref())?,
-        history: Vec::new(),
-    })
+        texts,
+    }))
 }
 
 fn load_text(path: &Path) -> Result<String, LoadError> {
-    std::fs::read_to_string(path).map_err(|source| LoadError {
+    std::fs::read_to_string(path).map_err(|source| LoadError::File {
         path: path.to_owned(),
         source,
     })
--- a/crates/dewspring/src/configuration/keeper.rs
+++ b/crates/dewspring/src/configuration/keeper.rs
@@ -13,7 +13,7 @@
 
 use super::exchange::{ConfigExchange, ConfigSnapshot};
 use super::publish::{ConfigBoard, KeeperStatus};
-use super::reading::{DocumentReader, read_bounded};
+use super::reading::{DocumentReader, read_bounded, read_tables};
 use super::state::{KeeperEvent, KeeperState, ReadDocument};
 use super::watcher::StoreWatcher;
 use crate::ids::Revision;
@@ -88,6 +88,25 @@
 }
 
 impl ConfigKeeper {
+    /// Starts to keep a fleet's configuration.
+    ///
+    /// # Panics
+    ///
+    /// If the system gives no thread.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewspring::configuration::{ConfigKeeper, KeeperSettings};
+    /// use dewspring::platform::EmbeddedStore;
+    ///
+    /// let keeper = ConfigKeeper::spawn(EmbeddedStore::open(), KeeperSettings::new("north", 7));
+    /// assert_eq!(keeper.current().revision, 0);
+    /// ```
+    pub fn spawn(store: impl PlatformStore, settings: KeeperSettings) -> Self {
+        Self::spawn_with(store, settings, read_tables)
+    }
+
     /// Starts to keep a fleet's configuration, with a given reader.
     ///
     /// # Panics
--- a/crates/dewspring/src/configuration/publish.rs
+++ b/crates/dewspring/src/configuration/publish.rs
@@ -10,7 +10,7 @@
 use super::state::{ConfigProblem, KeeperState};
 use crate::ids::Revision;
 use crate::platform::{ExpectedVersion, PlatformStore, StoreError, SwapOutcome};
-use crate::tables::{ConfigDocument, FleetConfig};
+use crate::tables::{ConfigDocument, FleetConfig, config_key};
 
 /// Revisions that wait for one subscriber; a full ring loses nothing, since
 /// the subscriber reads the newest configuration anyway.
@@ -104,11 +104,6 @@
     }
 }
 
-/// Returns the key of a fleet's document in the store.
-pub(super) fn document_key(fleet: &str) -> String {
-    format!("/dewspring/{fleet}/config")
-}
-
 /// Puts a fleet's first document into a store that holds none.
 ///
 /// A daemon on an embedded store starts in this way; operators' changes go
@@ -123,17 +118,14 @@
 /// ```
 /// use dewspring::configuration::store_document;
 /// use dewspring::platform::{EmbeddedStore, SwapOutcome};
-/// use dewspring::tables::ConfigDocument;
+/// use dewspring::tables::{ConfigDocument, DocumentChange, TableTexts};
 ///
-/// let document = ConfigDocument {
-///     revision: 1,
+/// let document = ConfigDocument::first(DocumentChange {
 ///     change_id: "first".to_owned(),
 ///     operator: "ada".to_owned(),
 ///     applied_at: 0,
-///     routes: String::new(),
-///     pools: String::new(),
-///     history: Vec::new(),
-/// };
+///     texts: TableTexts::default(),
+/// });
 /// let outcome = store_document(&EmbeddedStore::open(), "north", &document)?;
 /// assert!(matches!(outcome, SwapOutcome::Swapped(_)));
 /// # Ok::<(), dewspring::platform::StoreError>(())
@@ -144,5 +136,5 @@
     document: &ConfigDocument,
 ) -> Result<SwapOutcome, StoreError> {
     let bytes = serde_json::to_vec(document).expect("a document is plain JSON");
-    store.compare_and_swap(&document_key(fleet), ExpectedVersion::Absent, &bytes, None)
+    store.compare_and_swap(&config_key(fleet), ExpectedVersion::Absent, &bytes, None)
 }
--- a/crates/dewspring/src/configuration/reading.rs
+++ b/crates/dewspring/src/configuration/reading.rs
@@ -3,7 +3,7 @@
 use thiserror::Error;
 
 use crate::platform::MAX_VALUE_BYTES;
-use crate::tables::FleetConfig;
+use crate::tables::{ConfigDocument, FleetConfig};
 
 /// Why a document can't be put in force.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -37,6 +37,16 @@
     }
 }
 
+/// Reads a document of the operators' tables.
+pub(super) fn read_tables(bytes: &[u8]) -> Result<FleetConfig, ReadingError> {
+    let document = ConfigDocument::from_bytes(bytes).map_err(|error| unusable(&error))?;
+    document.check().map_err(|errors| unusable(&errors))
+}
+
+fn unusable(why: &impl ToString) -> ReadingError {
+    ReadingError::Unusable(why.to_string())
+}
+
 /// Reads a document within the size that the store allows.
 pub(super) fn read_bounded(
     reader: &impl DocumentReader,
--- a/crates/dewspring/src/configuration/tests/keeper.rs
+++ b/crates/dewspring/src/configuration/tests/keeper.rs
@@ -4,15 +4,31 @@
 use std::time::{Duration, Instant};
 
 use super::super::exchange::{ConfigExchange, ConfigSnapshot};
+use super::super::files::{LoadError, load_files};
 use super::super::keeper::{ConfigKeeper, KeeperSettings};
-use super::super::publish::document_key;
 use super::super::state::ConfigProblem;
 use super::{document, read_plain};
 use crate::ids::Revision;
 use crate::platform::tests::faulty::FaultyStore;
 use crate::platform::{EmbeddedStore, ExpectedVersion, PlatformStore, StoreError, SwapOutcome};
+use crate::tables::{ConfigDocument, config_key};
 
 const FLEET: &str = "north";
+const ROUTES: &str = r#"
+[[route]]
+name = "pay"
+path = "/pay"
+pool = "desk"
+tier = 0
+target = "2s"
+idempotent = false
+"#;
+const POOLS: &str = r#"
+[[pool]]
+name = "desk"
+kind = "service"
+server = [{ name = "d1", address = "127.0.0.1:9101", data_centre = "dc-1", slots = 4 }]
+"#;
 const PATIENCE: Duration = Duration::from_secs(10);
 
 fn spawn(store: &FaultyStore) -> ConfigKeeper {
@@ -26,7 +42,7 @@
 }
 
 fn write(store: &EmbeddedStore, bytes: &[u8]) {
-    let key = document_key(FLEET);
+    let key = config_key(FLEET);
     let expected = match store.get(&key).expect("the store answers") {
         Some(entry) => ExpectedVersion::Version(entry.version),
         None => ExpectedVersion::Absent,
@@ -72,11 +88,11 @@
     write(&store.inner(), b"no document");
     wait_for("problem", || keeper.status().store_problem.is_some());
     assert_eq!(keeper.current().change_id, "b");
-    let held = store.inner().get(&document_key(FLEET));
+    let held = store.inner().get(&config_key(FLEET));
     let version = held.expect("an answer").expect("a document").version;
     store.lose_answers(1);
     let lost = store.compare_and_swap(
-        &document_key(FLEET),
+        &config_key(FLEET),
         ExpectedVersion::Version(version),
         &document(3, "c"),
         None,
@@ -111,7 +127,7 @@
         matches!(problem, Some(ConfigProblem::ChangeConflict { .. }))
     });
     assert_eq!(keeper.current().change_id, "b");
-    let entry = old.get(&document_key(FLEET)).expect("the store answers");
+    let entry = old.get(&config_key(FLEET)).expect("the store answers");
     assert_eq!(entry.expect("a document").value, document(2, "other"));
     write(&old, &document(3, "c"));
     wait_for_revision(&keeper, 3);
@@ -154,3 +170,59 @@
         store.calls() == before
     });
 }
+
+#[test]
+fn reads_the_tables() {
+    struct TableCase {
+        name: &'static str,
+        pools: String,
+        is_good: bool,
+    }
+    let cases = [
+        TableCase {
+            name: "sound",
+            pools: POOLS.to_owned(),
+            is_good: true,
+        },
+        TableCase {
+            name: "not TOML",
+            pools: "[[".to_owned(),
+            is_good: false,
+        },
+        TableCase {
+            name: "route without its pool",
+            pools: POOLS.replace("desk", "other"),
+            is_good: false,
+        },
+    ];
+    for case in cases {
+        let mut change: ConfigDocument =
+            serde_json::from_slice(&document(1, "a")).expect("a document");
+        change.routes = ROUTES.to_owned();
+        change.pools = case.pools;
+        let store = EmbeddedStore::open();
+        write(&store, &change.to_bytes().expect("a small document"));
+        let keeper = ConfigKeeper::spawn(store, KeeperSettings::new(FLEET, 3));
+        wait_for("verdict", || {
+            keeper.is_ready() || keeper.status().store_problem.is_some()
+        });
+        assert_eq!(keeper.is_ready(), case.is_good, "{}", case.name);
+    }
+}
+
+#[test]
+fn loads_checked_files() {
+    let directory = std::env::temp_dir().join(format!("dewspring-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a directory");
+    let (routes, pools) = (directory.join("routes.toml"), directory.join("pools.toml"));
+    std::fs::write(&routes, ROUTES).expect("a file");
+    std::fs::write(&pools, POOLS).expect("a file");
+    let document = load_files(&routes, &pools).expect("sound tables");
+    std::fs::write(&pools, POOLS.replace("desk", "other")).expect("a file");
+    let unsound = load_files(&routes, &pools);
+    std::fs::remove_dir_all(&directory).expect("the directory goes");
+    assert_eq!((document.revision, document.routes.as_str()), (1, ROUTES));
+    assert!(matches!(unsound, Err(LoadError::Tables(_))));
+    let missing = load_files(&routes, &pools);
+    assert!(matches!(missing, Err(LoadError::File { .. })));
+}
--- a/crates/dewspring/src/configuration/watcher.rs
+++ b/crates/dewspring/src/configuration/watcher.rs
@@ -12,8 +12,8 @@
 
 use super::backoff::backoff_delay;
 use super::keeper::{KeeperMessage, KeeperSettings};
-use super::publish::document_key;
 use crate::platform::{PlatformStore, StoreEntry, StoreError, StoreVersion};
+use crate::tables::config_key;
 
 /// Shortest time from one watch to the next, if the store ends them early.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(500);
@@ -40,7 +40,7 @@
     ) -> Self {
         Self {
             store,
-            key: document_key(&settings.fleet),
+            key: config_key(&settings.fleet),
             rng: StdRng::seed_from_u64(settings.seed),
             settings,
             messages,
