Order grants by floor, tier, workspace and deadline

Cause: strict tiers alone starve the lower classes, and one workspace's burst fills a class.

Ruled out: weighted fair queues between classes (a low tier takes its weight also when nothing starves) and ageing (no bound in work).

Change: a floor for each class as credit in tokens, deficit round robin between workspaces, earliest deadline within one, running histograms of answer lengths that releases correct. Random event sequences check the broker against a record of what it may do.

Conclusion: no class starves, with a bound in granted work.

--- a/crates/dewspring/src/broker/grants.rs
+++ b/crates/dewspring/src/broker/grants.rs
@@ -5,7 +5,8 @@
 
 use indexmap::IndexMap;
 
-use crate::ids::{BootId, GrantId, PoolName, RequestId, ServerName, TokenCount, VmId};
+use crate::ids::{BootId, ClassName, GrantId, PoolName, RequestId, ServerName, TierLevel};
+use crate::ids::{TokenCount, VmId, WorkspaceId};
 
 /// A grant that is out.
 #[derive(Clone, Debug)]
@@ -22,8 +23,16 @@
     pub(super) pool: PoolName,
     /// Server that the grant is for.
     pub(super) server: ServerName,
+    /// Class of the request.
+    pub(super) class: ClassName,
+    /// Tier of the request.
+    pub(super) tier: TierLevel,
+    /// Workspace of the request.
+    pub(super) workspace: WorkspaceId,
+    /// Length of the prompt, in tokens.
+    pub(super) prompt_tokens: TokenCount,
     /// Estimated work, in tokens.
-    pub(super) tokens: TokenCount,
+    pub(super) work: TokenCount,
     /// Time at which the grant ends if the entry never releases it.
     pub(super) expires_at: Instant,
 }
--- a/crates/dewspring/src/broker/mod.rs
+++ b/crates/dewspring/src/broker/mod.rs
@@ -5,13 +5,17 @@
 //! broker counts every grant that it gave out, so it knows what is in flight
 //! at once, while load reports lag.
 
+mod class;
 mod control;
+mod estimate;
+mod floor;
 mod grants;
 mod handle;
 mod mailbox;
 mod messages;
 mod pool;
 mod queue;
+mod queued;
 mod replica;
 mod state;
 mod status;
@@ -25,5 +29,6 @@
 pub use messages::{
     AttemptOutcome, Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason,
 };
+pub use queue::ServiceTurn;
 pub use state::{BrokerState, TicketDecision};
 pub use status::{BrokerStatus, ClassStatus, PoolStatus, ServerState, ServerStatus};
--- a/crates/dewspring/src/broker/pool.rs
+++ b/crates/dewspring/src/broker/pool.rs
@@ -2,15 +2,17 @@
 //!
 //! The pool never has more grants out on a server than the server has slots.
 
-use std::time::Instant;
-
 use indexmap::IndexMap;
 
 use super::control::{ServerMark, ServerReport, ShareDivisor};
-use super::queue::{PoolQueue, QueuedRequest};
+use super::estimate::{WorkEstimator, work_of};
+use super::grants::GrantRecord;
+use super::messages::{AttemptOutcome, GrantRelease};
+use super::queue::{PoolQueue, ServiceTurn};
+use super::queued::QueuedRequest;
 use super::replica::ReplicaState;
 use super::status::PoolStatus;
-use crate::ids::{PoolName, ServerName, TokenCount};
+use crate::ids::{PoolName, ServerName};
 use crate::tables::PoolRow;
 
 /// A request that has found its server.
@@ -20,8 +22,8 @@
     pub(super) queued: QueuedRequest,
     /// Server that is to run it.
     pub(super) server: ServerName,
-    /// Estimated work, in tokens.
-    pub(super) tokens: TokenCount,
+    /// Why it is the request's turn.
+    pub(super) turn: ServiceTurn,
     /// Why the server was chosen.
     pub(super) reason: String,
 }
@@ -31,6 +33,7 @@
 pub(super) struct PoolState {
     /// Requests that wait.
     pub(super) queue: PoolQueue,
+    estimator: WorkEstimator,
     replicas: IndexMap<ServerName, ReplicaState>,
     is_listed: bool,
 }
@@ -89,35 +92,57 @@
         self.replicas.values().any(ReplicaState::is_serving)
     }
 
+    /// Adds a request to the queue.
+    pub(super) fn enqueue(&mut self, mut queued: QueuedRequest) {
+        queued.work = self.estimator.work(&queued.request);
+        self.queue.push(queued);
+    }
+
     /// Finds the next request that can run now, and counts its grant.
-    pub(super) fn place_next(&mut self, _now: Instant) -> Option<Placement> {
-        let mut skipped = Vec::new();
+    ///
+    /// A request that excludes every free server is passed over.
+    pub(super) fn place_next(&mut self) -> Option<Placement> {
+        if !self.replicas.values().any(ReplicaState::is_free) {
+            return None;
+        }
         let mut placement = None;
-        while self.replicas.values().any(ReplicaState::is_free) {
-            let Some(queued) = self.queue.pop_next() else {
-                break;
-            };
-            if let Some(server) = self.choose(&queued) {
-                placement = Some(self.place(queued, server));
+        while let Some(head) = self.queue.head() {
+            let queued = self.queue.get(head.ticket);
+            let queued = queued.expect("the head of the queue waits");
+            if let Some(server) = self.choose(queued) {
+                let queued = self.queue.serve(head.ticket);
+                placement = Some(self.place(queued, head.turn, server));
                 break;
             }
-            skipped.push(queued);
-        }
-        for queued in skipped {
-            self.queue.push(queued);
+            self.queue.set_aside(head.ticket);
         }
+        self.queue.restore();
         placement
     }
 
-    /// Ends a grant on a server.
-    pub(super) fn end(&mut self, server: &ServerName, tokens: TokenCount) {
-        let replica = self.replicas.get_mut(server);
+    /// Ends a grant, and learns from its release if there is one.
+    pub(super) fn end(&mut self, record: &GrantRecord, release: Option<&GrantRelease>) {
+        let replica = self.replicas.get_mut(&record.server);
         replica
             .expect("a server stays known while it has grants")
-            .end(tokens);
+            .end(record.work);
+        if let Some(release) = release {
+            self.learn(record, release);
+        }
         self.forget_gone();
     }
 
+    fn learn(&mut self, record: &GrantRecord, release: &GrantRelease) {
+        let done = work_of(record.prompt_tokens, release.tokens);
+        let missed = done.cast_signed() - record.work.cast_signed();
+        self.queue
+            .correct(record.tier, &record.class, &record.workspace, missed);
+        if release.outcome == AttemptOutcome::Completed {
+            self.estimator
+                .record(&record.class, &record.workspace, release.tokens);
+        }
+    }
+
     /// Describes the pool to operators.
     pub(super) fn status(&self, name: &PoolName) -> PoolStatus {
         PoolStatus {
@@ -140,16 +165,15 @@
             .map(|replica| replica.name.clone())
     }
 
-    fn place(&mut self, queued: QueuedRequest, server: ServerName) -> Placement {
-        let tokens = queued.request.prompt_tokens + queued.request.max_tokens.unwrap_or_default();
+    fn place(&mut self, queued: QueuedRequest, turn: ServiceTurn, server: ServerName) -> Placement {
         let replica = self.replicas.get_mut(&server);
         let replica = replica.expect("the chosen server is known");
         let reason = format!("{} tokens in flight", replica.tokens_in_flight);
-        replica.begin(tokens);
+        replica.begin(queued.work);
         Placement {
             queued,
             server,
-            tokens,
+            turn,
             reason,
         }
     }
--- a/crates/dewspring/src/broker/queue.rs
+++ b/crates/dewspring/src/broker/queue.rs
@@ -3,88 +3,75 @@
 //! The queue decides who is next and who gives way; the pool decides where a
 //! request runs. Every request is in all of the indexes or in none.
 
-use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::collections::BTreeSet;
+use std::time::Instant;
 
-use indexmap::IndexMap;
+use indexmap::{Equivalent, IndexMap};
 
-use super::messages::GrantRequest;
+use super::class::{ClassHead, ClassQueue};
+use super::floor::{ClassFloor, scaled_floors};
+use super::queued::{ArrivalRank, QueuedRequest};
 use super::status::ClassStatus;
-use crate::ids::{BootId, ClassName, GrantId, TierLevel, VmId};
+use crate::ids::{BootId, ClassName, GrantId, TierLevel, TokenCount, VmId, WorkspaceId};
 
-/// A request that waits.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) struct QueuedRequest {
-    /// Number of the question; it becomes the grant's number.
-    pub(super) ticket: GrantId,
-    /// The question.
-    pub(super) request: GrantRequest,
-    /// Time at which the broker received it.
-    pub(super) asked_at: Instant,
-    /// Time at which the request arrived at its entry, as far as known.
-    pub(super) arrived_at: Instant,
-    /// Time by which the answer is wanted.
-    pub(super) deadline: Instant,
-    /// Time at which the request is refused if it still waits.
-    pub(super) give_up_at: Instant,
+/// Why a request's turn has come.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum ServiceTurn {
+    /// No request of a higher tier waits.
+    Priority,
+    /// The guaranteed share of its class is due.
+    Floor,
 }
 
-impl QueuedRequest {
-    /// Notes the points in time that the question's durations stand for.
-    pub(super) fn new(ticket: GrantId, request: GrantRequest, now: Instant) -> Self {
-        let deadline = later(now, request.target_left);
-        let timeout = later(now, request.timeout_left);
-        let give_up_at = match request.late_is_useful {
-            true => timeout,
-            false => timeout.min(deadline),
-        };
-        Self {
-            ticket,
-            asked_at: now,
-            arrived_at: now.checked_sub(request.waited).unwrap_or(now),
-            deadline,
-            give_up_at,
-            request,
-        }
-    }
+/// The request that goes next, and why.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct QueueHead {
+    /// Its ticket.
+    pub(super) ticket: GrantId,
+    /// Why it is next.
+    pub(super) turn: ServiceTurn,
+}
 
-    /// Whether this request gives way before `other` when room must be made.
-    pub(super) fn gives_way_before(&self, other: &Self) -> bool {
-        self.arrival() > other.arrival()
-    }
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct ClassKey {
+    tier: TierLevel,
+    class: ClassName,
+}
 
-    /// Whether this boot of an entry asked for the request.
-    pub(super) fn is_asked_by(&self, entry: &VmId, boot: BootId) -> bool {
-        self.request.entry == *entry && self.request.entry_boot == boot
-    }
+#[derive(Hash)]
+struct ClassRef<'a> {
+    tier: TierLevel,
+    class: &'a str,
+}
 
-    fn arrival(&self) -> ArrivalRank {
-        (self.request.tier, self.arrived_at, self.ticket)
+impl Equivalent<ClassKey> for ClassRef<'_> {
+    fn equivalent(&self, key: &ClassKey) -> bool {
+        self.tier == key.tier && self.class == key.class
     }
+}
 
-    fn rank(&self) -> ServiceRank {
-        (self.request.tier, self.deadline, self.ticket)
+fn class_of(queued: &QueuedRequest) -> ClassRef<'_> {
+    ClassRef {
+        tier: queued.request.tier,
+        class: &queued.request.class,
     }
 }
 
-/// Longest time ahead that the broker reckons with.
-const HORIZON: Duration = Duration::from_secs(24 * 3_600);
-
-/// Returns the time `wait` after `now`, at most a day ahead.
-pub(super) fn later(now: Instant, wait: Duration) -> Instant {
-    now + wait.min(HORIZON)
+#[derive(Debug, Default)]
+struct ClassState {
+    queue: ClassQueue,
+    floor: ClassFloor,
 }
 
-type ServiceRank = (TierLevel, Instant, GrantId);
-type ArrivalRank = (TierLevel, Instant, GrantId);
-
 /// The requests that wait for one pool.
 #[derive(Debug, Default)]
 pub(super) struct PoolQueue {
     waiting: IndexMap<GrantId, QueuedRequest>,
-    order: BTreeMap<ServiceRank, GrantId>,
-    arrivals: BTreeMap<ArrivalRank, GrantId>,
-    expiries: BTreeMap<(Instant, GrantId), GrantId>,
+    classes: IndexMap<ClassKey, ClassState>,
+    arrivals: BTreeSet<ArrivalRank>,
+    expiries: BTreeSet<(Instant, GrantId)>,
+    due_count: u64,
+    has_aside: bool,
 }
 
 impl PoolQueue {
@@ -93,40 +80,123 @@
         self.waiting.len()
     }
 
+    /// Returns a request that waits.
+    pub(super) fn get(&self, ticket: GrantId) -> Option<&QueuedRequest> {
+        self.waiting.get(&ticket)
+    }
+
     /// Adds a request.
     pub(super) fn push(&mut self, queued: QueuedRequest) {
-        let ticket = queued.ticket;
-        self.order.insert(queued.rank(), ticket);
-        self.arrivals.insert(queued.arrival(), ticket);
-        self.expiries.insert((queued.give_up_at, ticket), ticket);
-        self.waiting.insert(ticket, queued);
+        let key = class_of(&queued);
+        if !self.classes.contains_key(&key) {
+            let key = ClassKey {
+                tier: key.tier,
+                class: key.class.to_owned(),
+            };
+            self.classes.insert(key, ClassState::default());
+        }
+        let class = &mut self.classes[&class_of(&queued)];
+        class.queue.push(&queued);
+        class.floor.set_percent(queued.request.floor_percent);
+        self.arrivals.insert(queued.arrival());
+        self.expiries.insert((queued.give_up_at, queued.ticket));
+        self.waiting.insert(queued.ticket, queued);
     }
 
-    /// Takes a request out.
+    /// Takes a request out that is not to be served.
     pub(super) fn remove(&mut self, ticket: GrantId) -> Option<QueuedRequest> {
-        let queued = self.waiting.swap_remove(&ticket)?;
-        self.order.remove(&queued.rank());
-        self.arrivals.remove(&queued.arrival());
-        self.expiries.remove(&(queued.give_up_at, ticket));
+        let queued = self.forget(ticket)?;
+        let class = self.classes.get_mut(&class_of(&queued));
+        let class = class.expect("a queued request's class is known");
+        class.queue.remove(&queued);
+        self.forget_empty(&queued);
         Some(queued)
     }
 
-    /// Takes the request out that is to be served next.
-    pub(super) fn pop_next(&mut self) -> Option<QueuedRequest> {
-        let (_, &ticket) = self.order.first_key_value()?;
-        self.remove(ticket)
+    /// Takes a request out that is served, and charges its class and its
+    /// workspace.
+    pub(super) fn serve(&mut self, ticket: GrantId) -> QueuedRequest {
+        let queued = self.forget(ticket).expect("the served request waits");
+        self.pay_floors(queued.work);
+        let class = self.classes.get_mut(&class_of(&queued));
+        let class = class.expect("a queued request's class is known");
+        class.queue.serve(&queued);
+        class.floor.charge(queued.work);
+        self.forget_empty(&queued);
+        queued
+    }
+
+    /// Returns the request that is to be served next.
+    pub(super) fn head(&mut self) -> Option<QueueHead> {
+        let mut due: Option<(u64, GrantId)> = None;
+        let mut first: Option<(TierLevel, Instant, GrantId)> = None;
+        for (key, class) in &mut self.classes {
+            let Some(head) = class.queue.head() else {
+                continue;
+            };
+            let ClassHead {
+                ticket, deadline, ..
+            } = head;
+            if let Some(since) = class.floor.due_since(head.work, &mut self.due_count) {
+                due = Some(due.map_or((since, ticket), |due| due.min((since, ticket))));
+            }
+            let rank = (key.tier, deadline, ticket);
+            first = Some(first.map_or(rank, |first| first.min(rank)));
+        }
+        let by_priority = first.map(|(_, _, ticket)| ticket)?;
+        Some(match due {
+            Some((_, ticket)) if ticket != by_priority => QueueHead {
+                ticket,
+                turn: ServiceTurn::Floor,
+            },
+            _ => QueueHead {
+                ticket: by_priority,
+                turn: ServiceTurn::Priority,
+            },
+        })
+    }
+
+    /// Passes over a request until [`restore`](Self::restore).
+    pub(super) fn set_aside(&mut self, ticket: GrantId) {
+        let queued = &self.waiting[&ticket];
+        let class = self.classes.get_mut(&class_of(queued));
+        let class = class.expect("a queued request's class is known");
+        class.queue.set_aside(queued);
+        self.has_aside = true;
+    }
+
+    /// Puts the requests back that were passed over.
+    pub(super) fn restore(&mut self) {
+        if std::mem::take(&mut self.has_aside) {
+            let classes = self.classes.values_mut();
+            classes.for_each(|class| class.queue.restore());
+        }
+    }
+
+    /// Charges a workspace for work that the estimate of one of its requests
+    /// left out; negative work is given back.
+    pub(super) fn correct(
+        &mut self,
+        tier: TierLevel,
+        class: &ClassName,
+        workspace: &WorkspaceId,
+        work: i64,
+    ) {
+        if let Some(class) = self.classes.get_mut(&ClassRef { tier, class }) {
+            class.queue.correct(workspace, work);
+        }
     }
 
     /// Returns the request that gives way first: the latest of the lowest
     /// tier that waits.
     pub(super) fn victim(&self) -> Option<&QueuedRequest> {
-        let (_, ticket) = self.arrivals.last_key_value()?;
+        let (_, _, ticket) = self.arrivals.last()?;
         self.waiting.get(ticket)
     }
 
     /// Takes a request out that has waited until it is given up.
     pub(super) fn pop_expired(&mut self, now: Instant) -> Option<QueuedRequest> {
-        let (&(give_up_at, _), &ticket) = self.expiries.first_key_value()?;
+        let &(give_up_at, ticket) = self.expiries.first()?;
         if give_up_at > now {
             return None;
         }
@@ -141,8 +211,7 @@
 
     /// Returns the time at which the next request is given up.
     pub(super) fn next_expiry(&self) -> Option<Instant> {
-        let (&(give_up_at, _), _) = self.expiries.first_key_value()?;
-        Some(give_up_at)
+        self.expiries.first().map(|&(give_up_at, _)| give_up_at)
     }
 
     /// Whether a request waits that this boot of an entry asked for.
@@ -162,16 +231,32 @@
 
     /// Counts the requests that wait by class.
     pub(super) fn status(&self) -> Vec<ClassStatus> {
-        let mut classes: IndexMap<(TierLevel, &ClassName), usize> = IndexMap::new();
-        for queued in self.waiting.values() {
-            let key = (queued.request.tier, &queued.request.class);
-            *classes.entry(key).or_default() += 1;
-        }
-        let status = |((tier, class), queued): ((TierLevel, &ClassName), usize)| ClassStatus {
-            class: class.clone(),
-            tier,
-            queued,
+        let status = |(key, class): (&ClassKey, &ClassState)| ClassStatus {
+            class: key.class.clone(),
+            tier: key.tier,
+            queued: class.queue.len(),
         };
-        classes.into_iter().map(status).collect()
+        self.classes.iter().map(status).collect()
+    }
+
+    fn forget(&mut self, ticket: GrantId) -> Option<QueuedRequest> {
+        let queued = self.waiting.swap_remove(&ticket)?;
+        self.arrivals.remove(&queued.arrival());
+        self.expiries.remove(&(queued.give_up_at, ticket));
+        Some(queued)
+    }
+
+    fn forget_empty(&mut self, queued: &QueuedRequest) {
+        let key = class_of(queued);
+        if self.classes[&key].queue.len() == 0 {
+            self.classes.swap_remove(&key);
+        }
+    }
+
+    /// Gives every class that waits its guaranteed share of `work`.
+    fn pay_floors(&mut self, work: TokenCount) {
+        let classes = self.classes.values_mut();
+        let waiting = classes.filter(|class| !class.queue.is_passed_over());
+        scaled_floors(waiting.map(|class| &mut class.floor), work);
     }
 }
--- a/crates/dewspring/src/broker/state.rs
+++ b/crates/dewspring/src/broker/state.rs
@@ -13,7 +13,8 @@
 use super::grants::{GrantRecord, GrantTable};
 use super::messages::{Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason};
 use super::pool::{Placement, PoolState};
-use super::queue::{QueuedRequest, later};
+use super::queue::ServiceTurn;
+use super::queued::{QueuedRequest, later};
 use super::status::BrokerStatus;
 use crate::ids::{
     BootId, ClassName, GrantId, PoolName, RequestId, Revision, ServerName, TierLevel,
@@ -41,6 +42,8 @@
     pub workspace: WorkspaceId,
     /// Time for which the question waited at the broker.
     pub waited: Duration,
+    /// Why it was the request's turn; `None` for a refusal.
+    pub turn: Option<ServiceTurn>,
     /// The decision.
     pub decision: GrantDecision,
 }
@@ -174,7 +177,7 @@
             Some(TicketPlace::Granted) => {
                 let record = self.grants.remove(ticket);
                 let record = record.expect("a granted ticket is in the table of grants");
-                self.end(record, now);
+                self.end(record, None, now);
                 false
             }
         }
@@ -188,7 +191,7 @@
             return;
         }
         if let Some(record) = self.grants.remove(release.grant) {
-            self.end(record, now);
+            self.end(record, Some(release), now);
         }
     }
 
@@ -273,7 +276,7 @@
     /// that were never released.
     pub fn advance(&mut self, now: Instant) {
         while let Some(record) = self.grants.pop_expired(now) {
-            self.end(record, now);
+            self.end(record, None, now);
         }
         for index in 0..self.pools.len() {
             while let Some(queued) = self.pools[index].queue.pop_expired(now) {
@@ -338,12 +341,12 @@
         self.tickets
             .insert(ticket, TicketPlace::Queued(name.clone()));
         let pool = self.pools.get_mut(name).expect("the pool is known");
-        pool.queue.push(queued);
+        pool.enqueue(queued);
     }
 
     fn dispatch(&mut self, name: &PoolName, now: Instant) {
         while let Some(pool) = self.pools.get_mut(name) {
-            let Some(placement) = pool.place_next(now) else {
+            let Some(placement) = pool.place_next() else {
                 return;
             };
             self.grant(name, placement, now);
@@ -354,7 +357,7 @@
         let Placement {
             queued,
             server,
-            tokens,
+            turn,
             reason,
         } = placement;
         let waited = now.saturating_duration_since(queued.asked_at);
@@ -367,7 +370,11 @@
             entry_boot: request.entry_boot,
             pool: name.clone(),
             server: server.clone(),
-            tokens,
+            class: request.class.clone(),
+            tier: request.tier,
+            workspace: request.workspace.clone(),
+            prompt_tokens: request.prompt_tokens,
+            work: queued.work,
             expires_at: later(now, validity + request.timeout_left.saturating_sub(waited)),
         };
         let pool = &self.pools[name];
@@ -383,14 +390,14 @@
         };
         self.grants.insert(record);
         self.tickets.insert(queued.ticket, TicketPlace::Granted);
-        self.decide(queued, GrantDecision::Granted(grant), now);
+        self.decide(queued, Some(turn), GrantDecision::Granted(grant), now);
     }
 
-    fn end(&mut self, record: GrantRecord, now: Instant) {
+    fn end(&mut self, record: GrantRecord, release: Option<&GrantRelease>, now: Instant) {
         self.forget_ticket(record.id, &record.request);
         let pool = self.pools.get_mut(&record.pool);
         let pool = pool.expect("a pool stays known while it has grants");
-        pool.end(&record.server, record.tokens);
+        pool.end(&record, release);
         self.settle_pool(&record.pool, now);
     }
 
@@ -429,10 +436,16 @@
             reason,
             retry_after: MIN_RETRY_AFTER.mul_f64(spread),
         };
-        self.decide(queued, GrantDecision::Refused(refusal), now);
+        self.decide(queued, None, GrantDecision::Refused(refusal), now);
     }
 
-    fn decide(&mut self, queued: QueuedRequest, decision: GrantDecision, now: Instant) {
+    fn decide(
+        &mut self,
+        queued: QueuedRequest,
+        turn: Option<ServiceTurn>,
+        decision: GrantDecision,
+        now: Instant,
+    ) {
         let request = queued.request;
         self.decisions.push(TicketDecision {
             ticket: queued.ticket,
@@ -442,6 +455,7 @@
             tier: request.tier,
             workspace: request.workspace,
             waited: now.saturating_duration_since(queued.asked_at),
+            turn,
             decision,
         });
     }
@@ -470,8 +484,7 @@
 }
 
 fn expiry_reason(queued: &QueuedRequest, now: Instant) -> RefusalReason {
-    let timeout = later(queued.asked_at, queued.request.timeout_left);
-    match timeout <= now {
+    match queued.timeout() <= now {
         true => RefusalReason::TimedOut,
         false => RefusalReason::TargetMissed,
     }
--- a/crates/dewspring/src/broker/tests.rs
+++ b/crates/dewspring/src/broker/tests.rs
@@ -4,12 +4,16 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use quickcheck::{Gen, QuickCheck};
 
 use super::{AttemptOutcome, GrantDecision, GrantRelease, GrantRequest, Refusal, TicketDecision};
 use crate::ids::{GrantId, Revision};
 use crate::tables::{FleetConfig, PoolKind, PoolRow, PoolTable, RouteTable, ServerRow};
 
 mod handle;
+mod model;
+mod order;
+mod properties;
 mod state;
 
 /// Boot of the broker under test.
@@ -17,6 +21,15 @@
 /// Pool of the requests under test.
 const POOL: &str = "pool";
 
+/// Seed of every property's generator.
+const SEED: u64 = 0x5eed;
+
+/// Returns the checker of a property over event lists up to `size` long.
+fn checker(size: usize, tests: u64) -> QuickCheck {
+    let generator = Gen::from_size_and_seed(size, SEED);
+    QuickCheck::new().rng(generator).tests(tests)
+}
+
 /// Returns a server of one slot for each number, as `server-0` and so on.
 fn servers(slots: &[u32]) -> Vec<ServerRow> {
     let row = |(index, &slots): (usize, &u32)| ServerRow {
--- a/crates/dewspring/src/broker/thread.rs
+++ b/crates/dewspring/src/broker/thread.rs
@@ -212,13 +212,14 @@
         tier,
         workspace,
         waited,
+        turn,
         ..
     } = decision;
     let place =
         format!("request {request} class {class} tier {tier} workspace {workspace} pool {pool}");
     match &decision.decision {
         GrantDecision::Granted(grant) => log::info!(
-            "broker: granted {place} grant {} server {} waited {waited:?} reason {}",
+            "broker: granted {place} grant {} server {} waited {waited:?} turn {turn:?} reason {}",
             grant.id,
             grant.server,
             grant.reason,
