Refuse what can't meet its target

Cause: under overload each request waited until its target passed, and half of those that were served came late.

Change: pace of releases, work ahead by priority or floor, share of the pool that higher tiers leave, a look through the queue twice a second, Retry-After from the drain time with seeded jitter.

Conclusion: refusals come early, and almost nothing that is served is late.

--- a/crates/dewspring/src/broker/class.rs
+++ b/crates/dewspring/src/broker/class.rs
@@ -28,15 +28,61 @@
     pub(super) work: TokenCount,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct WorkspaceQueue {
     order: BTreeMap<(Instant, GrantId), TokenCount>,
     aside: BTreeMap<(Instant, GrantId), TokenCount>,
     deficit: i64,
     work: TokenCount,
+    /// Work by the second of its deadline, counted from `epoch`.
+    work_by_second: BTreeMap<i64, TokenCount>,
+    epoch: Instant,
 }
 
 impl WorkspaceQueue {
+    fn new(epoch: Instant) -> Self {
+        Self {
+            order: BTreeMap::new(),
+            aside: BTreeMap::new(),
+            deficit: 0,
+            work: 0,
+            work_by_second: BTreeMap::new(),
+            epoch,
+        }
+    }
+
+    fn add_work(&mut self, queued: &QueuedRequest) {
+        let second = self.second_of(queued.deadline);
+        *self.work_by_second.entry(second).or_default() += queued.work;
+        self.work += queued.work;
+    }
+
+    fn remove_work(&mut self, queued: &QueuedRequest) {
+        let second = self.second_of(queued.deadline);
+        let work = self.work_by_second.get_mut(&second);
+        let work = work.expect("the work of a queued request is counted");
+        *work -= queued.work;
+        if *work == 0 {
+            self.work_by_second.remove(&second);
+        }
+        self.work -= queued.work;
+    }
+
+    /// Work with earlier deadlines; of the same second, half of it.
+    fn work_until(&self, deadline: Instant) -> TokenCount {
+        let second = self.second_of(deadline);
+        let earlier = self.work_by_second.range(..second).map(|(_, work)| work);
+        let same = self.work_by_second.get(&second).copied();
+        earlier.sum::<TokenCount>() + same.unwrap_or_default() / 2
+    }
+
+    fn second_of(&self, deadline: Instant) -> i64 {
+        match deadline.checked_duration_since(self.epoch) {
+            Some(after) => after.as_secs().cast_signed(),
+            None => -1 - (self.epoch - deadline).as_secs().cast_signed(),
+        }
+    }
+
     fn is_empty(&self) -> bool {
         self.order.is_empty() && self.aside.is_empty()
     }
@@ -70,19 +116,56 @@
         self.len
     }
 
+    /// Estimated work of all requests that wait, in tokens.
+    pub(super) fn work(&self) -> TokenCount {
+        self.work
+    }
+
+    /// Estimates the work of this class that is served before a request is,
+    /// in tokens.
+    ///
+    /// The request's own workspace serves earlier deadlines first, and the
+    /// other workspaces take as many turns meanwhile.
+    pub(super) fn work_ahead(&self, queued: &QueuedRequest) -> TokenCount {
+        let Some(queue) = self.workspaces.get(&queued.request.workspace) else {
+            return self.work_before(0, queued.work, self.work);
+        };
+        let own = queue.work_until(queued.deadline);
+        self.work_before(own, queued.work, self.work - queue.work)
+    }
+
+    /// Estimates what is served before `own + next` of one workspace is.
+    fn work_before(&self, own: TokenCount, next: TokenCount, others: TokenCount) -> TokenCount {
+        let turns = self.workspaces.len() as TokenCount;
+        own + others.min((own + next).saturating_mul(turns))
+    }
+
+    /// Lists the requests in the order of their workspaces, each with the
+    /// work of this class that is served before it.
+    pub(super) fn waits(&self) -> impl Iterator<Item = (GrantId, TokenCount)> {
+        self.workspaces.values().flat_map(move |queue| {
+            let mut own = 0;
+            queue.order.iter().map(move |(&(_, ticket), &work)| {
+                let ahead = self.work_before(own, work, self.work - queue.work);
+                own += work;
+                (ticket, ahead)
+            })
+        })
+    }
+
     /// Adds a request.
     pub(super) fn push(&mut self, queued: &QueuedRequest) {
         let workspace = &queued.request.workspace;
         if !self.workspaces.contains_key(workspace) {
             self.turns.push_back(workspace.clone());
-            self.workspaces
-                .insert(workspace.clone(), WorkspaceQueue::default());
+            let queue = WorkspaceQueue::new(queued.deadline);
+            self.workspaces.insert(workspace.clone(), queue);
         }
         let queue = &mut self.workspaces[workspace];
         queue
             .order
             .insert((queued.deadline, queued.ticket), queued.work);
-        queue.work += queued.work;
+        queue.add_work(queued);
         self.len += 1;
         self.work += queued.work;
         self.mean_work = match self.mean_work {
@@ -196,7 +279,7 @@
             assert!(aside.is_some(), "a queued request waits in its workspace");
             self.aside_len -= 1;
         }
-        queue.work -= queued.work;
+        queue.remove_work(queued);
         queue.deficit -= signed(charge);
         self.len -= 1;
         self.work -= queued.work;
--- a/crates/dewspring/src/broker/estimate.rs
+++ b/crates/dewspring/src/broker/estimate.rs
@@ -16,8 +16,10 @@
 const PROMPT_TOKENS_PER_TOKEN: TokenCount = 16;
 /// Answer that is assumed before anything is known, in tokens.
 const DEFAULT_ANSWER: TokenCount = 256;
-/// Share of answers that the estimate covers.
-const ANSWER_QUANTILE: f32 = 0.5;
+/// Share of answers that are no longer than the estimate.
+const MEDIAN: f32 = 0.5;
+/// Share of answers that are no longer than the longest that is reckoned with.
+const LONGEST: f32 = 0.9;
 /// Releases after which a workspace is estimated by itself.
 const MIN_SAMPLES: f32 = 8.0;
 /// Weight of samples at which older ones begin to count less.
@@ -52,7 +54,16 @@
 impl WorkEstimator {
     /// Estimates the work of a request, in generated tokens.
     pub(super) fn work(&self, request: &GrantRequest) -> TokenCount {
-        let answer = self.answer(&request.class, &request.workspace);
+        self.work_at(request, MEDIAN)
+    }
+
+    /// Estimates the work of a request if its answer is among the long ones.
+    pub(super) fn longest_work(&self, request: &GrantRequest) -> TokenCount {
+        self.work_at(request, LONGEST)
+    }
+
+    fn work_at(&self, request: &GrantRequest, quantile: f32) -> TokenCount {
+        let answer = self.answer(&request.class, &request.workspace, quantile);
         let answer = match (answer, request.max_tokens) {
             (Some(answer), Some(limit)) => answer.min(limit),
             (Some(answer), None) => answer,
@@ -77,11 +88,16 @@
         }
     }
 
-    fn answer(&self, class: &ClassName, workspace: &WorkspaceId) -> Option<TokenCount> {
+    fn answer(
+        &self,
+        class: &ClassName,
+        workspace: &WorkspaceId,
+        quantile: f32,
+    ) -> Option<TokenCount> {
         let history = self.classes.get(class)?;
         let own = history.workspaces.get(workspace);
         let own = own.filter(|histogram| histogram.total >= MIN_SAMPLES);
-        own.unwrap_or(&history.all).quantile(ANSWER_QUANTILE)
+        own.unwrap_or(&history.all).quantile(quantile)
     }
 }
 
--- a/crates/dewspring/src/broker/floor.rs
+++ b/crates/dewspring/src/broker/floor.rs
@@ -42,6 +42,17 @@
         self.due_since
     }
 
+    /// Returns the pool's work in which the floor alone yields `work` to the
+    /// class; `sum` is the sum of all floors in percent.
+    pub(super) fn pool_work(&self, work: TokenCount, sum: u64) -> TokenCount {
+        work.saturating_mul(sum.max(WHOLE)) / self.percent.max(MIN_PERCENT)
+    }
+
+    /// Returns the floor in percent.
+    pub(super) fn percent(&self) -> u64 {
+        self.percent
+    }
+
     /// Uses the earned share for a request that is served, in whatever turn.
     pub(super) fn charge(&mut self, work: TokenCount) {
         self.credit = self.credit.saturating_sub(work * WHOLE);
--- a/crates/dewspring/src/broker/mod.rs
+++ b/crates/dewspring/src/broker/mod.rs
@@ -5,6 +5,7 @@
 //! broker counts every grant that it gave out, so it knows what is in flight
 //! at once, while load reports lag.
 
+mod admission;
 mod class;
 mod control;
 mod estimate;
@@ -13,10 +14,12 @@
 mod handle;
 mod mailbox;
 mod messages;
+mod pace;
 mod pool;
 mod queue;
 mod queued;
 mod replica;
+mod shares;
 mod state;
 mod status;
 mod thread;
--- /dev/null
+++ b/crates/dewspring/src/broker/pace.rs
@@ -0,0 +1,43 @@
+//! How long work takes, as releases show it.
+
+use std::time::{Duration, Instant};
+
+use crate::ids::TokenCount;
+
+/// Work at which older releases begin to count less, in tokens.
+const MAX_WORK: f64 = 20_000.0;
+/// Time after which the last release says nothing any more.
+const MAX_AGE: Duration = Duration::from_secs(15);
+
+/// Seconds that one request spends for each token of its work, averaged over
+/// the latest releases.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ServicePace {
+    work: f64,
+    seconds: f64,
+    samples: u32,
+    updated_at: Option<Instant>,
+}
+
+impl ServicePace {
+    /// Learns from a request that ran to its end.
+    pub(super) fn record(&mut self, work: TokenCount, elapsed: Duration, now: Instant) {
+        if self.work > MAX_WORK {
+            self.work /= 2.0;
+            self.seconds /= 2.0;
+        }
+        self.work += work as f64;
+        self.seconds += elapsed.as_secs_f64();
+        self.samples = self.samples.saturating_add(1);
+        self.updated_at = Some(now);
+    }
+
+    /// Returns the seconds for each token; `None` if nothing recent is known.
+    ///
+    /// An old pace is no ground for a refusal: with every request refused, no
+    /// release would ever correct it.
+    pub(super) fn seconds_per_token(&self, now: Instant) -> Option<f64> {
+        let age = now.saturating_duration_since(self.updated_at?);
+        (age <= MAX_AGE && self.work > 0.0).then(|| self.seconds / self.work)
+    }
+}
--- a/crates/dewspring/src/broker/pool.rs
+++ b/crates/dewspring/src/broker/pool.rs
@@ -2,19 +2,26 @@
 //!
 //! The pool never has more grants out on a server than the server has slots.
 
+use std::time::{Duration, Instant};
+
 use indexmap::IndexMap;
 
+use super::admission::{PoolCapacity, expiry_reason, give_up_at, is_in_time};
 use super::control::{ServerMark, ServerReport, ShareDivisor};
 use super::estimate::{WorkEstimator, work_of};
 use super::grants::GrantRecord;
-use super::messages::{AttemptOutcome, GrantRelease};
+use super::messages::{AttemptOutcome, GrantRelease, RefusalReason};
+use super::pace::ServicePace;
 use super::queue::{PoolQueue, ServiceTurn};
 use super::queued::QueuedRequest;
 use super::replica::ReplicaState;
 use super::status::PoolStatus;
-use crate::ids::{PoolName, ServerName};
+use crate::ids::{GrantId, PoolName, ServerName, TierLevel};
 use crate::tables::PoolRow;
 
+/// Factor on the estimated wait before a request is refused that waits.
+const LATE_MARGIN: f64 = 0.8;
+
 /// A request that has found its server.
 #[derive(Debug)]
 pub(super) struct Placement {
@@ -34,6 +41,7 @@
     /// Requests that wait.
     pub(super) queue: PoolQueue,
     estimator: WorkEstimator,
+    pace: ServicePace,
     replicas: IndexMap<ServerName, ReplicaState>,
     is_listed: bool,
 }
@@ -92,10 +100,47 @@
         self.replicas.values().any(ReplicaState::is_serving)
     }
 
-    /// Adds a request to the queue.
-    pub(super) fn enqueue(&mut self, mut queued: QueuedRequest) {
+    /// Estimates a new request and returns why it is refused, if it is.
+    pub(super) fn judge(&self, queued: &mut QueuedRequest, now: Instant) -> Option<RefusalReason> {
+        if !self.is_serving() {
+            return Some(RefusalReason::NoServer);
+        }
+        let capacity = self.capacity(now);
         queued.work = self.estimator.work(&queued.request);
-        self.queue.push(queued);
+        let longest = self.estimator.longest_work(&queued.request);
+        queued.give_up_at = give_up_at(queued, capacity.service_time(longest));
+        let wait = capacity.drain_time(self.queue.work_ahead(queued));
+        if queued.give_up_at <= now || !is_in_time(queued, wait, now) {
+            return Some(expiry_reason(queued, now));
+        }
+        None
+    }
+
+    /// Lists the requests that wait in vain: their targets can't be met any
+    /// more, by a margin that keeps estimates from refusing too much.
+    pub(super) fn late_requests(&self, now: Instant) -> Vec<GrantId> {
+        let capacity = self.capacity(now);
+        self.queue.late_requests(|queued, ahead| {
+            let wait = capacity.drain_time(ahead).mul_f64(LATE_MARGIN);
+            !is_in_time(queued, wait, now)
+        })
+    }
+
+    /// Estimates how long what waits in this and higher tiers takes.
+    pub(super) fn drain_time(&self, tier: TierLevel, now: Instant) -> Duration {
+        let work = self.queue.work_down_to(tier);
+        self.capacity(now).drain_time(work)
+    }
+
+    fn capacity(&self, now: Instant) -> PoolCapacity {
+        let serving = self
+            .replicas
+            .values()
+            .filter(|replica| replica.is_serving());
+        PoolCapacity {
+            slots: serving.map(ReplicaState::slots).sum(),
+            seconds_per_token: self.pace.seconds_per_token(now),
+        }
     }
 
     /// Finds the next request that can run now, and counts its grant.
@@ -110,7 +155,7 @@
             let queued = self.queue.get(head.ticket);
             let queued = queued.expect("the head of the queue waits");
             if let Some(server) = self.choose(queued) {
-                let queued = self.queue.serve(head.ticket);
+                let queued = self.queue.serve(head);
                 placement = Some(self.place(queued, head.turn, server));
                 break;
             }
@@ -121,23 +166,29 @@
     }
 
     /// Ends a grant, and learns from its release if there is one.
-    pub(super) fn end(&mut self, record: &GrantRecord, release: Option<&GrantRelease>) {
+    pub(super) fn end(
+        &mut self,
+        record: &GrantRecord,
+        release: Option<&GrantRelease>,
+        now: Instant,
+    ) {
         let replica = self.replicas.get_mut(&record.server);
         replica
             .expect("a server stays known while it has grants")
             .end(record.work);
         if let Some(release) = release {
-            self.learn(record, release);
+            self.learn(record, release, now);
         }
         self.forget_gone();
     }
 
-    fn learn(&mut self, record: &GrantRecord, release: &GrantRelease) {
+    fn learn(&mut self, record: &GrantRecord, release: &GrantRelease, now: Instant) {
         let done = work_of(record.prompt_tokens, release.tokens);
         let missed = done.cast_signed() - record.work.cast_signed();
         self.queue
             .correct(record.tier, &record.class, &record.workspace, missed);
         if release.outcome == AttemptOutcome::Completed {
+            self.pace.record(done, release.elapsed, now);
             self.estimator
                 .record(&record.class, &record.workspace, release.tokens);
         }
--- a/crates/dewspring/src/broker/queue.rs
+++ b/crates/dewspring/src/broker/queue.rs
@@ -11,6 +11,7 @@
 use super::class::{ClassHead, ClassQueue};
 use super::floor::{ClassFloor, scaled_floors};
 use super::queued::{ArrivalRank, QueuedRequest};
+use super::shares::TierShares;
 use super::status::ClassStatus;
 use crate::ids::{BootId, ClassName, GrantId, TierLevel, TokenCount, VmId, WorkspaceId};
 
@@ -71,6 +72,7 @@
     arrivals: BTreeSet<ArrivalRank>,
     expiries: BTreeSet<(Instant, GrantId)>,
     due_count: u64,
+    shares: TierShares,
     has_aside: bool,
 }
 
@@ -115,8 +117,10 @@
 
     /// Takes a request out that is served, and charges its class and its
     /// workspace.
-    pub(super) fn serve(&mut self, ticket: GrantId) -> QueuedRequest {
-        let queued = self.forget(ticket).expect("the served request waits");
+    pub(super) fn serve(&mut self, head: QueueHead) -> QueuedRequest {
+        let queued = self.forget(head.ticket).expect("the served request waits");
+        self.shares
+            .record(queued.request.tier, head.turn, queued.work);
         self.pay_floors(queued.work);
         let class = self.classes.get_mut(&class_of(&queued));
         let class = class.expect("a queued request's class is known");
@@ -187,11 +191,74 @@
         }
     }
 
-    /// Returns the request that gives way first: the latest of the lowest
+    /// Estimates the work that is served before a new request would be, in
+    /// tokens.
+    pub(super) fn work_ahead(&self, queued: &QueuedRequest) -> TokenCount {
+        let key = class_of(queued);
+        let Some(class) = self.classes.get(&key) else {
+            let others = self.work_of_others(key.tier, key.class);
+            return self.by_priority(key.tier, others);
+        };
+        self.pool_work(class, queued, class.queue.work_ahead(queued))
+    }
+
+    /// Estimated work of this and all higher tiers, in tokens.
+    pub(super) fn work_down_to(&self, tier: TierLevel) -> TokenCount {
+        let classes = self.classes.iter();
+        let classes = classes.filter(|(key, _)| key.tier <= tier);
+        classes.map(|(_, class)| class.queue.work()).sum()
+    }
+
+    /// Lists the requests for which `is_late` holds, given the work that is
+    /// served before each.
+    pub(super) fn late_requests(
+        &self,
+        is_late: impl Fn(&QueuedRequest, TokenCount) -> bool,
+    ) -> Vec<GrantId> {
+        let mut late = Vec::new();
+        for class in self.classes.values() {
+            for (ticket, ahead) in class.queue.waits() {
+                let queued = &self.waiting[&ticket];
+                if is_late(queued, self.pool_work(class, queued, ahead)) {
+                    late.push(ticket);
+                }
+            }
+        }
+        late
+    }
+
+    /// Returns the pool's work in which `ahead` and what goes before its class
+    /// are served: by priority or by the floor, whichever is sooner.
+    fn pool_work(
+        &self,
+        class: &ClassState,
+        queued: &QueuedRequest,
+        ahead: TokenCount,
+    ) -> TokenCount {
+        let floors = self.classes.values().map(|class| class.floor.percent());
+        let by_floor = class.floor.pool_work(ahead + queued.work, floors.sum());
+        let ClassRef { tier, class: name } = class_of(queued);
+        by_floor.min(self.by_priority(tier, ahead + self.work_of_others(tier, name)))
+    }
+
+    /// Returns the pool's work in which a tier gets `work` beside the requests
+    /// of higher tiers that are still to come.
+    fn by_priority(&self, tier: TierLevel, work: TokenCount) -> TokenCount {
+        (work as f64 / self.shares.left_to(tier)) as TokenCount
+    }
+
+    /// Estimated work of the other classes down to a tier, in tokens.
+    fn work_of_others(&self, tier: TierLevel, name: &str) -> TokenCount {
+        let own = self.classes.get(&ClassRef { tier, class: name });
+        let own = own.map_or(0, |class| class.queue.work());
+        self.work_down_to(tier) - own
+    }
+
+    /// Takes the request out that gives way first: the latest of the lowest
     /// tier that waits.
-    pub(super) fn victim(&self) -> Option<&QueuedRequest> {
-        let (_, _, ticket) = self.arrivals.last()?;
-        self.waiting.get(ticket)
+    pub(super) fn pop_victim(&mut self) -> Option<QueuedRequest> {
+        let &(_, _, ticket) = self.arrivals.last()?;
+        self.remove(ticket)
     }
 
     /// Takes a request out that has waited until it is given up.
--- a/crates/dewspring/src/broker/queued.rs
+++ b/crates/dewspring/src/broker/queued.rs
@@ -37,13 +37,11 @@
 
 impl QueuedRequest {
     /// Notes the points in time that the question's durations stand for.
+    ///
+    /// The work and the moment to give up wait for the pool's estimates.
     pub(super) fn new(ticket: GrantId, request: GrantRequest, now: Instant) -> Self {
         let deadline = later(now, request.target_left);
-        let timeout = later(now, request.timeout_left);
-        let give_up_at = match request.late_is_useful {
-            true => timeout,
-            false => timeout.min(deadline),
-        };
+        let give_up_at = later(now, request.timeout_left);
         Self {
             ticket,
             asked_at: now,
@@ -60,11 +58,6 @@
         later(self.asked_at, self.request.timeout_left)
     }
 
-    /// Whether this request gives way before `other` when room must be made.
-    pub(super) fn gives_way_before(&self, other: &Self) -> bool {
-        self.arrival() > other.arrival()
-    }
-
     /// Whether this boot of an entry asked for the request.
     pub(super) fn is_asked_by(&self, entry: &VmId, boot: BootId) -> bool {
         self.request.entry == *entry && self.request.entry_boot == boot
--- a/crates/dewspring/src/broker/replica.rs
+++ b/crates/dewspring/src/broker/replica.rs
@@ -72,6 +72,11 @@
         self.is_reported_leaving = report.leaving;
     }
 
+    /// Slots that this broker may fill.
+    pub(super) fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Whether the server is there to take new work at all.
     pub(super) fn is_serving(&self) -> bool {
         self.state() == ServerState::Active && self.slots > 0
--- a/crates/dewspring/src/broker/state.rs
+++ b/crates/dewspring/src/broker/state.rs
@@ -6,9 +6,10 @@
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
 
+use super::admission::{expiry_reason, retry_after};
 use super::control::{BrokerSettings, ServerMark, ServerReport, ShareDivisor};
 use super::grants::{GrantRecord, GrantTable};
 use super::messages::{Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason};
@@ -22,8 +23,8 @@
 use crate::ids::{VmId, WorkspaceId};
 use crate::tables::FleetConfig;
 
-/// Shortest time after which a refused caller may come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time between two looks for requests that wait in vain.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A decision with what the log says of it.
 #[derive(Clone, Debug, PartialEq)]
@@ -70,6 +71,7 @@
     tickets: IndexMap<GrantId, TicketPlace>,
     requests: IndexMap<RequestId, Vec<GrantId>>,
     next_ticket: GrantId,
+    sweep_at: Option<Instant>,
     decisions: Vec<TicketDecision>,
     generator: SmallRng,
 }
@@ -98,6 +100,7 @@
             tickets: IndexMap::new(),
             requests: IndexMap::new(),
             next_ticket: 1,
+            sweep_at: None,
             decisions: Vec::new(),
             generator,
         }
@@ -111,36 +114,15 @@
         self.advance(now);
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        let queued = QueuedRequest::new(ticket, request, now);
-        let Some(pool) = self.pools.get_mut(&queued.request.pool) else {
-            self.refuse(queued, RefusalReason::NoServer, now);
-            return ticket;
-        };
-        if !pool.is_serving() {
-            self.refuse(queued, RefusalReason::NoServer, now);
-            return ticket;
-        }
-        if queued.give_up_at <= now {
-            let reason = expiry_reason(&queued, now);
+        let mut queued = QueuedRequest::new(ticket, request, now);
+        if let Some(reason) = self.judge(&mut queued, now) {
             self.refuse(queued, reason, now);
             return ticket;
         }
         let name = queued.request.pool.clone();
-        let victim = Self::make_room(pool, &queued, self.settings.queue_limit);
-        match victim {
-            Some(victim) if victim == ticket => {
-                self.refuse(queued, RefusalReason::QueueFull, now);
-                return ticket;
-            }
-            Some(victim) => {
-                let victim = pool.queue.remove(victim);
-                self.enqueue(&name, queued);
-                let victim = victim.expect("the victim was queued");
-                self.refuse(victim, RefusalReason::QueueFull, now);
-            }
-            None => self.enqueue(&name, queued),
-        }
+        self.enqueue(&name, queued);
         self.dispatch(&name, now);
+        self.make_room(&name, now);
         ticket
     }
 
@@ -284,13 +266,16 @@
                 self.refuse(queued, reason, now);
             }
         }
+        self.sweep(now);
     }
 
     /// Returns the time at which [`advance`](Self::advance) is due.
     pub fn next_wakeup(&self) -> Option<Instant> {
         let queues = self.pools.values().map(|pool| &pool.queue);
         let expiries = queues.filter_map(|queue| queue.next_expiry());
-        expiries.chain(self.grants.next_expiry()).min()
+        let due = expiries.chain(self.grants.next_expiry()).min();
+        let sweep_at = self.sweep_at.filter(|_| self.is_anything_queued());
+        due.into_iter().chain(sweep_at).min()
     }
 
     /// Refuses all that waits, because the daemon shuts down.
@@ -323,15 +308,30 @@
         tickets
     }
 
-    fn make_room(pool: &PoolState, queued: &QueuedRequest, limit: usize) -> Option<GrantId> {
-        if pool.queue.len() < limit {
-            return None;
+    fn is_anything_queued(&self) -> bool {
+        self.pools.values().any(|pool| pool.queue.len() > 0)
+    }
+
+    /// Refuses the requests that wait in vain, from time to time.
+    fn sweep(&mut self, now: Instant) {
+        if self.sweep_at.is_some_and(|sweep_at| sweep_at > now) {
+            return;
+        }
+        self.sweep_at = Some(now + SWEEP_INTERVAL);
+        for index in 0..self.pools.len() {
+            for ticket in self.pools[index].late_requests(now) {
+                let queued = self.pools[index].queue.remove(ticket);
+                let queued = queued.expect("a late request waits");
+                self.refuse(queued, RefusalReason::TargetMissed, now);
+            }
+        }
+    }
+
+    fn judge(&self, queued: &mut QueuedRequest, now: Instant) -> Option<RefusalReason> {
+        match self.pools.get(&queued.request.pool) {
+            Some(pool) => pool.judge(queued, now),
+            None => Some(RefusalReason::NoServer),
         }
-        let victim = pool.queue.victim();
-        Some(match victim {
-            Some(victim) if victim.gives_way_before(queued) => victim.ticket,
-            _ => queued.ticket,
-        })
     }
 
     fn enqueue(&mut self, name: &PoolName, queued: QueuedRequest) {
@@ -341,7 +341,20 @@
         self.tickets
             .insert(ticket, TicketPlace::Queued(name.clone()));
         let pool = self.pools.get_mut(name).expect("the pool is known");
-        pool.enqueue(queued);
+        pool.queue.push(queued);
+    }
+
+    /// Refuses the latest request of the lowest tier if too many wait; that
+    /// may be the newest one itself.
+    fn make_room(&mut self, name: &PoolName, now: Instant) {
+        let limit = self.settings.queue_limit;
+        let pool = self.pools.get_mut(name).expect("the pool is known");
+        if pool.queue.len() <= limit {
+            return;
+        }
+        let victim = pool.queue.pop_victim();
+        let victim = victim.expect("a queue over its limit has a victim");
+        self.refuse(victim, RefusalReason::QueueFull, now);
     }
 
     fn dispatch(&mut self, name: &PoolName, now: Instant) {
@@ -397,7 +410,7 @@
         self.forget_ticket(record.id, &record.request);
         let pool = self.pools.get_mut(&record.pool);
         let pool = pool.expect("a pool stays known while it has grants");
-        pool.end(&record, release);
+        pool.end(&record, release, now);
         self.settle_pool(&record.pool, now);
     }
 
@@ -431,10 +444,13 @@
 
     fn refuse(&mut self, queued: QueuedRequest, reason: RefusalReason, now: Instant) {
         self.forget_ticket(queued.ticket, &queued.request.request);
-        let spread = self.generator.random_range(1.0..2.0);
+        let request = &queued.request;
+        let pool = self.pools.get(&request.pool);
+        let drain_time = pool.map(|pool| pool.drain_time(request.tier, now));
+        let drain_time = drain_time.unwrap_or_default();
         let refusal = Refusal {
             reason,
-            retry_after: MIN_RETRY_AFTER.mul_f64(spread),
+            retry_after: retry_after(reason, drain_time, &mut self.generator),
         };
         self.decide(queued, None, GrantDecision::Refused(refusal), now);
     }
@@ -482,10 +498,3 @@
         }
     }
 }
-
-fn expiry_reason(queued: &QueuedRequest, now: Instant) -> RefusalReason {
-    match queued.timeout() <= now {
-        true => RefusalReason::TimedOut,
-        false => RefusalReason::TargetMissed,
-    }
-}
--- a/crates/dewspring/src/broker/tests.rs
+++ b/crates/dewspring/src/broker/tests.rs
@@ -10,7 +10,9 @@
 use crate::ids::{GrantId, Revision};
 use crate::tables::{FleetConfig, PoolKind, PoolRow, PoolTable, RouteTable, ServerRow};
 
+mod admission;
 mod handle;
+mod load;
 mod model;
 mod order;
 mod properties;
--- /dev/null
+++ b/crates/dewspring/src/broker/tests/admission.rs
@@ -0,0 +1,116 @@
+//! Refusals: as soon as a target can't be met, and spread in time.
+
+use std::time::{Duration, Instant};
+
+use super::load::{LoadSource, LoadTrial};
+use super::{BOOT, config, refusal, release, request, servers};
+use crate::broker::{AttemptOutcome, BrokerSettings, BrokerState, RefusalReason};
+
+/// Returns one second's requests of a class, each of about a second.
+fn source(class: &str, tier: u8, rate: f64, late_is_useful: bool) -> LoadSource {
+    let mut request = request("r");
+    request.class = class.into();
+    request.tier = tier;
+    request.late_is_useful = late_is_useful;
+    request.target_left = Duration::from_secs(5);
+    request.max_tokens = None;
+    LoadSource {
+        request,
+        interval: Duration::from_secs_f64(1.0 / rate),
+        answer: 160,
+    }
+}
+
+#[test]
+fn an_overloaded_pool_answers_in_time_or_refuses_early() {
+    let sources = vec![
+        source("urgent", 0, 3.0, false),
+        source("wire", 1, 10.0, false),
+        source("archive", 3, 0.2, true),
+    ];
+    // Eight slots at a hundred tokens a second serve about eight requests.
+    let trial = LoadTrial::run(&[4, 4], sources, |_, _, _| {
+        (0.01, AttemptOutcome::Completed)
+    });
+    let [urgent, wire, archive] = ["urgent", "wire", "archive"].map(|name| trial.outcomes[name]);
+    assert!(urgent.in_time * 100 >= urgent.asked * 98, "{urgent:?}");
+    assert!(wire.refused > 0, "{wire:?}");
+    assert!(wire.late * 100 <= wire.asked * 5, "{wire:?}");
+    assert!(
+        wire.waited_in_vain <= Duration::from_secs(1) * wire.refused,
+        "{wire:?}"
+    );
+    assert_eq!(archive.refused, 0, "{archive:?}");
+}
+
+#[test]
+fn a_target_is_refused_only_when_its_pace_is_known() {
+    let now = Instant::now();
+    let mut state = BrokerState::new(BrokerSettings::new("vm", BOOT));
+    state.configure(&config(1, servers(&[1])), now);
+    let mut asked = request("r");
+    asked.late_is_useful = false;
+    asked.target_left = Duration::from_millis(500);
+    let first = state.ask(asked.clone(), now);
+    state.release(&release(first), now);
+    state.ask(asked.clone(), now);
+    let decisions = state.take_decisions();
+    assert_eq!(refusal(&decisions[1]).reason, RefusalReason::TargetMissed);
+    // An old pace is forgotten, so that the pool is tried again.
+    state.ask(asked, now + Duration::from_secs(16));
+    assert_eq!(state.status().in_flight(), 1);
+}
+
+#[test]
+fn refused_callers_come_back_when_the_queue_has_drained() {
+    let now = Instant::now();
+    let mut settings = BrokerSettings::new("vm", BOOT);
+    settings.queue_limit = 20;
+    let mut state = BrokerState::new(settings);
+    state.configure(&config(1, servers(&[1])), now);
+    let first = state.ask(request("r"), now);
+    state.release(&release(first), now);
+    for _ in 0..40 {
+        state.ask(request("r"), now);
+    }
+    let decisions = state.take_decisions();
+    let refused = decisions[2..]
+        .iter()
+        .map(|decision| refusal(decision).retry_after);
+    // Twenty requests of one second wait for one slot.
+    let bounds = Duration::from_secs(15)..Duration::from_secs(45);
+    assert!(refused.clone().all(|time| bounds.contains(&time)));
+    let mut times = refused.collect::<Vec<_>>();
+    times.sort();
+    times.dedup();
+    assert_eq!(times.len(), 19);
+}
+
+#[test]
+fn requests_that_a_burst_pushes_back_are_refused_soon() {
+    let now = Instant::now();
+    let mut state = BrokerState::new(BrokerSettings::new("vm", BOOT));
+    state.configure(&config(1, servers(&[1])), now);
+    let first = state.ask(request("r"), now);
+    state.release(&release(first), now);
+    let mut wire = request("wire");
+    wire.late_is_useful = false;
+    wire.target_left = Duration::from_secs(10);
+    for _ in 0..5 {
+        state.ask(wire.clone(), now);
+    }
+    let mut urgent = request("urgent");
+    urgent.tier = 0;
+    urgent.class = "urgent".into();
+    for _ in 0..20 {
+        state.ask(urgent.clone(), now);
+    }
+    state.take_decisions();
+    state.advance(now + Duration::from_millis(500));
+    let decisions = state.take_decisions();
+    assert_eq!(decisions.len(), 4);
+    for decision in &decisions {
+        assert_eq!(decision.request, "wire");
+        assert_eq!(refusal(decision).reason, RefusalReason::TargetMissed);
+    }
+}
--- /dev/null
+++ b/crates/dewspring/src/broker/tests/load.rs
@@ -0,0 +1,165 @@
+//! A pool under load in simulated time, to see what its decisions achieve.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::{BOOT, SEED, config, release, servers};
+use crate::broker::estimate::work_of;
+use crate::broker::{
+    AttemptOutcome, BrokerSettings, BrokerState, Grant, GrantDecision, GrantRelease, GrantRequest,
+    TicketDecision,
+};
+use crate::ids::{ClassName, GrantId, ServerName};
+
+/// Requests of one class, at random times.
+pub(super) struct LoadSource {
+    /// A request of the class.
+    pub(super) request: GrantRequest,
+    /// Mean time between two requests.
+    pub(super) interval: Duration,
+    /// Longest answer, in tokens; the shortest is a tenth of it.
+    pub(super) answer: u64,
+}
+
+/// What came of one class's requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct LoadOutcome {
+    pub(super) asked: u32,
+    pub(super) in_time: u32,
+    pub(super) late: u32,
+    pub(super) refused: u32,
+    /// Time that the refused requests waited, in all.
+    pub(super) waited_in_vain: Duration,
+}
+
+/// How a server runs a request: seconds for each token, and the outcome.
+pub(super) type ServerBehaviour = fn(&Grant, &GrantRequest, Duration) -> (f64, AttemptOutcome);
+
+/// A broker and simulated servers.
+pub(super) struct LoadTrial {
+    state: BrokerState,
+    start: Instant,
+    now: Instant,
+    generator: SmallRng,
+    sources: Vec<LoadSource>,
+    behaviour: ServerBehaviour,
+    arrivals: BinaryHeap<Reverse<(Instant, usize)>>,
+    ends: BinaryHeap<Reverse<(Instant, GrantId)>>,
+    waiting: IndexMap<GrantId, (usize, Instant)>,
+    running: IndexMap<GrantId, (usize, Instant, GrantRelease)>,
+    /// Outcomes by class.
+    pub(super) outcomes: IndexMap<ClassName, LoadOutcome>,
+    /// Grants by server, with the time of each.
+    pub(super) grants: IndexMap<ServerName, Vec<Duration>>,
+}
+
+impl LoadTrial {
+    /// Runs the sources for a minute against servers with these slots.
+    pub(super) fn run(slots: &[u32], sources: Vec<LoadSource>, behaviour: ServerBehaviour) -> Self {
+        let start = Instant::now();
+        let mut state = BrokerState::new(BrokerSettings::new("vm", BOOT));
+        state.configure(&config(1, servers(slots)), start);
+        let mut trial = Self {
+            state,
+            start,
+            now: start,
+            generator: SmallRng::seed_from_u64(SEED),
+            arrivals: (0..sources.len())
+                .map(|index| Reverse((start, index)))
+                .collect(),
+            sources,
+            behaviour,
+            ends: BinaryHeap::new(),
+            waiting: IndexMap::new(),
+            running: IndexMap::new(),
+            outcomes: IndexMap::new(),
+            grants: IndexMap::new(),
+        };
+        while trial.step() {}
+        trial
+    }
+
+    fn step(&mut self) -> bool {
+        let arrival = self.arrivals.peek().map(|&Reverse((at, _))| at);
+        let end = self.ends.peek().map(|&Reverse((at, _))| at);
+        let due = [arrival, end, self.state.next_wakeup()];
+        let Some(now) = due.into_iter().flatten().min() else {
+            return false;
+        };
+        self.now = now;
+        if end == Some(now) {
+            self.end();
+        } else if arrival == Some(now) {
+            self.arrive();
+        } else {
+            self.state.advance(now);
+        }
+        for decision in self.state.take_decisions() {
+            self.follow(decision);
+        }
+        true
+    }
+
+    fn arrive(&mut self) {
+        let Reverse((_, index)) = self.arrivals.pop().expect("one is due");
+        let source = &self.sources[index];
+        let next = self.now
+            + source
+                .interval
+                .mul_f64(self.generator.random_range(0.0..2.0));
+        if next < self.start + Duration::from_secs(60) {
+            self.arrivals.push(Reverse((next, index)));
+        }
+        let ticket = self.state.ask(source.request.clone(), self.now);
+        self.waiting.insert(ticket, (index, self.now));
+        self.outcome(index).asked += 1;
+    }
+
+    fn follow(&mut self, decision: TicketDecision) {
+        let waiting = self.waiting.swap_remove(&decision.ticket);
+        let (index, asked_at) = waiting.expect("it waits");
+        let GrantDecision::Granted(grant) = decision.decision else {
+            let waited = self.now - asked_at;
+            let outcome = self.outcome(index);
+            outcome.refused += 1;
+            outcome.waited_in_vain += waited;
+            return;
+        };
+        let source = &self.sources[index];
+        let since = self.now - self.start;
+        let (pace, outcome) = (self.behaviour)(&grant, &source.request, since);
+        let mut release = release(grant.id);
+        release.outcome = outcome;
+        release.tokens = self
+            .generator
+            .random_range(source.answer / 10..=source.answer);
+        let work = work_of(source.request.prompt_tokens, release.tokens);
+        release.elapsed = Duration::from_secs_f64(pace * work as f64);
+        self.ends
+            .push(Reverse((self.now + release.elapsed, grant.id)));
+        self.running.insert(grant.id, (index, asked_at, release));
+        self.grants.entry(grant.server).or_default().push(since);
+    }
+
+    fn end(&mut self) {
+        let Reverse((_, ticket)) = self.ends.pop().expect("one is due");
+        let (index, asked_at, release) = self.running.swap_remove(&ticket).expect("it runs");
+        let is_in_time = self.now - asked_at <= self.sources[index].request.target_left;
+        let outcome = self.outcome(index);
+        match release.outcome == AttemptOutcome::Completed && is_in_time {
+            true => outcome.in_time += 1,
+            false => outcome.late += 1,
+        }
+        self.state.release(&release, self.now);
+    }
+
+    fn outcome(&mut self, index: usize) -> &mut LoadOutcome {
+        let class = self.sources[index].request.class.clone();
+        self.outcomes.entry(class).or_default()
+    }
+}
--- a/crates/dewspring/src/broker/tests/order.rs
+++ b/crates/dewspring/src/broker/tests/order.rs
@@ -71,7 +71,7 @@
     let Some(head) = queue.head() else {
         return;
     };
-    let served = queue.serve(head.ticket);
+    let served = queue.serve(head);
     let sum = FLOORS
         .iter()
         .map(|&floor| u64::from(floor.max(1)))
@@ -133,7 +133,7 @@
     let mut low = 0;
     for _ in 0..1_000 {
         let head = queue.head().expect("enough requests wait");
-        let served = queue.serve(head.ticket);
+        let served = queue.serve(head);
         if served.request.tier == 3 {
             assert_eq!(head.turn, ServiceTurn::Floor);
             low += 1;
