--- a/crates/dewspring/src/broker/mod.rs
+++ b/crates/dewspring/src/broker/mod.rs
@@ -5,14 +5,21 @@
 //! broker counts every grant that it gave out, so it knows what is in flight
 //! at once, while load reports lag.
 
+mod admission;
+mod class;
 mod control;
+mod estimate;
+mod floor;
 mod grants;
 mod handle;
 mod mailbox;
 mod messages;
+mod pace;
 mod pool;
 mod queue;
+mod queued;
 mod replica;
+mod shares;
 mod state;
 mod status;
 mod thread;
@@ -25,5 +32,6 @@
 pub use messages::{
     AttemptOutcome, Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason,
 };
+pub use queue::ServiceTurn;
 pub use state::{BrokerState, TicketDecision};
 pub use status::{BrokerStatus, ClassStatus, PoolStatus, ServerState, ServerStatus};
