Read the tables by the configuration duty itself

Cause: the daemon held a copy of the reader until the tables were parsed there. Change: ConfigKeeper::spawn takes the place of the copy.

--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -12,9 +12,7 @@
 use super::state::{DaemonContext, DaemonState};
 use crate::admin::AdminServer;
 use crate::broker::{BrokerHandle, BrokerSettings};
-use crate::configuration::{
-    ConfigKeeper, KeeperSettings, ReadingError, load_files, store_document,
-};
+use crate::configuration::{ConfigKeeper, KeeperSettings, load_files, store_document};
 use crate::entry::{EntryContext, EntryServer, EntrySettings, ShutdownOutcome};
 use crate::grants::LocalGrants;
 use crate::ids::BootId;
@@ -24,7 +22,6 @@
 };
 use crate::reports::{PollerSettings, ReportPoller};
 use crate::settings::{DaemonSettings, PlatformKind};
-use crate::tables::{ConfigDocument, FleetConfig};
 
 /// A running daemon.
 pub struct Daemon {
@@ -50,7 +47,7 @@
         let store = open_store(&settings)?;
         let directory = open_directory(&settings);
         let keeper_settings = KeeperSettings::new(settings.fleet.clone(), boot);
-        let keeper = ConfigKeeper::spawn_with(store, keeper_settings, read_document);
+        let keeper = ConfigKeeper::spawn(store, keeper_settings);
         let broker = BrokerHandle::spawn(BrokerSettings::new(settings.vm.clone(), boot));
         let metrics = FleetMetrics::new();
         // The follower ends with the keeper.
@@ -132,14 +129,6 @@
     }
 }
 
-fn read_document(bytes: &[u8]) -> Result<FleetConfig, ReadingError> {
-    let document = ConfigDocument::from_bytes(bytes)
-        .map_err(|error| ReadingError::Unusable(error.to_string()))?;
-    document
-        .check()
-        .map_err(|errors| ReadingError::Unusable(errors.to_string()))
-}
-
 fn open_store(settings: &DaemonSettings) -> Result<AnyStore, DaemonError> {
     match &settings.platform {
         PlatformKind::Gateway(address) => {
