Add dewctl, the operators' command line

Cause: operators had no tool to check, apply and explain their tables.

An apply names what its edit started from: the base document that lies beside the tables, or a revision. Reading the current revision at the start of an apply was ruled out, since a stale copy would then silently overwrite what others changed before. A lost answer is settled by reading back; while the version has not moved, the same swap is sent again, since the lost one may still arrive and the store takes one of them at most.

A drain of a server edits one value of the text and is checked to change nothing else. Errors, waits and outcomes have exit statuses of their own.

--- a/crates/dewctl/src/main.rs
+++ b/crates/dewctl/src/main.rs
@@ -1,3 +1,13 @@
-//! A thin program over the `dewspring` library.
+//! The operators' command line for a dewspring fleet.
 
-fn main() {}
+use std::process::ExitCode;
+
+use dewspring::platform::GatewayStore;
+
+fn main() -> ExitCode {
+    let arguments = std::env::args_os();
+    let mut output = std::io::stdout();
+    let mut errors = std::io::stderr();
+    let status = dewctl::run(arguments, &mut output, &mut errors, GatewayStore::open);
+    ExitCode::from(status as u8)
+}
--- /dev/null
+++ b/crates/dewctl/src/print.rs
@@ -0,0 +1,108 @@
+//! Prints reports and errors as text or JSON.
+
+use std::fmt::Display;
+use std::io::Write;
+
+use dewspring::tables::TableErrors;
+use serde::Serialize;
+
+use crate::apply::ConflictReport;
+use crate::error::CommandError;
+
+/// Where a command's reports and errors go.
+pub(crate) struct ReportPrinter<'p, O, E> {
+    pub(crate) output: &'p mut O,
+    pub(crate) errors: &'p mut E,
+    pub(crate) json: bool,
+}
+
+#[derive(Serialize)]
+struct ErrorReport<'e> {
+    error: ErrorLine<'e>,
+}
+
+#[derive(Serialize)]
+struct ErrorLine<'e> {
+    exit_status: u8,
+    message: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    conflict: Option<&'e ConflictReport>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    faults: Option<Vec<FaultLine<'e>>>,
+}
+
+#[derive(Serialize)]
+struct FaultLine<'e> {
+    file: &'e str,
+    line: usize,
+    key: &'e str,
+    message: String,
+}
+
+impl<O: Write, E: Write> ReportPrinter<'_, O, E> {
+    /// Prints what a command found or did.
+    pub(crate) fn report(
+        &mut self,
+        report: &(impl Display + Serialize),
+    ) -> Result<(), CommandError> {
+        let printed = if self.json {
+            print_json(self.output, report)
+        } else {
+            write!(self.output, "{report}")
+        };
+        printed
+            .and_then(|()| self.output.flush())
+            .map_err(CommandError::Output)
+    }
+
+    /// Prints a remark that is no failure.
+    pub(crate) fn warn(&mut self, warning: &str) {
+        // Nobody is left to be told of a failure here.
+        let _ = writeln!(self.errors, "dewctl: {warning}");
+    }
+
+    /// Prints why the command failed.
+    pub(crate) fn error(&mut self, error: &CommandError) {
+        let printed = if self.json {
+            print_json(self.output, &error_report(error))
+        } else {
+            writeln!(self.errors, "{error}")
+        };
+        // The exit status still tells of the failure.
+        let _ = printed;
+    }
+}
+
+fn print_json(output: &mut impl Write, value: &impl Serialize) -> std::io::Result<()> {
+    serde_json::to_writer(&mut *output, value)?;
+    writeln!(output)
+}
+
+fn error_report(error: &CommandError) -> ErrorReport<'_> {
+    let conflict = match error {
+        CommandError::Conflict(report) => Some(&**report),
+        _ => None,
+    };
+    let faults = match error {
+        CommandError::Check(errors) => Some(fault_lines(errors)),
+        _ => None,
+    };
+    ErrorReport {
+        error: ErrorLine {
+            exit_status: error.exit_status() as u8,
+            message: error.to_string(),
+            conflict,
+            faults,
+        },
+    }
+}
+
+fn fault_lines(errors: &TableErrors) -> Vec<FaultLine<'_>> {
+    let lines = errors.0.iter().map(|error| FaultLine {
+        file: &error.file,
+        line: error.line,
+        key: &error.key,
+        message: error.problem.to_string(),
+    });
+    lines.collect()
+}
--- /dev/null
+++ b/crates/dewctl/src/run.rs
@@ -0,0 +1,354 @@
+//! Runs one command from its arguments to its exit status.
+
+use std::ffi::OsString;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use dewspring::ids::Revision;
+use dewspring::platform::PlatformStore;
+use dewspring::tables::{ConfigDocument, TableDiff, config_key, draw_change_id};
+use indicatif::{ProgressBar, ProgressStyle};
+
+use crate::apply::{ApplyBase, ApplyRequest, apply_tables};
+use crate::cli::{
+    ApplyArguments, DrainArguments, OperatorCommand, WaitArguments, command, operator_command,
+};
+use crate::commit::{ChangeOrigin, CommitLimits, CommitOutcome};
+use crate::drain::{ServerDrain, drain_server, drain_vm};
+use crate::error::{CommandError, ExitStatus};
+use crate::explain::explain_request;
+use crate::print::ReportPrinter;
+use crate::reports::{ChangeReport, CheckReport, DrainedVm, InForceReport};
+use crate::settings::OperatorSettings;
+use crate::show::{ShownDocument, ShownHistory, ShownRevision, read_fleet};
+use crate::status::StatusTable;
+use crate::tables_dir::{TablesDir, read_base, write_base};
+use crate::wait::{WaitLimits, wait_in_force};
+
+/// Bounds of the attempts to change the stored document.
+const COMMIT_LIMITS: CommitLimits = CommitLimits {
+    give_up_after: Duration::from_secs(30),
+    pause: Duration::from_millis(200),
+};
+
+/// Pause between two rounds of questions to the daemons.
+const WAIT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest change id, in bytes.
+const MAX_CHANGE_ID_BYTES: usize = 64;
+
+/// Runs one command.
+///
+/// `arguments` begin with the program's name. Reports go to `output`, errors
+/// to `errors`; with `--json`, errors go to `output` too.
+///
+/// # Examples
+///
+/// ```
+/// use dewctl::{ExitStatus, run};
+/// use dewspring::platform::EmbeddedStore;
+///
+/// let (mut output, mut errors) = (Vec::new(), Vec::new());
+/// let arguments = ["dewctl", "check", "no-such-directory"];
+/// let arguments = arguments.map(Into::into);
+/// let status = run(arguments, &mut output, &mut errors, |_, _| EmbeddedStore::open());
+/// assert_eq!(status, ExitStatus::Failed);
+/// ```
+pub fn run<S: PlatformStore>(
+    arguments: impl IntoIterator<Item = OsString>,
+    output: &mut impl Write,
+    errors: &mut impl Write,
+    open_store: impl Fn(SocketAddr, Duration) -> S,
+) -> ExitStatus {
+    let matches = match command().try_get_matches_from(arguments) {
+        Ok(matches) => matches,
+        Err(error) if error.use_stderr() => {
+            let _ = write!(errors, "{error}");
+            return ExitStatus::Usage;
+        }
+        Err(help) => {
+            let _ = write!(output, "{help}");
+            return ExitStatus::Success;
+        }
+    };
+    let json = matches.get_flag("json");
+    let mut printer = ReportPrinter {
+        output,
+        errors,
+        json,
+    };
+    let outcome = OperatorSettings::open(&matches).and_then(|settings| {
+        let mut runner = CommandRunner {
+            settings,
+            printer: &mut printer,
+            open_store,
+        };
+        runner.run(&operator_command(&matches))
+    });
+    match outcome {
+        Ok(status) => status,
+        Err(error) => {
+            printer.error(&error);
+            error.exit_status()
+        }
+    }
+}
+
+struct CommandRunner<'c, 'p, O, E, F> {
+    settings: OperatorSettings,
+    printer: &'c mut ReportPrinter<'p, O, E>,
+    open_store: F,
+}
+
+impl<O, E, F, S> CommandRunner<'_, '_, O, E, F>
+where
+    O: Write,
+    E: Write,
+    F: Fn(SocketAddr, Duration) -> S,
+    S: PlatformStore,
+{
+    fn run(&mut self, command: &OperatorCommand) -> Result<ExitStatus, CommandError> {
+        match command {
+            OperatorCommand::Check { dir } => self.check(dir)?,
+            OperatorCommand::Diff { dir, against } => self.diff(dir, against.as_deref())?,
+            OperatorCommand::Apply(arguments) => self.apply(arguments)?,
+            OperatorCommand::Show { revision_only, to } => {
+                self.show(*revision_only, to.as_deref())?;
+            }
+            OperatorCommand::History => self.history()?,
+            OperatorCommand::Status => return self.status(),
+            OperatorCommand::Explain { request } => {
+                let explanation = explain_request(&self.settings.admin_client()?, request)?;
+                self.printer.report(&explanation)?;
+            }
+            OperatorCommand::DrainVm { vm } => {
+                let report = drain_vm(&self.settings.admin_client()?, vm)?;
+                self.printer.report(&DrainedVm(report))?;
+            }
+            OperatorCommand::DrainServer(arguments) => self.drain_server(arguments)?,
+        }
+        Ok(ExitStatus::Success)
+    }
+
+    fn store(&self) -> Result<S, CommandError> {
+        let address = self.settings.platform()?;
+        Ok((self.open_store)(address, self.settings.timeout))
+    }
+
+    fn check(&mut self, dir: &Path) -> Result<(), CommandError> {
+        let dir = TablesDir::open(dir);
+        let tables = dir.check(&dir.read_texts()?)?;
+        let pools = tables.pools.rows.values();
+        self.printer.report(&CheckReport {
+            routes: tables.routes.rows.len(),
+            pools: tables.pools.rows.len(),
+            servers: pools.map(|pool| pool.servers.len()).sum(),
+        })
+    }
+
+    fn diff(&mut self, dir: &Path, against: Option<&Path>) -> Result<(), CommandError> {
+        let dir = TablesDir::open(dir);
+        let after = dir.check(&dir.read_texts()?)?;
+        let before = match against {
+            Some(against) => {
+                let against = TablesDir::open(against);
+                against.check(&against.read_texts()?)?
+            }
+            None => read_fleet(&self.store()?, &self.settings.fleet)?
+                .texts()
+                .check()?,
+        };
+        self.printer.report(&TableDiff::between(&before, &after))
+    }
+
+    fn show(&mut self, revision_only: bool, to: Option<&Path>) -> Result<(), CommandError> {
+        let document = read_fleet(&self.store()?, &self.settings.fleet)?;
+        let revision = document.revision;
+        if let Some(dir) = to {
+            TablesDir::open(dir).write(&document)?;
+        }
+        if revision_only || to.is_some() {
+            self.printer.report(&ShownRevision { revision })
+        } else {
+            self.printer.report(&ShownDocument(document))
+        }
+    }
+
+    fn history(&mut self) -> Result<(), CommandError> {
+        let document = read_fleet(&self.store()?, &self.settings.fleet)?;
+        let changes = document.changes().collect();
+        self.printer.report(&ShownHistory { changes })
+    }
+
+    fn status(&mut self) -> Result<ExitStatus, CommandError> {
+        let table = StatusTable::open(&self.settings.admin_client()?);
+        self.printer.report(&table)?;
+        if table.is_complete() {
+            Ok(ExitStatus::Success)
+        } else {
+            Ok(ExitStatus::Failed)
+        }
+    }
+
+    fn apply(&mut self, arguments: &ApplyArguments) -> Result<(), CommandError> {
+        let store = self.store()?;
+        let dir = TablesDir::open(&arguments.dir);
+        let texts = dir.read_texts()?;
+        dir.check(&texts)?;
+        let base_path = arguments.base.clone().unwrap_or_else(|| dir.base_path());
+        let request = ApplyRequest {
+            base: apply_base(arguments, &base_path)?,
+            texts,
+            allows_rebase: arguments.rebase,
+            origin: self.origin(arguments.change_id.as_deref())?,
+        };
+        self.check_wait(arguments.wait)?;
+        let key = config_key(&self.settings.fleet);
+        let outcome = apply_tables(&store, &key, &request, COMMIT_LIMITS)?;
+        self.keep_base(&dir, &base_path, &request, &outcome);
+        self.finish_change(&outcome, arguments.wait)
+    }
+
+    /// Remembers what the next edit starts from.
+    fn keep_base(
+        &mut self,
+        dir: &TablesDir,
+        base_path: &Path,
+        request: &ApplyRequest,
+        outcome: &CommitOutcome,
+    ) {
+        let (document, is_own) = match outcome {
+            CommitOutcome::Unchanged(document) => (Some(&**document), false),
+            CommitOutcome::Applied(change) => (change.document.as_ref(), !change.was_read_back),
+        };
+        let is_as_written = document.is_some_and(|document| document.texts() == request.texts);
+        let written = match document {
+            Some(document) if is_as_written => write_base(base_path, document),
+            Some(document) if is_own => {
+                self.printer
+                    .warn("the tables of the directory now hold the joined changes");
+                write_joined(dir, base_path, document)
+            }
+            Some(_) | None => {
+                self.printer.warn(
+                    "the store's tables differ from yours; fetch them with `dewctl show --to DIR`",
+                );
+                return;
+            }
+        };
+        if let Err(error) = written {
+            self.printer
+                .warn(&format!("the base of the next edit can't be kept: {error}"));
+        }
+    }
+
+    fn drain_server(&mut self, arguments: &DrainArguments) -> Result<(), CommandError> {
+        let store = self.store()?;
+        let request = ServerDrain {
+            fleet: self.settings.fleet.clone(),
+            server: arguments.server.clone(),
+            drain: !arguments.undo,
+        };
+        let origin = self.origin(arguments.change_id.as_deref())?;
+        self.check_wait(arguments.wait)?;
+        let key = config_key(&self.settings.fleet);
+        let outcome = drain_server(&store, &key, &request, &origin, COMMIT_LIMITS)?;
+        self.finish_change(&outcome, arguments.wait)
+    }
+
+    fn origin(&self, change_id: Option<&str>) -> Result<ChangeOrigin, CommandError> {
+        let change_id = change_id.map_or_else(draw_change_id, str::to_owned);
+        let is_id_byte = |byte: u8| byte.is_ascii_alphanumeric() || b"_-".contains(&byte);
+        let fits = !change_id.is_empty() && change_id.len() <= MAX_CHANGE_ID_BYTES;
+        if !fits || !change_id.bytes().all(is_id_byte) {
+            let message = "--change-id: must hold 1 to 64 letters, digits, '_' or '-'";
+            return Err(CommandError::Usage(message.to_owned()));
+        }
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        Ok(ChangeOrigin {
+            change_id,
+            operator: self.settings.operator()?,
+            applied_at: since_epoch.map_or(0, |time| time.as_secs()),
+        })
+    }
+
+    /// Finds a missing setting before anything is changed.
+    fn check_wait(&self, arguments: WaitArguments) -> Result<(), CommandError> {
+        if arguments.wait {
+            self.settings.admin_client()?;
+        }
+        Ok(())
+    }
+
+    /// Reports a change and waits for it if asked to.
+    fn finish_change(
+        &mut self,
+        outcome: &CommitOutcome,
+        arguments: WaitArguments,
+    ) -> Result<(), CommandError> {
+        let report = ChangeReport::from(outcome);
+        self.printer.report(&report)?;
+        if !arguments.wait {
+            return Ok(());
+        }
+        self.wait(report.revision, arguments)?;
+        self.printer.report(&InForceReport {
+            in_force_everywhere: report.revision,
+        })
+    }
+
+    fn wait(&self, revision: Revision, arguments: WaitArguments) -> Result<(), CommandError> {
+        let client = self.settings.admin_client()?;
+        let limits = WaitLimits {
+            timeout: Duration::from_secs(arguments.timeout_seconds),
+            interval: WAIT_INTERVAL,
+        };
+        // It draws on standard error, and only on a terminal.
+        let bar = ProgressBar::new(client.daemons() as u64);
+        bar.set_style(progress_style());
+        bar.set_message(format!("revision {revision} in force"));
+        let outcome = wait_in_force(&client, revision, limits, |daemons| {
+            bar.set_position(daemons as u64);
+        });
+        bar.finish_and_clear();
+        Ok(outcome?)
+    }
+}
+
+fn progress_style() -> ProgressStyle {
+    ProgressStyle::with_template("{msg} [{bar:20}] {pos}/{len} daemons, {elapsed}")
+        .expect("the template is valid")
+}
+
+fn apply_base(arguments: &ApplyArguments, path: &Path) -> Result<ApplyBase, CommandError> {
+    if let Some(revision) = arguments.expect {
+        return Ok(match revision {
+            0 => ApplyBase::Absent,
+            revision => ApplyBase::Revision(revision),
+        });
+    }
+    let base = read_base(path)?;
+    let is_demanded = arguments.base.is_some();
+    match base {
+        Some(document) => Ok(ApplyBase::Document(Box::new(document))),
+        None if is_demanded => {
+            let message = format!("--base: {} does not exist", path.display());
+            Err(CommandError::Usage(message))
+        }
+        None => Ok(ApplyBase::Absent),
+    }
+}
+
+fn write_joined(
+    dir: &TablesDir,
+    base_path: &Path,
+    document: &ConfigDocument,
+) -> Result<(), CommandError> {
+    dir.write(document)?;
+    if base_path != dir.base_path() {
+        write_base(base_path, document)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/dewctl/tests/dewctl/commit.rs
@@ -0,0 +1,276 @@
+//! Lost answers, rivals and outages, one at a time.
+
+use std::time::Duration;
+
+use crate::support::{KEY, StoreFault, TestStore, change, first_document, texts, with_slots};
+use dewctl::CommandError;
+use dewctl::apply::{ApplyBase, ApplyRequest, apply_tables};
+use dewctl::commit::{ChangeOrigin, CommitLimits, CommitOutcome, ProposedTables, commit_change};
+use dewspring::tables::{ConfigDocument, TableTexts};
+
+pub(crate) const SERVERS: usize = 10;
+
+pub(crate) const LIMITS: CommitLimits = CommitLimits {
+    give_up_after: Duration::from_secs(10),
+    pause: Duration::from_millis(1),
+};
+
+const SHORT_LIMITS: CommitLimits = CommitLimits {
+    give_up_after: Duration::from_millis(50),
+    pause: Duration::from_millis(5),
+};
+
+pub(crate) fn origin(change_id: &str) -> ChangeOrigin {
+    ChangeOrigin {
+        change_id: change_id.to_owned(),
+        operator: "ada".to_owned(),
+        applied_at: 1,
+    }
+}
+
+pub(crate) fn request(
+    base: ConfigDocument,
+    texts: TableTexts,
+    allows_rebase: bool,
+) -> ApplyRequest {
+    ApplyRequest {
+        texts,
+        base: ApplyBase::Document(Box::new(base)),
+        allows_rebase,
+        origin: origin("mine"),
+    }
+}
+
+/// Names an outcome for the tables of cases.
+fn outcome_name(outcome: &Result<CommitOutcome, CommandError>) -> String {
+    match outcome {
+        Ok(CommitOutcome::Applied(change)) if change.was_read_back => {
+            format!("read back {}", change.entry.revision)
+        }
+        Ok(CommitOutcome::Applied(change)) => format!("applied {}", change.entry.revision),
+        Ok(CommitOutcome::Unchanged(document)) => format!("unchanged {}", document.revision),
+        Err(error) => format!("{:?}", error.exit_status()),
+    }
+}
+
+fn rival(server: usize) -> StoreFault {
+    let texts = with_slots(&texts(SERVERS), server, 7);
+    let document = first_document(SERVERS).successor(change("rival", texts));
+    StoreFault::Rival(Box::new(document))
+}
+
+struct CommitCase {
+    name: &'static str,
+    faults: Vec<StoreFault>,
+    rebase: bool,
+    outcome: &'static str,
+    /// Change ids of all documents that the store took.
+    log: &'static [&'static str],
+}
+
+#[test]
+fn faults_one_by_one() {
+    use StoreFault::{Delayed, LostAfter, LostBefore, None, Unavailable};
+    let cases = [
+        CommitCase {
+            name: "no fault",
+            faults: vec![],
+            rebase: false,
+            outcome: "applied 2",
+            log: &["first", "mine"],
+        },
+        CommitCase {
+            name: "answer lost after",
+            faults: vec![LostAfter],
+            rebase: false,
+            outcome: "read back 2",
+            log: &["first", "mine"],
+        },
+        CommitCase {
+            name: "answer lost before",
+            faults: vec![LostBefore],
+            rebase: false,
+            outcome: "read back 2",
+            log: &["first", "mine"],
+        },
+        CommitCase {
+            name: "write delayed past the retry",
+            faults: vec![Delayed],
+            rebase: false,
+            outcome: "read back 2",
+            log: &["first", "mine"],
+        },
+        CommitCase {
+            name: "write delayed, arrives before the next read",
+            faults: vec![Delayed, LostBefore],
+            rebase: false,
+            outcome: "read back 2",
+            log: &["first", "mine"],
+        },
+        CommitCase {
+            name: "down",
+            faults: vec![Unavailable],
+            rebase: false,
+            outcome: "Failed",
+            log: &["first"],
+        },
+        CommitCase {
+            name: "down after a lost answer",
+            faults: vec![LostBefore, Unavailable, None],
+            rebase: false,
+            outcome: "read back 2",
+            log: &["first", "mine"],
+        },
+        CommitCase {
+            name: "rival of another row",
+            faults: vec![rival(1)],
+            rebase: false,
+            outcome: "Conflict",
+            log: &["first", "rival"],
+        },
+        CommitCase {
+            name: "rival of another row, rebased",
+            faults: vec![rival(1)],
+            rebase: true,
+            outcome: "applied 3",
+            log: &["first", "rival", "mine"],
+        },
+        CommitCase {
+            name: "rival of the same row",
+            faults: vec![rival(0)],
+            rebase: true,
+            outcome: "Conflict",
+            log: &["first", "rival"],
+        },
+        CommitCase {
+            name: "lost before, then a rival",
+            faults: vec![LostBefore, rival(0)],
+            rebase: true,
+            outcome: "Conflict",
+            log: &["first", "rival"],
+        },
+        CommitCase {
+            name: "delayed, then a rival",
+            faults: vec![Delayed, rival(1)],
+            rebase: true,
+            outcome: "applied 3",
+            log: &["first", "rival", "mine"],
+        },
+        CommitCase {
+            name: "every answer lost",
+            faults: vec![LostBefore; 1_000],
+            rebase: false,
+            outcome: "Unknown",
+            log: &["first"],
+        },
+    ];
+    for case in cases {
+        let first = first_document(SERVERS);
+        let store = TestStore::open(Some(&first));
+        store.script(case.faults);
+        let request = request(first, with_slots(&texts(SERVERS), 0, 3), case.rebase);
+        let outcome = apply_tables(&store, KEY, &request, SHORT_LIMITS);
+        assert_eq!(
+            outcome_name(&outcome),
+            case.outcome,
+            "case {}: {outcome:?}",
+            case.name
+        );
+        store.settle();
+        let log = store.log();
+        let ids: Vec<&str> = log
+            .iter()
+            .map(|document| document.change_id.as_str())
+            .collect();
+        assert_eq!(ids, case.log, "case {}", case.name);
+    }
+}
+
+#[test]
+fn reads_that_fail_before_the_swap_change_nothing() {
+    let first = first_document(SERVERS);
+    let store = TestStore::open(Some(&first));
+    store.fail_reads(1);
+    let request = request(first, with_slots(&texts(SERVERS), 0, 3), false);
+    let outcome = apply_tables(&store, KEY, &request, SHORT_LIMITS);
+    assert_eq!(outcome_name(&outcome), "Failed");
+    assert_eq!(store.log().len(), 1);
+}
+
+#[test]
+fn reads_that_fail_after_a_lost_answer_are_repeated() {
+    let store = TestStore::open(Some(&first_document(SERVERS)));
+    store.script([StoreFault::LostAfter]);
+    let propose = |_: Option<&ConfigDocument>| {
+        // The read before this was good; the next two fail.
+        store.fail_reads(2);
+        Ok(ProposedTables::Changed(with_slots(&texts(SERVERS), 0, 3)))
+    };
+    let outcome = commit_change(&store, KEY, &origin("mine"), propose, LIMITS);
+    assert_eq!(outcome_name(&outcome), "read back 2");
+}
+
+#[test]
+fn a_swap_whose_revision_left_the_history_is_unknown() {
+    let first = first_document(SERVERS);
+    let mut later = first.clone();
+    for number in 0..30 {
+        let texts = with_slots(&texts(SERVERS), 1, 10 + number);
+        later = later.successor(change(&format!("rival-{number}"), texts));
+    }
+    let store = TestStore::open(Some(&first));
+    store.script([StoreFault::LostBefore, StoreFault::Rival(Box::new(later))]);
+    let request = request(first, with_slots(&texts(SERVERS), 0, 3), true);
+    let outcome = apply_tables(&store, KEY, &request, LIMITS);
+    assert_eq!(outcome_name(&outcome), "Unknown");
+}
+
+#[test]
+fn bases_that_are_not_current_conflict() {
+    let first = first_document(SERVERS);
+    let store = TestStore::open(Some(&first));
+    let with_base = |base| ApplyRequest {
+        base,
+        ..request(first.clone(), with_slots(&texts(SERVERS), 0, 3), false)
+    };
+    let mut foreign = first.clone();
+    foreign.change_id = "of another fleet".to_owned();
+    let bases = [
+        ApplyBase::Absent,
+        ApplyBase::Revision(2),
+        ApplyBase::Document(Box::new(foreign)),
+    ];
+    for base in bases {
+        let outcome = apply_tables(&store, KEY, &with_base(base), LIMITS);
+        assert_eq!(outcome_name(&outcome), "Conflict");
+    }
+    let outcome = apply_tables(
+        &TestStore::open(None),
+        KEY,
+        &with_base(ApplyBase::Revision(1)),
+        LIMITS,
+    );
+    assert_eq!(outcome_name(&outcome), "Conflict");
+    let outcome = apply_tables(&store, KEY, &with_base(ApplyBase::Revision(1)), LIMITS);
+    assert_eq!(outcome_name(&outcome), "applied 2");
+    // The same change once more is found, the same tables need no change.
+    let outcome = apply_tables(&store, KEY, &with_base(ApplyBase::Revision(1)), LIMITS);
+    assert_eq!(outcome_name(&outcome), "read back 2");
+    let other = ApplyRequest {
+        origin: origin("other"),
+        ..with_base(ApplyBase::Absent)
+    };
+    assert_eq!(
+        outcome_name(&apply_tables(&store, KEY, &other, LIMITS)),
+        "unchanged 2"
+    );
+    let reused = ApplyRequest {
+        texts: with_slots(&texts(SERVERS), 0, 4),
+        ..with_base(ApplyBase::Revision(2))
+    };
+    let outcome = apply_tables(&store, KEY, &reused, LIMITS);
+    assert!(
+        matches!(outcome, Err(CommandError::ReusedChange(_))),
+        "{outcome:?}"
+    );
+}
--- /dev/null
+++ b/crates/dewctl/tests/dewctl/support/admin.rs
@@ -0,0 +1,142 @@
+//! A daemon's admin address.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use dewspring::admin::{
+    DrainReport, ExplainReport, ExplainStep, PeerState, PeerStatus, PoolStatus, ServerState,
+    ServerStatus, StatusReport,
+};
+use oxhttp::model::header::AUTHORIZATION;
+use oxhttp::model::{Body, Method, Request, Response, StatusCode};
+use oxhttp::{ListeningServer, Server};
+use serde::Serialize;
+
+pub const SECRET: &str = "a-shared-secret-of-the-fleet";
+
+/// Returns an address where nothing listens.
+pub fn refused_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    listener.local_addr().expect("a bound address")
+}
+
+/// A daemon that has a new revision in force after some questions.
+pub struct FakeDaemon {
+    pub address: SocketAddr,
+    pub drains: Arc<AtomicU64>,
+    _server: ListeningServer,
+}
+
+#[derive(Clone)]
+struct DaemonState {
+    vm: String,
+    revision: u64,
+    /// Number of status answers before the revision is in force.
+    lag: Arc<AtomicU64>,
+    drains: Arc<AtomicU64>,
+}
+
+impl FakeDaemon {
+    pub fn spawn(vm: &str, revision: u64, lag: u64) -> Self {
+        let address = refused_address();
+        let drains = Arc::new(AtomicU64::new(0));
+        let state = DaemonState {
+            vm: vm.to_owned(),
+            revision,
+            lag: Arc::new(AtomicU64::new(lag)),
+            drains: Arc::clone(&drains),
+        };
+        let server = Server::new(move |request| state.answer(request))
+            .bind(address)
+            .with_global_timeout(Duration::from_secs(5))
+            .spawn()
+            .expect("the server starts");
+        Self {
+            address,
+            drains,
+            _server: server,
+        }
+    }
+}
+
+fn json(value: &impl Serialize) -> Response<Body> {
+    Response::new(Body::from(serde_json::to_vec(value).expect("plain data")))
+}
+
+fn empty(status: StatusCode) -> Response<Body> {
+    let response = Response::builder().status(status);
+    response.body(Body::empty()).expect("a valid answer")
+}
+
+impl DaemonState {
+    fn answer(&self, request: &mut Request<Body>) -> Response<Body> {
+        let expected = format!("Bearer {SECRET}");
+        let given = request.headers().get(AUTHORIZATION);
+        if given.is_none_or(|given| given.as_bytes() != expected.as_bytes()) {
+            return empty(StatusCode::UNAUTHORIZED);
+        }
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/v1/status") => json(&self.status()),
+            (&Method::GET, "/v1/explain/r-7") => json(&self.explanation()),
+            (&Method::POST, "/v1/drain") => {
+                self.drains.fetch_add(1, Ordering::SeqCst);
+                json(&DrainReport {
+                    vm: self.vm.clone(),
+                    in_flight: 3,
+                })
+            }
+            _ => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn status(&self) -> StatusReport {
+        let lag = &self.lag;
+        let take_one = |left: u64| left.checked_sub(1);
+        let lags = lag
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take_one)
+            .is_ok();
+        let server = |server: &str, state| ServerStatus {
+            server: server.to_owned(),
+            state,
+            in_flight: 2,
+            slots: 8,
+        };
+        StatusReport {
+            vm: self.vm.clone(),
+            boot: 1,
+            data_centre: "dc-1".to_owned(),
+            revision: self.revision - u64::from(lags),
+            ready: true,
+            draining: false,
+            peers: vec![PeerStatus {
+                vm: "vm-9".to_owned(),
+                state: PeerState::Live,
+                heard_ago_ms: Some(40),
+            }],
+            pools: vec![PoolStatus {
+                pool: "engines".to_owned(),
+                broker: Some(self.vm.clone()),
+                queued: 5,
+                in_flight: 4,
+                servers: vec![
+                    server("s0", ServerState::Active),
+                    server("s1", ServerState::Ejected),
+                ],
+            }],
+        }
+    }
+
+    fn explanation(&self) -> ExplainReport {
+        ExplainReport {
+            request: "r-7".to_owned(),
+            vm: self.vm.clone(),
+            steps: vec![ExplainStep {
+                at_ms: 12,
+                part: "broker".to_owned(),
+                text: "granted s0: least load.".to_owned(),
+            }],
+        }
+    }
+}
--- a/crates/dewspring/src/tables/document.rs
+++ b/crates/dewspring/src/tables/document.rs
@@ -3,6 +3,8 @@
 //! The store replaces the document by compare-and-swap, so revisions rise by
 //! one and each belongs to one change.
 
+use std::time::{Duration, UNIX_EPOCH};
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -10,9 +12,10 @@
 use super::model::FleetConfig;
 use super::verify::{CheckedTables, check_tables};
 use crate::ids::Revision;
+use crate::platform::MAX_VALUE_BYTES;
 
 /// Largest document that the platform's store holds, in bytes.
-pub const MAX_DOCUMENT_BYTES: usize = 1 << 20;
+pub const MAX_DOCUMENT_BYTES: usize = MAX_VALUE_BYTES;
 
 /// Number of earlier changes that a document remembers.
 pub const HISTORY_LIMIT: usize = 20;
@@ -163,9 +166,8 @@
     pub fn successor(&self, change: DocumentChange) -> Self {
         let next = self.revision.checked_add(1);
         let revision = next.expect("a fleet has fewer changes than revisions");
-        let earlier = self.history.iter().cloned();
-        let history = std::iter::once(self.entry()).chain(earlier);
-        Self::at_revision(revision, change, history.take(HISTORY_LIMIT).collect())
+        let history = self.changes().take(HISTORY_LIMIT).collect();
+        Self::at_revision(revision, change, history)
     }
 
     fn at_revision(revision: Revision, change: DocumentChange, history: Vec<HistoryEntry>) -> Self {
@@ -191,16 +193,15 @@
         }
     }
 
-    /// Returns whether this document holds or follows a change.
-    ///
-    /// A change that is older than the history is not found.
+    /// Lists this document's change and those before it, newest first.
+    pub fn changes(&self) -> impl Iterator<Item = HistoryEntry> {
+        std::iter::once(self.entry()).chain(self.history.iter().cloned())
+    }
+
+    /// Finds a change among this document's own and those in its history.
     #[must_use]
-    pub fn includes_change(&self, change_id: &str) -> bool {
-        self.change_id == change_id
-            || self
-                .history
-                .iter()
-                .any(|entry| entry.change_id == change_id)
+    pub fn find_change(&self, change_id: &str) -> Option<HistoryEntry> {
+        self.changes().find(|entry| entry.change_id == change_id)
     }
 
     /// Returns the texts of both tables.
@@ -284,3 +285,30 @@
     /// Time of the change in seconds since the Unix epoch.
     pub applied_at: u64,
 }
+
+/// Last second that a date with four digits for the year can show.
+const LAST_SHOWN_SECOND: u64 = 253_402_300_799;
+
+impl HistoryEntry {
+    /// Returns the time of the change as RFC 3339 text in UTC.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewspring::tables::HistoryEntry;
+    ///
+    /// let entry = HistoryEntry {
+    ///     revision: 1,
+    ///     change_id: "c1".to_owned(),
+    ///     operator: "ada".to_owned(),
+    ///     applied_at: 86_400,
+    /// };
+    /// assert_eq!(entry.applied_text(), "1970-01-02T00:00:00Z");
+    /// ```
+    #[must_use]
+    pub fn applied_text(&self) -> String {
+        let seconds = self.applied_at.min(LAST_SHOWN_SECOND);
+        let time = UNIX_EPOCH + Duration::from_secs(seconds);
+        humantime::format_rfc3339_seconds(time).to_string()
+    }
+}
--- a/crates/dewspring/src/tables/tests/documents.rs
+++ b/crates/dewspring/src/tables/tests/documents.rs
@@ -29,8 +29,12 @@
         .collect();
     assert_eq!(revisions.len(), HISTORY_LIMIT);
     assert!(revisions.iter().copied().eq((10..30).rev()));
-    assert!(document.includes_change("change-30") && document.includes_change("change-10"));
-    assert!(!document.includes_change("change-9"));
+    let found = |change_id| document.find_change(change_id).map(|entry| entry.revision);
+    assert_eq!(
+        (found("change-30"), found("change-10")),
+        (Some(30), Some(10))
+    );
+    assert_eq!(found("change-9"), None);
     let config = document.check().expect("the sample is valid");
     assert_eq!(
         (config.revision, config.change_id.as_str()),
