--- a/crates/dewspring/src/tables/tests/documents.rs
+++ b/crates/dewspring/src/tables/tests/documents.rs
@@ -1,6 +1,6 @@
 //! Documents, diffs and edits in place.
 
-use super::samples::{Edit, POOLS, ROUTES, edited, sample_texts};
+use super::samples::{Edit, POOLS, ROUTES, edit, edited, sample_texts};
 use crate::tables::{
     CheckedTables, ConfigDocument, DocumentChange, DocumentError, EditError, HISTORY_LIMIT,
     MAX_DOCUMENT_BYTES, TableDiff, TableTexts, set_server_drain,
@@ -84,23 +84,14 @@
     let routes = edited(
         ROUTES,
         &[
-            Edit {
-                from: "\"20s\"",
-                to: "\"30s\"\ntimeout = \"80s\"\nfirst_token = \"1s\"",
-            },
-            Edit {
-                from: "\"payment\"",
-                to: "\"pay\"",
-            },
+            edit(
+                "\"20s\"",
+                "\"30s\"\ntimeout = \"80s\"\nfirst_token = \"1s\"",
+            ),
+            edit("\"payment\"", "\"pay\""),
         ],
     );
-    let pools = edited(
-        POOLS,
-        &[Edit {
-            from: "slots = 4",
-            to: "slots = 5",
-        }],
-    );
+    let pools = edited(POOLS, &[edit("slots = 4", "slots = 5")]);
     let after = TableTexts { routes, pools };
     let diff = TableDiff::between(
         &before.check().expect("valid"),
@@ -138,46 +129,28 @@
         pools: &[],
         server: "e1",
         drain: true,
-        expected: &[Edit {
-            from: "name = \"e1\"",
-            to: "name = \"e1\", drain = true",
-        }],
+        expected: &[edit("name = \"e1\"", "name = \"e1\", drain = true")],
     },
     DrainCase {
         name: "row with a header",
         pools: &[],
         server: "d1",
         drain: true,
-        expected: &[Edit {
-            from: "# the only one\n",
-            to: "# the only one\ndrain = true\n",
-        }],
+        expected: &[edit("# the only one\n", "# the only one\ndrain = true\n")],
     },
     DrainCase {
         name: "key already there",
-        pools: &[Edit {
-            from: "slots = 4",
-            to: "slots = 4\ndrain  =  false # for now",
-        }],
+        pools: &[edit("slots = 4", "slots = 4\ndrain  =  false # for now")],
         server: "d1",
         drain: true,
-        expected: &[Edit {
-            from: "slots = 4",
-            to: "slots = 4\ndrain  =  true # for now",
-        }],
+        expected: &[edit("slots = 4", "slots = 4\ndrain  =  true # for now")],
     },
     DrainCase {
         name: "undone",
-        pools: &[Edit {
-            from: "slots = 4",
-            to: "slots = 4\ndrain = true",
-        }],
+        pools: &[edit("slots = 4", "slots = 4\ndrain = true")],
         server: "d1",
         drain: false,
-        expected: &[Edit {
-            from: "slots = 4",
-            to: "slots = 4\ndrain = false",
-        }],
+        expected: &[edit("slots = 4", "slots = 4\ndrain = false")],
     },
     DrainCase {
         name: "nothing to do",
@@ -188,16 +161,13 @@
     },
     DrainCase {
         name: "returns at line ends",
-        pools: &[Edit {
-            from: "# the only one\n",
-            to: "# the only one\r\n",
-        }],
+        pools: &[edit("# the only one\n", "# the only one\r\n")],
         server: "d1",
         drain: true,
-        expected: &[Edit {
-            from: "# the only one\n",
-            to: "# the only one\r\ndrain = true\r\n",
-        }],
+        expected: &[edit(
+            "# the only one\n",
+            "# the only one\r\ndrain = true\r\n",
+        )],
     },
 ];
 
--- a/crates/dewspring/src/tables/tests/lookup.rs
+++ b/crates/dewspring/src/tables/tests/lookup.rs
@@ -1,6 +1,6 @@
 //! Lookup by path, method, model and label.
 
-use super::samples::{Edit, ROUTES, edited, sample_texts};
+use super::samples::{ROUTES, edit, edited, sample_texts};
 use crate::tables::{RouteMatch, RouteTable, TableTexts};
 
 const MORE_ROUTES: &str = r#"idempotent = false
@@ -25,10 +25,7 @@
 "#;
 
 pub(super) fn lookup_table() -> RouteTable {
-    let edit = Edit {
-        from: "idempotent = false\n",
-        to: MORE_ROUTES,
-    };
+    let edit = edit("idempotent = false\n", MORE_ROUTES);
     let texts = TableTexts {
         routes: edited(ROUTES, &[edit]),
         ..sample_texts()
--- a/crates/dewspring/src/tables/tests/rebase.rs
+++ b/crates/dewspring/src/tables/tests/rebase.rs
@@ -1,6 +1,6 @@
 //! Joining two operators' changes.
 
-use super::samples::{Edit, POOLS, ROUTES, edited, sample_texts};
+use super::samples::{Edit, POOLS, ROUTES, edit, edited, sample_texts};
 use crate::tables::{RebaseError, TableTexts, rebase_tables};
 
 struct RebaseCase {
@@ -23,18 +23,9 @@
 
 const NEW_SERVER: &str = "slots = 4\n[[pool.server]]\nname = \"d2\"\naddress = \"127.0.0.1:9102\"\ndata_centre = \"dc-1\"\nslots = 4\n";
 const OTHER_SERVER: &str = "slots = 4\n[[pool.server]]\nname = \"d3\"\naddress = \"127.0.0.1:9102\"\ndata_centre = \"dc-1\"\nslots = 4\n";
-const E1_9: Edit = Edit {
-    from: "\"dc-1\", slots = 8",
-    to: "\"dc-1\", slots = 9",
-};
-const E2_9: Edit = Edit {
-    from: "\"dc-2\", slots = 8",
-    to: "\"dc-2\", slots = 9",
-};
-const E1_7: Edit = Edit {
-    from: "\"dc-1\", slots = 8",
-    to: "\"dc-1\", slots = 7",
-};
+const E1_9: Edit = edit("\"dc-1\", slots = 8", "\"dc-1\", slots = 9");
+const E2_9: Edit = edit("\"dc-2\", slots = 8", "\"dc-2\", slots = 9");
+const E1_7: Edit = edit("\"dc-1\", slots = 8", "\"dc-1\", slots = 7");
 
 const CASES: &[RebaseCase] = &[
     RebaseCase {
@@ -64,46 +55,31 @@
     RebaseCase {
         name: "rows and a comment on one line",
         mine: &[
-            Edit {
-                from: "kind = \"engine\"",
-                to: "kind = \"engine\"\ncan_resume = true",
-            },
-            Edit {
-                from: "# The first of two.",
-                to: "{ name = \"e0\", address = \"127.0.0.1:9000\", data_centre = \"dc-1\", slots = 1 },",
-            },
+            edit("kind = \"engine\"", "kind = \"engine\"\ncan_resume = true"),
+            edit(
+                "# The first of two.",
+                "{ name = \"e0\", address = \"127.0.0.1:9000\", data_centre = \"dc-1\", slots = 1 },",
+            ),
         ],
         theirs: &[
-            Edit {
-                from: "# The first of two.",
-                to: "# The first pair.",
-            },
-            Edit {
-                from: "\"dc-1\", slots = 8",
-                to: "\"dc-1\", slots = 6",
-            },
+            edit("# The first of two.", "# The first pair."),
+            edit("\"dc-1\", slots = 8", "\"dc-1\", slots = 6"),
         ],
         expected: RebaseExpectation::Printed,
     },
     RebaseCase {
         name: "a server removed here and changed there",
-        mine: &[Edit {
-            from: "    { name = \"e2\", address = \"127.0.0.1:9002\", data_centre = \"dc-2\", slots = 8 },\n",
-            to: "",
-        }],
+        mine: &[edit(
+            "    { name = \"e2\", address = \"127.0.0.1:9002\", data_centre = \"dc-2\", slots = 8 },\n",
+            "",
+        )],
         theirs: &[E2_9],
         expected: RebaseExpectation::Conflicts("changed on both sides: server \"e2\""),
     },
     RebaseCase {
         name: "one address for two new servers",
-        mine: &[Edit {
-            from: "slots = 4\n",
-            to: NEW_SERVER,
-        }],
-        theirs: &[Edit {
-            from: "slots = 4\n",
-            to: OTHER_SERVER,
-        }],
+        mine: &[edit("slots = 4\n", NEW_SERVER)],
+        theirs: &[edit("slots = 4\n", OTHER_SERVER)],
         expected: RebaseExpectation::Invalid("\"127.0.0.1:9102\" is already taken at line 25"),
     },
 ];
@@ -153,13 +129,7 @@
 #[test]
 fn changes_of_both_tables_are_joined() {
     let mine = TableTexts {
-        routes: edited(
-            ROUTES,
-            &[Edit {
-                from: "\"20s\"",
-                to: "\"30s\"",
-            }],
-        ),
+        routes: edited(ROUTES, &[edit("\"20s\"", "\"30s\"")]),
         ..sample_texts()
     };
     let joined = rebase_tables(&sample_texts(), &mine, &pools_with(&[E1_9])).expect("disjoint");
@@ -182,10 +152,7 @@
         routes: ROUTES[..pay_at].to_owned(),
         pools: POOLS[..desk_at].to_owned(),
     };
-    let theirs = pools_with(&[Edit {
-        from: "slots = 4\n",
-        to: NEW_SERVER,
-    }]);
+    let theirs = pools_with(&[edit("slots = 4\n", NEW_SERVER)]);
     let outcome = rebase_tables(&sample_texts(), &mine, &theirs).expect_err("no such pool");
     assert_eq!(outcome.to_string(), "changed on both sides: server \"d2\"");
 }
--- a/crates/dewspring/src/tables/tests/samples.rs
+++ b/crates/dewspring/src/tables/tests/samples.rs
@@ -64,6 +64,10 @@
     pub(super) to: &'static str,
 }
 
+pub(super) const fn edit(from: &'static str, to: &'static str) -> Edit {
+    Edit { from, to }
+}
+
 pub(super) fn edited(text: &str, edits: &[Edit]) -> String {
     let mut text = text.to_owned();
     for edit in edits {
--- a/crates/dewspring/src/tables/tests/verify.rs
+++ b/crates/dewspring/src/tables/tests/verify.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::samples::{Edit, POOLS, ROUTES, edited, sample_texts};
+use super::samples::{Edit, POOLS, ROUTES, edit, edited, sample_texts};
 use crate::tables::{LatePolicy, TableTexts};
 
 struct VerifyCase {
@@ -33,20 +33,8 @@
     },
     VerifyCase {
         name: "unknown and missing keys",
-        routes: &[
-            Edit {
-                from: "tier = 1",
-                to: "teir = 1",
-            },
-            Edit {
-                from: "# Routes.",
-                to: "x = 1",
-            },
-        ],
-        pools: &[Edit {
-            from: "slots = 4",
-            to: "slot = 4",
-        }],
+        routes: &[edit("tier = 1", "teir = 1"), edit("# Routes.", "x = 1")],
+        pools: &[edit("slots = 4", "slot = 4")],
         errors: &[
             "routes.toml:1: x: unknown key",
             "routes.toml:2: tier: missing key",
@@ -58,23 +46,11 @@
     VerifyCase {
         name: "wrong types",
         routes: &[
-            Edit {
-                from: "\"20s\"",
-                to: "20",
-            },
-            Edit {
-                from: "tier = 1",
-                to: "tier = \"1\"",
-            },
-            Edit {
-                from: "idempotent = false",
-                to: "idempotent = 0\nmethods = \"POST\"",
-            },
+            edit("\"20s\"", "20"),
+            edit("tier = 1", "tier = \"1\""),
+            edit("idempotent = false", "idempotent = 0\nmethods = \"POST\""),
         ],
-        pools: &[Edit {
-            from: "name = \"engines\"",
-            to: "name = 1",
-        }],
+        pools: &[edit("name = \"engines\"", "name = 1")],
         errors: &[
             "routes.toml:7: pool: no pool is named \"engines\"",
             "routes.toml:8: tier: must be an integer",
@@ -87,10 +63,7 @@
     VerifyCase {
         name: "rows that are no tables",
         routes: &[],
-        pools: &[Edit {
-            from: "kind = \"service\"",
-            to: "kind = \"service\"\nmodel = []",
-        }],
+        pools: &[edit("kind = \"service\"", "kind = \"service\"\nmodel = []")],
         errors: &[
             "pools.toml:15: model: must be a string",
             "pools.toml:15: model: is not allowed with a service pool",
@@ -98,29 +71,20 @@
     },
     VerifyCase {
         name: "dangling pool",
-        routes: &[Edit {
-            from: "\"desk\"",
-            to: "\"desks\"",
-        }],
+        routes: &[edit("\"desk\"", "\"desks\"")],
         pools: &[],
         errors: &["routes.toml:14: pool: no pool is named \"desks\""],
     },
     VerifyCase {
         name: "zero limits and durations",
         routes: &[
-            Edit {
-                from: "\"20s\"",
-                to: "\"0s\"\nmax_body_bytes = 0\nfloor_percent = 0\nfirst_token = \"0s\"",
-            },
-            Edit {
-                from: "\"10s\"",
-                to: "\"0ms\"",
-            },
+            edit(
+                "\"20s\"",
+                "\"0s\"\nmax_body_bytes = 0\nfloor_percent = 0\nfirst_token = \"0s\"",
+            ),
+            edit("\"10s\"", "\"0ms\""),
         ],
-        pools: &[Edit {
-            from: "slots = 4",
-            to: "slots = 0",
-        }],
+        pools: &[edit("slots = 4", "slots = 0")],
         errors: &[
             "routes.toml:9: target: must be above zero",
             "routes.toml:10: max_body_bytes: must be above zero",
@@ -133,23 +97,11 @@
     VerifyCase {
         name: "ranges",
         routes: &[
-            Edit {
-                from: "tier = 1",
-                to: "tier = 5\nfloor_percent = 101",
-            },
-            Edit {
-                from: "tier = 0",
-                to: "tier = -1",
-            },
-            Edit {
-                from: "\"10s\"",
-                to: "\"25h\"",
-            },
+            edit("tier = 1", "tier = 5\nfloor_percent = 101"),
+            edit("tier = 0", "tier = -1"),
+            edit("\"10s\"", "\"25h\""),
         ],
-        pools: &[Edit {
-            from: "slots = 4",
-            to: "slots = 99999999999999999999",
-        }],
+        pools: &[edit("slots = 4", "slots = 99999999999999999999")],
         errors: &[
             "routes.toml:8: tier: must be from 0 to 4",
             "routes.toml:9: floor_percent: must be from 1 to 100",
@@ -160,16 +112,7 @@
     },
     VerifyCase {
         name: "bad durations",
-        routes: &[
-            Edit {
-                from: "\"20s\"",
-                to: "\"soon\"",
-            },
-            Edit {
-                from: "\"10s\"",
-                to: "\"-10s\"",
-            },
-        ],
+        routes: &[edit("\"20s\"", "\"soon\""), edit("\"10s\"", "\"-10s\"")],
         pools: &[],
         errors: &[
             "routes.toml:9: target: must be a duration such as \"120s\" or \"5m\"",
@@ -178,19 +121,10 @@
     },
     VerifyCase {
         name: "duplicates across pools",
-        routes: &[Edit {
-            from: "\"payment\"",
-            to: "\"memo\"",
-        }],
+        routes: &[edit("\"payment\"", "\"memo\"")],
         pools: &[
-            Edit {
-                from: "\"d1\"",
-                to: "\"e1\"",
-            },
-            Edit {
-                from: "127.0.0.1:9101",
-                to: "127.0.0.1:9002",
-            },
+            edit("\"d1\"", "\"e1\""),
+            edit("127.0.0.1:9101", "127.0.0.1:9002"),
         ],
         errors: &[
             "routes.toml:12: name: \"memo\" is already taken at line 3",
@@ -201,10 +135,7 @@
     VerifyCase {
         name: "duplicate pool",
         routes: &[],
-        pools: &[Edit {
-            from: "\"desk\"",
-            to: "\"engines\"",
-        }],
+        pools: &[edit("\"desk\"", "\"engines\"")],
         errors: &[
             "routes.toml:14: pool: no pool is named \"desk\"",
             "pools.toml:13: name: \"engines\" is already taken at line 3",
@@ -212,37 +143,31 @@
     },
     VerifyCase {
         name: "overlapping routes",
-        routes: &[Edit {
-            from: "target = \"20s\"\n",
-            to: SECOND_MEMO,
-        }],
+        routes: &[edit("target = \"20s\"\n", SECOND_MEMO)],
         pools: &[],
         errors: &["routes.toml:13: path: overlaps route \"memo\" at line 4"],
     },
     VerifyCase {
         name: "a nested path is no overlap",
-        routes: &[Edit {
-            from: "idempotent = false\n",
-            to: "idempotent = false\n[[route]]\nname = \"refund\"\npath = \"/payment/refund/\"\npool = \"desk\"\ntier = 0\ntarget = \"2s\"\nidempotent = false\n",
-        }],
+        routes: &[edit(
+            "idempotent = false\n",
+            "idempotent = false\n[[route]]\nname = \"refund\"\npath = \"/payment/refund/\"\npool = \"desk\"\ntier = 0\ntarget = \"2s\"\nidempotent = false\n",
+        )],
         pools: &[],
         errors: &[],
     },
     VerifyCase {
         name: "methods that differ are no overlap",
-        routes: &[Edit {
-            from: "idempotent = false\n",
-            to: "idempotent = false\nmethods = [\"POST\"]\n[[route]]\nname = \"read\"\npath = \"/payment/\"\npool = \"desk\"\nmethods = [\"GET\"]\ntier = 0\ntarget = \"2s\"\nidempotent = true\n",
-        }],
+        routes: &[edit(
+            "idempotent = false\n",
+            "idempotent = false\nmethods = [\"POST\"]\n[[route]]\nname = \"read\"\npath = \"/payment/\"\npool = \"desk\"\nmethods = [\"GET\"]\ntier = 0\ntarget = \"2s\"\nidempotent = true\n",
+        )],
         pools: &[],
         errors: &[],
     },
     VerifyCase {
         name: "one path for engines and services",
-        routes: &[Edit {
-            from: "\"/payment/\"",
-            to: "\"/v1/chat/completions\"",
-        }],
+        routes: &[edit("\"/payment/\"", "\"/v1/chat/completions\"")],
         pools: &[],
         errors: &[
             "routes.toml:13: path: route \"memo\" at line 4 serves the path with another kind of pool",
@@ -250,10 +175,10 @@
     },
     VerifyCase {
         name: "times out of order",
-        routes: &[Edit {
-            from: "\"20s\"",
-            to: "\"20s\"\nfirst_token = \"21s\"\ntimeout = \"19s\"",
-        }],
+        routes: &[edit(
+            "\"20s\"",
+            "\"20s\"\nfirst_token = \"21s\"\ntimeout = \"19s\"",
+        )],
         pools: &[],
         errors: &[
             "routes.toml:9: target: must not be above timeout",
@@ -262,10 +187,10 @@
     },
     VerifyCase {
         name: "floors over the whole pool",
-        routes: &[Edit {
-            from: "\"20s\"\n",
-            to: "\"20s\"\nfloor_percent = 60\n[[route]]\nname = \"a\"\npath = \"/a\"\nmodel = \"small\"\npool = \"engines\"\ntier = 1\ntarget = \"1s\"\nfloor_percent = 41\n",
-        }],
+        routes: &[edit(
+            "\"20s\"\n",
+            "\"20s\"\nfloor_percent = 60\n[[route]]\nname = \"a\"\npath = \"/a\"\nmodel = \"small\"\npool = \"engines\"\ntier = 1\ntarget = \"1s\"\nfloor_percent = 41\n",
+        )],
         pools: &[],
         errors: &[
             "routes.toml:18: floor_percent: the floors of pool \"engines\" sum to 101 percent",
@@ -273,24 +198,21 @@
     },
     VerifyCase {
         name: "routes of one class disagree",
-        routes: &[Edit {
-            from: "\"20s\"\n",
-            to: "\"20s\"\n[[route]]\nname = \"a\"\nclass = \"memo\"\npath = \"/a\"\nmodel = \"small\"\npool = \"engines\"\ntier = 2\ntarget = \"1s\"\n",
-        }],
+        routes: &[edit(
+            "\"20s\"\n",
+            "\"20s\"\n[[route]]\nname = \"a\"\nclass = \"memo\"\npath = \"/a\"\nmodel = \"small\"\npool = \"engines\"\ntier = 2\ntarget = \"1s\"\n",
+        )],
         pools: &[],
         errors: &["routes.toml:16: tier: differs from route \"memo\" of the same class at line 4"],
     },
     VerifyCase {
         name: "models",
         routes: &[
-            Edit {
-                from: "model = \"small\"",
-                to: "model = \"large\"",
-            },
-            Edit {
-                from: "pool = \"desk\"",
-                to: "pool = \"desk\"\nmodel = \"small\"\nfirst_token = \"1s\"",
-            },
+            edit("model = \"small\"", "model = \"large\""),
+            edit(
+                "pool = \"desk\"",
+                "pool = \"desk\"\nmodel = \"small\"\nfirst_token = \"1s\"",
+            ),
         ],
         pools: &[],
         errors: &[
@@ -302,19 +224,10 @@
     VerifyCase {
         name: "models left out",
         routes: &[
-            Edit {
-                from: "model = \"small\"\n",
-                to: "",
-            },
-            Edit {
-                from: "idempotent = false\n",
-                to: "",
-            },
+            edit("model = \"small\"\n", ""),
+            edit("idempotent = false\n", ""),
         ],
-        pools: &[Edit {
-            from: "model = \"small\"\n",
-            to: "",
-        }],
+        pools: &[edit("model = \"small\"\n", "")],
         errors: &[
             "routes.toml:2: model: missing key",
             "routes.toml:10: idempotent: missing key",
@@ -324,28 +237,13 @@
     VerifyCase {
         name: "bad path, name, label, method and choice",
         routes: &[
-            Edit {
-                from: "\"/payment/\"",
-                to: "\"payment/\"\nmethods = [\"get\"]",
-            },
-            Edit {
-                from: "\"payment\"",
-                to: "\"-\"",
-            },
-            Edit {
-                from: "label = \"memo\"",
-                to: "label = \"\"\nlate = \"never\"",
-            },
+            edit("\"/payment/\"", "\"payment/\"\nmethods = [\"get\"]"),
+            edit("\"payment\"", "\"-\""),
+            edit("label = \"memo\"", "label = \"\"\nlate = \"never\""),
         ],
         pools: &[
-            Edit {
-                from: "\"service\"",
-                to: "\"services\"",
-            },
-            Edit {
-                from: "127.0.0.1:9101",
-                to: "localhost:9101",
-            },
+            edit("\"service\"", "\"services\""),
+            edit("127.0.0.1:9101", "localhost:9101"),
         ],
         errors: &[
             "routes.toml:6: label: must be 1 to 256 visible ASCII characters without spaces",
@@ -359,20 +257,11 @@
     },
     VerifyCase {
         name: "faults of syntax hide no other fault and invent none",
-        routes: &[
-            Edit {
-                from: "tier = 1",
-                to: "tier = ",
-            },
-            Edit {
-                from: "\"2s\"",
-                to: "\"0s\"",
-            },
-        ],
-        pools: &[Edit {
-            from: "name = \"desk\"\n",
-            to: "name = \"desk\"\nname = \"desk\"\n",
-        }],
+        routes: &[edit("tier = 1", "tier = "), edit("\"2s\"", "\"0s\"")],
+        pools: &[edit(
+            "name = \"desk\"\n",
+            "name = \"desk\"\nname = \"desk\"\n",
+        )],
         errors: &[
             "routes.toml:8: string values must be quoted, expected literal string",
             "routes.toml:16: target: must be above zero",
@@ -425,13 +314,7 @@
     assert_eq!(pool.retry_percent, 10);
     assert!(!pool.refusal_means_not_run && !pool.servers[0].drain);
 
-    let worthless = edited(
-        ROUTES,
-        &[Edit {
-            from: "\"20s\"",
-            to: "\"20s\"\nlate = \"worthless\"",
-        }],
-    );
+    let worthless = edited(ROUTES, &[edit("\"20s\"", "\"20s\"\nlate = \"worthless\"")]);
     let texts = TableTexts {
         routes: worthless,
         ..sample_texts()
@@ -497,3 +380,18 @@
         assert_eq!(servers, case.servers);
     }
 }
+
+#[test]
+fn every_key_is_documented() {
+    let manual = include_str!("../../../../../docs/TABLES.md");
+    let tables = sample_texts().check().expect("the sample is valid");
+    let printed = [tables.routes.to_toml(), tables.pools.to_toml()].concat();
+    let before_values = printed.split(" = ");
+    let keys = before_values.filter_map(|text| text.split_whitespace().last());
+    let mut count = 0;
+    for key in keys.take_while(|key| *key != "]").chain(["first_token"]) {
+        assert!(manual.contains(&format!("| `{key}` |")), "key {key}");
+        count += 1;
+    }
+    assert!(count > 40, "the keys of both tables are looked for");
+}
