--- a/crates/dewspringd/tests/common/mod.rs
+++ b/crates/dewspringd/tests/common/mod.rs
@@ -228,19 +228,20 @@
 
     /// Puts the daemons into the platform's list of VMs.
     pub fn publish_vms(&self) {
-        let vms: Vec<Value> = self
-            .daemons
-            .iter()
-            .enumerate()
-            .map(|(index, daemon)| {
-                json!({
-                    "vm": format!("vm-{}", index + 1),
-                    "address": daemon.peer.to_string(),
-                    "data_centre": "dk-east-1",
-                    "state": "live",
-                })
+        self.publish_vms_with(&[]);
+    }
+
+    /// Puts the daemons and further entries into the platform's list of VMs.
+    pub fn publish_vms_with(&self, others: &[Value]) {
+        let daemons = self.daemons.iter().enumerate().map(|(index, daemon)| {
+            json!({
+                "vm": format!("vm-{}", index + 1),
+                "address": daemon.peer.to_string(),
+                "data_centre": "dk-east-1",
+                "state": "live",
             })
-            .collect();
+        });
+        let vms: Vec<Value> = daemons.chain(others.iter().cloned()).collect();
         self.control_platform(&json!({ "vms": vms }));
     }
 
