Choose the server with the lowest estimated completion

Cause: least work in flight ignores slow servers, work of others and caches.

Ruled out: rendezvous hashing over all servers (time in their number); a fixed pace for servers that have shown none (the first server that was measured drew all 20 prefixes of the test to it); a report's count taken as it is (a lagging report of the broker's own work took a slot).

Change: measured pace, foreign load from reports, prefix hints with ages and a capped saving, rendezvous among the eight servers that follow the key on a ring, ordered index of free servers.

--- a/crates/dewspring/src/broker/estimate.rs
+++ b/crates/dewspring/src/broker/estimate.rs
@@ -31,10 +31,15 @@
 /// Classes, and workspaces of a class, that are remembered.
 const MAX_HISTORIES: usize = 256;
 
+/// Returns the work of a prompt alone, in generated tokens.
+pub(super) fn prompt_work(prompt: TokenCount) -> TokenCount {
+    prompt / PROMPT_TOKENS_PER_TOKEN
+}
+
 /// Returns the work of a prompt and its answer, in generated tokens.
 pub(super) fn work_of(prompt: TokenCount, answer: TokenCount) -> TokenCount {
     REQUEST_OVERHEAD
-        .saturating_add(prompt / PROMPT_TOKENS_PER_TOKEN)
+        .saturating_add(prompt_work(prompt))
         .saturating_add(answer)
         .min(MAX_WORK)
 }
--- a/crates/dewspring/src/broker/grants.rs
+++ b/crates/dewspring/src/broker/grants.rs
@@ -5,7 +5,8 @@
 
 use indexmap::IndexMap;
 
-use crate::ids::{BootId, ClassName, GrantId, PoolName, RequestId, ServerName, TierLevel};
+use super::replica::ReplicaId;
+use crate::ids::{BootId, ClassName, GrantId, PoolName, RequestId, TierLevel};
 use crate::ids::{TokenCount, VmId, WorkspaceId};
 
 /// A grant that is out.
@@ -22,7 +23,7 @@
     /// Pool of the server.
     pub(super) pool: PoolName,
     /// Server that the grant is for.
-    pub(super) server: ServerName,
+    pub(super) replica: ReplicaId,
     /// Class of the request.
     pub(super) class: ClassName,
     /// Tier of the request.
--- a/crates/dewspring/src/broker/mod.rs
+++ b/crates/dewspring/src/broker/mod.rs
@@ -6,19 +6,24 @@
 //! at once, while load reports lag.
 
 mod admission;
+mod choice;
 mod class;
 mod control;
 mod estimate;
 mod floor;
 mod grants;
 mod handle;
+mod load;
 mod mailbox;
 mod messages;
 mod pace;
 mod pool;
+mod prefix;
 mod queue;
 mod queued;
+mod rendezvous;
 mod replica;
+mod replicas;
 mod shares;
 mod state;
 mod status;
--- a/crates/dewspring/src/broker/pace.rs
+++ b/crates/dewspring/src/broker/pace.rs
@@ -4,8 +4,12 @@
 
 use crate::ids::TokenCount;
 
+/// Pace that is assumed before anything is known, in seconds for each token.
+pub(super) const DEFAULT_PACE: f64 = 0.02;
 /// Work at which older releases begin to count less, in tokens.
 const MAX_WORK: f64 = 20_000.0;
+/// Work that a prior pace weighs as much as, in tokens.
+const PRIOR_WORK: f64 = 1_000.0;
 /// Time after which the last release says nothing any more.
 const MAX_AGE: Duration = Duration::from_secs(15);
 
@@ -15,7 +19,6 @@
 pub(super) struct ServicePace {
     work: f64,
     seconds: f64,
-    samples: u32,
     updated_at: Option<Instant>,
 }
 
@@ -28,7 +31,6 @@
         }
         self.work += work as f64;
         self.seconds += elapsed.as_secs_f64();
-        self.samples = self.samples.saturating_add(1);
         self.updated_at = Some(now);
     }
 
@@ -38,6 +40,17 @@
     /// release would ever correct it.
     pub(super) fn seconds_per_token(&self, now: Instant) -> Option<f64> {
         let age = now.saturating_duration_since(self.updated_at?);
-        (age <= MAX_AGE && self.work > 0.0).then(|| self.seconds / self.work)
+        self.latest().filter(|_| age <= MAX_AGE)
+    }
+
+    /// Returns the seconds for each token, however old, drawn to `prior` as
+    /// long as little is known.
+    pub(super) fn drawn_to(&self, prior: f64) -> f64 {
+        (self.seconds + prior * PRIOR_WORK) / (self.work + PRIOR_WORK)
+    }
+
+    /// Returns the seconds for each token, however old.
+    pub(super) fn latest(&self) -> Option<f64> {
+        (self.work > 0.0).then(|| self.seconds / self.work)
     }
 }
--- a/crates/dewspring/src/broker/pool.rs
+++ b/crates/dewspring/src/broker/pool.rs
@@ -2,19 +2,21 @@
 //!
 //! The pool never has more grants out on a server than the server has slots.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
-
 use super::admission::{PoolCapacity, expiry_reason, give_up_at, is_in_time};
+use super::choice::{ChoiceInput, ReplicaChoice, choose};
 use super::control::{ServerMark, ServerReport, ShareDivisor};
 use super::estimate::{WorkEstimator, work_of};
 use super::grants::GrantRecord;
 use super::messages::{AttemptOutcome, GrantRelease, RefusalReason};
 use super::pace::ServicePace;
+use super::prefix::{PrefixHint, PrefixIndex};
 use super::queue::{PoolQueue, ServiceTurn};
 use super::queued::QueuedRequest;
-use super::replica::ReplicaState;
+use super::replica::ReplicaId;
+use super::replicas::ReplicaSet;
 use super::status::PoolStatus;
 use crate::ids::{GrantId, PoolName, ServerName, TierLevel};
 use crate::tables::PoolRow;
@@ -27,8 +29,12 @@
 pub(super) struct Placement {
     /// The request, taken out of the queue.
     pub(super) queued: QueuedRequest,
-    /// Server that is to run it.
+    /// Number of the server that is to run it.
+    pub(super) replica: ReplicaId,
+    /// Its name.
     pub(super) server: ServerName,
+    /// Address of that server.
+    pub(super) address: SocketAddr,
     /// Why it is the request's turn.
     pub(super) turn: ServiceTurn,
     /// Why the server was chosen.
@@ -42,31 +48,22 @@
     pub(super) queue: PoolQueue,
     estimator: WorkEstimator,
     pace: ServicePace,
-    replicas: IndexMap<ServerName, ReplicaState>,
+    prefixes: PrefixIndex,
+    replicas: ReplicaSet,
     is_listed: bool,
 }
 
 impl PoolState {
     /// Follows a new row of the pools table.
     pub(super) fn configure(&mut self, row: &PoolRow, share: ShareDivisor) {
-        self.unlist();
         self.is_listed = true;
-        for server in &row.servers {
-            match self.replicas.get_mut(&server.name) {
-                Some(replica) => replica.configure(server, share),
-                None => {
-                    let replica = ReplicaState::new(server, share);
-                    self.replicas.insert(server.name.clone(), replica);
-                }
-            }
-        }
-        self.forget_gone();
+        self.replicas.configure(&row.servers, share);
     }
 
     /// Notes that the pools table no longer has the pool.
     pub(super) fn unlist(&mut self) {
         self.is_listed = false;
-        self.replicas.values_mut().for_each(ReplicaState::unlist);
+        self.replicas.configure(&[], ShareDivisor::WHOLE);
     }
 
     /// Whether nothing keeps the broker from forgetting the pool.
@@ -76,28 +73,52 @@
 
     /// Follows a new share.
     pub(super) fn set_share(&mut self, share: ShareDivisor) {
-        for replica in self.replicas.values_mut() {
-            replica.set_share(share);
+        for id in self.replicas.ids() {
+            self.replicas.change(id, |replica| replica.set_share(share));
         }
     }
 
     /// Notes what the platform's list says of a server.
     pub(super) fn mark(&mut self, server: &ServerName, mark: ServerMark) {
-        if let Some(replica) = self.replicas.get_mut(server) {
-            replica.mark(mark);
+        if let Some(id) = self.replicas.id(server) {
+            self.replicas.change(id, |replica| replica.mark(mark));
         }
     }
 
     /// Notes what a server says of itself.
-    pub(super) fn report(&mut self, report: &ServerReport) {
-        if let Some(replica) = self.replicas.get_mut(&report.server) {
-            replica.report(report);
+    pub(super) fn report(&mut self, report: &ServerReport, now: Instant) {
+        let Some(id) = self.replicas.id(&report.server) else {
+            return;
+        };
+        self.replicas
+            .change(id, |replica| replica.report(report, now));
+        for hint in &report.cached {
+            if let Some(seen_at) = now.checked_sub(hint.age) {
+                let replica = id;
+                self.prefixes
+                    .note(hint.prefix, PrefixHint { replica, seen_at });
+            }
+        }
+    }
+
+    /// Forgets what is too old to be relied on.
+    pub(super) fn review(&mut self, now: Instant) {
+        for id in self.replicas.ids() {
+            self.replicas
+                .change(id, |replica| replica.expire_report(now));
+        }
+        self.follow_pace();
+    }
+
+    fn follow_pace(&mut self) {
+        if let Some(pace) = self.pace.latest() {
+            self.replicas.set_pool_pace(pace);
         }
     }
 
     /// Whether any server takes new work at all.
     pub(super) fn is_serving(&self) -> bool {
-        self.replicas.values().any(ReplicaState::is_serving)
+        self.replicas.is_serving()
     }
 
     /// Estimates a new request and returns why it is refused, if it is.
@@ -133,12 +154,8 @@
     }
 
     fn capacity(&self, now: Instant) -> PoolCapacity {
-        let serving = self
-            .replicas
-            .values()
-            .filter(|replica| replica.is_serving());
         PoolCapacity {
-            slots: serving.map(ReplicaState::slots).sum(),
+            slots: self.replicas.serving_slots(),
             seconds_per_token: self.pace.seconds_per_token(now),
         }
     }
@@ -146,17 +163,20 @@
     /// Finds the next request that can run now, and counts its grant.
     ///
     /// A request that excludes every free server is passed over.
-    pub(super) fn place_next(&mut self) -> Option<Placement> {
-        if !self.replicas.values().any(ReplicaState::is_free) {
-            return None;
-        }
+    pub(super) fn place_next(&mut self, now: Instant) -> Option<Placement> {
+        self.replicas.free().next()?;
         let mut placement = None;
         while let Some(head) = self.queue.head() {
             let queued = self.queue.get(head.ticket);
             let queued = queued.expect("the head of the queue waits");
-            if let Some(server) = self.choose(queued) {
+            let input = ChoiceInput {
+                replicas: &self.replicas,
+                prefixes: &self.prefixes,
+                now,
+            };
+            if let Some(choice) = choose(&input, queued) {
                 let queued = self.queue.serve(head);
-                placement = Some(self.place(queued, head.turn, server));
+                placement = Some(self.place(queued, head.turn, choice, now));
                 break;
             }
             self.queue.set_aside(head.ticket);
@@ -172,14 +192,12 @@
         release: Option<&GrantRelease>,
         now: Instant,
     ) {
-        let replica = self.replicas.get_mut(&record.server);
-        replica
-            .expect("a server stays known while it has grants")
-            .end(record.work);
+        let id = record.replica;
+        self.replicas.change(id, |replica| replica.end(record.work));
         if let Some(release) = release {
             self.learn(record, release, now);
         }
-        self.forget_gone();
+        self.replicas.forget_if_gone(id);
     }
 
     fn learn(&mut self, record: &GrantRecord, release: &GrantRelease, now: Instant) {
@@ -188,7 +206,14 @@
         self.queue
             .correct(record.tier, &record.class, &record.workspace, missed);
         if release.outcome == AttemptOutcome::Completed {
+            let is_first = self.pace.latest().is_none();
             self.pace.record(done, release.elapsed, now);
+            if is_first {
+                self.follow_pace();
+            }
+            self.replicas.change(record.replica, |replica| {
+                replica.learn(done, release.elapsed, now);
+            });
             self.estimator
                 .record(&record.class, &record.workspace, release.tokens);
         }
@@ -199,37 +224,33 @@
         PoolStatus {
             pool: name.clone(),
             classes: self.queue.status(),
-            servers: self.replicas.values().map(ReplicaState::status).collect(),
+            servers: self.replicas.status(),
         }
     }
 
-    /// Returns a server by name.
-    pub(super) fn replica(&self, server: &ServerName) -> Option<&ReplicaState> {
-        self.replicas.get(server)
-    }
-
-    fn choose(&self, queued: &QueuedRequest) -> Option<ServerName> {
-        let excluded = &queued.request.excluded;
-        let free = self.replicas.values().filter(|replica| replica.is_free());
-        free.filter(|replica| !excluded.contains(&replica.name))
-            .min_by_key(|replica| (replica.tokens_in_flight, replica.in_flight))
-            .map(|replica| replica.name.clone())
-    }
-
-    fn place(&mut self, queued: QueuedRequest, turn: ServiceTurn, server: ServerName) -> Placement {
-        let replica = self.replicas.get_mut(&server);
-        let replica = replica.expect("the chosen server is known");
-        let reason = format!("{} tokens in flight", replica.tokens_in_flight);
-        replica.begin(queued.work);
+    fn place(
+        &mut self,
+        queued: QueuedRequest,
+        turn: ServiceTurn,
+        choice: ReplicaChoice,
+        now: Instant,
+    ) -> Placement {
+        let ReplicaChoice { replica, reason } = choice;
+        self.replicas
+            .change(replica, |state| state.begin(queued.work));
+        if let Some(prefix) = queued.request.prefix {
+            let seen_at = now;
+            self.prefixes.note(prefix, PrefixHint { replica, seen_at });
+        }
+        let state = self.replicas.get(replica);
+        let state = state.expect("the chosen server is known");
         Placement {
             queued,
-            server,
+            replica,
+            server: state.name.clone(),
+            address: state.address,
             turn,
             reason,
         }
     }
-
-    fn forget_gone(&mut self) {
-        self.replicas.retain(|_, replica| !replica.is_gone());
-    }
 }
--- a/crates/dewspring/src/broker/replica.rs
+++ b/crates/dewspring/src/broker/replica.rs
@@ -1,25 +1,33 @@
 //! One backend server as the broker sees it.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use super::control::{ServerMark, ServerReport, ShareDivisor};
+use super::load::{ForeignLoad, ServerLoad};
+use super::pace::ServicePace;
+use super::rendezvous::stable_hash;
 use super::status::{ServerState, ServerStatus};
 use crate::ids::{ServerName, TokenCount};
 use crate::tables::ServerRow;
 
+/// Number of a server, never used again in the same pool.
+pub(super) type ReplicaId = u32;
+
 /// One backend server of a pool.
 #[derive(Debug)]
 pub(super) struct ReplicaState {
     /// Its name.
     pub(super) name: ServerName,
+    /// Hash of its name, the same on all VMs.
+    pub(super) name_hash: u64,
     /// Address of its HTTP port.
     pub(super) address: SocketAddr,
-    /// Grants that are out.
-    pub(super) in_flight: u32,
-    /// Estimated work of those grants, in tokens.
-    pub(super) tokens_in_flight: TokenCount,
+    own: ServerLoad,
+    foreign: ForeignLoad,
+    pace: ServicePace,
     row_slots: u32,
-    slots: u32,
+    share: ShareDivisor,
     is_drained: bool,
     is_listed: bool,
     is_marked_leaving: bool,
@@ -31,11 +39,13 @@
     pub(super) fn new(row: &ServerRow, share: ShareDivisor) -> Self {
         Self {
             name: row.name.clone(),
+            name_hash: stable_hash(&row.name),
             address: row.address,
-            in_flight: 0,
-            tokens_in_flight: 0,
+            own: ServerLoad::default(),
+            foreign: ForeignLoad::default(),
+            pace: ServicePace::default(),
             row_slots: row.slots,
-            slots: share.share_of(row.slots),
+            share,
             is_drained: row.drain,
             is_listed: true,
             is_marked_leaving: false,
@@ -44,12 +54,11 @@
     }
 
     /// Follows a new row of the pools table.
-    pub(super) fn configure(&mut self, row: &ServerRow, share: ShareDivisor) {
+    pub(super) fn configure(&mut self, row: &ServerRow) {
         self.address = row.address;
         self.row_slots = row.slots;
         self.is_drained = row.drain;
         self.is_listed = true;
-        self.set_share(share);
     }
 
     /// Notes that the pools table no longer has the server.
@@ -59,7 +68,7 @@
 
     /// Follows a new share.
     pub(super) fn set_share(&mut self, share: ShareDivisor) {
-        self.slots = share.share_of(self.row_slots);
+        self.share = share;
     }
 
     /// Notes what the platform's list says.
@@ -68,41 +77,69 @@
     }
 
     /// Notes what the server itself says.
-    pub(super) fn report(&mut self, report: &ServerReport) {
+    pub(super) fn report(&mut self, report: &ServerReport, now: Instant) {
         self.is_reported_leaving = report.leaving;
+        self.foreign.report(report, self.own, now);
+    }
+
+    /// Forgets a report that is too old, and says whether it did.
+    pub(super) fn expire_report(&mut self, now: Instant) -> bool {
+        self.foreign.expire(now)
     }
 
-    /// Slots that this broker may fill.
+    /// Slots that this broker may fill, beside the work of others.
     pub(super) fn slots(&self) -> u32 {
-        self.slots
+        let foreign = self.foreign.current().requests;
+        let share = self.share.share_of(self.row_slots);
+        share.min(self.row_slots.saturating_sub(foreign))
     }
 
     /// Whether the server is there to take new work at all.
     pub(super) fn is_serving(&self) -> bool {
-        self.state() == ServerState::Active && self.slots > 0
+        self.state() == ServerState::Active && self.row_slots > 0
     }
 
     /// Whether the server may get one more request now.
     pub(super) fn is_free(&self) -> bool {
-        self.is_serving() && self.in_flight < self.slots
+        self.is_serving() && self.own.requests < self.slots()
     }
 
     /// Whether nothing keeps the broker from forgetting the server.
     pub(super) fn is_gone(&self) -> bool {
-        !self.is_listed && self.in_flight == 0
+        !self.is_listed && self.own.requests == 0
     }
 
     /// Counts a grant.
-    pub(super) fn begin(&mut self, tokens: TokenCount) {
-        self.in_flight += 1;
-        self.tokens_in_flight += tokens;
+    pub(super) fn begin(&mut self, work: TokenCount) {
+        self.own.requests += 1;
+        self.own.tokens += work;
+        self.foreign.note_own(self.own);
     }
 
     /// Counts the end of a grant.
-    pub(super) fn end(&mut self, tokens: TokenCount) {
-        assert!(self.in_flight > 0, "a grant ended at an idle server");
-        self.in_flight -= 1;
-        self.tokens_in_flight -= tokens;
+    pub(super) fn end(&mut self, work: TokenCount) {
+        assert!(self.own.requests > 0, "a grant ended at an idle server");
+        self.own.requests -= 1;
+        self.own.tokens -= work;
+    }
+
+    /// Learns from a request that ran to its end.
+    pub(super) fn learn(&mut self, work: TokenCount, elapsed: Duration, now: Instant) {
+        self.pace.record(work, elapsed, now);
+    }
+
+    /// Seconds for each token of a request's work, given the pool's pace.
+    pub(super) fn seconds_per_token(&self, pool_pace: f64) -> f64 {
+        self.pace.drawn_to(pool_pace)
+    }
+
+    /// Estimates how long the work at the server delays a new request, in
+    /// seconds.
+    pub(super) fn delay(&self, pool_pace: f64) -> f64 {
+        let foreign = self.foreign.current().tokens;
+        let tokens = self.own.tokens.saturating_add(foreign);
+        let slots = f64::from(self.row_slots.max(1));
+        tokens as f64 / slots * self.seconds_per_token(pool_pace)
     }
 
     /// Whether the server gets new work, and why not.
@@ -121,9 +158,9 @@
         ServerStatus {
             server: self.name.clone(),
             state: self.state(),
-            slots: self.slots,
-            in_flight: self.in_flight,
-            tokens_in_flight: self.tokens_in_flight,
+            slots: self.slots(),
+            in_flight: self.own.requests,
+            tokens_in_flight: self.own.tokens,
         }
     }
 }
--- /dev/null
+++ b/crates/dewspring/src/broker/replicas.rs
@@ -0,0 +1,210 @@
+//! The servers of one pool, with the indexes that keep choices fast.
+//!
+//! Every change of a server goes through [`ReplicaSet::change`], which brings
+//! the indexes up to date.
+
+use std::collections::BTreeSet;
+
+use indexmap::IndexMap;
+
+use super::control::ShareDivisor;
+use super::pace::DEFAULT_PACE;
+use super::rendezvous::ServerRing;
+use super::replica::{ReplicaId, ReplicaState};
+use super::status::ServerStatus;
+use crate::ids::ServerName;
+use crate::tables::ServerRow;
+
+/// What the indexes hold of one server.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct IndexedState {
+    /// Delay in microseconds, if the server is free.
+    delay: Option<u64>,
+    /// Slots, if the server is serving.
+    slots: u32,
+    is_serving: bool,
+}
+
+impl IndexedState {
+    fn of(state: &ReplicaState, pool_pace: f64) -> Self {
+        let is_serving = state.is_serving();
+        let delay = state.delay(pool_pace) * 1e6;
+        Self {
+            delay: state.is_free().then_some(delay as u64),
+            slots: if is_serving { state.slots() } else { 0 },
+            is_serving,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct ReplicaRow {
+    state: ReplicaState,
+    indexed: IndexedState,
+}
+
+/// The servers of one pool.
+#[derive(Debug)]
+pub(super) struct ReplicaSet {
+    rows: IndexMap<ReplicaId, ReplicaRow>,
+    ids: IndexMap<ServerName, ReplicaId>,
+    free: BTreeSet<(u64, ReplicaId)>,
+    ring: ServerRing,
+    next_id: ReplicaId,
+    serving_slots: u32,
+    serving_count: usize,
+    pool_pace: f64,
+}
+
+impl Default for ReplicaSet {
+    fn default() -> Self {
+        Self {
+            rows: IndexMap::new(),
+            ids: IndexMap::new(),
+            free: BTreeSet::new(),
+            ring: ServerRing::default(),
+            next_id: 0,
+            serving_slots: 0,
+            serving_count: 0,
+            pool_pace: DEFAULT_PACE,
+        }
+    }
+}
+
+impl ReplicaSet {
+    /// Seconds for each token of a request's work, by which servers are judged
+    /// that have shown little.
+    pub(super) fn pool_pace(&self) -> f64 {
+        self.pool_pace
+    }
+
+    /// Follows the pool's pace.
+    pub(super) fn set_pool_pace(&mut self, pool_pace: f64) {
+        self.pool_pace = pool_pace;
+        for id in self.ids() {
+            self.change(id, |_| ());
+        }
+    }
+
+    /// Whether no server is known.
+    pub(super) fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Whether any server takes new work at all.
+    pub(super) fn is_serving(&self) -> bool {
+        self.serving_count > 0
+    }
+
+    /// Slots of the servers that take new work.
+    pub(super) fn serving_slots(&self) -> u32 {
+        self.serving_slots
+    }
+
+    /// Lists the servers that may get one more request, the least delayed
+    /// first.
+    pub(super) fn free(&self) -> impl Iterator<Item = ReplicaId> {
+        self.free.iter().map(|&(_, replica)| replica)
+    }
+
+    /// The servers by the hash of their name.
+    pub(super) fn ring(&self) -> &ServerRing {
+        &self.ring
+    }
+
+    /// Returns a server.
+    pub(super) fn get(&self, replica: ReplicaId) -> Option<&ReplicaState> {
+        self.rows.get(&replica).map(|row| &row.state)
+    }
+
+    /// Returns the number of a server.
+    pub(super) fn id(&self, server: &ServerName) -> Option<ReplicaId> {
+        self.ids.get(server).copied()
+    }
+
+    /// Lists the numbers of all servers.
+    pub(super) fn ids(&self) -> Vec<ReplicaId> {
+        self.rows.keys().copied().collect()
+    }
+
+    /// Follows the rows of the pools table.
+    pub(super) fn configure(&mut self, servers: &[ServerRow], share: ShareDivisor) {
+        for id in self.ids() {
+            self.change(id, ReplicaState::unlist);
+        }
+        for server in servers {
+            match self.id(&server.name) {
+                Some(id) => self.change(id, |state| state.configure(server)),
+                None => self.insert(ReplicaState::new(server, share)),
+            }
+        }
+        self.forget_gone();
+    }
+
+    /// Changes a server and brings the indexes up to date.
+    pub(super) fn change<T>(
+        &mut self,
+        id: ReplicaId,
+        change: impl FnOnce(&mut ReplicaState) -> T,
+    ) -> T {
+        let row = self.rows.get_mut(&id).expect("the server is known");
+        let result = change(&mut row.state);
+        let indexed = IndexedState::of(&row.state, self.pool_pace);
+        let before = std::mem::replace(&mut row.indexed, indexed);
+        self.reindex(id, before, indexed);
+        result
+    }
+
+    /// Forgets the servers that have left the table and are idle.
+    pub(super) fn forget_gone(&mut self) {
+        let gone = self.rows.iter().filter(|(_, row)| row.state.is_gone());
+        let gone = gone.map(|(&id, _)| id).collect::<Vec<_>>();
+        for id in gone {
+            self.forget(id);
+        }
+    }
+
+    /// Forgets a server if it has left the table and is idle.
+    pub(super) fn forget_if_gone(&mut self, id: ReplicaId) {
+        if self.get(id).is_some_and(ReplicaState::is_gone) {
+            self.forget(id);
+        }
+    }
+
+    /// Describes the servers to operators.
+    pub(super) fn status(&self) -> Vec<ServerStatus> {
+        self.rows.values().map(|row| row.state.status()).collect()
+    }
+
+    fn insert(&mut self, state: ReplicaState) {
+        let id = self.next_id;
+        self.next_id += 1;
+        self.ids.insert(state.name.clone(), id);
+        self.ring.insert(state.name_hash, id);
+        let indexed = IndexedState::of(&state, self.pool_pace);
+        self.rows.insert(id, ReplicaRow { state, indexed });
+        self.reindex(id, IndexedState::default(), indexed);
+    }
+
+    fn forget(&mut self, id: ReplicaId) {
+        let row = self.rows.shift_remove(&id).expect("the server is known");
+        self.reindex(id, row.indexed, IndexedState::default());
+        self.ids.swap_remove(&row.state.name);
+        self.ring.remove(row.state.name_hash);
+    }
+
+    fn reindex(&mut self, id: ReplicaId, before: IndexedState, after: IndexedState) {
+        if before == after {
+            return;
+        }
+        if let Some(delay) = before.delay {
+            self.free.remove(&(delay, id));
+        }
+        if let Some(delay) = after.delay {
+            self.free.insert((delay, id));
+        }
+        self.serving_slots = self.serving_slots - before.slots + after.slots;
+        self.serving_count += usize::from(after.is_serving);
+        self.serving_count -= usize::from(before.is_serving);
+    }
+}
--- a/crates/dewspring/src/broker/state.rs
+++ b/crates/dewspring/src/broker/state.rs
@@ -209,7 +209,7 @@
             return;
         };
         if let Some(pool) = self.pools.get_mut(&name) {
-            pool.report(report);
+            pool.report(report, now);
         }
         self.settle_pool(&name, now);
     }
@@ -319,12 +319,14 @@
         }
         self.sweep_at = Some(now + SWEEP_INTERVAL);
         for index in 0..self.pools.len() {
+            self.pools[index].review(now);
             for ticket in self.pools[index].late_requests(now) {
                 let queued = self.pools[index].queue.remove(ticket);
                 let queued = queued.expect("a late request waits");
                 self.refuse(queued, RefusalReason::TargetMissed, now);
             }
         }
+        self.settle(now);
     }
 
     fn judge(&self, queued: &mut QueuedRequest, now: Instant) -> Option<RefusalReason> {
@@ -359,7 +361,7 @@
 
     fn dispatch(&mut self, name: &PoolName, now: Instant) {
         while let Some(pool) = self.pools.get_mut(name) {
-            let Some(placement) = pool.place_next() else {
+            let Some(placement) = pool.place_next(now) else {
                 return;
             };
             self.grant(name, placement, now);
@@ -369,7 +371,9 @@
     fn grant(&mut self, name: &PoolName, placement: Placement, now: Instant) {
         let Placement {
             queued,
+            replica,
             server,
+            address,
             turn,
             reason,
         } = placement;
@@ -382,7 +386,7 @@
             entry: request.entry.clone(),
             entry_boot: request.entry_boot,
             pool: name.clone(),
-            server: server.clone(),
+            replica,
             class: request.class.clone(),
             tier: request.tier,
             workspace: request.workspace.clone(),
@@ -390,13 +394,11 @@
             work: queued.work,
             expires_at: later(now, validity + request.timeout_left.saturating_sub(waited)),
         };
-        let pool = &self.pools[name];
-        let replica = pool.replica(&server).expect("the chosen server is known");
         let grant = Grant {
             id: queued.ticket,
             broker: self.settings.vm.clone(),
             boot: self.settings.boot,
-            address: replica.address,
+            address,
             server,
             valid_for: waited + validity,
             reason,
--- a/crates/dewspring/src/broker/tests.rs
+++ b/crates/dewspring/src/broker/tests.rs
@@ -11,6 +11,7 @@
 use crate::tables::{FleetConfig, PoolKind, PoolRow, PoolTable, RouteTable, ServerRow};
 
 mod admission;
+mod choice;
 mod handle;
 mod load;
 mod model;
@@ -101,6 +102,14 @@
     }
 }
 
+/// Returns the server of a decision that must be a grant.
+fn server(decision: &TicketDecision) -> &str {
+    match &decision.decision {
+        GrantDecision::Granted(grant) => &grant.server,
+        GrantDecision::Refused(refusal) => panic!("refused: {refusal:?}"),
+    }
+}
+
 /// Returns the refusal of a decision that must be one.
 fn refusal(decision: &TicketDecision) -> &Refusal {
     match &decision.decision {
--- a/crates/dewspring/src/broker/tests/state.rs
+++ b/crates/dewspring/src/broker/tests/state.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{BOOT, config, granted, refusal, release, request, servers};
+use super::{BOOT, config, granted, refusal, release, request, server, servers};
 use crate::broker::{
     BrokerSettings, BrokerState, GrantDecision, GrantRequest, RefusalReason, ServerMark,
     ServerReport, ShareDivisor,
@@ -208,10 +208,7 @@
         state.ask(request("b"), now);
         let decisions = state.take_decisions();
         assert_eq!(granted(&decisions), ["a"], "{}", case.name);
-        let GrantDecision::Granted(grant) = &decisions[0].decision else {
-            panic!("{}: refused", case.name);
-        };
-        assert_eq!(grant.server, "server-1", "{}", case.name);
+        assert_eq!(server(&decisions[0]), "server-1", "{}", case.name);
     }
 }
 
