Eject stragglers and failing servers, and probe them

Cause: a slow or failing server kept getting requests; one that fails at once is always idle and drew them.

Ruled out: ejection alone. With half of six servers failing, only two may be out, and the third drew the load; a delay for each failure in a row keeps it last.

Change: health of each server by pace against the median and by failures in a row, limit of a third, pauses and single probes.

--- a/crates/dewspring/src/broker/choice.rs
+++ b/crates/dewspring/src/broker/choice.rs
@@ -17,6 +17,8 @@
 const LEAST_DELAYED: usize = 4;
 /// Servers by rendezvous hashing that are looked at.
 const PLACES: usize = 2;
+/// Runs that must fit into the time to the target of a probe.
+const PROBE_RUNS: f64 = 4.0;
 /// Share of a run that a cached prefix may save at most.
 const MAX_SAVING: f64 = 0.5;
 /// Difference of completion below which the prefix's place decides, as a share
@@ -53,6 +55,10 @@
 
 /// Chooses the server for a request; `None` if no server is free for it.
 pub(super) fn choose(input: &ChoiceInput<'_>, queued: &QueuedRequest) -> Option<ReplicaChoice> {
+    if let Some(replica) = choose_probe(input, queued) {
+        let reason = "probe of an ejected server".into();
+        return Some(ReplicaChoice { replica, reason });
+    }
     let key = place_key(queued);
     let candidates = candidates(input, queued, key);
     let completions = candidates.iter().map(|candidate| candidate.completion);
@@ -66,6 +72,24 @@
     })
 }
 
+/// Chooses a server that waits for a probe, if the request can bear it.
+///
+/// It can where a late answer is useful or there is time for several runs, and
+/// where it is no retry.
+fn choose_probe(input: &ChoiceInput<'_>, queued: &QueuedRequest) -> Option<ReplicaId> {
+    let replica = input.replicas.probes().next()?;
+    let request = &queued.request;
+    if !request.excluded.is_empty() {
+        return None;
+    }
+    let health = input.replicas.get(replica)?.health();
+    let run = queued.work as f64 * input.replicas.pool_pace();
+    let left = queued.deadline.saturating_duration_since(input.now);
+    let has_time = left.as_secs_f64() >= run * PROBE_RUNS;
+    let can_bear = request.late_is_useful || has_time;
+    (can_bear || health.is_probe_overdue(input.now)).then_some(replica)
+}
+
 impl Candidate {
     fn reason(&self, candidates: usize) -> String {
         let milliseconds = |seconds: f64| Duration::from_secs_f64(seconds.max(0.0)).as_millis();
--- a/crates/dewspring/src/broker/load.rs
+++ b/crates/dewspring/src/broker/load.rs
@@ -64,14 +64,12 @@
         self.expires_at = now.checked_add(MAX_AGE.saturating_sub(report.age));
     }
 
-    /// Forgets a report that is too old, and says whether it did.
-    pub(super) fn expire(&mut self, now: Instant) -> bool {
-        if self.expires_at.is_none_or(|expires_at| expires_at > now) {
-            return false;
+    /// Forgets a report that is too old.
+    pub(super) fn expire(&mut self, now: Instant) {
+        if self.expires_at.is_some_and(|expires_at| expires_at <= now) {
+            self.expires_at = None;
+            self.foreign = ServerLoad::default();
         }
-        self.expires_at = None;
-        self.foreign = ServerLoad::default();
-        true
     }
 
     /// Returns the work of others.
--- a/crates/dewspring/src/broker/mod.rs
+++ b/crates/dewspring/src/broker/mod.rs
@@ -13,6 +13,7 @@
 mod floor;
 mod grants;
 mod handle;
+mod health;
 mod load;
 mod mailbox;
 mod messages;
--- a/crates/dewspring/src/broker/pace.rs
+++ b/crates/dewspring/src/broker/pace.rs
@@ -6,8 +6,6 @@
 
 /// Pace that is assumed before anything is known, in seconds for each token.
 pub(super) const DEFAULT_PACE: f64 = 0.02;
-/// Work at which older releases begin to count less, in tokens.
-const MAX_WORK: f64 = 20_000.0;
 /// Work that a prior pace weighs as much as, in tokens.
 const PRIOR_WORK: f64 = 1_000.0;
 /// Time after which the last release says nothing any more.
@@ -15,20 +13,35 @@
 
 /// Seconds that one request spends for each token of its work, averaged over
 /// the latest releases.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct ServicePace {
+    window: u32,
+    samples: u32,
     work: f64,
     seconds: f64,
     updated_at: Option<Instant>,
 }
 
 impl ServicePace {
+    /// Returns a pace that rests on about the latest `window` releases.
+    pub(super) fn new(window: u32) -> Self {
+        Self {
+            window,
+            samples: 0,
+            work: 0.0,
+            seconds: 0.0,
+            updated_at: None,
+        }
+    }
+
     /// Learns from a request that ran to its end.
     pub(super) fn record(&mut self, work: TokenCount, elapsed: Duration, now: Instant) {
-        if self.work > MAX_WORK {
+        if self.samples >= self.window {
+            self.samples /= 2;
             self.work /= 2.0;
             self.seconds /= 2.0;
         }
+        self.samples += 1;
         self.work += work as f64;
         self.seconds += elapsed.as_secs_f64();
         self.updated_at = Some(now);
@@ -49,6 +62,11 @@
         (self.seconds + prior * PRIOR_WORK) / (self.work + PRIOR_WORK)
     }
 
+    /// Number of releases that it rests on.
+    pub(super) fn samples(&self) -> u32 {
+        self.samples
+    }
+
     /// Returns the seconds for each token, however old.
     pub(super) fn latest(&self) -> Option<f64> {
         (self.work > 0.0).then(|| self.seconds / self.work)
--- a/crates/dewspring/src/broker/pool.rs
+++ b/crates/dewspring/src/broker/pool.rs
@@ -10,6 +10,7 @@
 use super::control::{ServerMark, ServerReport, ShareDivisor};
 use super::estimate::{WorkEstimator, work_of};
 use super::grants::GrantRecord;
+use super::health::HealthSample;
 use super::messages::{AttemptOutcome, GrantRelease, RefusalReason};
 use super::pace::ServicePace;
 use super::prefix::{PrefixHint, PrefixIndex};
@@ -21,6 +22,8 @@
 use crate::ids::{GrantId, PoolName, ServerName, TierLevel};
 use crate::tables::PoolRow;
 
+/// Releases on which the pool's pace rests.
+const PACE_WINDOW: u32 = 128;
 /// Factor on the estimated wait before a request is refused that waits.
 const LATE_MARGIN: f64 = 0.8;
 
@@ -42,7 +45,7 @@
 }
 
 /// One pool.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct PoolState {
     /// Requests that wait.
     pub(super) queue: PoolQueue,
@@ -53,6 +56,19 @@
     is_listed: bool,
 }
 
+impl Default for PoolState {
+    fn default() -> Self {
+        Self {
+            queue: PoolQueue::default(),
+            estimator: WorkEstimator::default(),
+            pace: ServicePace::new(PACE_WINDOW),
+            prefixes: PrefixIndex::default(),
+            replicas: ReplicaSet::default(),
+            is_listed: false,
+        }
+    }
+}
+
 impl PoolState {
     /// Follows a new row of the pools table.
     pub(super) fn configure(&mut self, row: &PoolRow, share: ShareDivisor) {
@@ -82,6 +98,7 @@
     pub(super) fn mark(&mut self, server: &ServerName, mark: ServerMark) {
         if let Some(id) = self.replicas.id(server) {
             self.replicas.change(id, |replica| replica.mark(mark));
+            self.replicas.keep_limit();
         }
     }
 
@@ -92,6 +109,7 @@
         };
         self.replicas
             .change(id, |replica| replica.report(report, now));
+        self.replicas.keep_limit();
         for hint in &report.cached {
             if let Some(seen_at) = now.checked_sub(hint.age) {
                 let replica = id;
@@ -101,12 +119,9 @@
         }
     }
 
-    /// Forgets what is too old to be relied on.
+    /// Compares the servers with each other and forgets what is too old.
     pub(super) fn review(&mut self, now: Instant) {
-        for id in self.replicas.ids() {
-            self.replicas
-                .change(id, |replica| replica.expire_report(now));
-        }
+        self.replicas.review(now);
         self.follow_pace();
     }
 
@@ -162,9 +177,13 @@
 
     /// Finds the next request that can run now, and counts its grant.
     ///
-    /// A request that excludes every free server is passed over.
+    /// A request that excludes every free server is passed over. Where only a
+    /// probe is free, none but the next request is looked at.
     pub(super) fn place_next(&mut self, now: Instant) -> Option<Placement> {
-        self.replicas.free().next()?;
+        let is_any_free = self.replicas.free().next().is_some();
+        if !is_any_free && self.replicas.probes().next().is_none() {
+            return None;
+        }
         let mut placement = None;
         while let Some(head) = self.queue.head() {
             let queued = self.queue.get(head.ticket);
@@ -179,6 +198,9 @@
                 placement = Some(self.place(queued, head.turn, choice, now));
                 break;
             }
+            if !is_any_free {
+                break;
+            }
             self.queue.set_aside(head.ticket);
         }
         self.queue.restore();
@@ -192,30 +214,33 @@
         release: Option<&GrantRelease>,
         now: Instant,
     ) {
-        let id = record.replica;
-        self.replicas.change(id, |replica| replica.end(record.work));
-        if let Some(release) = release {
-            self.learn(record, release, now);
+        let sample = release.map(|release| sample_of(record, release));
+        self.replicas
+            .end(record.replica, record.work, sample.as_ref(), now);
+        if let (Some(release), Some(sample)) = (release, sample) {
+            self.learn(record, release, &sample, now);
         }
-        self.replicas.forget_if_gone(id);
     }
 
-    fn learn(&mut self, record: &GrantRecord, release: &GrantRelease, now: Instant) {
-        let done = work_of(record.prompt_tokens, release.tokens);
-        let missed = done.cast_signed() - record.work.cast_signed();
+    fn learn(
+        &mut self,
+        record: &GrantRecord,
+        release: &GrantRelease,
+        sample: &HealthSample,
+        now: Instant,
+    ) {
+        let missed = sample.work.cast_signed() - record.work.cast_signed();
         self.queue
             .correct(record.tier, &record.class, &record.workspace, missed);
-        if release.outcome == AttemptOutcome::Completed {
-            let is_first = self.pace.latest().is_none();
-            self.pace.record(done, release.elapsed, now);
-            if is_first {
-                self.follow_pace();
-            }
-            self.replicas.change(record.replica, |replica| {
-                replica.learn(done, release.elapsed, now);
-            });
-            self.estimator
-                .record(&record.class, &record.workspace, release.tokens);
+        if release.outcome != AttemptOutcome::Completed {
+            return;
+        }
+        self.estimator
+            .record(&record.class, &record.workspace, release.tokens);
+        let is_first = self.pace.latest().is_none();
+        self.pace.record(sample.work, release.elapsed, now);
+        if is_first {
+            self.follow_pace();
         }
     }
 
@@ -254,3 +279,8 @@
         }
     }
 }
+
+fn sample_of(record: &GrantRecord, release: &GrantRelease) -> HealthSample {
+    let work = work_of(record.prompt_tokens, release.tokens);
+    HealthSample::new(release, work, work_of(record.prompt_tokens, 0))
+}
--- a/crates/dewspring/src/broker/replica.rs
+++ b/crates/dewspring/src/broker/replica.rs
@@ -1,11 +1,11 @@
 //! One backend server as the broker sees it.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use super::control::{ServerMark, ServerReport, ShareDivisor};
+use super::health::{HealthPaces, HealthSample, ReplicaHealth};
 use super::load::{ForeignLoad, ServerLoad};
-use super::pace::ServicePace;
 use super::rendezvous::stable_hash;
 use super::status::{ServerState, ServerStatus};
 use crate::ids::{ServerName, TokenCount};
@@ -25,7 +25,7 @@
     pub(super) address: SocketAddr,
     own: ServerLoad,
     foreign: ForeignLoad,
-    pace: ServicePace,
+    health: ReplicaHealth,
     row_slots: u32,
     share: ShareDivisor,
     is_drained: bool,
@@ -43,7 +43,7 @@
             address: row.address,
             own: ServerLoad::default(),
             foreign: ForeignLoad::default(),
-            pace: ServicePace::default(),
+            health: ReplicaHealth::default(),
             row_slots: row.slots,
             share,
             is_drained: row.drain,
@@ -82,11 +82,6 @@
         self.foreign.report(report, self.own, now);
     }
 
-    /// Forgets a report that is too old, and says whether it did.
-    pub(super) fn expire_report(&mut self, now: Instant) -> bool {
-        self.foreign.expire(now)
-    }
-
     /// Slots that this broker may fill, beside the work of others.
     pub(super) fn slots(&self) -> u32 {
         let foreign = self.foreign.current().requests;
@@ -94,14 +89,48 @@
         share.min(self.row_slots.saturating_sub(foreign))
     }
 
-    /// Whether the server is there to take new work at all.
+    /// Whether the server is there to take new work, fit for it or not.
     pub(super) fn is_serving(&self) -> bool {
-        self.state() == ServerState::Active && self.row_slots > 0
+        let is_leaving = self.is_marked_leaving || self.is_reported_leaving;
+        self.is_listed && !self.is_drained && !is_leaving && self.row_slots > 0
+    }
+
+    /// Whether the server is ejected or on probe.
+    pub(super) fn is_out(&self) -> bool {
+        self.is_serving() && !self.health.is_fit()
     }
 
     /// Whether the server may get one more request now.
     pub(super) fn is_free(&self) -> bool {
-        self.is_serving() && self.own.requests < self.slots()
+        self.is_serving() && self.health.is_fit() && self.own.requests < self.slots()
+    }
+
+    /// Whether the server may get a single request as a probe now.
+    pub(super) fn is_free_for_probe(&self) -> bool {
+        let is_idle = self.own.requests == 0 && self.slots() > 0;
+        self.is_serving() && self.health.is_probing() && is_idle
+    }
+
+    /// Health of the server.
+    pub(super) fn health(&self) -> &ReplicaHealth {
+        &self.health
+    }
+
+    /// Compares the server with the pool's medians, and forgets what is too
+    /// old.
+    pub(super) fn review(&mut self, median: HealthPaces, now: Instant) {
+        self.foreign.expire(now);
+        self.health.review(median, now);
+    }
+
+    /// Takes the server out of new work.
+    pub(super) fn eject(&mut self, now: Instant) {
+        self.health.eject(now);
+    }
+
+    /// Takes the server back into new work.
+    pub(super) fn reinstate(&mut self) {
+        self.health.reinstate();
     }
 
     /// Whether nothing keeps the broker from forgetting the server.
@@ -114,23 +143,26 @@
         self.own.requests += 1;
         self.own.tokens += work;
         self.foreign.note_own(self.own);
+        self.health.begin();
     }
 
-    /// Counts the end of a grant.
-    pub(super) fn end(&mut self, work: TokenCount) {
+    /// Counts the end of a grant, and learns from its release if there is one.
+    pub(super) fn end(
+        &mut self,
+        work: TokenCount,
+        sample: Option<&HealthSample>,
+        median: HealthPaces,
+        now: Instant,
+    ) {
         assert!(self.own.requests > 0, "a grant ended at an idle server");
         self.own.requests -= 1;
         self.own.tokens -= work;
-    }
-
-    /// Learns from a request that ran to its end.
-    pub(super) fn learn(&mut self, work: TokenCount, elapsed: Duration, now: Instant) {
-        self.pace.record(work, elapsed, now);
+        self.health.end(sample, median, now);
     }
 
     /// Seconds for each token of a request's work, given the pool's pace.
     pub(super) fn seconds_per_token(&self, pool_pace: f64) -> f64 {
-        self.pace.drawn_to(pool_pace)
+        self.health.pace().drawn_to(pool_pace)
     }
 
     /// Estimates how long the work at the server delays a new request, in
@@ -139,7 +171,7 @@
         let foreign = self.foreign.current().tokens;
         let tokens = self.own.tokens.saturating_add(foreign);
         let slots = f64::from(self.row_slots.max(1));
-        tokens as f64 / slots * self.seconds_per_token(pool_pace)
+        tokens as f64 / slots * self.seconds_per_token(pool_pace) + self.health.delay()
     }
 
     /// Whether the server gets new work, and why not.
@@ -150,7 +182,13 @@
         if self.is_marked_leaving || self.is_reported_leaving {
             return ServerState::Leaving;
         }
-        ServerState::Active
+        if self.health.is_on_probe() {
+            return ServerState::Probing;
+        }
+        match self.health.is_fit() {
+            true => ServerState::Active,
+            false => ServerState::Ejected,
+        }
     }
 
     /// Describes the server to operators.
--- a/crates/dewspring/src/broker/replicas.rs
+++ b/crates/dewspring/src/broker/replicas.rs
@@ -4,35 +4,44 @@
 //! the indexes up to date.
 
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 use indexmap::IndexMap;
 
 use super::control::ShareDivisor;
+use super::health::{HealthPaces, HealthSample, median_of};
 use super::pace::DEFAULT_PACE;
 use super::rendezvous::ServerRing;
 use super::replica::{ReplicaId, ReplicaState};
 use super::status::ServerStatus;
-use crate::ids::ServerName;
+use crate::ids::{ServerName, TokenCount};
 use crate::tables::ServerRow;
 
+/// One server in so many may be ejected or on probe.
+const MAX_OUT_FRACTION: usize = 3;
+
 /// What the indexes hold of one server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 struct IndexedState {
     /// Delay in microseconds, if the server is free.
     delay: Option<u64>,
-    /// Slots, if the server is serving.
+    /// Slots, if the server is serving and fit.
     slots: u32,
     is_serving: bool,
+    is_out: bool,
+    is_free_for_probe: bool,
 }
 
 impl IndexedState {
     fn of(state: &ReplicaState, pool_pace: f64) -> Self {
-        let is_serving = state.is_serving();
+        let is_active = state.is_serving() && !state.is_out();
         let delay = state.delay(pool_pace) * 1e6;
         Self {
             delay: state.is_free().then_some(delay as u64),
-            slots: if is_serving { state.slots() } else { 0 },
-            is_serving,
+            slots: if is_active { state.slots() } else { 0 },
+            is_serving: state.is_serving(),
+            is_out: state.is_out(),
+            is_free_for_probe: state.is_free_for_probe(),
         }
     }
 }
@@ -49,11 +58,14 @@
     rows: IndexMap<ReplicaId, ReplicaRow>,
     ids: IndexMap<ServerName, ReplicaId>,
     free: BTreeSet<(u64, ReplicaId)>,
+    probes: BTreeSet<ReplicaId>,
+    out: BTreeSet<ReplicaId>,
     ring: ServerRing,
     next_id: ReplicaId,
     serving_slots: u32,
     serving_count: usize,
     pool_pace: f64,
+    median: HealthPaces,
 }
 
 impl Default for ReplicaSet {
@@ -62,11 +74,14 @@
             rows: IndexMap::new(),
             ids: IndexMap::new(),
             free: BTreeSet::new(),
+            probes: BTreeSet::new(),
+            out: BTreeSet::new(),
             ring: ServerRing::default(),
             next_id: 0,
             serving_slots: 0,
             serving_count: 0,
             pool_pace: DEFAULT_PACE,
+            median: HealthPaces::default(),
         }
     }
 }
@@ -107,6 +122,11 @@
         self.free.iter().map(|&(_, replica)| replica)
     }
 
+    /// Lists the servers that wait for a request as a probe.
+    pub(super) fn probes(&self) -> impl Iterator<Item = ReplicaId> {
+        self.probes.iter().copied()
+    }
+
     /// The servers by the hash of their name.
     pub(super) fn ring(&self) -> &ServerRing {
         &self.ring
@@ -139,6 +159,59 @@
             }
         }
         self.forget_gone();
+        self.keep_limit();
+    }
+
+    /// Ends a grant, and ejects the server if it fails too often.
+    pub(super) fn end(
+        &mut self,
+        id: ReplicaId,
+        work: TokenCount,
+        sample: Option<&HealthSample>,
+        now: Instant,
+    ) {
+        let median = self.median;
+        self.change(id, |state| state.end(work, sample, median, now));
+        self.eject_if_unfit(id, now);
+        if self.get(id).is_some_and(ReplicaState::is_gone) {
+            self.forget(id);
+        }
+    }
+
+    /// Compares the servers with each other, ejects the unfit and lets the
+    /// ejected be probed.
+    pub(super) fn review(&mut self, now: Instant) {
+        let states = self.rows.values().map(|row| &row.state);
+        let serving = states.filter(|state| state.is_serving());
+        let median = median_of(serving.map(|state| state.health().paces(now)));
+        self.median = median;
+        for id in self.ids() {
+            self.change(id, |state| state.review(median, now));
+            self.eject_if_unfit(id, now);
+        }
+        self.keep_limit();
+    }
+
+    /// Takes servers back while more than the limit are out.
+    pub(super) fn keep_limit(&mut self) {
+        while self.out.len() > self.out_limit() {
+            let id = self.out.first().copied();
+            let id = id.expect("some server is out");
+            self.change(id, ReplicaState::reinstate);
+        }
+    }
+
+    /// Number of servers that may be out: never more than a third.
+    fn out_limit(&self) -> usize {
+        self.serving_count / MAX_OUT_FRACTION
+    }
+
+    fn eject_if_unfit(&mut self, id: ReplicaId, now: Instant) {
+        let state = self.get(id).expect("the server is known");
+        let is_unfit = state.is_serving() && state.health().is_unfit();
+        if is_unfit && self.out.len() < self.out_limit() {
+            self.change(id, |state| state.eject(now));
+        }
     }
 
     /// Changes a server and brings the indexes up to date.
@@ -156,7 +229,7 @@
     }
 
     /// Forgets the servers that have left the table and are idle.
-    pub(super) fn forget_gone(&mut self) {
+    fn forget_gone(&mut self) {
         let gone = self.rows.iter().filter(|(_, row)| row.state.is_gone());
         let gone = gone.map(|(&id, _)| id).collect::<Vec<_>>();
         for id in gone {
@@ -164,13 +237,6 @@
         }
     }
 
-    /// Forgets a server if it has left the table and is idle.
-    pub(super) fn forget_if_gone(&mut self, id: ReplicaId) {
-        if self.get(id).is_some_and(ReplicaState::is_gone) {
-            self.forget(id);
-        }
-    }
-
     /// Describes the servers to operators.
     pub(super) fn status(&self) -> Vec<ServerStatus> {
         self.rows.values().map(|row| row.state.status()).collect()
@@ -203,8 +269,17 @@
         if let Some(delay) = after.delay {
             self.free.insert((delay, id));
         }
+        set_member(&mut self.probes, id, after.is_free_for_probe);
+        set_member(&mut self.out, id, after.is_out);
         self.serving_slots = self.serving_slots - before.slots + after.slots;
         self.serving_count += usize::from(after.is_serving);
         self.serving_count -= usize::from(before.is_serving);
     }
 }
+
+fn set_member(set: &mut BTreeSet<ReplicaId>, id: ReplicaId, is_member: bool) {
+    match is_member {
+        true => set.insert(id),
+        false => set.remove(&id),
+    };
+}
--- a/crates/dewspring/src/broker/tests.rs
+++ b/crates/dewspring/src/broker/tests.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod choice;
 mod handle;
+mod health;
 mod load;
 mod model;
 mod order;
--- /dev/null
+++ b/crates/dewspring/src/broker/tests/health.rs
@@ -0,0 +1,135 @@
+//! Stragglers, failing servers and their way back.
+
+use std::time::{Duration, Instant};
+
+use super::load::{LoadSource, LoadTrial, ServerBehaviour};
+use super::{BOOT, config, granted, release, request, servers};
+use crate::broker::{
+    AttemptOutcome, BrokerSettings, BrokerState, Grant, GrantRequest, ServerState,
+};
+
+/// Pace of a healthy server, in seconds for each token.
+const PACE: f64 = 0.01;
+
+/// Slow from the tenth to the fortieth second.
+fn straggler(grant: &Grant, _: &GrantRequest, since: Duration) -> (f64, AttemptOutcome) {
+    let is_slow = grant.server == "server-2" && (10..40).contains(&since.as_secs());
+    let pace = if is_slow { 5.0 * PACE } else { PACE };
+    (pace, AttemptOutcome::Completed)
+}
+
+/// Fails at once from the tenth to the fortieth second.
+fn crash(grant: &Grant, _: &GrantRequest, since: Duration) -> (f64, AttemptOutcome) {
+    match grant.server == "server-2" && (10..40).contains(&since.as_secs()) {
+        true => (PACE / 100.0, AttemptOutcome::Unknown),
+        false => (PACE, AttemptOutcome::Completed),
+    }
+}
+
+/// Half of the pool fails at once from the tenth to the fortieth second.
+fn wide_crash(grant: &Grant, _: &GrantRequest, since: Duration) -> (f64, AttemptOutcome) {
+    match grant.server.as_str() >= "server-3" && (10..40).contains(&since.as_secs()) {
+        true => (PACE / 100.0, AttemptOutcome::NotRun),
+        false => (PACE, AttemptOutcome::Completed),
+    }
+}
+
+struct FaultCase {
+    name: &'static str,
+    behaviour: ServerBehaviour,
+    faulty: &'static [&'static str],
+    /// Most grants to the faulty servers from the fifteenth to the fortieth
+    /// second.
+    most_grants: usize,
+    /// Most answers that may miss their target, in percent.
+    most_missed: u32,
+}
+
+#[test]
+fn a_faulty_server_gets_only_probes_and_comes_back() {
+    let cases = [
+        FaultCase {
+            name: "straggler",
+            behaviour: straggler,
+            faulty: &["server-2"],
+            most_grants: 4,
+            most_missed: 3,
+        },
+        FaultCase {
+            name: "crash",
+            behaviour: crash,
+            faulty: &["server-2"],
+            most_grants: 4,
+            most_missed: 2,
+        },
+        FaultCase {
+            name: "crash of half the pool",
+            behaviour: wide_crash,
+            faulty: &["server-3", "server-4", "server-5"],
+            most_grants: 80,
+            most_missed: 15,
+        },
+    ];
+    for case in cases {
+        let mut request = request("r");
+        request.target_left = Duration::from_secs(4);
+        request.max_tokens = None;
+        let source = LoadSource {
+            request,
+            interval: Duration::from_millis(80),
+            answer: 160,
+        };
+        let trial = LoadTrial::run(&[4; 6], vec![source], case.behaviour);
+        let outcome = trial.outcomes["class"];
+        let grants = case.faulty.iter().flat_map(|&server| &trial.grants[server]);
+        let between = |from: u64, to: u64| {
+            let times = grants.clone().map(Duration::as_secs);
+            times.filter(|second| (from..to).contains(second)).count()
+        };
+        assert!(between(15, 40) <= case.most_grants, "{}", case.name);
+        assert!(between(50, 60) >= 10, "{}: it is back", case.name);
+        let missed = outcome.asked - outcome.in_time;
+        assert!(
+            missed * 100 <= outcome.asked * case.most_missed,
+            "{}: {outcome:?}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn never_more_than_a_third_is_ejected() {
+    let now = Instant::now();
+    let mut state = BrokerState::new(BrokerSettings::new("vm", BOOT));
+    state.configure(&config(1, servers(&[1; 7])), now);
+    for round in 0..100 {
+        state.ask(request("r"), now);
+        let decisions = state.take_decisions();
+        assert_eq!(
+            granted(&decisions).len(),
+            1,
+            "round {round}: the pool still serves"
+        );
+        let mut release = release(decisions[0].ticket);
+        release.outcome = AttemptOutcome::NotRun;
+        state.release(&release, now);
+    }
+    let status = state.status();
+    let states = status.pools[0].servers.iter().map(|server| server.state);
+    assert_eq!(
+        states
+            .filter(|&state| state == ServerState::Ejected)
+            .count(),
+        2
+    );
+    // With a smaller pool, fewer may be out.
+    state.configure(&config(2, servers(&[1; 3])), now);
+    let status = state.status();
+    let states = status.pools[0].servers.iter().map(|server| server.state);
+    assert!(
+        states
+            .filter(|&state| state == ServerState::Ejected)
+            .count()
+            <= 1
+    );
+}
