--- a/crates/dewspring/src/broker/tests.rs
+++ b/crates/dewspring/src/broker/tests.rs
@@ -11,7 +11,9 @@
 use crate::tables::{FleetConfig, PoolKind, PoolRow, PoolTable, RouteTable, ServerRow};
 
 mod admission;
+mod choice;
 mod handle;
+mod health;
 mod load;
 mod model;
 mod order;
@@ -101,6 +103,14 @@
     }
 }
 
+/// Returns the server of a decision that must be a grant.
+fn server(decision: &TicketDecision) -> &str {
+    match &decision.decision {
+        GrantDecision::Granted(grant) => &grant.server,
+        GrantDecision::Refused(refusal) => panic!("refused: {refusal:?}"),
+    }
+}
+
 /// Returns the refusal of a decision that must be one.
 fn refusal(decision: &TicketDecision) -> &Refusal {
     match &decision.decision {
