Look up lines with faults of syntax in a set

Cause: a file with a fault on each line made the check quadratic, since every further error searched the list of such lines. A set ends that; a limit on the number of errors was ruled out, since one run is to name every fault.

--- a/crates/dewctl/src/tables_dir.rs
+++ b/crates/dewctl/src/tables_dir.rs
@@ -73,12 +73,14 @@
         check_tables(routes, pools)
     }
 
-    /// Writes both tables and then their base document.
+    /// Writes both tables and then their base document, into a new directory
+    /// if need be.
     ///
     /// # Errors
     ///
     /// [`CommandError::File`] if one can't be written.
     pub fn write(&self, document: &ConfigDocument) -> Result<(), CommandError> {
+        fs::create_dir_all(&self.path).map_err(|source| file_error(&self.path, source))?;
         write_file(&self.path.join(ROUTES_FILE), document.routes.as_bytes())?;
         write_file(&self.path.join(POOLS_FILE), document.pools.as_bytes())?;
         write_base(&self.base_path(), document)
--- a/crates/dewspring/src/tables/reader.rs
+++ b/crates/dewspring/src/tables/reader.rs
@@ -4,6 +4,7 @@
 //! what is wrong to the [`ErrorLog`] of the file. A field that is missing or
 //! invalid stays so, and later checks skip it: each fault is reported once.
 
+use indexmap::IndexSet;
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
@@ -14,7 +15,7 @@
     file: &'a str,
     line_starts: Vec<usize>,
     errors: Vec<LoggedError>,
-    syntax_lines: Vec<usize>,
+    syntax_lines: IndexSet<usize>,
 }
 
 struct LoggedError {
@@ -33,7 +34,7 @@
             file: source.file,
             line_starts: std::iter::once(0).chain(after_breaks).collect(),
             errors: Vec::new(),
-            syntax_lines: Vec::new(),
+            syntax_lines: IndexSet::new(),
         }
     }
 
@@ -44,7 +45,7 @@
             let offset = error.span().map_or(0, |span| span.start);
             let message = error.message().replace('\n', " ");
             self.report(offset, "", TableProblem::Syntax(message));
-            self.syntax_lines.push(self.line(offset));
+            self.syntax_lines.insert(self.line(offset));
         }
         table
     }
