Run keyed requests at most once by claims in the store

Cause: a caller or the balancer may repeat a request that may not run twice, through any VM and while answers of the store are lost.

Ruled out: leases on claims, since a paused holder may send after its lease ran out; one key of the store for each claim, which takes two writes a request and can't be pruned; answering from a remembered page, which may be old.

Change: ClaimLedger with its writer threads, ClaimHandle for the entry duty, and the decisions as plain functions and a machine of steps. Claims of one page that wait together are committed with one swap. Refused claims that may stand are released.

--- /dev/null
+++ b/crates/dewspring/src/claims/tests/ledger.rs
@@ -0,0 +1,145 @@
+//! Tests of the running ledger against a store that fails.
+
+use std::time::{Duration, Instant};
+
+use tokio::sync::oneshot;
+
+use super::super::ledger::{ClaimHandle, ClaimLedger, LedgerSettings};
+use super::super::messages::{ClaimOutcome, ClaimRequest, ClaimToken, RecordedOutcome};
+use super::key;
+use crate::platform::tests::faulty::FaultyStore;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn spawn(store: &FaultyStore, vm: &str) -> ClaimLedger {
+    let settings = LedgerSettings {
+        page_count: 2,
+        writers: 2,
+        ..LedgerSettings::new("north", vm, 7)
+    };
+    ClaimLedger::spawn(store.clone(), settings)
+}
+
+fn send(handle: &ClaimHandle, number: usize) -> oneshot::Receiver<ClaimOutcome> {
+    let (reply, answer) = oneshot::channel();
+    let request = ClaimRequest {
+        key: key(number),
+        fingerprint: 1,
+        declared_minute: None,
+        deadline: Instant::now() + PATIENCE,
+    };
+    handle.claim(request, reply);
+    answer
+}
+
+fn claim(handle: &ClaimHandle, number: usize) -> ClaimOutcome {
+    send(handle, number).blocking_recv().expect("an answer")
+}
+
+fn win(handle: &ClaimHandle, number: usize) -> ClaimToken {
+    match claim(handle, number) {
+        ClaimOutcome::Claimed(token) => token,
+        other => panic!("not claimed: {other:?}"),
+    }
+}
+
+fn wait_for(what: &str, mut is_met: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !is_met() {
+        assert!(Instant::now() < deadline, "no {what} in {PATIENCE:?}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn repeats_hear_the_outcome_on_every_vm() {
+    let store = FaultyStore::open();
+    let (first, second) = (spawn(&store, "a"), spawn(&store, "b"));
+    let (a, b) = (first.handle(), second.handle());
+    let token = win(&a, 1);
+    assert!(token.may_send(Instant::now()));
+    let half_horizon = Duration::from_secs(12 * 60 * 60);
+    assert!(!token.may_send(Instant::now() + half_horizon));
+    assert_eq!(claim(&b, 1), ClaimOutcome::InProgress);
+    let outcome = RecordedOutcome::new(201, "text/plain", b"paid");
+    a.record(token, outcome.clone()).expect("room");
+    first.shutdown();
+    assert_eq!(claim(&b, 1), ClaimOutcome::Repeat(outcome));
+    let token = win(&b, 2);
+    b.release(token).expect("room");
+    drop(win(&b, 2));
+    second.shutdown();
+}
+
+#[test]
+fn refuses_at_once_while_the_store_is_down() {
+    let store = FaultyStore::open();
+    let ledger = spawn(&store, "a");
+    let handle = ledger.handle();
+    let token = win(&handle, 1);
+    store.set_down(true);
+    let outcome = RecordedOutcome::new(201, "text/plain", b"paid");
+    handle.record(token, outcome.clone()).expect("room");
+    store.set_latency(Duration::from_millis(50));
+    let started = Instant::now();
+    for number in 2..100 {
+        let refused = claim(&handle, number);
+        assert!(matches!(refused, ClaimOutcome::StoreUnavailable { .. }));
+    }
+    let elapsed = started.elapsed();
+    assert!(
+        elapsed < Duration::from_secs(2),
+        "98 refusals in {elapsed:?}"
+    );
+    store.set_latency(Duration::ZERO);
+    store.set_down(false);
+    wait_for("outcome", || {
+        claim(&handle, 1) == ClaimOutcome::Repeat(outcome.clone())
+    });
+    ledger.shutdown();
+}
+
+#[test]
+fn lost_answers_neither_lose_nor_double_a_claim() {
+    let store = FaultyStore::open();
+    let ledger = spawn(&store, "a");
+    let handle = ledger.handle();
+    for number in 0..20 {
+        store.lose_answers(1);
+        drop(win(&handle, number));
+        assert_eq!(claim(&handle, number), ClaimOutcome::InProgress);
+    }
+    ledger.shutdown();
+}
+
+#[test]
+fn takes_back_the_claim_of_a_caller_that_has_gone() {
+    let store = FaultyStore::open();
+    let ledger = spawn(&store, "a");
+    let handle = ledger.handle();
+    store.set_latency(Duration::from_millis(50));
+    drop(send(&handle, 1));
+    store.set_latency(Duration::ZERO);
+    wait_for("claim", || {
+        matches!(claim(&handle, 1), ClaimOutcome::Claimed(_))
+    });
+    ledger.shutdown();
+    let late = send(&handle, 2).blocking_recv();
+    assert!(matches!(late, Ok(ClaimOutcome::Overloaded { .. })));
+}
+
+#[test]
+fn commits_what_waits_together() {
+    let store = FaultyStore::open();
+    let ledger = spawn(&store, "a");
+    let handle = ledger.handle();
+    store.set_latency(Duration::from_millis(20));
+    let answers: Vec<_> = (0..200).map(|number| send(&handle, number)).collect();
+    for answer in answers {
+        let outcome = answer.blocking_recv().expect("an answer");
+        assert!(matches!(outcome, ClaimOutcome::Claimed(_)));
+    }
+    ledger.shutdown();
+    let calls = store.calls();
+    assert!(calls <= 20, "{calls} calls for 200 claims");
+}
--- /dev/null
+++ b/crates/dewspring/src/claims/tests/world.rs
@@ -0,0 +1,471 @@
+//! Several entries, a store that fails, and callers that repeat themselves.
+//!
+//! Everything runs on one thread and one seed: each step moves one entry by at
+//! most one call, so that calls of entries interleave and a crash can fall
+//! between any two steps. One step stands for one second.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::super::commit::{CommitStep, PageCommit};
+use super::super::key::{ClaimKey, ClaimNonce, ClaimOwner, PageNumber};
+use super::super::messages::{ClaimOutcome, ClaimRequest, ClaimToken, RecordedOutcome};
+use super::super::plan::{ClaimTime, KnownPage, PageWork, WorkKind};
+use super::super::settle::{SettleTerms, settle_work};
+use super::key;
+use crate::platform::{
+    EmbeddedStore, ExpectedVersion, PlatformStore, StoreEntry, StoreError, SwapOutcome,
+};
+
+const PAGES: PageNumber = 4;
+const HORIZON: Duration = Duration::from_secs(3600);
+const FIRST_MINUTE: u64 = 1_000_000;
+const KEY_SPACING: u64 = 12;
+
+/// How often things go wrong, in thousandths, and how long callers wait.
+#[derive(Clone, Copy, Debug)]
+pub struct FaultRates {
+    /// Of swaps: the answer is lost, the write takes effect.
+    pub lost_done: u16,
+    /// Of swaps: the call is lost on its way.
+    pub lost_undone: u16,
+    /// Of swaps: the answer is lost, the write takes effect later, if it can.
+    pub delayed: u16,
+    /// Of reads: the answer is lost.
+    pub lost_read: u16,
+    /// Of steps: an outage of the store begins.
+    pub outage: u16,
+    /// Of steps: an entry crashes.
+    pub crash: u16,
+    /// Of steps: an entry is paused, for up to longer than the horizon.
+    pub pause: u16,
+    /// Of claims won: the entry takes the claim back and sends nothing.
+    pub release: u16,
+    /// Of steps: an entry that holds a claim or an answer goes on with it.
+    pub progress: u16,
+    /// Steps after which a claim is given up.
+    pub deadline_steps: u64,
+}
+
+/// What was tried and what came of it.
+#[derive(Clone, Debug, Default)]
+pub struct SimulationTally {
+    pub keys: usize,
+    pub attempts: u64,
+    pub swaps: u64,
+    pub lost_answers: u64,
+    pub late_writes: u64,
+    pub outages: u64,
+    pub crashes: u64,
+    pub unsent_in_crash: u64,
+    pub pauses: u64,
+    pub unsent_in_pause: u64,
+    pub releases: u64,
+    pub expired: u64,
+    pub in_progress: u64,
+    pub unavailable: u64,
+    pub repeats: u64,
+    pub wrong_repeats: u64,
+    /// Most executions of any key.
+    pub most_executions: u32,
+    /// Keys that ran more than once.
+    pub doubled: usize,
+    /// Keys that ran once.
+    pub executed: usize,
+    /// Keys that never ran, all of whose attempts were refused as not run.
+    pub refused: usize,
+    /// Keys that never ran, although a caller must take them for unknown.
+    pub unknown: usize,
+}
+
+#[derive(Debug, Default)]
+struct SimEntry {
+    owner: Option<ClaimOwner>,
+    serial: u64,
+    skew_minutes: u64,
+    paused_until: u64,
+    inbox: Vec<PageWork>,
+    commit: Option<(PageNumber, PageCommit)>,
+    pages: IndexMap<PageNumber, KnownPage>,
+    held: Vec<ClaimToken>,
+    running: Vec<ClaimToken>,
+}
+
+/// A write whose answer was lost and which has not arrived yet.
+#[derive(Debug)]
+struct LateWrite {
+    key: String,
+    expected: ExpectedVersion,
+    value: Vec<u8>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct KeyFate {
+    drawn_minute: Option<u64>,
+    executions: u32,
+    is_doubtful: bool,
+}
+
+pub struct SimulationWorld {
+    rates: FaultRates,
+    rng: StdRng,
+    started: Instant,
+    step: u64,
+    store: EmbeddedStore,
+    outage_until: u64,
+    late_writes: Vec<LateWrite>,
+    entries: Vec<SimEntry>,
+    keys: Vec<KeyFate>,
+    numbers: IndexMap<ClaimKey, usize>,
+    attempts: BTreeMap<u64, Vec<usize>>,
+    is_calm: bool,
+    tally: SimulationTally,
+}
+
+impl SimulationWorld {
+    /// Plays a whole run and returns its tally.
+    pub fn run(keys: usize, rates: FaultRates, seed: u64) -> SimulationTally {
+        let mut world = Self {
+            rates,
+            rng: StdRng::seed_from_u64(seed),
+            started: Instant::now(),
+            step: 0,
+            store: EmbeddedStore::open(),
+            outage_until: 0,
+            late_writes: Vec::new(),
+            entries: Vec::new(),
+            keys: vec![KeyFate::default(); keys],
+            numbers: (0..keys).map(|number| (key(number), number)).collect(),
+            attempts: BTreeMap::new(),
+            is_calm: false,
+            tally: SimulationTally::default(),
+        };
+        for index in 0..4 {
+            world.entries.push(SimEntry::default());
+            world.boot(index);
+        }
+        for number in 0..keys {
+            world.schedule(number);
+        }
+        while !world.attempts.is_empty() {
+            world.advance();
+        }
+        world.is_calm = true;
+        for _ in 0..2000 {
+            world.advance();
+        }
+        world.finish()
+    }
+
+    fn roll(&mut self, thousandths: u16) -> bool {
+        !self.is_calm && self.rng.random_range(0..1000) < thousandths
+    }
+
+    fn boot(&mut self, index: usize) {
+        let owner = ClaimOwner {
+            vm: format!("vm-{index}"),
+            boot: self.rng.random(),
+        };
+        self.entries[index] = SimEntry {
+            owner: Some(owner),
+            skew_minutes: self.rng.random_range(0..=4),
+            ..SimEntry::default()
+        };
+    }
+
+    /// Draws when a key is used: at once, soon again, and after the horizon.
+    fn schedule(&mut self, number: usize) {
+        let first = number as u64 * KEY_SPACING;
+        let is_declared = self.rng.random_range(0..10) < 7;
+        self.keys[number].drawn_minute = is_declared.then_some(FIRST_MINUTE + first / 60);
+        self.attempts.entry(first).or_default().push(number);
+        for _ in 0..self.rng.random_range(0..4) {
+            // Only a key that says when it was drawn may come back that late.
+            let is_late = is_declared && self.rng.random_range(0..4) == 0;
+            let longest = if is_late { 9000 } else { 200 };
+            let step = first + self.rng.random_range(0..longest);
+            self.attempts.entry(step).or_default().push(number);
+        }
+    }
+
+    fn advance(&mut self) {
+        self.step += 1;
+        while let Some(due) = self.attempts.first_entry() {
+            if *due.key() > self.step {
+                break;
+            }
+            for number in due.remove() {
+                self.submit(number);
+            }
+        }
+        if self.roll(self.rates.outage) {
+            self.tally.outages += 1;
+            self.outage_until = self.step + self.rng.random_range(1..100);
+        }
+        if !self.late_writes.is_empty() && self.rng.random_range(0..5) == 0 {
+            self.land_late_write();
+        }
+        let index = self.rng.random_range(0..self.entries.len());
+        if self.roll(self.rates.crash) {
+            self.crash(index);
+        }
+        if self.roll(self.rates.pause) {
+            self.pause(index);
+        }
+        if self.is_calm || self.step >= self.entries[index].paused_until {
+            self.work(index);
+            self.go_on(index);
+        }
+    }
+
+    /// An entry stops between any two of its steps and knows nothing of it.
+    fn pause(&mut self, index: usize) {
+        let is_long = self.rng.random_range(0..4) == 0;
+        let longest = if is_long { 8000 } else { 300 };
+        self.tally.pauses += 1;
+        self.tally.unsent_in_pause += self.entries[index].held.len() as u64;
+        self.entries[index].paused_until = self.step + self.rng.random_range(1..longest);
+    }
+
+    fn submit(&mut self, number: usize) {
+        self.tally.attempts += 1;
+        let index = self.rng.random_range(0..self.entries.len());
+        let request = ClaimRequest {
+            key: key(number),
+            fingerprint: number as u64,
+            declared_minute: self.keys[number].drawn_minute,
+            deadline: self.now() + Duration::from_secs(self.rates.deadline_steps),
+        };
+        let accepted = self.now();
+        let entry = &mut self.entries[index];
+        entry.serial += 1;
+        let nonce = ClaimNonce {
+            owner: entry.owner.clone().expect("the entry has booted"),
+            serial: entry.serial,
+        };
+        entry.inbox.push(PageWork {
+            id: number as u64,
+            key: request.key,
+            nonce,
+            kind: WorkKind::Claim(request),
+            accepted,
+            unsure: None,
+        });
+    }
+
+    fn now(&self) -> Instant {
+        self.started + Duration::from_secs(self.step)
+    }
+
+    fn time(&self, index: usize) -> ClaimTime {
+        ClaimTime {
+            now: self.now(),
+            minute: FIRST_MINUTE + self.step / 60 + self.entries[index].skew_minutes,
+        }
+    }
+
+    /// An entry loses all that it holds and comes back under a new boot.
+    fn crash(&mut self, index: usize) {
+        self.tally.crashes += 1;
+        self.tally.unsent_in_crash += self.entries[index].held.len() as u64;
+        let entry = std::mem::take(&mut self.entries[index]);
+        let in_commit = entry.commit.map(|(_, mut commit)| {
+            commit.refuse();
+            commit.take_finished()
+        });
+        let in_commit = in_commit.into_iter().flatten().map(|done| done.work);
+        for work in entry.inbox.into_iter().chain(in_commit) {
+            self.keys[work.id as usize].is_doubtful = true;
+        }
+        self.boot(index);
+    }
+
+    /// Moves the entry's commit by one step, or begins one.
+    fn work(&mut self, index: usize) {
+        let time = self.time(index);
+        let entry = &mut self.entries[index];
+        let Some((page, mut commit)) = entry.commit.take() else {
+            begin_commit(entry);
+            return;
+        };
+        let key = format!("/claims/{page}");
+        let is_finished = match commit.next_step(time, &mut self.rng) {
+            CommitStep::Read => {
+                commit.take_read(self.read(&key));
+                false
+            }
+            CommitStep::Swap { expected, value } => {
+                let answer = self.swap(&key, expected, value);
+                commit.take_swap(answer);
+                false
+            }
+            CommitStep::Pause(_) => false,
+            CommitStep::Finished => true,
+        };
+        for finished in commit.take_finished() {
+            let terms = SettleTerms {
+                retry_after: Duration::from_secs(1),
+                horizon: HORIZON,
+            };
+            let number = finished.work.id as usize;
+            let settled = settle_work(finished, terms);
+            self.entries[index].inbox.extend(settled.follow_up);
+            if let Some(outcome) = settled.outcome {
+                self.hear(index, number, outcome);
+            }
+        }
+        if is_finished {
+            let known = commit.into_known().map(|known| (page, known));
+            self.entries[index].pages.extend(known);
+        } else {
+            self.entries[index].commit = Some((page, commit));
+        }
+    }
+
+    fn hear(&mut self, index: usize, number: usize, outcome: ClaimOutcome) {
+        match outcome {
+            ClaimOutcome::Claimed(token) => self.entries[index].held.push(token),
+            ClaimOutcome::Repeat(outcome) => {
+                self.tally.repeats += 1;
+                let is_own = outcome == outcome_of(number);
+                let is_right = is_own && self.keys[number].executions == 1;
+                self.tally.wrong_repeats += u64::from(!is_right);
+            }
+            ClaimOutcome::InProgress => {
+                self.tally.in_progress += 1;
+                self.keys[number].is_doubtful = true;
+            }
+            ClaimOutcome::Expired => self.tally.expired += 1,
+            ClaimOutcome::KeyReused => self.tally.wrong_repeats += 1,
+            ClaimOutcome::StoreUnavailable { .. } | ClaimOutcome::Overloaded { .. } => {
+                self.tally.unavailable += 1;
+            }
+        }
+    }
+
+    /// Sends the request of a claim that is held, or ends one that was sent.
+    fn go_on(&mut self, index: usize) {
+        if !self.is_calm && !self.roll(self.rates.progress) {
+            return;
+        }
+        if let Some(token) = self.entries[index].running.pop() {
+            let number = self.numbers[&token.key];
+            let kind = WorkKind::Record(outcome_of(number));
+            self.give_back(index, number, token, kind);
+        }
+        let Some(token) = self.entries[index].held.pop() else {
+            return;
+        };
+        let number = self.numbers[&token.key];
+        if self.roll(self.rates.release) || !token.may_send(self.now()) {
+            self.tally.releases += 1;
+            self.give_back(index, number, token, WorkKind::Release { fence: None });
+            return;
+        }
+        self.keys[number].executions += 1;
+        self.entries[index].running.push(token);
+    }
+
+    fn give_back(&mut self, index: usize, number: usize, token: ClaimToken, kind: WorkKind) {
+        let accepted = self.now();
+        self.entries[index].inbox.push(PageWork {
+            id: number as u64,
+            key: token.key,
+            nonce: token.nonce,
+            kind,
+            accepted,
+            unsure: None,
+        });
+    }
+
+    fn check_up(&self) -> Result<(), StoreError> {
+        if self.step < self.outage_until && !self.is_calm {
+            return Err(StoreError::Unavailable("down".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn read(&mut self, key: &str) -> Result<Option<StoreEntry>, StoreError> {
+        self.check_up()?;
+        if self.roll(self.rates.lost_read) {
+            return Err(StoreError::Unavailable("timeout".to_owned()));
+        }
+        self.store.get(key)
+    }
+
+    fn swap(
+        &mut self,
+        key: &str,
+        expected: ExpectedVersion,
+        value: Vec<u8>,
+    ) -> Result<SwapOutcome, StoreError> {
+        self.check_up()?;
+        self.tally.swaps += 1;
+        let lost = || Err(StoreError::AnswerLost("lost".to_owned()));
+        if self.roll(self.rates.lost_undone) {
+            self.tally.lost_answers += 1;
+            return lost();
+        }
+        if self.roll(self.rates.delayed) {
+            self.tally.lost_answers += 1;
+            self.late_writes.push(LateWrite {
+                key: key.to_owned(),
+                expected,
+                value,
+            });
+            return lost();
+        }
+        let answer = self.store.compare_and_swap(key, expected, &value, None);
+        if self.roll(self.rates.lost_done) {
+            self.tally.lost_answers += 1;
+            return lost();
+        }
+        answer
+    }
+
+    fn land_late_write(&mut self) {
+        let write = self.late_writes.swap_remove(0);
+        let answer = self
+            .store
+            .compare_and_swap(&write.key, write.expected, &write.value, None);
+        let has_landed = matches!(answer, Ok(SwapOutcome::Swapped(_)));
+        self.tally.late_writes += u64::from(has_landed);
+    }
+
+    fn finish(mut self) -> SimulationTally {
+        self.tally.keys = self.keys.len();
+        for fate in &self.keys {
+            self.tally.most_executions = self.tally.most_executions.max(fate.executions);
+            match (fate.executions, fate.is_doubtful) {
+                (0, false) => self.tally.refused += 1,
+                (0, true) => self.tally.unknown += 1,
+                (1, _) => self.tally.executed += 1,
+                _ => self.tally.doubled += 1,
+            }
+        }
+        self.tally
+    }
+}
+
+fn outcome_of(number: usize) -> RecordedOutcome {
+    RecordedOutcome::new(201, "text/plain", number.to_string().as_bytes())
+}
+
+/// Begins to commit all messages for one page.
+fn begin_commit(entry: &mut SimEntry) {
+    let Some(first) = entry.inbox.first() else {
+        return;
+    };
+    let page = first.key.page(PAGES);
+    let inbox = std::mem::take(&mut entry.inbox);
+    let (group, rest) = inbox
+        .into_iter()
+        .partition(|work| work.key.page(PAGES) == page);
+    entry.inbox = rest;
+    let known = entry.pages.swap_remove(&page);
+    entry.commit = Some((page, PageCommit::new(known, group, HORIZON.as_secs() / 60)));
+}
--- a/crates/dewspring/src/configuration/mod.rs
+++ b/crates/dewspring/src/configuration/mod.rs
@@ -6,7 +6,6 @@
 //! invariant: the revision in force never falls, and one revision stands for
 //! one change.
 
-mod backoff;
 mod exchange;
 mod files;
 mod keeper;
--- a/crates/dewspring/src/configuration/watcher.rs
+++ b/crates/dewspring/src/configuration/watcher.rs
@@ -10,9 +10,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use super::backoff::backoff_delay;
 use super::keeper::{KeeperMessage, KeeperSettings};
-use crate::platform::{PlatformStore, StoreEntry, StoreError, StoreVersion};
+use crate::platform::{PlatformStore, StoreEntry, StoreError, StoreVersion, backoff_delay};
 use crate::tables::config_key;
 
 /// Shortest time from one watch to the next, if the store ends them early.
--- a/crates/dewspring/src/configuration/backoff.rs
+++ b/crates/dewspring/src/platform/backoff.rs
@@ -1,4 +1,6 @@
 //! The pause before the store is asked again after a failure.
+//!
+//! It serves every duty that calls the store.
 
 use std::time::Duration;
 
@@ -11,7 +13,7 @@
 ///
 /// It doubles from `base` up to `limit`; jitter takes up to half of it away,
 /// so that VMs that failed together don't come back together.
-pub(super) fn backoff_delay(
+pub(crate) fn backoff_delay(
     failures: u32,
     base: Duration,
     limit: Duration,
--- a/crates/dewspring/src/platform/gateway_messages.rs
+++ b/crates/dewspring/src/platform/gateway_messages.rs
@@ -12,7 +12,7 @@
 
 /// Bytes that are base64 in JSON.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub(super) struct EncodedBytes(pub Vec<u8>);
+pub(crate) struct EncodedBytes(pub Vec<u8>);
 
 impl Serialize for EncodedBytes {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
--- a/crates/dewspring/src/platform/mod.rs
+++ b/crates/dewspring/src/platform/mod.rs
@@ -6,6 +6,7 @@
 //! A store whose answer was lost says so: the caller reads back before it
 //! claims anything.
 
+mod backoff;
 mod choice;
 mod embedded;
 mod gateway;
@@ -17,10 +18,12 @@
 #[cfg(test)]
 pub(crate) mod tests;
 
+pub(crate) use backoff::backoff_delay;
 pub use choice::{AnyDirectory, AnyStore};
 pub use embedded::{EmbeddedDirectory, EmbeddedStore};
 pub use gateway::GatewayStore;
 pub use gateway_directory::GatewayDirectory;
+pub(crate) use gateway_messages::EncodedBytes;
 pub use store::{
     DirectoryError, ExpectedVersion, LeaseGrant, LeaseId, MAX_VALUE_BYTES, PlatformStore,
     StoreEntry, StoreError, StoreVersion, SwapOutcome, VmDirectory, VmEntry, VmState,
