Bound the retries of a pool

Cause: when a pool fails, each request comes back and doubles the load.

Ruled out: a budget at each entry (eight entries know an eighth of the requests each); refusing all retries while anything is refused (a full queue of the lowest tier would then cost the highest tier its retries).

Change: RetryBudget over two spans of five seconds, asked with each request that excludes servers. The tickets and the decision get modules of their own.

Taken out by hand, each found by tests/budget.rs: the tier of the refusals, the count, the check in ask, the end of the spans. The test of choices steered requests by excluded servers, which the budget now bounds; it steers by leaving marks instead, and its expectations are the same.

Conclusion: a failing pool gets at most a tenth more load by retries.

--- a/crates/dewspring/src/broker/messages.rs
+++ b/crates/dewspring/src/broker/messages.rs
@@ -72,7 +72,8 @@
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum RefusalReason {
-    /// The broker or the entry can't take more messages.
+    /// The broker or the entry can't take more messages, or the pool no more
+    /// retries.
     Overloaded,
     /// The pool is unknown or has no server that takes work.
     NoServer,
--- a/crates/dewspring/src/broker/mod.rs
+++ b/crates/dewspring/src/broker/mod.rs
@@ -6,9 +6,11 @@
 //! at once, while load reports lag.
 
 mod admission;
+mod budget;
 mod choice;
 mod class;
 mod control;
+mod decision;
 mod estimate;
 mod floor;
 mod grants;
@@ -29,15 +31,17 @@
 mod state;
 mod status;
 mod thread;
+mod tickets;
 
 #[cfg(test)]
 mod tests;
 
 pub use control::{BrokerSettings, CacheHint, ServerMark, ServerReport, ShareDivisor};
+pub use decision::TicketDecision;
 pub use handle::BrokerHandle;
 pub use messages::{
     AttemptOutcome, Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason,
 };
 pub use queue::ServiceTurn;
-pub use state::{BrokerState, TicketDecision};
+pub use state::BrokerState;
 pub use status::{BrokerStatus, ClassStatus, PoolStatus, ServerState, ServerStatus};
--- a/crates/dewspring/src/broker/pool.rs
+++ b/crates/dewspring/src/broker/pool.rs
@@ -6,12 +6,13 @@
 use std::time::{Duration, Instant};
 
 use super::admission::{PoolCapacity, expiry_reason, give_up_at, is_in_time};
+use super::budget::RetryBudget;
 use super::choice::{ChoiceInput, ReplicaChoice, choose};
 use super::control::{ServerMark, ServerReport, ShareDivisor};
 use super::estimate::{WorkEstimator, work_of};
 use super::grants::GrantRecord;
 use super::health::HealthSample;
-use super::messages::{AttemptOutcome, GrantRelease, RefusalReason};
+use super::messages::{AttemptOutcome, GrantRelease, GrantRequest, RefusalReason};
 use super::pace::ServicePace;
 use super::prefix::{PrefixHint, PrefixIndex};
 use super::queue::{PoolQueue, ServiceTurn};
@@ -51,6 +52,7 @@
     pub(super) queue: PoolQueue,
     estimator: WorkEstimator,
     pace: ServicePace,
+    budget: RetryBudget,
     prefixes: PrefixIndex,
     replicas: ReplicaSet,
     is_listed: bool,
@@ -62,6 +64,7 @@
             queue: PoolQueue::default(),
             estimator: WorkEstimator::default(),
             pace: ServicePace::new(PACE_WINDOW),
+            budget: RetryBudget::default(),
             prefixes: PrefixIndex::default(),
             replicas: ReplicaSet::default(),
             is_listed: false,
@@ -73,6 +76,7 @@
     /// Follows a new row of the pools table.
     pub(super) fn configure(&mut self, row: &PoolRow, share: ShareDivisor) {
         self.is_listed = true;
+        self.budget.set_percent(row.retry_percent);
         self.replicas.configure(&row.servers, share);
     }
 
@@ -136,11 +140,25 @@
         self.replicas.is_serving()
     }
 
+    /// Whether the retry budget has room for a request.
+    pub(super) fn may_retry(&self, request: &GrantRequest, now: Instant) -> bool {
+        self.budget.allows(request.tier, now)
+    }
+
     /// Estimates a new request and returns why it is refused, if it is.
-    pub(super) fn judge(&self, queued: &mut QueuedRequest, now: Instant) -> Option<RefusalReason> {
+    pub(super) fn judge(
+        &mut self,
+        queued: &mut QueuedRequest,
+        now: Instant,
+    ) -> Option<RefusalReason> {
         if !self.is_serving() {
             return Some(RefusalReason::NoServer);
         }
+        let is_retry = !queued.request.excluded.is_empty();
+        if is_retry && !self.may_retry(&queued.request, now) {
+            return Some(RefusalReason::Overloaded);
+        }
+        self.budget.note_request(is_retry, now);
         let capacity = self.capacity(now);
         queued.work = self.estimator.work(&queued.request);
         let longest = self.estimator.longest_work(&queued.request);
@@ -162,8 +180,21 @@
         })
     }
 
-    /// Estimates how long what waits in this and higher tiers takes.
-    pub(super) fn drain_time(&self, tier: TierLevel, now: Instant) -> Duration {
+    /// Notes a refusal, and estimates how long what waits in its tier and in
+    /// higher ones takes.
+    pub(super) fn note_refusal(
+        &mut self,
+        reason: RefusalReason,
+        tier: TierLevel,
+        now: Instant,
+    ) -> Duration {
+        let is_shed = matches!(
+            reason,
+            RefusalReason::QueueFull | RefusalReason::TargetMissed | RefusalReason::TimedOut
+        );
+        if is_shed && self.queue.len() > 0 {
+            self.budget.note_shed(tier, now);
+        }
         let work = self.queue.work_down_to(tier);
         self.capacity(now).drain_time(work)
     }
--- a/crates/dewspring/src/broker/state.rs
+++ b/crates/dewspring/src/broker/state.rs
@@ -11,53 +11,20 @@
 
 use super::admission::{expiry_reason, retry_after};
 use super::control::{BrokerSettings, ServerMark, ServerReport, ShareDivisor};
+use super::decision::TicketDecision;
 use super::grants::{GrantRecord, GrantTable};
 use super::messages::{Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason};
 use super::pool::{Placement, PoolState};
 use super::queue::ServiceTurn;
 use super::queued::{QueuedRequest, later};
 use super::status::BrokerStatus;
-use crate::ids::{
-    BootId, ClassName, GrantId, PoolName, RequestId, Revision, ServerName, TierLevel,
-};
-use crate::ids::{VmId, WorkspaceId};
+use super::tickets::{TicketIndex, TicketPlace};
+use crate::ids::{BootId, GrantId, PoolName, RequestId, Revision, ServerName, VmId};
 use crate::tables::FleetConfig;
 
 /// Time between two looks for requests that wait in vain.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A decision with what the log says of it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct TicketDecision {
-    /// Number of the question, as [`BrokerState::ask`] returned it.
-    pub ticket: GrantId,
-    /// The caller's request.
-    pub request: RequestId,
-    /// Pool that was asked for.
-    pub pool: PoolName,
-    /// Class of the request.
-    pub class: ClassName,
-    /// Tier of the request.
-    pub tier: TierLevel,
-    /// Workspace of the request.
-    pub workspace: WorkspaceId,
-    /// Time for which the question waited at the broker.
-    pub waited: Duration,
-    /// Why it was the request's turn; `None` for a refusal.
-    pub turn: Option<ServiceTurn>,
-    /// The decision.
-    pub decision: GrantDecision,
-}
-
-/// Where a ticket stands.
-#[derive(Clone, Debug)]
-enum TicketPlace {
-    /// In the queue of this pool.
-    Queued(PoolName),
-    /// In the table of grants.
-    Granted,
-}
-
 /// What a broker knows and decides.
 #[derive(Debug)]
 pub struct BrokerState {
@@ -68,9 +35,7 @@
     server_pools: IndexMap<ServerName, PoolName>,
     leaving: IndexSet<ServerName>,
     grants: GrantTable,
-    tickets: IndexMap<GrantId, TicketPlace>,
-    requests: IndexMap<RequestId, Vec<GrantId>>,
-    next_ticket: GrantId,
+    tickets: TicketIndex,
     sweep_at: Option<Instant>,
     decisions: Vec<TicketDecision>,
     generator: SmallRng,
@@ -97,9 +62,7 @@
             server_pools: IndexMap::new(),
             leaving: IndexSet::new(),
             grants: GrantTable::default(),
-            tickets: IndexMap::new(),
-            requests: IndexMap::new(),
-            next_ticket: 1,
+            tickets: TicketIndex::default(),
             sweep_at: None,
             decisions: Vec::new(),
             generator,
@@ -112,8 +75,7 @@
     /// once or later.
     pub fn ask(&mut self, request: GrantRequest, now: Instant) -> GrantId {
         self.advance(now);
-        let ticket = self.next_ticket;
-        self.next_ticket += 1;
+        let ticket = self.tickets.draw();
         let mut queued = QueuedRequest::new(ticket, request, now);
         if let Some(reason) = self.judge(&mut queued, now) {
             self.refuse(queued, reason, now);
@@ -126,6 +88,15 @@
         ticket
     }
 
+    /// Whether the retry budget of the request's pool has room for it.
+    ///
+    /// A request that excludes servers is a retry, and [`ask`](Self::ask)
+    /// refuses it as overloaded when the budget is used up.
+    pub fn may_retry(&self, request: &GrantRequest, now: Instant) -> bool {
+        let pool = self.pools.get(&request.pool);
+        pool.is_some_and(|pool| pool.may_retry(request, now))
+    }
+
     /// Forgets a request whose caller is gone: it leaves the queue, and what
     /// was granted to it is given back.
     ///
@@ -138,7 +109,7 @@
         now: Instant,
     ) -> Vec<GrantId> {
         self.advance(now);
-        let mut tickets = self.requests.get(request).cloned().unwrap_or_default();
+        let mut tickets = self.tickets.of_request(request);
         tickets.retain(|&ticket| self.is_asked_by(ticket, entry, boot));
         self.cancel_all(tickets, now)
     }
@@ -147,13 +118,13 @@
     ///
     /// Returns whether the ticket waited, so that it gets no decision any more.
     pub fn cancel(&mut self, ticket: GrantId, now: Instant) -> bool {
-        match self.tickets.get(&ticket).cloned() {
+        match self.tickets.place(ticket).cloned() {
             None => false,
             Some(TicketPlace::Queued(name)) => {
                 let pool = self.pools.get_mut(&name);
                 let queued = pool.and_then(|pool| pool.queue.remove(ticket));
                 let queued = queued.expect("a queued ticket is in its pool's queue");
-                self.forget_ticket(ticket, &queued.request.request);
+                self.tickets.forget(ticket, &queued.request.request);
                 true
             }
             Some(TicketPlace::Granted) => {
@@ -302,8 +273,8 @@
     /// Cancels the queued tickets first, so that no grant goes to one of them
     /// when a slot comes free.
     fn cancel_all(&mut self, mut tickets: Vec<GrantId>, now: Instant) -> Vec<GrantId> {
-        tickets
-            .sort_by_key(|ticket| matches!(self.tickets.get(ticket), Some(TicketPlace::Granted)));
+        let place = |ticket: &GrantId| self.tickets.place(*ticket);
+        tickets.sort_by_key(|ticket| place(ticket) == Some(&TicketPlace::Granted));
         tickets.retain(|&ticket| self.cancel(ticket, now));
         tickets
     }
@@ -329,19 +300,16 @@
         self.settle(now);
     }
 
-    fn judge(&self, queued: &mut QueuedRequest, now: Instant) -> Option<RefusalReason> {
-        match self.pools.get(&queued.request.pool) {
+    fn judge(&mut self, queued: &mut QueuedRequest, now: Instant) -> Option<RefusalReason> {
+        match self.pools.get_mut(&queued.request.pool) {
             Some(pool) => pool.judge(queued, now),
             None => Some(RefusalReason::NoServer),
         }
     }
 
     fn enqueue(&mut self, name: &PoolName, queued: QueuedRequest) {
-        let ticket = queued.ticket;
-        let request = queued.request.request.clone();
-        self.requests.entry(request).or_default().push(ticket);
-        self.tickets
-            .insert(ticket, TicketPlace::Queued(name.clone()));
+        let request = &queued.request.request;
+        self.tickets.note_queued(queued.ticket, request, name);
         let pool = self.pools.get_mut(name).expect("the pool is known");
         pool.queue.push(queued);
     }
@@ -404,12 +372,12 @@
             reason,
         };
         self.grants.insert(record);
-        self.tickets.insert(queued.ticket, TicketPlace::Granted);
+        self.tickets.note_granted(queued.ticket);
         self.decide(queued, Some(turn), GrantDecision::Granted(grant), now);
     }
 
     fn end(&mut self, record: GrantRecord, release: Option<&GrantRelease>, now: Instant) {
-        self.forget_ticket(record.id, &record.request);
+        self.tickets.forget(record.id, &record.request);
         let pool = self.pools.get_mut(&record.pool);
         let pool = pool.expect("a pool stays known while it has grants");
         pool.end(&record, release, now);
@@ -445,10 +413,10 @@
     }
 
     fn refuse(&mut self, queued: QueuedRequest, reason: RefusalReason, now: Instant) {
-        self.forget_ticket(queued.ticket, &queued.request.request);
+        self.tickets.forget(queued.ticket, &queued.request.request);
         let request = &queued.request;
-        let pool = self.pools.get(&request.pool);
-        let drain_time = pool.map(|pool| pool.drain_time(request.tier, now));
+        let pool = self.pools.get_mut(&request.pool);
+        let drain_time = pool.map(|pool| pool.note_refusal(reason, request.tier, now));
         let drain_time = drain_time.unwrap_or_default();
         let refusal = Refusal {
             reason,
@@ -479,7 +447,7 @@
     }
 
     fn is_asked_by(&self, ticket: GrantId, entry: &VmId, boot: BootId) -> bool {
-        match self.tickets.get(&ticket) {
+        match self.tickets.place(ticket) {
             None => false,
             Some(TicketPlace::Granted) => self.grants.is_held_by(ticket, entry, boot),
             Some(TicketPlace::Queued(name)) => {
@@ -488,15 +456,4 @@
             }
         }
     }
-
-    fn forget_ticket(&mut self, ticket: GrantId, request: &RequestId) {
-        self.tickets.swap_remove(&ticket);
-        let Some(tickets) = self.requests.get_mut(request) else {
-            return;
-        };
-        tickets.retain(|&other| other != ticket);
-        if tickets.is_empty() {
-            self.requests.swap_remove(request);
-        }
-    }
 }
--- a/crates/dewspring/src/broker/tests.rs
+++ b/crates/dewspring/src/broker/tests.rs
@@ -11,6 +11,7 @@
 use crate::tables::{FleetConfig, PoolKind, PoolRow, PoolTable, RouteTable, ServerRow};
 
 mod admission;
+mod budget;
 mod choice;
 mod handle;
 mod health;
--- a/crates/dewspring/src/broker/tests/choice.rs
+++ b/crates/dewspring/src/broker/tests/choice.rs
@@ -5,7 +5,9 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::{BOOT, config, release, request, server, servers};
-use crate::broker::{BrokerSettings, BrokerState, CacheHint, GrantRequest, ServerReport};
+use crate::broker::{
+    BrokerSettings, BrokerState, CacheHint, GrantRequest, ServerMark, ServerReport,
+};
 
 fn broker(slots: &[u32], now: Instant) -> BrokerState {
     let mut state = BrokerState::new(BrokerSettings::new("vm", BOOT));
@@ -53,9 +55,10 @@
 /// Lets requests run on each server, for so many seconds each on the first.
 fn run(seconds: u64, state: &mut BrokerState, now: Instant) {
     for (index, seconds) in [(0, seconds), (1, 1)].repeat(10) {
-        let mut request = request("r");
-        request.excluded = vec![format!("server-{}", 1 - index)];
-        let (ticket, _) = place(state, request, now);
+        let other = format!("server-{}", 1 - index);
+        state.mark(&other, ServerMark::Leaving, now);
+        let (ticket, _) = place(state, request("r"), now);
+        state.mark(&other, ServerMark::Live, now);
         let mut release = release(ticket);
         release.elapsed = Duration::from_secs(seconds);
         state.release(&release, now);
--- a/crates/dewspring/src/broker/thread.rs
+++ b/crates/dewspring/src/broker/thread.rs
@@ -12,9 +12,10 @@
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
+use super::decision::TicketDecision;
 use super::mailbox::{ControlMailbox, MailboxContent};
 use super::messages::{GrantDecision, GrantRelease, GrantRequest};
-use super::state::{BrokerState, TicketDecision};
+use super::state::BrokerState;
 use super::status::BrokerStatus;
 use crate::ids::{BootId, GrantId, RequestId, VmId};
 
@@ -156,7 +157,7 @@
     }
 
     fn deliver_one(&mut self, decision: TicketDecision, now: Instant) {
-        log_decision(&decision);
+        log::info!("broker: {decision}");
         let reply = self.replies.swap_remove(&decision.ticket);
         let reply = reply.expect("every ticket has one reply");
         let is_grant = matches!(decision.decision, GrantDecision::Granted(_));
@@ -203,31 +204,3 @@
         log::info!("broker: ended");
     }
 }
-
-fn log_decision(decision: &TicketDecision) {
-    let TicketDecision {
-        request,
-        pool,
-        class,
-        tier,
-        workspace,
-        waited,
-        turn,
-        ..
-    } = decision;
-    let place =
-        format!("request {request} class {class} tier {tier} workspace {workspace} pool {pool}");
-    match &decision.decision {
-        GrantDecision::Granted(grant) => log::info!(
-            "broker: granted {place} grant {} server {} waited {waited:?} turn {turn:?} reason {}",
-            grant.id,
-            grant.server,
-            grant.reason,
-        ),
-        GrantDecision::Refused(refusal) => log::info!(
-            "broker: refused {place} waited {waited:?} reason {:?} retry after {:?}",
-            refusal.reason,
-            refusal.retry_after,
-        ),
-    }
-}
