Tell the truth about a request whose retry fails

Cause: an idempotent request that broke off at one server, and whose retry then found no server, was answered as not run although it had run (test a_retry_that_fails_does_not_hide_that_the_request_may_have_run failed: ran "no" with one execution counted).

Ruled out: a mistake of the fake's count; the engine that resets counts before it resets.

Change: the exchange remembers that an attempt may have run and turns a later refusal into the honest "unknown".

--- a/crates/dewspring/src/entry/exchange.rs
+++ b/crates/dewspring/src/entry/exchange.rs
@@ -45,6 +45,8 @@
     /// Servers that have failed this request.
     pub excluded: Vec<ServerName>,
     pub attempts: usize,
+    /// Whether an attempt has failed in a way that it may have run.
+    pub may_have_run: bool,
     /// Keeps the request counted as in flight.
     pub _flight: FlightGuard<C, G>,
 }
@@ -60,7 +62,7 @@
     pub(super) async fn serve(mut self) -> Response<AnswerBody> {
         match self.begin(None).await {
             Ok(begun) => self.answer(begun),
-            Err(problem) => self.refuse(&problem),
+            Err(problem) => self.refuse(&self.honest(problem)),
         }
     }
 
@@ -243,10 +245,10 @@
             attempts: self.attempts,
             idempotent: self.route.idempotent,
             time_left: self.time_left(),
-            budget_left: true,
             server_left: self.has_untried_server(&server),
         };
         let step = next_step(failure, state);
+        self.may_have_run |= !matches!(failure, AttemptFailure::NotRun(_));
         self.note(format!("Server {server} failed: {failure:?}."));
         self.excluded.push(server);
         match step {
@@ -259,6 +261,15 @@
         }
     }
 
+    /// Keeps a later refusal from hiding that an earlier attempt may have run.
+    fn honest(&self, problem: Problem) -> Problem {
+        if self.may_have_run && problem.ran() == RanState::No {
+            let text = "An attempt broke off and could not be repeated.";
+            return Problem::Unknown(text.into());
+        }
+        problem
+    }
+
     /// Returns whether the pool has a server besides this one and those that
     /// have failed the request before.
     fn has_untried_server(&self, failed: &ServerName) -> bool {
--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -128,6 +128,7 @@
         model,
         excluded: Vec::new(),
         attempts: 0,
+        may_have_run: false,
         _flight: flight,
     })))
 }
--- a/crates/dewspring/src/entry/retry.rs
+++ b/crates/dewspring/src/entry/retry.rs
@@ -1,7 +1,8 @@
 //! Whether a failed attempt is tried again: a plain function of what happened.
 //!
 //! The rule that nothing may break: a request that may have run is sent again
-//! only if its route is idempotent.
+//! only if its route is idempotent. The pool's budget of retries is kept by its
+//! broker, which sees the retries of all entries.
 
 use std::time::Duration;
 
@@ -33,8 +34,6 @@
     pub idempotent: bool,
     /// Time left until the request is given up.
     pub time_left: Duration,
-    /// Whether the pool's budget allows one more retry.
-    pub budget_left: bool,
     /// Whether the pool has a server that has not failed this request.
     pub server_left: bool,
 }
@@ -60,7 +59,6 @@
 ///     attempts: 1,
 ///     idempotent: false,
 ///     time_left: Duration::from_secs(5),
-///     budget_left: true,
 ///     server_left: true,
 /// };
 /// let broken = AttemptFailure::BrokenOff("reset".into());
@@ -74,7 +72,7 @@
         AttemptFailure::BrokenOff(_) => state.idempotent,
         AttemptFailure::TimedOut => false,
     };
-    let has_room = state.attempts < MAX_ATTEMPTS && state.budget_left && state.server_left;
+    let has_room = state.attempts < MAX_ATTEMPTS && state.server_left;
     if may_repeat && has_room && !state.time_left.is_zero() {
         return RetryStep::Retry;
     }
--- a/crates/dewspring/src/entry/tests.rs
+++ b/crates/dewspring/src/entry/tests.rs
@@ -26,7 +26,6 @@
     failure: AttemptFailure,
     idempotent: bool,
     attempts: usize,
-    budget_left: bool,
     server_left: bool,
     retried: bool,
 }
@@ -35,32 +34,27 @@
 fn only_what_did_not_run_or_is_idempotent_is_retried() {
     let not_run = || AttemptFailure::NotRun("refused".into());
     let broken = || AttemptFailure::BrokenOff("reset".into());
-    let case =
-        |failure, idempotent, attempts, [budget_left, server_left]: [bool; 2], retried| RetryCase {
-            failure,
-            idempotent,
-            attempts,
-            budget_left,
-            server_left,
-            retried,
-        };
-    let both = [true, true];
+    let case = |failure, idempotent, attempts, server_left, retried| RetryCase {
+        failure,
+        idempotent,
+        attempts,
+        server_left,
+        retried,
+    };
     let cases = [
-        case(not_run(), false, 1, both, true),
-        case(not_run(), false, 3, both, false),
-        case(not_run(), false, 1, [false, true], false),
-        case(not_run(), false, 1, [true, false], false),
-        case(broken(), false, 1, both, false),
-        case(broken(), true, 1, both, true),
-        case(broken(), true, 3, both, false),
-        case(AttemptFailure::TimedOut, true, 1, both, false),
+        case(not_run(), false, 1, true, true),
+        case(not_run(), false, 3, true, false),
+        case(not_run(), false, 1, false, false),
+        case(broken(), false, 1, true, false),
+        case(broken(), true, 1, true, true),
+        case(broken(), true, 3, true, false),
+        case(AttemptFailure::TimedOut, true, 1, true, false),
     ];
     for case in cases {
         let state = RetryState {
             attempts: case.attempts,
             idempotent: case.idempotent,
             time_left: Duration::from_secs(1),
-            budget_left: case.budget_left,
             server_left: case.server_left,
         };
         let step = next_step(&case.failure, state);
