Tell apart a new fleet and a lost base in dewctl apply

Cause: a trial with a directory that had been applied to an earlier fleet was refused by a new one with a list of every row and no way on, and apply left a base document even where the operator names the revision. Taking an empty store as leave to apply was ruled out: a store that lost its data would get revision 1 while the daemons hold a higher one. The report of a conflict has a module of its own.

--- a/crates/dewctl/src/apply.rs
+++ b/crates/dewctl/src/apply.rs
@@ -1,15 +1,11 @@
 //! Applies an operator's tables on top of what that operator saw.
 
-use std::fmt;
-
 use dewspring::ids::Revision;
 use dewspring::platform::PlatformStore;
-use dewspring::tables::{
-    CheckedTables, ConfigDocument, RebaseError, RowKey, TableDiff, TableTexts, rebase_tables,
-};
-use serde::Serialize;
+use dewspring::tables::{ConfigDocument, RebaseError, RowKey, TableTexts, rebase_tables};
 
 use crate::commit::{ChangeOrigin, CommitLimits, CommitOutcome, ProposedTables, commit_change};
+use crate::conflict::ConflictReport;
 use crate::error::CommandError;
 
 /// What an operator's edit started from.
@@ -35,7 +31,8 @@
         }
     }
 
-    fn document(&self) -> Option<&ConfigDocument> {
+    /// Returns the document, if it is at hand.
+    pub(crate) fn document(&self) -> Option<&ConfigDocument> {
         match self {
             Self::Document(document) => Some(document),
             Self::Absent | Self::Revision(_) => None,
@@ -111,113 +108,10 @@
     }
 }
 
-/// Another operator's change that is in the way.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-pub struct ConflictReport {
-    /// Revision that the store holds; 0 if it holds none.
-    pub revision: Revision,
-    /// Operator of that revision.
-    pub operator: String,
-    /// Time of that revision as text.
-    pub applied: String,
-    /// Revision that the edit started from; 0 for none.
-    pub base_revision: Revision,
-    /// Rows that both sides changed, if a rebase was tried.
-    pub rows: Vec<RowKey>,
-    /// What others changed since the base, if the base is at hand.
-    pub theirs: Option<TableDiff>,
-    /// What the refused tables would change of the stored ones.
-    pub refused: Option<TableDiff>,
-}
-
 fn conflict(
     request: &ApplyRequest,
     current: Option<&ConfigDocument>,
     rows: Vec<RowKey>,
 ) -> CommandError {
-    let current_tables = checked_or_empty(current.map(ConfigDocument::texts));
-    let base_tables = request
-        .base
-        .document()
-        .and_then(|base| base.texts().check().ok());
-    let my_tables = request.texts.check().ok();
-    let diff_from = |before: Option<&CheckedTables>, after: Option<&CheckedTables>| {
-        Some(TableDiff::between(before?, after?))
-    };
-    let entry = current.map(ConfigDocument::entry);
-    CommandError::Conflict(Box::new(ConflictReport {
-        revision: entry.as_ref().map_or(0, |entry| entry.revision),
-        applied: entry
-            .as_ref()
-            .map_or_else(String::new, |entry| entry.applied_text()),
-        operator: entry.map_or_else(String::new, |entry| entry.operator),
-        base_revision: match &request.base {
-            ApplyBase::Absent => 0,
-            ApplyBase::Revision(revision) => *revision,
-            ApplyBase::Document(base) => base.revision,
-        },
-        rows,
-        theirs: diff_from(base_tables.as_ref(), current_tables.as_ref()),
-        refused: diff_from(current_tables.as_ref(), my_tables.as_ref()),
-    }))
-}
-
-fn checked_or_empty(texts: Option<TableTexts>) -> Option<CheckedTables> {
-    match texts {
-        Some(texts) => texts.check().ok(),
-        None => Some(CheckedTables::default()),
-    }
-}
-
-impl fmt::Display for ConflictReport {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            revision,
-            operator,
-            applied,
-            base_revision,
-            ..
-        } = self;
-        if *revision == 0 {
-            writeln!(
-                formatter,
-                "conflict: the store holds no configuration, but the edit started from revision {base_revision}"
-            )?;
-        } else if *base_revision == 0 {
-            writeln!(
-                formatter,
-                "conflict: the store holds revision {revision} of {operator} ({applied}), and it is not known what the edit started from"
-            )?;
-        } else {
-            writeln!(
-                formatter,
-                "conflict: the edit started from revision {base_revision}, but the store holds revision {revision} of {operator} ({applied})"
-            )?;
-        }
-        for row in &self.rows {
-            writeln!(formatter, "changed on both sides: {row}")?;
-        }
-        write_diff(
-            formatter,
-            "changed by others since then",
-            self.theirs.as_ref(),
-        )?;
-        write_diff(
-            formatter,
-            "these tables would change",
-            self.refused.as_ref(),
-        )?;
-        write!(formatter, "nothing was changed")
-    }
-}
-
-fn write_diff(
-    formatter: &mut fmt::Formatter<'_>,
-    title: &str,
-    diff: Option<&TableDiff>,
-) -> fmt::Result {
-    match diff {
-        Some(diff) if !diff.is_empty() => write!(formatter, "{title}:\n{diff}"),
-        Some(_) | None => Ok(()),
-    }
+    CommandError::Conflict(Box::new(ConflictReport::open(request, current, rows)))
 }
--- a/crates/dewctl/src/error.rs
+++ b/crates/dewctl/src/error.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 use crate::admin::AdminError;
-use crate::apply::ConflictReport;
+use crate::conflict::ConflictReport;
 use crate::wait::WaitTimeout;
 
 /// Exit status of the program.
--- a/crates/dewctl/src/lib.rs
+++ b/crates/dewctl/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod apply;
 mod cli;
 pub mod commit;
+pub mod conflict;
 pub mod drain;
 pub mod error;
 pub mod explain;
--- a/crates/dewctl/src/print.rs
+++ b/crates/dewctl/src/print.rs
@@ -6,7 +6,7 @@
 use dewspring::tables::TableErrors;
 use serde::Serialize;
 
-use crate::apply::ConflictReport;
+use crate::conflict::ConflictReport;
 use crate::error::CommandError;
 
 /// Where a command's reports and errors go.
--- a/crates/dewctl/src/run.rs
+++ b/crates/dewctl/src/run.rs
@@ -207,7 +207,9 @@
         self.check_wait(arguments.wait)?;
         let key = config_key(&self.settings.fleet);
         let outcome = apply_tables(&store, &key, &request, COMMIT_LIMITS)?;
-        self.keep_base(&dir, &base_path, &request, &outcome);
+        if arguments.expect.is_none() {
+            self.keep_base(&dir, &base_path, &request, &outcome);
+        }
         self.finish_change(&outcome, arguments.wait)
     }
 
--- a/crates/dewctl/tests/dewctl/command_line.rs
+++ b/crates/dewctl/tests/dewctl/command_line.rs
@@ -7,6 +7,7 @@
     run, run_plain, texts, with_slots,
 };
 use dewctl::ExitStatus;
+use dewctl::tables_dir::BASE_FILE;
 
 fn assert_status(result: &RunResult, status: ExitStatus) {
     assert_eq!(result.status, status, "{result:?}");
@@ -163,19 +164,35 @@
 fn tables_without_a_base_never_overwrite() {
     let store = TestStore::open(Some(&first_document(2)));
     let dir = TestDir::open(&with_slots(&texts(2), 0, 2));
-    assert_status(
-        &run(&store, &[], &["apply", dir.text()]),
-        ExitStatus::Conflict,
-    );
-    assert_status(
-        &run(&store, &[], &["apply", dir.text(), "--expect", "2"]),
-        ExitStatus::Conflict,
+    let result = run(&store, &[], &["apply", dir.text()]);
+    assert_status(&result, ExitStatus::Conflict);
+    assert!(result.errors.contains("--to DIR"), "{result:?}");
+    let arguments = ["apply", dir.text(), "--expect", "2"];
+    assert_status(&run(&store, &[], &arguments), ExitStatus::Conflict);
+    let arguments = ["apply", dir.text(), "--expect", "1"];
+    assert_status(&run(&store, &[], &arguments), ExitStatus::Success);
+    assert_eq!(store.document().revision, 2);
+    assert!(
+        !dir.path().join(BASE_FILE).exists(),
+        "the directory is left as it is"
     );
+}
+
+#[test]
+fn a_base_of_a_fleet_that_is_gone_conflicts_until_that_is_said() {
+    let dir = TestDir::open(&texts(2));
+    let arguments = ["apply", dir.text()];
     assert_status(
-        &run(&store, &[], &["apply", dir.text(), "--expect", "1"]),
+        &run(&TestStore::default(), &[], &arguments),
         ExitStatus::Success,
     );
-    assert_eq!(store.document().revision, 2);
+    assert!(dir.path().join(BASE_FILE).exists());
+    let store = TestStore::default();
+    let result = run(&store, &[], &arguments);
+    assert_status(&result, ExitStatus::Conflict);
+    assert!(result.errors.contains("--expect 0"), "{result:?}");
+    let arguments = ["apply", dir.text(), "--expect", "0"];
+    assert_status(&run(&store, &[], &arguments), ExitStatus::Success);
 }
 
 #[test]
