Count the tokens of plain JSON answers

Cause: an answer that isn't streamed was noted as "Completed with 0 tokens", so goodput missed it and the broker learned a length of 0 from it.

Ruled out: collecting the answer to parse it; answers are passed on as they come.

--- a/crates/dewspring/src/entry/exchange.rs
+++ b/crates/dewspring/src/entry/exchange.rs
@@ -13,16 +13,19 @@
 use super::attempt::AttemptGuard;
 use super::body::AnswerBody;
 use super::context::{ConfigSource, EntryContext, FlightGuard};
+use super::events::EventScanner;
 use super::grants::GrantSource;
 use super::headers::{
     LEAVING, PREFIX_HASH, PRIORITY, RAN, REQUEST_ID, RESUME_FROM, SERVER_NAME, VM_NAME,
     end_to_end_headers, forwarded_headers,
 };
+use super::meter::AnswerMeter;
 use super::problem::{Problem, RanState};
 use super::pump::AnswerPump;
 use super::request::ModelRequest;
 use super::retry::{AttemptFailure, RetryState, RetryStep, next_step};
 use super::upstream::{CallError, UpstreamAnswer, call};
+use super::usage::UsageTail;
 use crate::broker::{AttemptOutcome, Grant, GrantDecision, GrantRequest};
 use crate::ids::{RequestId, ServerName, TokenCount, WorkspaceId};
 use crate::tables::{FleetConfig, LatePolicy, PoolKind, PoolRow, RouteRow};
@@ -306,14 +309,18 @@
 
         let status = response.status();
         let is_empty = response.body().is_end_stream() || self.parts.method == Method::HEAD;
-        let is_events = is_stream && self.pool().kind == PoolKind::Engine;
+        let meter = match self.pool().kind {
+            PoolKind::Engine if is_stream => AnswerMeter::Events(EventScanner::default()),
+            PoolKind::Engine => AnswerMeter::Document(UsageTail::default()),
+            PoolKind::Service => AnswerMeter::Plain,
+        };
         let (sender, streamed) = AnswerBody::streamed();
         let body = if is_empty {
             AnswerBody::Ready(None)
         } else {
             streamed
         };
-        let pump = AnswerPump::new(self, begun, sender, is_events);
+        let pump = AnswerPump::new(self, begun, sender, meter);
         tokio::spawn(pump.run());
 
         let mut answer = Response::new(body);
--- a/crates/dewspring/src/entry/mod.rs
+++ b/crates/dewspring/src/entry/mod.rs
@@ -16,12 +16,14 @@
 mod grants;
 mod handler;
 mod headers;
+mod meter;
 mod problem;
 mod pump;
 mod request;
 mod retry;
 mod server;
 mod upstream;
+mod usage;
 
 #[cfg(test)]
 mod tests;
@@ -35,3 +37,4 @@
 pub use retry::{AttemptFailure, RetryState, RetryStep, next_step};
 pub use server::{EntryServer, ShutdownOutcome};
 pub(crate) use upstream::call;
+pub use usage::UsageTail;
--- a/crates/dewspring/src/entry/pump.rs
+++ b/crates/dewspring/src/entry/pump.rs
@@ -13,9 +13,9 @@
 use super::attempt::AttemptGuard;
 use super::body::{BrokenAnswer, PieceSender};
 use super::context::ConfigSource;
-use super::events::EventScanner;
 use super::exchange::{BegunAnswer, Exchange};
 use super::grants::GrantSource;
+use super::meter::AnswerMeter;
 use super::upstream::UpstreamAnswer;
 use crate::broker::AttemptOutcome;
 use crate::ids::TokenCount;
@@ -43,8 +43,7 @@
     attempt: AttemptGuard<C, G>,
     upstream: UpstreamAnswer,
     sender: PieceSender,
-    /// Present if the answer is an engine's stream of events.
-    scanner: Option<EventScanner>,
+    meter: AnswerMeter,
     /// Tokens that the caller had when this attempt began.
     resumed_from: TokenCount,
     resumes: usize,
@@ -57,14 +56,14 @@
         exchange: Exchange<C, G>,
         begun: BegunAnswer<C, G>,
         sender: PieceSender,
-        is_events: bool,
+        meter: AnswerMeter,
     ) -> Self {
         Self {
             exchange,
             attempt: begun.attempt,
             upstream: begun.upstream,
             sender,
-            scanner: is_events.then(EventScanner::default),
+            meter,
             resumed_from: 0,
             resumes: 0,
             first_token: None,
@@ -117,16 +116,10 @@
     }
 
     async fn deliver(&mut self, bytes: Bytes) -> PumpStep {
-        let piece = match &mut self.scanner {
-            None => bytes,
-            Some(scanner) => {
-                let piece = scanner.push(bytes);
-                self.attempt
-                    .note_tokens(scanner.tokens() - self.resumed_from);
-                self.first_token = self.first_token.or(self.attempt.first_token());
-                piece
-            }
-        };
+        let piece = self.meter.push(bytes);
+        self.attempt
+            .note_tokens(self.meter.tokens() - self.resumed_from);
+        self.first_token = self.first_token.or(self.attempt.first_token());
         if piece.is_empty() {
             return PumpStep::Piece(piece);
         }
@@ -139,11 +132,7 @@
 
     fn is_short(&self) -> bool {
         let is_ok = self.upstream.response.status().is_success();
-        is_ok
-            && self
-                .scanner
-                .as_ref()
-                .is_some_and(|scanner| !scanner.is_done())
+        is_ok && self.meter.is_short()
     }
 
     /// Goes on with the stream at another server, if that is allowed.
@@ -152,11 +141,11 @@
         let may_resume = self.exchange.pool().can_resume
             && self.exchange.route.idempotent
             && self.resumes < MAX_RESUMES
-            && self.scanner.is_some();
+            && self.meter.restart();
         if !may_resume {
             return Err(self);
         }
-        let tokens = self.tokens();
+        let tokens = self.meter.tokens();
         let server = self.attempt.grant().server.clone();
         self.exchange.excluded.push(server);
         match self.exchange.begin(Some(tokens)).await {
@@ -174,9 +163,6 @@
             .context
             .metrics
             .count_retry(&self.exchange.route.class);
-        if let Some(scanner) = &mut self.scanner {
-            scanner.restart();
-        }
         let broken = std::mem::replace(&mut self.attempt, begun.attempt);
         broken.finish(AttemptOutcome::Unknown);
         self.upstream = begun.upstream;
@@ -185,12 +171,8 @@
         self
     }
 
-    fn tokens(&self) -> TokenCount {
-        self.scanner.as_ref().map_or(0, EventScanner::tokens)
-    }
-
     fn complete(self) {
-        let tokens = self.tokens();
+        let tokens = self.meter.tokens();
         let route = &self.exchange.route;
         let metrics = &self.exchange.context.metrics;
         let elapsed = self.exchange.arrived.elapsed();
@@ -237,7 +219,7 @@
 
     /// Lets the caller see that the answer isn't whole.
     async fn abort(self) {
-        let tokens = self.tokens();
+        let tokens = self.meter.tokens();
         let metrics = &self.exchange.context.metrics;
         metrics.count_waste(WasteCause::Broken, tokens);
         metrics.count_unknown(&self.exchange.route.class);
--- a/crates/dewspring/src/entry/tests.rs
+++ b/crates/dewspring/src/entry/tests.rs
@@ -9,7 +9,8 @@
 
 use super::headers::{RAN, REQUEST_ID, forwarded_headers};
 use super::{
-    AttemptFailure, EventScanner, ModelRequest, Problem, RetryState, RetryStep, next_step,
+    AttemptFailure, EventScanner, ModelRequest, Problem, RetryState, RetryStep, UsageTail,
+    next_step,
 };
 use crate::broker::{Refusal, RefusalReason};
 
@@ -204,6 +205,22 @@
     checker().quickcheck(property as fn(Vec<u8>, u8) -> bool);
 }
 
+#[test]
+fn usage_is_found_in_any_cut_of_a_document() {
+    fn property(tokens: u32, padding: u8, cut: u8) -> bool {
+        let padding = "x".repeat(usize::from(padding) * 16);
+        let document = format!(
+            r#"{{"text":"{padding}","usage":{{"completion_tokens":{tokens},"total_tokens":7}}}}"#
+        );
+        let mut tail = UsageTail::default();
+        for piece in document.as_bytes().chunks(usize::from(cut) + 1) {
+            tail.push(piece);
+        }
+        tail.tokens() == u64::from(tokens)
+    }
+    checker().quickcheck(property as fn(u32, u8, u8) -> bool);
+}
+
 struct BodyCase {
     body: &'static str,
     model: Option<&'static str>,
