Decide which VMs are alive from the list, heartbeats and news

Cause: brokers are chosen among the VMs that are alive, and the platform's list of them lags.

Ruled out: heartbeats between all VMs (800 x 800 pairs); spreading suspicion (one bad link would move pools, and death follows within 0.6 s in any case); ordering boots by their numbers, which are random; a list of former boots that is fed by news, which can lock out a boot that lives.

--- /dev/null
+++ b/crates/dewspring/src/peer/messages.rs
@@ -0,0 +1,58 @@
+//! The messages of the heartbeats.
+//!
+//! They hold no points in time, since each VM trusts only its own monotonic
+//! clock. The messages of the grants stand in the broker's slice.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{BootId, DataCentreName, Revision, VmId};
+
+/// Number that a VM raises to contradict older news of itself.
+pub type Incarnation = u64;
+
+/// Where a VM is reached.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VmPlace {
+    /// Address of its peer port.
+    pub address: SocketAddr,
+    /// Data centre that it stands in.
+    pub data_centre: DataCentreName,
+}
+
+/// What one VM knows of another, passed along in heartbeats.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LivenessNews {
+    /// The VM that the news is about.
+    pub vm: VmId,
+    /// Boot of that VM.
+    pub boot: BootId,
+    /// Incarnation that the news is about; the newest wins.
+    pub incarnation: Incarnation,
+    /// Whether the VM stopped answering.
+    pub dead: bool,
+    /// Whether the VM is about to leave.
+    pub draining: bool,
+    /// Where it is reached; only of a VM that is not on the sender's list.
+    pub place: Option<VmPlace>,
+}
+
+/// What a VM says of itself; a heartbeat is answered by a heartbeat.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// The VM that speaks.
+    pub vm: VmId,
+    /// Its boot.
+    pub boot: BootId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Revision of the configuration in force on it; 0 before the first one.
+    pub revision: Revision,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// Where it is reached; only in a heartbeat that is no answer.
+    pub place: Option<VmPlace>,
+    /// A bounded number of news.
+    pub news: Vec<LivenessNews>,
+}
--- /dev/null
+++ b/crates/dewspring/src/peer/tests/mod.rs
@@ -0,0 +1,6 @@
+//! Tests of the peer slice.
+
+mod fleet;
+mod membership;
+mod rendezvous;
+mod scale;
