Let VMs speak: heartbeats, configuration and grants over tarpc

Cause: entries ask brokers on other VMs, and an accepted revision must spread while the store is down.

Change: PeerDuty with its runtime, a listener with proof of the secret and bounds, one link to each VM, batched releases and withdrawals, push and pull of documents. A question that is given up is withdrawn on both sides; a grant that arrives and is not taken is given back.

The question test fails without the withdrawal by the caller, the test with an ended entry fails without the guard at the broker.

--- /dev/null
+++ b/crates/dewspring/src/peer/handle.rs
@@ -0,0 +1,194 @@
+//! The peer duty as the other duties hold it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+
+use tokio::runtime::Handle;
+use tokio::sync::{Semaphore, oneshot, watch};
+
+use super::asks::{AskResult, BrokerQuestion, unused_grant};
+use super::counters::PeerCounts;
+use super::errors::PeerError;
+use super::links::PeerLink;
+use super::member::{MemberState, MemberStatus};
+use super::notices::{GrantNotice, send_notice};
+use super::rendezvous::rendezvous_owner;
+use super::shared::PeerShared;
+use crate::broker::{GrantDecision, GrantRelease, GrantRequest};
+use crate::ids::{PoolName, VmId};
+
+/// Questions to other VMs at the same time.
+const QUESTION_LIMIT: usize = 8_192;
+
+/// Where the broker of a pool is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BrokerPlace {
+    /// On this VM.
+    Local,
+    /// On another VM.
+    Remote(VmId),
+}
+
+/// What a handle is made of.
+pub(super) struct HandleParts {
+    pub(super) shared: Arc<PeerShared>,
+    pub(super) runtime: Handle,
+    pub(super) stop: watch::Sender<bool>,
+    pub(super) thread: Mutex<Option<JoinHandle<()>>>,
+    pub(super) bound: SocketAddr,
+}
+
+/// A running peer duty.
+///
+/// Clones lead to the same duty. It ends when [`shut_down`](Self::shut_down) is
+/// called or the last clone is dropped.
+#[derive(Clone)]
+pub struct PeerHandle {
+    parts: Arc<HandleParts>,
+    questions: Arc<Semaphore>,
+}
+
+impl PeerHandle {
+    pub(super) fn new(parts: HandleParts) -> Self {
+        PeerHandle {
+            parts: Arc::new(parts),
+            questions: Arc::new(Semaphore::new(QUESTION_LIMIT)),
+        }
+    }
+
+    /// Returns the address that the duty listens on.
+    pub fn local_address(&self) -> SocketAddr {
+        self.parts.bound
+    }
+
+    /// Asks the broker on another VM for leave to run a request.
+    ///
+    /// It may be awaited on any runtime. Dropping the future withdraws the
+    /// question, and gives back a grant that comes too late.
+    ///
+    /// # Errors
+    ///
+    /// A [`PeerError`] at once if the VM is known to be dead or refuses the
+    /// connection, and as soon as its heartbeats are missed if it falls silent.
+    pub async fn ask(
+        &self,
+        broker: &VmId,
+        request: GrantRequest,
+    ) -> Result<GrantDecision, PeerError> {
+        let permit = Arc::clone(&self.questions).try_acquire_owned();
+        let permit = permit.map_err(|_| PeerError::Overloaded)?;
+        let question = BrokerQuestion {
+            shared: Arc::clone(&self.parts.shared),
+            link: self.link(broker)?,
+            request,
+        };
+        let (reply, receiver) = oneshot::channel();
+        self.parts.runtime.spawn(async move {
+            question.run(reply).await;
+            drop(permit);
+        });
+        let mut waiter = DecisionWaiter {
+            handle: self,
+            broker,
+            receiver,
+        };
+        let result = (&mut waiter.receiver).await;
+        result.unwrap_or(Err(PeerError::Ended))
+    }
+
+    /// Ends a grant of a broker on another VM, without waiting.
+    ///
+    /// Releases are sent in batches; one that can't be delivered is counted.
+    pub fn release(&self, broker: &VmId, release: GrantRelease) {
+        let shared = &self.parts.shared;
+        shared.membership().close_grant(broker);
+        let notice = GrantNotice::Release(release);
+        match self.link(broker) {
+            Ok(link) => send_notice(&self.parts.runtime, shared, link, notice),
+            Err(error) => {
+                shared.counters.lost_notices.add(1);
+                log::info!("peer: a release to {broker} is lost: {error}.");
+            }
+        }
+    }
+
+    /// Returns where the broker of a pool is, as this VM sees it now.
+    ///
+    /// It is on this VM when no other VM may be in charge.
+    pub fn broker_for(&self, pool: &PoolName) -> BrokerPlace {
+        let view = self.parts.shared.view.load();
+        match rendezvous_owner(pool, &view.eligible) {
+            Some(vm) if *vm != self.parts.shared.identity.vm => BrokerPlace::Remote(vm.clone()),
+            _ => BrokerPlace::Local,
+        }
+    }
+
+    /// Returns the status of all other VMs, in the order of their names.
+    pub fn members(&self) -> Vec<MemberStatus> {
+        self.parts.shared.view.load().members.clone()
+    }
+
+    /// Returns the number of VMs that take new requests, this one included.
+    pub fn live_vms(&self) -> usize {
+        self.parts.shared.view.load().eligible.len()
+    }
+
+    /// Says from now on that this VM is about to leave.
+    pub fn set_draining(&self) {
+        self.parts.shared.membership().set_draining();
+        self.parts.shared.publish();
+    }
+
+    /// Whether the platform's list was read and each VM on it has answered or
+    /// is dead.
+    pub fn peers_heard(&self) -> bool {
+        self.parts.shared.membership().peers_heard()
+    }
+
+    /// Returns what the duty has counted.
+    pub fn counts(&self) -> PeerCounts {
+        self.parts.shared.counters.read()
+    }
+
+    /// Ends the duty and waits until its thread is done.
+    ///
+    /// Notices that wait are sent first, for a short time. Questions that wait
+    /// end with [`PeerError::Ended`].
+    pub fn shut_down(&self) {
+        self.parts.stop.send_replace(true);
+        let thread = self.parts.thread.lock().expect("no holder panics").take();
+        if let Some(thread) = thread {
+            thread.join().expect("the peer thread doesn't panic");
+        }
+    }
+
+    /// Returns the link to a VM that is known and not dead.
+    fn link(&self, vm: &VmId) -> Result<Arc<PeerLink>, PeerError> {
+        let shared = &self.parts.shared;
+        let member = shared.membership().member(vm);
+        let member = member.ok_or_else(|| PeerError::Unknown(vm.clone()))?;
+        if member.state == MemberState::Dead {
+            return Err(PeerError::Dead(vm.clone()));
+        }
+        Ok(shared.links.get(vm, member.place.address))
+    }
+}
+
+/// A caller that waits for a decision.
+///
+/// Dropped between the arrival of a grant and its taking, it gives it back.
+struct DecisionWaiter<'a> {
+    handle: &'a PeerHandle,
+    broker: &'a VmId,
+    receiver: oneshot::Receiver<AskResult>,
+}
+
+impl Drop for DecisionWaiter<'_> {
+    fn drop(&mut self) {
+        self.receiver.close();
+        if let Ok(Ok(GrantDecision::Granted(grant))) = self.receiver.try_recv() {
+            self.handle.release(self.broker, unused_grant(&grant));
+        }
+    }
+}
--- a/crates/dewspring/src/peer/membership.rs
+++ b/crates/dewspring/src/peer/membership.rs
@@ -17,7 +17,7 @@
 use super::messages::{Heartbeat, Incarnation, LivenessNews, VmPlace};
 use super::news::NewsQueue;
 use super::rendezvous::{rendezvous_owner, ring_position};
-use super::targets::{HEARTBEAT_INTERVAL, TargetChoice};
+use super::targets::{HEARTBEAT_INTERVAL, TargetChoice, random_alive};
 use crate::ids::{BootId, PoolName, Revision, VmId};
 use crate::platform::{VmEntry, VmState};
 
@@ -68,6 +68,8 @@
 /// A change that the other duties have to know of.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum MemberEvent {
+    /// A VM stopped answering: calls to it are over.
+    Died(VmId),
     /// A boot of a VM stopped answering or was replaced: its grants are over.
     BootEnded(VmId, BootId),
     /// A VM that was taken for dead is back.
@@ -260,6 +262,23 @@
         members
     }
 
+    /// Returns the status of one other VM, if it is known.
+    pub fn member(&self, vm: &VmId) -> Option<MemberStatus> {
+        let record = self.members.get(vm)?;
+        Some(member_status(vm, record))
+    }
+
+    /// Returns some random VMs that are to hear of a new revision at once.
+    pub fn spread_targets(&self, rng: &mut impl Rng) -> Vec<HeartbeatTarget> {
+        random_alive(&self.members, rng)
+            .into_iter()
+            .map(|(vm, record)| HeartbeatTarget {
+                vm: vm.clone(),
+                place: record.place.clone(),
+            })
+            .collect()
+    }
+
     /// Whether the list was read and each VM on it has answered or is dead.
     pub fn peers_heard(&self) -> bool {
         let mut listed = self.members.values().filter(|r| r.unlisted_since.is_none());
@@ -309,6 +328,8 @@
 
     /// Tells the other duties and the fleet that a VM is dead.
     fn note_death(&mut self, vm: &VmId) {
+        self.partners.swap_remove(vm);
+        self.events.push(MemberEvent::Died(vm.clone()));
         let record = &self.members[vm];
         if let Some(boot) = record.boot {
             self.events.push(MemberEvent::BootEnded(vm.clone(), boot));
@@ -440,6 +461,9 @@
         } else if replaced.is_some() || !record.unreachable {
             record.mark_live();
         }
+        if news.dead && !was_dead {
+            self.events.push(MemberEvent::Died(news.vm.clone()));
+        }
         if !was_dead && (news.dead || replaced.is_some()) {
             let ended = replaced.unwrap_or(news.boot);
             let event = MemberEvent::BootEnded(news.vm.clone(), ended);
--- a/crates/dewspring/src/peer/messages.rs
+++ b/crates/dewspring/src/peer/messages.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BootId, DataCentreName, Revision, VmId};
+use crate::ids::{BootId, DataCentreName, RequestId, Revision, VmId};
 
 /// Number that a VM raises to contradict older news of itself.
 pub type Incarnation = u64;
@@ -56,3 +56,14 @@
     /// A bounded number of news.
     pub news: Vec<LivenessNews>,
 }
+
+/// An entry's word that it waits no more for a decision.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GrantWithdrawal {
+    /// The caller's request.
+    pub request: RequestId,
+    /// VM of the entry that asked.
+    pub entry: VmId,
+    /// Boot of that entry.
+    pub boot: BootId,
+}
--- a/crates/dewspring/src/peer/mod.rs
+++ b/crates/dewspring/src/peer/mod.rs
@@ -1,19 +1,53 @@
 //! What VMs say to each other: heartbeats, configuration, grants.
+//!
+//! [`MembershipState`] decides which VMs are alive and which one is the broker
+//! of a pool. [`PeerDuty`] is the shell around it: a thread with a runtime, a
+//! listener, and one connection to each VM that is spoken to. The neighbours
+//! are met through small traits: [`ConfigExchange`] for the configuration,
+//! [`VmDirectory`] for the platform's list, [`GrantService`] for the broker.
+//!
+//! The main invariant: a question that is given up, for whatever reason, leaves
+//! no grant behind.
+//!
+//! [`ConfigExchange`]: crate::configuration::ConfigExchange
+//! [`VmDirectory`]: crate::platform::VmDirectory
 
+mod asks;
+mod counters;
+mod duty;
+mod errors;
+mod exchanger;
+mod grants;
+mod handle;
+mod links;
+mod listener;
 mod member;
 mod membership;
 mod messages;
 mod news;
+mod notices;
+mod preface;
 mod rendezvous;
+mod service;
+mod settings;
+mod shared;
 mod targets;
+mod wire;
 
 #[cfg(test)]
 mod tests;
 
+pub use counters::PeerCounts;
+pub use duty::PeerDuty;
+pub use errors::{PeerError, PeerStartError};
+pub use grants::GrantService;
+pub use handle::{BrokerPlace, PeerHandle};
 pub use member::{MemberState, MemberStatus};
 pub use membership::{
     FORGET_AFTER, HeartbeatTarget, HeartbeatVerdict, MemberEvent, MembershipState, VmIdentity,
 };
-pub use messages::{Heartbeat, Incarnation, LivenessNews, VmPlace};
+pub use messages::{GrantWithdrawal, Heartbeat, Incarnation, LivenessNews, VmPlace};
+pub use preface::{SecretError, SharedSecret};
 pub use rendezvous::rendezvous_owner;
+pub use settings::PeerSettings;
 pub use targets::HEARTBEAT_INTERVAL;
--- a/crates/dewspring/src/peer/targets.rs
+++ b/crates/dewspring/src/peer/targets.rs
@@ -38,6 +38,9 @@
 /// VMs of which nothing was heard yet, asked in one round.
 const UNHEARD_TARGETS: usize = 8;
 
+/// Random VMs that hear of a new revision at once.
+const SPREAD_TARGETS: usize = 8;
+
 /// Dead VMs asked in one round, to notice that they are back.
 const DEAD_TARGETS: usize = 1;
 
@@ -52,7 +55,7 @@
 }
 
 /// A VM with its record.
-type MemberEntry<'a> = (&'a VmId, &'a MemberRecord);
+pub(super) type MemberEntry<'a> = (&'a VmId, &'a MemberRecord);
 
 impl<'a> TargetChoice<'a> {
     /// Returns the VMs to ask in this round, each once.
@@ -132,6 +135,20 @@
     }
 }
 
+/// Returns some random VMs that are not dead.
+pub(super) fn random_alive<'a>(
+    members: &'a IndexMap<VmId, MemberRecord>,
+    rng: &mut impl Rng,
+) -> Vec<MemberEntry<'a>> {
+    let alive: Vec<MemberEntry<'a>> = members
+        .iter()
+        .filter(|(_, record)| record.liveness != Liveness::Dead)
+        .collect();
+    let amount = SPREAD_TARGETS.min(alive.len());
+    let drawn = sample(rng, alive.len(), amount);
+    drawn.into_iter().map(|index| alive[index]).collect()
+}
+
 /// Adds some candidates at random, each once.
 fn add_random<'a>(
     targets: &mut IndexSet<&'a VmId>,
--- a/crates/dewspring/src/peer/tests/membership.rs
+++ b/crates/dewspring/src/peer/tests/membership.rs
@@ -125,8 +125,9 @@
     bench.tick();
     bench.answer(&heartbeat(7, 1));
     (0..6).for_each(|_| bench.tick());
+    let died = MemberEvent::Died(vm_name(1));
     let ended = MemberEvent::BootEnded(vm_name(1), 7);
-    assert_eq!(bench.membership.take_events(), [ended]);
+    assert_eq!(bench.membership.take_events(), [died, ended]);
     assert_eq!(bench.membership.broker_for(&"p".into()), Some(vm_name(0)));
     bench.answer(&heartbeat(7, 1));
     assert_eq!(bench.state(), Some(MemberState::Live));
--- a/crates/dewspring/src/peer/tests/mod.rs
+++ b/crates/dewspring/src/peer/tests/mod.rs
@@ -1,6 +1,9 @@
 //! Tests of the peer slice.
 
+mod duty;
+mod fakes;
 mod fleet;
 mod membership;
+mod port;
 mod rendezvous;
 mod scale;
