Lower the cost of a token in fake-engine

Cause: one engine serves 800 streams in the measurement of the path; its own cost for each token must stay small beside the daemon's.

Ruled out: a record of the load at every token; it copied the list of models and walked the queue each time.

--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -13,6 +13,9 @@
 use crate::load::{LoadLog, LoadReport};
 use crate::slots::SlotQueue;
 
+/// Time between records of the tokens in flight.
+const TOKEN_REPORT_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Counts of what the engine ran.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(super) struct ExecutionReport {
@@ -87,7 +90,9 @@
         counts.tokens_in_flight += 1;
         counts.report.tokens_generated += 1;
         drop(counts);
-        self.record_load();
+        if self.loads.is_stale(TOKEN_REPORT_INTERVAL) {
+            self.record_load();
+        }
     }
 
     /// Counts the end of an execution that gave `tokens`.
@@ -116,7 +121,7 @@
 
     /// Returns the time to the next token at the present batch size.
     pub(super) fn token_time(&self) -> Duration {
-        let further = self.slots.usage().running.saturating_sub(1) as f64;
+        let further = self.slots.running().saturating_sub(1) as f64;
         let speed = self.faults().speed();
         let slowdown = 1.0 + self.settings.batch_slowdown * further;
         self.settings.token_interval.mul_f64(slowdown / speed)
@@ -128,7 +133,7 @@
         self.loads.record(self.slots.usage(), tokens, leaving);
     }
 
-    pub(super) fn load(&self) -> LoadReport {
+    pub(super) fn load(&self) -> LoadReport<'_> {
         self.loads.read()
     }
 
--- a/crates/standins/src/lag.rs
+++ b/crates/standins/src/lag.rs
@@ -29,6 +29,11 @@
         self.forget_old(now);
     }
 
+    /// Returns when the newest value was recorded.
+    pub(crate) fn newest_at(&self) -> Instant {
+        self.entries.back().expect("one entry is always kept").0
+    }
+
     /// Returns the value as it was before the lag.
     pub(crate) fn read(&mut self, now: Instant) -> T {
         self.forget_old(now);
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -1,6 +1,6 @@
 //! Load reports, which are read later than they were true.
 
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
@@ -10,51 +10,69 @@
 
 /// A report of a server's load.
 #[derive(Clone, Debug, Serialize)]
-pub(crate) struct LoadReport {
+pub(crate) struct LoadReport<'a> {
     running: usize,
     waiting: usize,
     slots: usize,
     tokens_in_flight: u64,
     leaving: bool,
-    models: Vec<String>,
+    models: &'a [String],
+}
+
+/// The part of a report that changes.
+#[derive(Clone, Copy, Debug, Default)]
+struct LoadSample {
+    running: usize,
+    waiting: usize,
+    tokens_in_flight: u64,
+    leaving: bool,
 }
 
 /// The reports of one server.
 pub(crate) struct LoadLog {
-    reports: Mutex<LaggedValue<LoadReport>>,
-    empty: LoadReport,
+    samples: Mutex<LaggedValue<LoadSample>>,
+    slots: usize,
+    models: Vec<String>,
 }
 
 impl LoadLog {
     pub(crate) fn new(slots: usize, models: Vec<String>, lag: Duration) -> Self {
-        let empty = LoadReport {
-            running: 0,
-            waiting: 0,
+        let samples = LaggedValue::new(LoadSample::default(), lag, Instant::now());
+        Self {
+            samples: Mutex::new(samples),
             slots,
-            tokens_in_flight: 0,
-            leaving: false,
             models,
-        };
-        Self {
-            reports: Mutex::new(LaggedValue::new(empty.clone(), lag, Instant::now())),
-            empty,
         }
     }
 
     pub(crate) fn record(&self, usage: SlotUsage, tokens_in_flight: u64, leaving: bool) {
-        let report = LoadReport {
+        let sample = LoadSample {
             running: usage.running,
             waiting: usage.waiting,
             tokens_in_flight,
             leaving,
-            ..self.empty.clone()
         };
-        let mut reports = self.reports.lock().expect("no holder of the lock panics");
-        reports.record(report, Instant::now());
+        self.lock().record(sample, Instant::now());
+    }
+
+    /// Returns whether the last record is older than `age`.
+    pub(crate) fn is_stale(&self, age: Duration) -> bool {
+        self.lock().newest_at().elapsed() > age
+    }
+
+    pub(crate) fn read(&self) -> LoadReport<'_> {
+        let sample = self.lock().read(Instant::now());
+        LoadReport {
+            running: sample.running,
+            waiting: sample.waiting,
+            slots: self.slots,
+            tokens_in_flight: sample.tokens_in_flight,
+            leaving: sample.leaving,
+            models: &self.models,
+        }
     }
 
-    pub(crate) fn read(&self) -> LoadReport {
-        let mut reports = self.reports.lock().expect("no holder of the lock panics");
-        reports.read(Instant::now())
+    fn lock(&self) -> MutexGuard<'_, LaggedValue<LoadSample>> {
+        self.samples.lock().expect("no holder of the lock panics")
     }
 }
--- a/crates/standins/src/slots.rs
+++ b/crates/standins/src/slots.rs
@@ -53,6 +53,10 @@
         }
     }
 
+    pub(crate) fn running(&self) -> usize {
+        self.lock().running
+    }
+
     /// Takes a place in the queue; the receiver gets the slot. A receiver that
     /// is dropped gives its place or its slot back.
     pub(crate) fn enter(&self, priority: i64) -> oneshot::Receiver<SlotGuard> {
