Add dewload, the load and experiment tool

Cause: the policy has to be measured by class, with bursts, uneven entries and faults, and the path by what it adds to a stream.

Ruled out: a closed loop of callers, which hides waiting times; a histogram that saturates (the first one held every latency at 2 microseconds, since a saturating record doesn't grow it).

Change: `dewload run` with seeded plans, the check that each answer is its own and whole, faults by time, and the report as table, JSON and CSV; `dewload path`; workloads and fault scripts under examples/. The stand-ins are a development dependency of its process tests.

--- /dev/null
+++ b/crates/dewload/src/client/tests.rs
@@ -0,0 +1,145 @@
+//! Tests of the check of answers, and of the text of requests.
+
+use quickcheck::{Gen, QuickCheck};
+
+use super::events::{StreamCheck, StreamVerdict};
+use super::request_body;
+use crate::plan::plan_requests;
+use crate::workload::WorkloadSpec;
+
+fn token(id: &str, number: u64) -> String {
+    format!("data: {{\"choices\":[{{\"delta\":{{\"content\":\"{id}:{number} \"}}}}]}}\n\n")
+}
+
+fn finish() -> String {
+    "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n".to_owned()
+}
+
+fn answer(id: &str, tokens: u64) -> String {
+    let tokens: String = (0..tokens).map(|number| token(id, number)).collect();
+    tokens + &finish() + "data: [DONE]\n\n"
+}
+
+#[test]
+fn answers_are_judged() {
+    struct Case {
+        name: &'static str,
+        text: String,
+        tokens: u64,
+        verdict: StreamVerdict,
+    }
+    let cases = [
+        Case {
+            name: "a whole answer",
+            text: answer("a", 3),
+            tokens: 3,
+            verdict: StreamVerdict::Whole,
+        },
+        Case {
+            name: "another request's answer",
+            text: answer("b", 3),
+            tokens: 3,
+            verdict: StreamVerdict::Wrong,
+        },
+        Case {
+            name: "an answer that is too short, but closed",
+            text: answer("a", 2),
+            tokens: 2,
+            verdict: StreamVerdict::Wrong,
+        },
+        Case {
+            name: "a token twice",
+            text: token("a", 0) + &token("a", 0),
+            tokens: 2,
+            verdict: StreamVerdict::Wrong,
+        },
+        Case {
+            name: "a token left out",
+            text: token("a", 0) + &token("a", 2),
+            tokens: 2,
+            verdict: StreamVerdict::Wrong,
+        },
+        Case {
+            name: "cut off between events",
+            text: token("a", 0),
+            tokens: 1,
+            verdict: StreamVerdict::CutOff,
+        },
+        Case {
+            name: "cut off within an event",
+            text: token("a", 0) + "data: {\"cho",
+            tokens: 1,
+            verdict: StreamVerdict::CutOff,
+        },
+        Case {
+            name: "no done event",
+            text: token("a", 0) + &token("a", 1) + &token("a", 2) + &finish(),
+            tokens: 3,
+            verdict: StreamVerdict::CutOff,
+        },
+        Case {
+            name: "something after the end",
+            text: answer("a", 3) + &token("a", 3),
+            tokens: 3,
+            verdict: StreamVerdict::Wrong,
+        },
+    ];
+    for case in cases {
+        let mut check = StreamCheck::new("a", Some(3));
+        check.push(case.text.as_bytes());
+        assert_eq!(check.verdict(), case.verdict, "{}", case.name);
+        assert_eq!(check.tokens(), case.tokens, "{}", case.name);
+    }
+}
+
+#[test]
+fn chunks_may_be_cut_anywhere() {
+    fn check(sizes: Vec<u8>) -> bool {
+        let text = answer("a", 5);
+        let mut rest = text.as_bytes();
+        let mut check = StreamCheck::new("a", Some(5));
+        for size in sizes {
+            let (now, later) = rest.split_at(rest.len().min(usize::from(size)));
+            check.push(now);
+            rest = later;
+        }
+        check.push(rest);
+        check.verdict() == StreamVerdict::Whole && check.tokens() == 5
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 5))
+        .quickcheck(check as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn prompts_share_their_prefix() {
+    let workload = WorkloadSpec::parse(
+        r#"
+        duration_seconds = 20
+        [[class]]
+        name = "memo"
+        path = "/chat"
+        model = "m"
+        rate_per_second = 5
+        target_ms = 100
+        prompt_tokens = { median = 100, sigma = 0.5, max = 500 }
+        answer_tokens = { median = 50, sigma = 1, max = 400 }
+        prefix = { count = 1, tokens = 60, share_percent = 100 }
+        workspaces = [{ name = "a", weight = 1 }]
+        "#,
+    )
+    .expect("a valid workload");
+    let plan = plan_requests(&workload, &[1], 1, "run");
+    let class = &workload.classes[0];
+    let message = |index: usize, number: usize| {
+        let body = request_body(class, &plan[index]);
+        let body: serde_json::Value = serde_json::from_str(&body).expect("JSON");
+        body["messages"][number]["content"]
+            .as_str()
+            .expect("text")
+            .to_owned()
+    };
+    assert_eq!(message(0, 0), message(1, 0));
+    assert_eq!(message(0, 0).len(), 240);
+    assert_ne!(message(0, 1), message(1, 1));
+}
--- a/crates/dewload/src/main.rs
+++ b/crates/dewload/src/main.rs
@@ -1,3 +1,9 @@
-//! A thin program over the `dewspring` library.
+//! The command `dewload`.
 
-fn main() {}
+use std::process::ExitCode;
+
+use dewload::cli;
+
+fn main() -> ExitCode {
+    cli::run(&cli::command().get_matches())
+}
--- /dev/null
+++ b/crates/dewload/src/plan/mod.rs
@@ -0,0 +1,194 @@
+//! The requests of a run, drawn in advance from the workload and a seed.
+//!
+//! The plan depends on nothing else, so that two runs with one seed send the
+//! same requests at the same times. Each class draws from a generator of its
+//! own: changing one class leaves the others as they are.
+
+mod sample;
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::workload::{ClassSpec, PrefixSpec, WorkloadSpec};
+use sample::{draw_exponential, draw_length, draw_weighted};
+
+const CLASS_SEED_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+const REPEAT_DELAY: Duration = Duration::from_millis(50);
+
+/// One request that is to be sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct PlannedRequest {
+    /// Number in the order of sending.
+    pub(crate) sequence: usize,
+    /// Time of sending, from the start of the run.
+    pub(crate) at: Duration,
+    /// Index of the class.
+    pub(crate) class: usize,
+    /// Index of the target.
+    pub(crate) target: usize,
+    /// Name of the workspace.
+    pub(crate) workspace: String,
+    /// Number of the shared prefix.
+    pub(crate) prefix: Option<u32>,
+    /// Tokens of the prompt with its prefix.
+    pub(crate) prompt_tokens: u64,
+    /// Tokens of the answer.
+    pub(crate) answer_tokens: Option<u64>,
+    /// Idempotency key.
+    pub(crate) key: Option<String>,
+    /// Whether an earlier request carries the same key.
+    pub(crate) is_repeat: bool,
+}
+
+/// Draws all requests of a run, in the order of sending; `run` tells the
+/// idempotency keys of this run from those of others.
+pub(crate) fn plan_requests(
+    workload: &WorkloadSpec,
+    weights: &[u32],
+    seed: u64,
+    run: &str,
+) -> Vec<PlannedRequest> {
+    assert!(!weights.is_empty(), "there is a target");
+    let mut requests = Vec::new();
+    for index in 0..workload.classes.len() {
+        let requests_of_class = plan_class(workload, index, seed, run);
+        requests.extend(requests_of_class);
+    }
+    requests.sort_by_key(|request| request.at);
+    let mut rotation = TargetRotation::new(weights);
+    for (sequence, request) in requests.iter_mut().enumerate() {
+        request.sequence = sequence;
+        request.target = rotation.next_target();
+    }
+    requests
+}
+
+fn plan_class(workload: &WorkloadSpec, index: usize, seed: u64, run: &str) -> Vec<PlannedRequest> {
+    let class = &workload.classes[index];
+    let class_seed = seed.wrapping_add(CLASS_SEED_STEP.wrapping_mul(index as u64 + 1));
+    let mut generator = StdRng::seed_from_u64(class_seed);
+    let mut requests = Vec::new();
+    for at in arrival_times(class, workload.duration_seconds, &mut generator) {
+        let mut request = draw_request(class, index, at, &mut generator);
+        if class.keyed {
+            request.key = Some(format!("{}-{run}-{}", class.name, requests.len()));
+        }
+        let is_repeated = generator.random_range(0..100) < class.repeat_percent;
+        let repeat = is_repeated.then(|| PlannedRequest {
+            at: at + REPEAT_DELAY,
+            is_repeat: true,
+            ..request.clone()
+        });
+        requests.push(request);
+        requests.extend(repeat);
+    }
+    requests
+}
+
+/// Draws Poisson arrivals, in seconds of the class's own rate: a burst of
+/// factor 3 makes three of these seconds pass in one.
+fn arrival_times(class: &ClassSpec, duration: f64, generator: &mut StdRng) -> Vec<Duration> {
+    let mut times = Vec::new();
+    let mut now = 0.0;
+    loop {
+        now = advance(
+            class,
+            now,
+            draw_exponential(generator, class.rate_per_second),
+        );
+        if now >= duration {
+            return times;
+        }
+        times.push(Duration::from_secs_f64(now));
+    }
+}
+
+/// Returns the time when `steps` seconds of the unmultiplied rate have passed
+/// after `now`.
+fn advance(class: &ClassSpec, now: f64, steps: f64) -> f64 {
+    let Some(burst) = &class.burst else {
+        return now + steps;
+    };
+    let (start, end) = (
+        burst.start_seconds,
+        burst.start_seconds + burst.length_seconds,
+    );
+    let before = (start - now).max(0.0);
+    if steps <= before {
+        return now + steps;
+    }
+    let begin = now.max(start);
+    let within = (end - begin).max(0.0) * burst.factor;
+    let left = steps - before;
+    match left <= within {
+        true => begin + left / burst.factor,
+        false => begin.max(end) + left - within,
+    }
+}
+
+fn draw_request(
+    class: &ClassSpec,
+    index: usize,
+    at: Duration,
+    generator: &mut StdRng,
+) -> PlannedRequest {
+    let workspace = draw_weighted(generator, &class.workspaces, |share| share.weight);
+    let prefix = class
+        .prefix
+        .as_ref()
+        .and_then(|prefix| draw_prefix(prefix, generator));
+    let prefix_tokens = match (&class.prefix, prefix) {
+        (Some(spec), Some(_)) => spec.tokens,
+        _ => 0,
+    };
+    let prompt_tokens = draw_length(generator, &class.prompt_tokens).max(prefix_tokens + 1);
+    let answer = class.answer_tokens.as_ref();
+    PlannedRequest {
+        sequence: 0,
+        at,
+        class: index,
+        target: 0,
+        workspace: workspace.name.clone(),
+        prefix,
+        prompt_tokens,
+        answer_tokens: answer.map(|length| draw_length(generator, length)),
+        key: None,
+        is_repeat: false,
+    }
+}
+
+fn draw_prefix(prefix: &PrefixSpec, generator: &mut StdRng) -> Option<u32> {
+    let is_shared = generator.random_range(0..100) < prefix.share_percent;
+    is_shared.then(|| generator.random_range(0..prefix.count))
+}
+
+/// Spreads requests over targets by weight, as evenly as can be.
+struct TargetRotation {
+    weights: Vec<i64>,
+    credits: Vec<i64>,
+}
+
+impl TargetRotation {
+    fn new(weights: &[u32]) -> Self {
+        Self {
+            weights: weights.iter().map(|weight| i64::from(*weight)).collect(),
+            credits: vec![0; weights.len()],
+        }
+    }
+
+    fn next_target(&mut self) -> usize {
+        for (credit, weight) in self.credits.iter_mut().zip(&self.weights) {
+            *credit += weight;
+        }
+        let credits = self.credits.iter().enumerate();
+        let (target, _) = credits
+            .max_by_key(|(index, credit)| (**credit, std::cmp::Reverse(*index)))
+            .expect("there is a target");
+        self.credits[target] -= self.weights.iter().sum::<i64>();
+        target
+    }
+}
--- /dev/null
+++ b/crates/dewload/src/runner/servers.rs
@@ -0,0 +1,83 @@
+//! What the stand-ins counted during a run.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oxhttp::Client;
+use oxhttp::model::{Body, Request};
+use serde::Deserialize;
+
+const COUNTS_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Counts of one server, or the sum over several.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(default)]
+pub(crate) struct ServerCounts {
+    pub(crate) executions: IndexMap<String, u64>,
+    pub(crate) keys: IndexMap<String, u64>,
+    pub(crate) resumed: IndexMap<String, u64>,
+    pub(crate) tokens_generated: u64,
+    pub(crate) tokens_wasted: u64,
+    pub(crate) tokens_cut_off: u64,
+    pub(crate) max_running: u64,
+}
+
+impl ServerCounts {
+    /// Returns what was counted since `before`.
+    pub(crate) fn since(&self, before: &Self) -> Self {
+        Self {
+            executions: since_each(&self.executions, &before.executions),
+            keys: since_each(&self.keys, &before.keys),
+            resumed: since_each(&self.resumed, &before.resumed),
+            // A server that was restarted counts from 0 again.
+            tokens_generated: self
+                .tokens_generated
+                .saturating_sub(before.tokens_generated),
+            tokens_wasted: self.tokens_wasted.saturating_sub(before.tokens_wasted),
+            tokens_cut_off: self.tokens_cut_off.saturating_sub(before.tokens_cut_off),
+            max_running: self.max_running,
+        }
+    }
+
+    /// Adds the counts of another server.
+    pub(crate) fn add(&mut self, other: &Self) {
+        add_each(&mut self.executions, &other.executions);
+        add_each(&mut self.keys, &other.keys);
+        add_each(&mut self.resumed, &other.resumed);
+        self.tokens_generated += other.tokens_generated;
+        self.tokens_wasted += other.tokens_wasted;
+        self.tokens_cut_off += other.tokens_cut_off;
+        self.max_running += other.max_running;
+    }
+}
+
+fn since_each(
+    now: &IndexMap<String, u64>,
+    before: &IndexMap<String, u64>,
+) -> IndexMap<String, u64> {
+    now.iter()
+        .map(|(name, count)| (name, count.saturating_sub(*before.get(name).unwrap_or(&0))))
+        .filter(|(_, count)| *count > 0)
+        .map(|(name, count)| (name.clone(), count))
+        .collect()
+}
+
+fn add_each(sum: &mut IndexMap<String, u64>, other: &IndexMap<String, u64>) {
+    for (name, count) in other {
+        *sum.entry(name.clone()).or_default() += count;
+    }
+}
+
+/// Asks a stand-in for its counts.
+pub(crate) fn read_counts(address: SocketAddr) -> io::Result<ServerCounts> {
+    let request = Request::get(format!("http://{address}/executions"))
+        .body(Body::empty())
+        .map_err(io::Error::other)?;
+    let response = Client::new()
+        .with_global_timeout(COUNTS_TIMEOUT)
+        .request(request)?;
+    let document = response.into_body().to_vec()?;
+    Ok(serde_json::from_slice(&document)?)
+}
