Measure one request and one review at a broker

Cause: the cost of a decision must grow no faster than the logarithm of the replicas.

Change: benches/broker.rs. A request that excludes every server that takes work is refused at once in place of waiting for its timeout.

--- /dev/null
+++ b/crates/dewspring/benches/broker.rs
@@ -0,0 +1,221 @@
+//! Cost of one request at a broker, and the memory that it holds.
+//!
+//! One iteration asks for a request and ends the oldest grant, so it enqueues,
+//! chooses, grants and releases once. Simulated time moves by 100 microseconds
+//! with each, so the reviews of servers and queue have their share.
+
+use std::collections::VecDeque;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use criterion::{BenchmarkId, Criterion};
+use dewspring::broker::{
+    AttemptOutcome, BrokerSettings, BrokerState, GrantDecision, GrantRelease, GrantRequest,
+};
+use dewspring::ids::GrantId;
+use dewspring::tables::{FleetConfig, PoolKind, PoolRow, PoolTable, RouteTable, ServerRow};
+
+/// Numbers of replicas in the pool.
+const REPLICAS: [u32; 4] = [6, 60, 600, 4_800];
+/// Numbers of requests that wait.
+const QUEUED: [u64; 3] = [0, 100, 10_000];
+/// Slots of each replica.
+const SLOTS: u32 = 4;
+/// Boot of the broker.
+const BOOT: u64 = 7;
+/// Simulated time of one iteration.
+const STEP: Duration = Duration::from_micros(100);
+/// Simulated time from one review to the next.
+const REVIEW_STEP: Duration = Duration::from_millis(500);
+/// Requests, and replicas, by which memory is measured.
+const MEMORY_COUNT: u32 = 50_000;
+
+fn config(replicas: u32) -> FleetConfig {
+    let server = |index: u32| ServerRow {
+        name: format!("server-{index}"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        data_centre: "centre".into(),
+        slots: SLOTS,
+        drain: false,
+    };
+    let pool = PoolRow {
+        name: "pool".into(),
+        kind: PoolKind::Engine,
+        model: None,
+        servers: (0..replicas).map(server).collect(),
+        honours_priority: false,
+        can_resume: false,
+        checks_fencing: false,
+        refusal_means_not_run: true,
+        retry_percent: 10,
+    };
+    FleetConfig {
+        revision: 1,
+        change_id: String::new(),
+        routes: RouteTable::default(),
+        pools: PoolTable {
+            rows: [("pool".into(), pool)].into_iter().collect(),
+        },
+    }
+}
+
+/// Returns one of a mix of requests: five tiers, ten workspaces, a hundred
+/// prefixes; the targets are far off, so that none is refused.
+fn request(number: u64) -> GrantRequest {
+    GrantRequest {
+        request: format!("entry-1/{number}"),
+        entry: "entry-1".into(),
+        entry_boot: 1,
+        pool: "pool".into(),
+        class: format!("class-{}", number % 5),
+        tier: (number % 5) as u8,
+        workspace: format!("workspace-{}", number % 10),
+        waited: Duration::ZERO,
+        target_left: Duration::from_secs(30_000 + number % 20),
+        timeout_left: Duration::from_secs(36_000),
+        late_is_useful: number.is_multiple_of(3),
+        floor_percent: 5,
+        prompt_tokens: 500 + number % 1_000,
+        max_tokens: None,
+        prefix: Some(number % 100),
+        excluded: Vec::new(),
+    }
+}
+
+struct BrokerLoad {
+    state: BrokerState,
+    granted: VecDeque<GrantId>,
+    now: Instant,
+    asked: u64,
+}
+
+impl BrokerLoad {
+    /// Returns a broker whose slots are full while requests wait, and half
+    /// full otherwise.
+    fn new(replicas: u32, queued: u64) -> Self {
+        let now = Instant::now();
+        let mut settings = BrokerSettings::new("vm-1", BOOT);
+        settings.queue_limit = usize::MAX;
+        let mut state = BrokerState::new(settings);
+        state.configure(&config(replicas), now);
+        let mut load = Self {
+            state,
+            granted: VecDeque::new(),
+            now,
+            asked: 0,
+        };
+        let slots = u64::from(replicas * SLOTS);
+        let asked = if queued == 0 {
+            slots / 2
+        } else {
+            slots + queued
+        };
+        (0..asked).for_each(|_| load.ask());
+        load
+    }
+
+    fn ask(&mut self) {
+        self.asked += 1;
+        self.state.ask(request(self.asked), self.now);
+        self.follow();
+    }
+
+    fn release(&mut self) {
+        let Some(grant) = self.granted.pop_front() else {
+            return;
+        };
+        let release = GrantRelease {
+            grant,
+            boot: BOOT,
+            outcome: AttemptOutcome::Completed,
+            tokens: 50 + grant % 200,
+            first_token: Some(Duration::from_millis(100 + grant % 50)),
+            elapsed: Duration::from_millis(2_000 + grant % 1_000),
+        };
+        self.state.release(&release, self.now);
+        self.follow();
+    }
+
+    fn follow(&mut self) {
+        for decision in self.state.take_decisions() {
+            if let GrantDecision::Granted(grant) = black_box(decision).decision {
+                self.granted.push_back(grant.id);
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.ask();
+        self.release();
+    }
+}
+
+/// Returns the memory of this process in bytes.
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let field = line.and_then(|line| line.split_whitespace().nth(1));
+    field
+        .and_then(|field| field.parse::<u64>().ok())
+        .unwrap_or(0)
+        * 1_024
+}
+
+fn print_memory() {
+    let start = resident_bytes();
+    let queue = black_box(BrokerLoad::new(1, u64::from(MEMORY_COUNT)));
+    let queued = resident_bytes();
+    // The queue stays alive, so that its memory isn't used again.
+    let pool = black_box(BrokerLoad::new(MEMORY_COUNT, 0));
+    let replicas = resident_bytes();
+    drop((queue, pool));
+    let each = |bytes: u64| bytes / u64::from(MEMORY_COUNT);
+    println!("memory: {} bytes a queued request", each(queued - start));
+    println!(
+        "memory: {} bytes a replica with two grants",
+        each(replicas - queued)
+    );
+}
+
+fn bench_requests(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("broker");
+    for queued in QUEUED {
+        for replicas in REPLICAS {
+            let mut load = BrokerLoad::new(replicas, queued);
+            let id = BenchmarkId::new(format!("queued-{queued}"), replicas);
+            group.bench_function(id, |bencher| bencher.iter(|| load.step()));
+        }
+    }
+    group.finish();
+}
+
+/// Measures the look at all servers and at the whole queue, which delays one
+/// request twice a second.
+fn bench_reviews(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("review");
+    for (replicas, queued) in [(6, 100), (6, 10_000), (4_800, 100), (4_800, 10_000)] {
+        let mut load = BrokerLoad::new(replicas, queued);
+        let id = BenchmarkId::new(format!("queued-{queued}"), replicas);
+        group.bench_function(id, |bencher| {
+            bencher.iter(|| {
+                load.now += REVIEW_STEP;
+                load.state.advance(load.now);
+            });
+        });
+    }
+    group.finish();
+}
+
+fn main() {
+    print_memory();
+    let criterion = Criterion::default()
+        .warm_up_time(Duration::from_millis(500))
+        .measurement_time(Duration::from_secs(1))
+        .sample_size(20);
+    let mut criterion = criterion.configure_from_args();
+    bench_requests(&mut criterion);
+    bench_reviews(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/dewspring/src/broker/pool.rs
+++ b/crates/dewspring/src/broker/pool.rs
@@ -151,7 +151,7 @@
         queued: &mut QueuedRequest,
         now: Instant,
     ) -> Option<RefusalReason> {
-        if !self.is_serving() {
+        if !self.replicas.is_serving_beside(&queued.request.excluded) {
             return Some(RefusalReason::NoServer);
         }
         let is_retry = !queued.request.excluded.is_empty();
--- a/crates/dewspring/src/broker/replicas.rs
+++ b/crates/dewspring/src/broker/replicas.rs
@@ -111,6 +111,16 @@
         self.serving_count > 0
     }
 
+    /// Whether any server takes new work that isn't among `excluded`.
+    pub(super) fn is_serving_beside(&self, excluded: &[ServerName]) -> bool {
+        if self.serving_count > excluded.len() {
+            return true;
+        }
+        let states = self.rows.values().map(|row| &row.state);
+        let mut serving = states.filter(|state| state.is_serving());
+        serving.any(|state| !excluded.contains(&state.name))
+    }
+
     /// Slots of the servers that take new work.
     pub(super) fn serving_slots(&self) -> u32 {
         self.serving_slots
--- a/crates/dewspring/src/broker/tests/state.rs
+++ b/crates/dewspring/src/broker/tests/state.rs
@@ -38,6 +38,12 @@
             change: |_| {},
             reason: RefusalReason::NoServer,
         },
+        RefusalCase {
+            name: "every server is excluded",
+            slots: &[1, 0],
+            change: |request| request.excluded = vec!["server-0".into(), "server-0".into()],
+            reason: RefusalReason::NoServer,
+        },
         RefusalCase {
             name: "the target is past and late is worthless",
             slots: &[1],
