Join the daemons: one broker for each pool, wherever it is

Cause: each daemon decided only about its own entry's requests.

Ruled out: a broker elected through the store's leases; brokers hold only soft state, so a wrong one costs a moment of overload, while a lease would stop all grants while the store is down.

Change: the daemon starts the peer duty and asks through FleetGrants; each VM has a broker for its own pools and one for the fallback; the load reports are read by the pool's broker only; a shutdown tells the other VMs first.

--- a/crates/dewspring/src/daemon/director.rs
+++ b/crates/dewspring/src/daemon/director.rs
@@ -13,7 +13,7 @@
 use crate::platform::{VmDirectory, VmState};
 
 /// Time between two reads of the list.
-const LIST_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The running reader of the list.
 #[derive(Debug)]
@@ -27,12 +27,12 @@
     pub(super) fn spawn(
         directory: impl VmDirectory,
         keeper: ConfigKeeper,
-        broker: BrokerHandle,
+        brokers: Vec<BrokerHandle>,
     ) -> Self {
         let (stop, stopped) = bounded(1);
         let thread = std::thread::Builder::new()
             .name("vm-list".into())
-            .spawn(move || run(&directory, &keeper, &broker, &stopped))
+            .spawn(move || run(&directory, &keeper, &brokers, &stopped))
             .expect("the system gives a thread");
         Self { stop, thread }
     }
@@ -47,7 +47,7 @@
 fn run(
     directory: &impl VmDirectory,
     keeper: &ConfigKeeper,
-    broker: &BrokerHandle,
+    brokers: &[BrokerHandle],
     stopped: &Receiver<()>,
 ) {
     let mut marks: IndexMap<ServerName, VmState> = IndexMap::new();
@@ -58,18 +58,18 @@
                     .into_iter()
                     .map(|entry| (entry.address, entry.state))
                     .collect();
-                mark_servers(&states, keeper, broker, &mut marks);
+                mark_servers(&states, keeper, brokers, &mut marks);
             }
             Err(error) => log::debug!("daemon: {error}."),
         }
     }
 }
 
-/// Tells the broker of each server whose state in the list has changed.
+/// Tells the brokers of each server whose state in the list has changed.
 fn mark_servers(
     states: &IndexMap<SocketAddr, VmState>,
     keeper: &ConfigKeeper,
-    broker: &BrokerHandle,
+    brokers: &[BrokerHandle],
     marks: &mut IndexMap<ServerName, VmState>,
 ) {
     let config = keeper.current();
@@ -86,6 +86,8 @@
             VmState::Leaving => ServerMark::Leaving,
         };
         log::info!("daemon: The list says that {} is {state:?}.", server.name);
-        broker.mark(server.name.clone(), mark);
+        for broker in brokers {
+            broker.mark(server.name.clone(), mark);
+        }
     }
 }
--- a/crates/dewspring/src/daemon/error.rs
+++ b/crates/dewspring/src/daemon/error.rs
@@ -6,6 +6,7 @@
 use thiserror::Error;
 
 use crate::configuration::LoadError;
+use crate::peer::{PeerStartError, SecretError};
 use crate::platform::StoreError;
 
 /// Why a daemon can't start.
@@ -19,6 +20,12 @@
         /// Why it can't be bound.
         source: io::Error,
     },
+    /// The peer duty can't start.
+    #[error(transparent)]
+    Peer(#[from] PeerStartError),
+    /// The secret can't be used.
+    #[error(transparent)]
+    Secret(#[from] SecretError),
     /// A table's file can't be read.
     #[error(transparent)]
     Load(#[from] LoadError),
--- a/crates/dewspring/src/daemon/follower.rs
+++ b/crates/dewspring/src/daemon/follower.rs
@@ -1,15 +1,24 @@
-//! Puts each new revision in force at the broker.
+//! Puts each new revision in force at the brokers, and tells the configuration
+//! duty when the peers were heard.
 
 use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crossbeam::channel::RecvTimeoutError;
 
 use crate::broker::BrokerHandle;
 use crate::configuration::ConfigKeeper;
 use crate::observe::FleetMetrics;
+use crate::peer::PeerHandle;
+
+/// Time between two looks at whether the peers were heard.
+const PEER_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Starts the thread that follows the configuration until the keeper ends.
 pub(super) fn spawn_follower(
     keeper: &ConfigKeeper,
-    broker: BrokerHandle,
+    brokers: Vec<BrokerHandle>,
+    peers: PeerHandle,
     metrics: FleetMetrics,
 ) -> JoinHandle<()> {
     let revisions = keeper.subscribe();
@@ -18,13 +27,28 @@
         .name("config-follower".into())
         .spawn(move || {
             // A revision that came before the subscription is followed too.
-            broker.configure(keeper.current());
-            for revision in revisions {
-                let config = keeper.current();
-                log::info!("daemon: Revision {revision} is in force.");
-                metrics.set_revision(config.revision);
-                broker.configure(config);
+            configure(&keeper, &brokers, &metrics);
+            loop {
+                match revisions.recv_timeout(PEER_INTERVAL) {
+                    Ok(revision) => {
+                        log::info!("daemon: Revision {revision} is in force.");
+                        configure(&keeper, &brokers, &metrics);
+                    }
+                    Err(RecvTimeoutError::Timeout) => {}
+                    Err(RecvTimeoutError::Disconnected) => return,
+                }
+                if peers.peers_heard() {
+                    keeper.peers_heard();
+                }
             }
         })
         .expect("the system gives a thread")
 }
+
+fn configure(keeper: &ConfigKeeper, brokers: &[BrokerHandle], metrics: &FleetMetrics) {
+    let config = keeper.current();
+    metrics.set_revision(config.revision);
+    for broker in brokers {
+        broker.configure(config.clone());
+    }
+}
--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -6,7 +6,7 @@
 
 use crossbeam::channel::{Receiver, bounded};
 
-use super::director::ListReader;
+use super::director::{LIST_INTERVAL, ListReader};
 use super::error::DaemonError;
 use super::follower::spawn_follower;
 use super::state::{DaemonContext, DaemonState};
@@ -14,9 +14,10 @@
 use crate::broker::{BrokerHandle, BrokerSettings};
 use crate::configuration::{ConfigKeeper, KeeperSettings, load_files, store_document};
 use crate::entry::{EntryContext, EntryServer, EntrySettings, ShutdownOutcome};
-use crate::grants::LocalGrants;
-use crate::ids::BootId;
+use crate::grants::{BrokerPlace, FleetGrants, RemoteBrokers, VmBrokers};
+use crate::ids::{BootId, PoolName};
 use crate::observe::{DecisionLog, FleetMetrics};
+use crate::peer::{self, PeerDuty, PeerHandle, PeerSettings};
 use crate::platform::{
     AnyDirectory, AnyStore, EmbeddedDirectory, EmbeddedStore, GatewayDirectory, GatewayStore,
 };
@@ -25,9 +26,10 @@
 
 /// A running daemon.
 pub struct Daemon {
-    entry: EntryServer<ConfigKeeper, LocalGrants>,
+    entry: EntryServer<ConfigKeeper, FleetGrants<PeerHandle>>,
     admin: AdminServer,
-    broker: BrokerHandle,
+    brokers: VmBrokers,
+    peers: PeerHandle,
     poller: ReportPoller,
     reader: ListReader,
     stops: Receiver<()>,
@@ -48,17 +50,19 @@
         let directory = open_directory(&settings);
         let keeper_settings = KeeperSettings::new(settings.fleet.clone(), boot);
         let keeper = ConfigKeeper::spawn(store, keeper_settings);
-        let broker = BrokerHandle::spawn(BrokerSettings::new(settings.vm.clone(), boot));
+        let brokers = spawn_brokers(&settings, boot);
+        let peers = spawn_peers(&settings, boot, &keeper, directory.clone(), &brokers.own)?;
         let metrics = FleetMetrics::new();
+        let both = vec![brokers.own.clone(), brokers.fallback.clone()];
         // The follower ends with the keeper.
-        let _follower = spawn_follower(&keeper, broker.clone(), metrics.clone());
-        let poller = spawn_poller(&settings, &keeper, &broker);
-        let reader = ListReader::spawn(directory, keeper.clone(), broker.clone());
+        let _follower = spawn_follower(&keeper, both.clone(), peers.clone(), metrics.clone());
+        let poller = spawn_poller(&settings, &keeper, &brokers.own, peers.clone());
+        let reader = ListReader::spawn(directory, keeper.clone(), both);
 
         let context = Arc::new(EntryContext::new(
             entry_settings(&settings, boot),
             keeper,
-            LocalGrants::new(broker.clone()),
+            FleetGrants::new(brokers.clone(), peers.clone()),
             metrics,
             DecisionLog::new(settings.decision_capacity),
         ));
@@ -66,7 +70,8 @@
         let (stop, stops) = bounded(1);
         let state = DaemonState {
             context,
-            broker: broker.clone(),
+            broker: brokers.own.clone(),
+            peers: peers.clone(),
             data_centre: settings.data_centre.clone(),
             stop: stop.clone(),
         };
@@ -86,7 +91,8 @@
         Ok(Self {
             entry,
             admin,
-            broker,
+            brokers,
+            peers,
             poller,
             reader,
             stops,
@@ -117,18 +123,59 @@
     }
 
     /// Refuses new requests, finishes those in flight and ends all duties.
+    ///
+    /// The other VMs are told first, so that their questions move to another
+    /// broker while this one still decides.
     pub fn shut_down(self) -> ShutdownOutcome {
         log::info!("daemon: Shutting down.");
+        self.peers.set_draining();
         let outcome = self.entry.shut_down(self.shutdown_timeout);
         self.poller.shut_down();
         self.reader.shut_down();
-        self.broker.shut_down();
-        self.broker.join();
+        for broker in [self.brokers.own, self.brokers.fallback] {
+            broker.shut_down();
+            broker.join();
+        }
+        self.peers.shut_down();
         log::info!("daemon: Shut down: {outcome:?}.");
         outcome
     }
 }
 
+fn spawn_brokers(settings: &DaemonSettings, boot: BootId) -> VmBrokers {
+    let fallback_boot = boot.wrapping_add(1);
+    VmBrokers {
+        own: BrokerHandle::spawn(BrokerSettings::new(settings.vm.clone(), boot)),
+        own_boot: boot,
+        fallback: BrokerHandle::spawn(BrokerSettings::new(settings.vm.clone(), fallback_boot)),
+        fallback_boot,
+    }
+}
+
+fn spawn_peers(
+    settings: &DaemonSettings,
+    boot: BootId,
+    keeper: &ConfigKeeper,
+    directory: AnyDirectory,
+    broker: &BrokerHandle,
+) -> Result<PeerHandle, DaemonError> {
+    let secret = peer::SharedSecret::new(settings.secret.as_str())?;
+    let mut peer_settings = PeerSettings::new(
+        settings.vm.clone(),
+        boot,
+        settings.data_centre.clone(),
+        settings.peer_listen,
+        secret,
+    );
+    peer_settings.list_interval = LIST_INTERVAL;
+    Ok(PeerDuty::spawn(
+        peer_settings,
+        keeper.clone(),
+        directory,
+        broker.clone(),
+    )?)
+}
+
 fn open_store(settings: &DaemonSettings) -> Result<AnyStore, DaemonError> {
     match &settings.platform {
         PlatformKind::Gateway(address) => {
@@ -162,18 +209,20 @@
     settings: &DaemonSettings,
     keeper: &ConfigKeeper,
     broker: &BrokerHandle,
+    peers: PeerHandle,
 ) -> ReportPoller {
     let poller_settings = PollerSettings {
         interval: settings.report_interval,
         timeout: settings.connect_timeout,
     };
-    ReportPoller::spawn(poller_settings, keeper.clone(), broker.clone(), |_| true)
+    let is_own = move |pool: &PoolName| peers.place(pool) == BrokerPlace::Local;
+    ReportPoller::spawn(poller_settings, keeper.clone(), broker.clone(), is_own)
 }
 
 fn bind_entry(
     settings: &DaemonSettings,
     context: &Arc<DaemonContext>,
-) -> Result<EntryServer<ConfigKeeper, LocalGrants>, DaemonError> {
+) -> Result<EntryServer<ConfigKeeper, FleetGrants<PeerHandle>>, DaemonError> {
     EntryServer::bind(settings.listen, Arc::clone(context)).map_err(|source| DaemonError::Bind {
         address: settings.listen,
         source,
--- a/crates/dewspring/src/daemon/state.rs
+++ b/crates/dewspring/src/daemon/state.rs
@@ -5,18 +5,19 @@
 use crossbeam::channel::Sender;
 
 use crate::admin::{
-    AdminSource, DrainReport, ExplainReport, ExplainStep, PoolStatus, ServerState, ServerStatus,
-    StatusReport,
+    AdminSource, DrainReport, ExplainReport, ExplainStep, PeerState, PeerStatus, PoolStatus,
+    ServerState, ServerStatus, StatusReport,
 };
 use crate::broker::{self, BrokerHandle};
 use crate::configuration::ConfigKeeper;
 use crate::entry::{ConfigSource, EntryContext};
-use crate::grants::LocalGrants;
+use crate::grants::{BrokerPlace, FleetGrants, RemoteBrokers};
 use crate::ids::DataCentreName;
+use crate::peer::{MemberState, MemberStatus, PeerHandle};
 use crate::tables::FleetConfig;
 
 /// The entry's context as this daemon uses it.
-pub(super) type DaemonContext = EntryContext<ConfigKeeper, LocalGrants>;
+pub(super) type DaemonContext = EntryContext<ConfigKeeper, FleetGrants<PeerHandle>>;
 
 impl ConfigSource for ConfigKeeper {
     fn current(&self) -> Arc<FleetConfig> {
@@ -25,10 +26,11 @@
 }
 
 /// The parts that answer operators.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(super) struct DaemonState {
     pub context: Arc<DaemonContext>,
     pub broker: BrokerHandle,
+    pub peers: PeerHandle,
     pub data_centre: DataCentreName,
     /// Tells the program to shut down.
     pub stop: Sender<()>,
@@ -52,7 +54,7 @@
             revision: self.context.config.current().revision,
             ready: self.is_ready(),
             draining: self.context.is_draining(),
-            peers: Vec::new(),
+            peers: self.peers.members().iter().map(peer_status).collect(),
             pools: self.pools(),
         }
     }
@@ -99,7 +101,10 @@
         let queued: usize = pool.classes.iter().map(|class| class.queued).sum();
         let in_flight: u32 = pool.servers.iter().map(|server| server.in_flight).sum();
         PoolStatus {
-            broker: Some(self.context.settings.vm.clone()),
+            broker: Some(match self.peers.place(&pool.pool) {
+                BrokerPlace::Local => self.context.settings.vm.clone(),
+                BrokerPlace::Remote(vm) => vm,
+            }),
             queued: queued as u64,
             in_flight: u64::from(in_flight),
             servers: pool.servers.into_iter().map(server_status).collect(),
@@ -108,6 +113,19 @@
     }
 }
 
+fn peer_status(member: &MemberStatus) -> PeerStatus {
+    PeerStatus {
+        vm: member.vm.clone(),
+        state: match member.state {
+            MemberState::Live => PeerState::Live,
+            MemberState::Leaving => PeerState::Leaving,
+            MemberState::Suspect => PeerState::Suspect,
+            MemberState::Dead => PeerState::Dead,
+        },
+        heard_ago_ms: None,
+    }
+}
+
 fn server_status(server: broker::ServerStatus) -> ServerStatus {
     ServerStatus {
         state: match server.state {
--- a/crates/dewspring/src/grants/mod.rs
+++ b/crates/dewspring/src/grants/mod.rs
@@ -7,6 +7,7 @@
 
 mod fleet;
 mod local;
+mod peers;
 mod remote;
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/dewspring/src/grants/peers.rs
@@ -0,0 +1,58 @@
+//! Joins the peer duty to the broker on one side and to the entry's grants on
+//! the other.
+
+use tokio::sync::oneshot;
+
+use super::remote::{BrokerPlace, RemoteBrokers, UnreachableBroker};
+use crate::broker::{BrokerHandle, GrantDecision, GrantRelease, GrantRequest, Refusal};
+use crate::ids::{BootId, PoolName, RequestId, VmId};
+use crate::peer::{self, GrantService, PeerHandle};
+
+impl GrantService for BrokerHandle {
+    fn ask(
+        &self,
+        request: GrantRequest,
+        reply: oneshot::Sender<GrantDecision>,
+    ) -> Result<(), Refusal> {
+        BrokerHandle::ask(self, request, reply)
+    }
+
+    fn withdraw(&self, request: RequestId, entry: VmId, boot: BootId) {
+        BrokerHandle::withdraw(self, request, entry, boot);
+    }
+
+    fn release(&self, release: GrantRelease) {
+        BrokerHandle::release(self, release);
+    }
+
+    fn forget_entry(&self, entry: VmId, boot: BootId) {
+        BrokerHandle::forget_entry(self, entry, boot);
+    }
+}
+
+impl RemoteBrokers for PeerHandle {
+    fn place(&self, pool: &PoolName) -> BrokerPlace {
+        match self.broker_for(pool) {
+            peer::BrokerPlace::Local => BrokerPlace::Local,
+            peer::BrokerPlace::Remote(vm) => BrokerPlace::Remote(vm),
+        }
+    }
+
+    fn live_entries(&self) -> u32 {
+        u32::try_from(self.live_vms()).unwrap_or(u32::MAX)
+    }
+
+    async fn ask(
+        &self,
+        broker: &VmId,
+        request: GrantRequest,
+    ) -> Result<GrantDecision, UnreachableBroker> {
+        PeerHandle::ask(self, broker, request)
+            .await
+            .map_err(|error| UnreachableBroker(error.to_string()))
+    }
+
+    fn release(&self, broker: &VmId, release: GrantRelease) {
+        PeerHandle::release(self, broker, release);
+    }
+}
--- a/crates/dewspring/src/settings/daemon.rs
+++ b/crates/dewspring/src/settings/daemon.rs
@@ -38,6 +38,11 @@
         Self(secret.into())
     }
 
+    /// Returns the text of the secret.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
     /// Returns the bytes of the secret.
     pub fn as_bytes(&self) -> &[u8] {
         self.0.as_bytes()
