Report attainment during bursts; test the stand-ins' shared parts

Cause: a class that starves does so during a burst, which the whole run's attainment hides; a repeated keyed request must come through another daemon; and a fault in the stand-ins would look like one of the daemons.

Ruled out: a repeat after a fixed 50 ms, which would always meet the first one in progress; it now comes at a time drawn within a second.

Change: attainment in the burst of any class, repeats through the next target, and properties of the slots, the lagged values and the cache events.

--- a/crates/dewload/src/plan/mod.rs
+++ b/crates/dewload/src/plan/mod.rs
@@ -10,6 +10,7 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -17,7 +18,7 @@
 use sample::{draw_exponential, draw_length, draw_weighted};
 
 const CLASS_SEED_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
-const REPEAT_DELAY: Duration = Duration::from_millis(50);
+const MAX_REPEAT_DELAY_MILLIS: u64 = 1000;
 
 /// One request that is to be sent.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -59,12 +60,26 @@
         requests.extend(requests_of_class);
     }
     requests.sort_by_key(|request| request.at);
+    assign_targets(&mut requests, weights);
+    requests
+}
+
+/// Spreads first sendings over the targets; a repeat goes to the target after
+/// that of its first sending.
+fn assign_targets(requests: &mut [PlannedRequest], weights: &[u32]) {
     let mut rotation = TargetRotation::new(weights);
+    let mut targets: IndexMap<String, usize> = IndexMap::new();
     for (sequence, request) in requests.iter_mut().enumerate() {
         request.sequence = sequence;
-        request.target = rotation.next_target();
+        let first = request.key.as_ref().and_then(|key| targets.get(key));
+        request.target = match first {
+            Some(target) => (target + 1) % weights.len(),
+            None => rotation.next_target(),
+        };
+        if let Some(key) = &request.key {
+            targets.entry(key.clone()).or_insert(request.target);
+        }
     }
-    requests
 }
 
 fn plan_class(workload: &WorkloadSpec, index: usize, seed: u64, run: &str) -> Vec<PlannedRequest> {
@@ -78,8 +93,9 @@
             request.key = Some(format!("{}-{run}-{}", class.name, requests.len()));
         }
         let is_repeated = generator.random_range(0..100) < class.repeat_percent;
+        let delay = Duration::from_millis(generator.random_range(0..MAX_REPEAT_DELAY_MILLIS));
         let repeat = is_repeated.then(|| PlannedRequest {
-            at: at + REPEAT_DELAY,
+            at: at + delay,
             is_repeat: true,
             ..request.clone()
         });
--- a/crates/dewload/src/plan/tests.rs
+++ b/crates/dewload/src/plan/tests.rs
@@ -105,9 +105,21 @@
     let (repeats, firsts): (Vec<_>, Vec<_>) = payments.partition(|request| request.is_repeat);
     let keys: HashSet<_> = firsts.iter().map(|request| &request.key).collect();
     assert_eq!(keys.len(), firsts.len(), "keys are unique");
+    assert!(!repeats.is_empty());
     assert!(repeats.iter().all(|request| keys.contains(&request.key)));
 }
 
+#[test]
+fn a_repeat_goes_to_the_next_target() {
+    let plan = plan_requests(&workload(), &[1, 1, 1], 3, "run");
+    let first_target = |key: &Option<String>| {
+        let first = plan.iter().find(|request| request.key == *key);
+        first.expect("a first sending").target
+    };
+    let mut repeats = plan.iter().filter(|request| request.is_repeat);
+    assert!(repeats.all(|request| request.target == (first_target(&request.key) + 1) % 3));
+}
+
 #[test]
 fn one_class_leaves_the_others_alone() {
     let mut changed = workload();
--- a/crates/dewload/src/report/mod.rs
+++ b/crates/dewload/src/report/mod.rs
@@ -64,6 +64,8 @@
     pub(crate) in_target: u64,
     /// Share of the requests that were sent, in percent.
     pub(crate) attainment_percent: f64,
+    /// The same for requests sent during the burst of any class.
+    pub(crate) attainment_in_burst_percent: Option<f64>,
     /// Requests that started late since too many were in flight.
     pub(crate) late_starts: u64,
     /// Tokens of useful answers.
@@ -122,7 +124,10 @@
         .classes
         .iter()
         .enumerate()
-        .map(|(index, class)| report_class(class, index, &run))
+        .map(|(index, class)| {
+            let is_burst = |request: &FinishedRequest| workload.is_burst(request.planned.at);
+            report_class(class, index, &run, is_burst)
+        })
         .collect();
     RunReport {
         seed,
@@ -151,12 +156,18 @@
     }
 }
 
-fn report_class(class: &ClassSpec, index: usize, run: &FinishedRun) -> ClassReport {
+fn report_class(
+    class: &ClassSpec,
+    index: usize,
+    run: &FinishedRun,
+    is_burst: impl Fn(&FinishedRequest) -> bool,
+) -> ClassReport {
     let mut outcomes = OutcomeCounts::default();
     let mut repeats = OutcomeCounts::default();
     let mut latencies = ClassLatencies::default();
     let (mut in_target, mut late_starts) = (0, 0);
     let (mut useful_tokens, mut useful_answers) = (0, 0);
+    let (mut burst_sent, mut burst_in_target) = (0, 0);
     let requests = run
         .requests
         .iter()
@@ -167,6 +178,7 @@
             continue;
         }
         outcomes.count(&request.answer.outcome);
+        burst_sent += u64::from(is_burst(request));
         late_starts += u64::from(request.delay > LATE_START);
         if request.answer.outcome != RequestOutcome::Completed {
             continue;
@@ -174,6 +186,7 @@
         latencies.record(request);
         let is_in_target = meets_target(class, request);
         in_target += u64::from(is_in_target);
+        burst_in_target += u64::from(is_in_target && is_burst(request));
         if is_in_target || class.late == LateValue::Useful {
             useful_tokens += request.answer.tokens;
             useful_answers += 1;
@@ -184,6 +197,7 @@
         class: class.name.clone(),
         in_target,
         attainment_percent: percent(in_target, outcomes.sent),
+        attainment_in_burst_percent: (burst_sent > 0).then(|| percent(burst_in_target, burst_sent)),
         outcomes,
         repeats,
         late_starts,
--- a/crates/dewload/src/report/table.rs
+++ b/crates/dewload/src/report/table.rs
@@ -4,12 +4,13 @@
 
 use super::{ClassReport, LatencyQuantiles, RunReport};
 
-const COLUMNS: [&str; 20] = [
+const COLUMNS: [&str; 21] = [
     "class",
     "sent",
     "completed",
     "in target",
     "attained %",
+    "in burst %",
     "refused",
     "unknown",
     "broken",
@@ -81,6 +82,9 @@
         outcomes.completed.to_string(),
         class.in_target.to_string(),
         format!("{:.2}", class.attainment_percent),
+        class
+            .attainment_in_burst_percent
+            .map_or("-".to_owned(), |percent| format!("{percent:.2}")),
         total(&outcomes.refused).to_string(),
         total(&outcomes.unknown).to_string(),
         outcomes.broken.to_string(),
--- a/crates/dewload/src/report/tests.rs
+++ b/crates/dewload/src/report/tests.rs
@@ -8,7 +8,7 @@
 use crate::client::{AnswerRecord, AnswerTimes, RequestOutcome};
 use crate::plan::PlannedRequest;
 use crate::runner::{FinishedRequest, FinishedRun, ServerCounts};
-use crate::workload::WorkloadSpec;
+use crate::workload::{BurstSpec, WorkloadSpec};
 
 fn workload(late: &str) -> WorkloadSpec {
     let text = format!(
@@ -118,6 +118,31 @@
     }
 }
 
+#[test]
+fn bursts_have_their_own_attainment() {
+    let mut workload = workload("useful");
+    workload.classes[0].burst = Some(BurstSpec {
+        factor: 2.0,
+        start_seconds: 10.0,
+        length_seconds: 10.0,
+    });
+    let sent_at = |seconds, end| {
+        let mut request = finished(RequestOutcome::Completed, &format!("{seconds}"), 1, end);
+        request.planned.at = Duration::from_secs(seconds);
+        request
+    };
+    let requests = vec![
+        sent_at(9, 1),
+        sent_at(10, 1),
+        sent_at(19, 1000),
+        sent_at(20, 1),
+    ];
+    let report = report_run(&workload, run(requests), &[], 1);
+    let class = &report.classes[0];
+    assert_eq!(class.attainment_percent, 75.0);
+    assert_eq!(class.attainment_in_burst_percent, Some(50.0));
+}
+
 #[test]
 fn every_end_is_counted_once() {
     let refused = |status| RequestOutcome::Refused {
@@ -152,7 +177,7 @@
     assert_eq!(report.classes[0].repeats.completed, 1);
     let csv = csv_text(&report);
     let columns: Vec<usize> = csv.lines().map(|line| line.split(',').count()).collect();
-    assert_eq!(columns, [20, 20]);
+    assert_eq!(columns, [21, 21]);
     assert!(table_text(&report).contains("memo: refused 503 no: 2"));
 }
 
--- a/crates/dewload/src/workload/mod.rs
+++ b/crates/dewload/src/workload/mod.rs
@@ -6,6 +6,8 @@
 
 pub(crate) use error::WorkloadError;
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
@@ -82,8 +84,8 @@
     /// Whether each request carries an idempotency key of its own.
     #[serde(default)]
     pub(crate) keyed: bool,
-    /// Keyed requests that are sent a second time through the next target, in
-    /// percent.
+    /// Keyed requests that are sent a second time within a second, through the
+    /// next target, in percent.
     #[serde(default)]
     pub(crate) repeat_percent: u8,
 }
@@ -181,6 +183,15 @@
         }
     }
 
+    /// Returns whether any class has its burst at a time from the start.
+    pub(crate) fn is_burst(&self, at: Duration) -> bool {
+        let at = at.as_secs_f64();
+        let bursts = self.classes.iter().filter_map(|class| class.burst.as_ref());
+        bursts
+            .map(|burst| burst.start_seconds..burst.start_seconds + burst.length_seconds)
+            .any(|window| window.contains(&at))
+    }
+
     fn check(&self) -> Result<(), WorkloadError> {
         positive("duration_seconds", self.duration_seconds)?;
         positive("timeout_seconds", self.timeout_seconds)?;
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -20,9 +20,9 @@
 /// One change of the cache.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct CacheEvent {
-    sequence: u64,
-    kind: EventKind,
-    prefix: String,
+    pub(super) sequence: u64,
+    pub(super) kind: EventKind,
+    pub(super) prefix: String,
     #[serde(skip)]
     at: Instant,
 }
@@ -30,8 +30,8 @@
 /// Events after a sequence number; `next` is the number to ask with next.
 #[derive(Debug, Serialize)]
 pub(super) struct EventPage {
-    next: u64,
-    events: Vec<CacheEvent>,
+    pub(super) next: u64,
+    pub(super) events: Vec<CacheEvent>,
 }
 
 /// A cache that evicts the prefix that was used least recently.
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -10,6 +10,8 @@
 mod request;
 mod settings;
 mod state;
+#[cfg(test)]
+mod tests;
 
 pub use settings::EngineSettings;
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,4 +14,6 @@
 mod race;
 pub mod service;
 mod slots;
+#[cfg(test)]
+mod tests;
 pub mod web;
--- a/crates/standins/tests/service.rs
+++ b/crates/standins/tests/service.rs
@@ -100,6 +100,15 @@
     }
 }
 
+#[test]
+fn a_dropped_process_is_gone() {
+    let service = service(&[]);
+    let address = service.address();
+    assert!(get_json(address, "/healthz").is_ok());
+    drop(service);
+    assert!(get_json(address, "/healthz").is_err());
+}
+
 #[test]
 fn a_frozen_process_answers_when_it_goes_on() {
     let mut service = service(&[]);
