Log the changes of servers' states

Cause: an ejection is a decision, and the log did not show it.

Change: the state hands over the changes and the thread logs them. Rows that stay in the table no longer pass through "draining" on each revision. The events that steer a broker have a module of their own. What is decided goes out before a lost entry's grants end.

--- a/crates/dewspring/src/broker/mod.rs
+++ b/crates/dewspring/src/broker/mod.rs
@@ -44,4 +44,4 @@
 };
 pub use queue::ServiceTurn;
 pub use state::BrokerState;
-pub use status::{BrokerStatus, ClassStatus, PoolStatus, ServerState, ServerStatus};
+pub use status::{BrokerStatus, ClassStatus, PoolStatus, ServerChange, ServerState, ServerStatus};
--- a/crates/dewspring/src/broker/pool.rs
+++ b/crates/dewspring/src/broker/pool.rs
@@ -19,7 +19,7 @@
 use super::queued::QueuedRequest;
 use super::replica::ReplicaId;
 use super::replicas::ReplicaSet;
-use super::status::PoolStatus;
+use super::status::{PoolStatus, ServerChange};
 use crate::ids::{GrantId, PoolName, ServerName, TierLevel};
 use crate::tables::PoolRow;
 
@@ -275,6 +275,11 @@
         }
     }
 
+    /// Takes the changes of servers' states since the last call.
+    pub(super) fn take_changes(&mut self) -> Vec<ServerChange> {
+        self.replicas.take_changes()
+    }
+
     /// Describes the pool to operators.
     pub(super) fn status(&self, name: &PoolName) -> PoolStatus {
         PoolStatus {
--- a/crates/dewspring/src/broker/replicas.rs
+++ b/crates/dewspring/src/broker/replicas.rs
@@ -6,20 +6,23 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::control::ShareDivisor;
 use super::health::{HealthPaces, HealthSample, median_of};
 use super::pace::DEFAULT_PACE;
 use super::rendezvous::ServerRing;
 use super::replica::{ReplicaId, ReplicaState};
-use super::status::ServerStatus;
+use super::status::{ServerChange, ServerStatus};
 use crate::ids::{ServerName, TokenCount};
 use crate::tables::ServerRow;
 
 /// One server in so many may be ejected or on probe.
 const MAX_OUT_FRACTION: usize = 3;
 
+/// Changes of servers' states that are kept for the log.
+const MAX_CHANGES: usize = 10_000;
+
 /// What the indexes hold of one server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 struct IndexedState {
@@ -66,6 +69,7 @@
     serving_count: usize,
     pool_pace: f64,
     median: HealthPaces,
+    changes: Vec<ServerChange>,
 }
 
 impl Default for ReplicaSet {
@@ -82,6 +86,7 @@
             serving_count: 0,
             pool_pace: DEFAULT_PACE,
             median: HealthPaces::default(),
+            changes: Vec::new(),
         }
     }
 }
@@ -159,8 +164,12 @@
 
     /// Follows the rows of the pools table.
     pub(super) fn configure(&mut self, servers: &[ServerRow], share: ShareDivisor) {
+        let listed = servers.iter().map(|server| &server.name);
+        let listed = listed.collect::<IndexSet<_>>();
         for id in self.ids() {
-            self.change(id, ReplicaState::unlist);
+            if !listed.contains(&self.rows[&id].state.name) {
+                self.change(id, ReplicaState::unlist);
+            }
         }
         for server in servers {
             match self.id(&server.name) {
@@ -231,7 +240,15 @@
         change: impl FnOnce(&mut ReplicaState) -> T,
     ) -> T {
         let row = self.rows.get_mut(&id).expect("the server is known");
+        let state = row.state.state();
         let result = change(&mut row.state);
+        let server = &row.state;
+        if server.state() != state && self.changes.len() < MAX_CHANGES {
+            self.changes.push(ServerChange {
+                server: server.name.clone(),
+                state: server.state(),
+            });
+        }
         let indexed = IndexedState::of(&row.state, self.pool_pace);
         let before = std::mem::replace(&mut row.indexed, indexed);
         self.reindex(id, before, indexed);
@@ -247,6 +264,11 @@
         }
     }
 
+    /// Takes the changes of servers' states since the last call.
+    pub(super) fn take_changes(&mut self) -> Vec<ServerChange> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Describes the servers to operators.
     pub(super) fn status(&self) -> Vec<ServerStatus> {
         self.rows.values().map(|row| row.state.status()).collect()
--- a/crates/dewspring/src/broker/state.rs
+++ b/crates/dewspring/src/broker/state.rs
@@ -3,6 +3,8 @@
 //! Nothing here reads a clock, does I/O or starts a thread. Every question
 //! gets a ticket and exactly one decision, unless it is withdrawn first.
 
+mod control;
+
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
@@ -10,17 +12,16 @@
 use rand::rngs::SmallRng;
 
 use super::admission::{expiry_reason, retry_after};
-use super::control::{BrokerSettings, ServerMark, ServerReport, ShareDivisor};
+use super::control::{BrokerSettings, ShareDivisor};
 use super::decision::TicketDecision;
 use super::grants::{GrantRecord, GrantTable};
 use super::messages::{Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason};
 use super::pool::{Placement, PoolState};
 use super::queue::ServiceTurn;
 use super::queued::{QueuedRequest, later};
-use super::status::BrokerStatus;
+use super::status::{BrokerStatus, ServerChange};
 use super::tickets::{TicketIndex, TicketPlace};
 use crate::ids::{BootId, GrantId, PoolName, RequestId, Revision, ServerName, VmId};
-use crate::tables::FleetConfig;
 
 /// Time between two looks for requests that wait in vain.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -148,83 +149,6 @@
         }
     }
 
-    /// Follows a configuration; one with a lower revision is passed over.
-    pub fn configure(&mut self, config: &FleetConfig, now: Instant) {
-        self.advance(now);
-        if config.revision < self.revision {
-            return;
-        }
-        self.revision = config.revision;
-        for (name, pool) in &mut self.pools {
-            if !config.pools.rows.contains_key(name) {
-                pool.unlist();
-            }
-        }
-        for (name, row) in &config.pools.rows {
-            let pool = self.pools.entry(name.clone()).or_default();
-            pool.configure(row, self.share);
-            for server in row.servers.iter().map(|server| &server.name) {
-                self.server_pools.insert(server.clone(), name.clone());
-                if self.leaving.contains(server) {
-                    pool.mark(server, ServerMark::Leaving);
-                }
-            }
-        }
-        self.settle(now);
-    }
-
-    /// Notes a server's report on its load.
-    pub fn report(&mut self, report: &ServerReport, now: Instant) {
-        self.advance(now);
-        let Some(name) = self.server_pools.get(&report.server).cloned() else {
-            return;
-        };
-        if let Some(pool) = self.pools.get_mut(&name) {
-            pool.report(report, now);
-        }
-        self.settle_pool(&name, now);
-    }
-
-    /// Notes what the platform's list says of a server.
-    pub fn mark(&mut self, server: &ServerName, mark: ServerMark, now: Instant) {
-        self.advance(now);
-        match mark {
-            ServerMark::Leaving => self.leaving.insert(server.clone()),
-            ServerMark::Live => self.leaving.swap_remove(server),
-        };
-        let Some(name) = self.server_pools.get(server).cloned() else {
-            return;
-        };
-        if let Some(pool) = self.pools.get_mut(&name) {
-            pool.mark(server, mark);
-        }
-        self.settle_pool(&name, now);
-    }
-
-    /// Ends the grants of an entry that is gone, and forgets its questions.
-    ///
-    /// Returns the tickets that get no decision any more.
-    pub fn forget_entry(&mut self, entry: &VmId, boot: BootId, now: Instant) -> Vec<GrantId> {
-        self.advance(now);
-        let queued = self
-            .pools
-            .values()
-            .flat_map(|pool| pool.queue.of_entry(entry, boot));
-        let mut tickets = queued.collect::<Vec<_>>();
-        tickets.extend(self.grants.of_entry(entry, boot));
-        self.cancel_all(tickets, now)
-    }
-
-    /// Follows a new share of the servers' slots.
-    pub fn set_share(&mut self, share: ShareDivisor, now: Instant) {
-        self.advance(now);
-        self.share = share;
-        for pool in self.pools.values_mut() {
-            pool.set_share(share);
-        }
-        self.settle(now);
-    }
-
     /// Does what has become due: gives up waiting requests and ends grants
     /// that were never released.
     pub fn advance(&mut self, now: Instant) {
@@ -261,6 +185,12 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// Takes the changes of servers' states since the last call, for the log.
+    pub fn take_changes(&mut self) -> Vec<ServerChange> {
+        let pools = self.pools.values_mut();
+        pools.flat_map(PoolState::take_changes).collect()
+    }
+
     /// Describes the broker to operators.
     pub fn status(&self) -> BrokerStatus {
         let pools = self.pools.iter();
@@ -384,28 +314,6 @@
         self.settle_pool(&record.pool, now);
     }
 
-    fn settle(&mut self, now: Instant) {
-        let names = self.pools.keys().cloned().collect::<Vec<_>>();
-        for name in names {
-            self.settle_pool(&name, now);
-        }
-    }
-
-    fn settle_pool(&mut self, name: &PoolName, now: Instant) {
-        let Some(index) = self.pools.get_index_of(name) else {
-            return;
-        };
-        if !self.pools[index].is_serving() {
-            self.flush(index, RefusalReason::NoServer, now);
-        }
-        if self.pools[index].is_gone() {
-            self.pools.shift_remove_index(index);
-            self.server_pools.retain(|_, pool| pool != name);
-            return;
-        }
-        self.dispatch(name, now);
-    }
-
     fn flush(&mut self, index: usize, reason: RefusalReason, now: Instant) {
         while let Some(queued) = self.pools[index].queue.pop_any() {
             self.refuse(queued, reason, now);
--- a/crates/dewspring/src/broker/status.rs
+++ b/crates/dewspring/src/broker/status.rs
@@ -79,3 +79,12 @@
     /// Estimated work of those grants, in tokens.
     pub tokens_in_flight: TokenCount,
 }
+
+/// A server that gets new work from now on, or gets none any more.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct ServerChange {
+    /// Name of the server.
+    pub server: ServerName,
+    /// Its new state.
+    pub state: ServerState,
+}
--- a/crates/dewspring/src/broker/tests/handle.rs
+++ b/crates/dewspring/src/broker/tests/handle.rs
@@ -121,3 +121,38 @@
     assert_ne!(refusals[0].retry_after, refusals[1].retry_after);
     end(&handle);
 }
+
+#[test]
+fn no_grant_leaks_between_many_entries() {
+    let handle = spawn(&[2, 2, 2]);
+    let entry = |entry: u32| {
+        let handle = handle.clone();
+        move || {
+            let mut finished = 0;
+            for number in 0..300 {
+                let id = format!("{entry}/{number}");
+                let receiver = ask(&handle, &id);
+                match number % 3 {
+                    0 => drop(receiver),
+                    1 => handle.withdraw(id, "entry".into(), 1),
+                    _ => match receiver.blocking_recv() {
+                        Ok(GrantDecision::Granted(grant)) => {
+                            handle.release(release(grant.id));
+                            finished += 1;
+                        }
+                        other => panic!("not granted: {other:?}"),
+                    },
+                }
+            }
+            finished
+        }
+    };
+    let entries = (0..4).map(|number| std::thread::spawn(entry(number)));
+    let entries = entries.collect::<Vec<_>>();
+    let finished = entries
+        .into_iter()
+        .map(|entry| entry.join().expect("the entry ends"));
+    assert_eq!(finished.sum::<u32>(), 400);
+    wait_until(&handle, 0, 0);
+    end(&handle);
+}
--- a/crates/dewspring/src/broker/tests/health.rs
+++ b/crates/dewspring/src/broker/tests/health.rs
@@ -122,6 +122,11 @@
             .count(),
         2
     );
+    let changes = state.take_changes();
+    let ejected = changes
+        .iter()
+        .filter(|change| change.state == ServerState::Ejected);
+    assert_eq!(ejected.count(), 2, "{changes:?}");
     // With a smaller pool, fewer may be out.
     state.configure(&config(2, servers(&[1; 3])), now);
     let status = state.status();
--- a/crates/dewspring/src/broker/tests/model.rs
+++ b/crates/dewspring/src/broker/tests/model.rs
@@ -316,7 +316,14 @@
             let request = request.expect("a request is answered once, and only if it was asked");
             match &decision.decision {
                 GrantDecision::Granted(grant) => self.check_grant(request, grant, &decision),
-                GrantDecision::Refused(refusal) => self.check_refusal(&request, refusal),
+                GrantDecision::Refused(refusal) => {
+                    let is_timeout = refusal.reason == RefusalReason::TimedOut;
+                    assert!(
+                        !is_timeout || decision.waited >= request.timeout_left,
+                        "a request is given up before its timeout",
+                    );
+                    self.check_refusal(&request, refusal);
+                }
             }
         }
         let status = self.state.status();
@@ -393,6 +400,10 @@
             self.retry_times.insert(refusal.retry_after),
             "the same time twice"
         );
+        assert!(
+            refusal.reason != RefusalReason::TargetMissed || !request.late_is_useful,
+            "a request whose late answer is useful is refused for its target",
+        );
         let mut others = self.queued.values();
         assert!(
             refusal.reason != RefusalReason::QueueFull
--- a/crates/dewspring/src/broker/thread.rs
+++ b/crates/dewspring/src/broker/thread.rs
@@ -16,7 +16,7 @@
 use super::mailbox::{ControlMailbox, MailboxContent};
 use super::messages::{GrantDecision, GrantRelease, GrantRequest};
 use super::state::BrokerState;
-use super::status::BrokerStatus;
+use super::status::{BrokerStatus, ServerChange};
 use crate::ids::{BootId, GrantId, RequestId, VmId};
 
 /// Longest time between two looks at the clock.
@@ -83,6 +83,7 @@
                 Err(RecvTimeoutError::Disconnected) => self.is_shut_down = true,
             }
             self.deliver(now);
+            self.log_changes();
             self.publish(now);
         }
         self.finish(Instant::now());
@@ -130,6 +131,9 @@
         for report in reports.values() {
             self.state.report(report, now);
         }
+        // What is decided so far goes out first, so that no entry gets a grant
+        // that ends here.
+        self.deliver(now);
         for (entry, boot) in lost_entries {
             log::info!("broker: entry {entry} is lost, its grants end");
             let tickets = self.state.forget_entry(&entry, boot, now);
@@ -170,6 +174,12 @@
         }
     }
 
+    fn log_changes(&mut self) {
+        for ServerChange { server, state } in self.state.take_changes() {
+            log::info!("broker: server {server} is {state:?} from now on");
+        }
+    }
+
     fn idle_time(&self, now: Instant) -> Duration {
         let wakeup = self.state.next_wakeup();
         let due = [wakeup, self.publish_due()];
