Show that a flood from one workspace spares the others

Cause: one desk's demand must not swamp the rest.

Change: a test in simulated time with three workspaces of one class. The status is published after events and due times, not on every idle look at the clock.

--- a/crates/dewspring/src/broker/tests/admission.rs
+++ b/crates/dewspring/src/broker/tests/admission.rs
@@ -32,7 +32,7 @@
     let trial = LoadTrial::run(&[4, 4], sources, |_, _, _| {
         (0.01, AttemptOutcome::Completed)
     });
-    let [urgent, wire, archive] = ["urgent", "wire", "archive"].map(|name| trial.outcomes[name]);
+    let [urgent, wire, archive] = [0, 1, 2].map(|index| trial.outcomes[index]);
     assert!(urgent.in_time * 100 >= urgent.asked * 98, "{urgent:?}");
     assert!(wire.refused > 0, "{wire:?}");
     assert!(wire.late * 100 <= wire.asked * 5, "{wire:?}");
@@ -43,6 +43,23 @@
     assert_eq!(archive.refused, 0, "{archive:?}");
 }
 
+#[test]
+fn a_flood_from_one_workspace_costs_the_others_little() {
+    let mut sources = ["flood", "desk", "radio"].map(|workspace| {
+        let mut source = source("wire", 1, 1.0, false);
+        source.request.workspace = workspace.into();
+        source
+    });
+    // The pool serves about eight requests a second.
+    sources[0].interval = Duration::from_millis(25);
+    let trial = LoadTrial::run(&[4, 4], sources.into(), |_, _, _| {
+        (0.01, AttemptOutcome::Completed)
+    });
+    for outcome in &trial.outcomes[1..] {
+        assert!(outcome.in_time * 100 >= outcome.asked * 95, "{outcome:?}");
+    }
+}
+
 #[test]
 fn a_target_is_refused_only_when_its_pace_is_known() {
     let now = Instant::now();
--- a/crates/dewspring/src/broker/tests/health.rs
+++ b/crates/dewspring/src/broker/tests/health.rs
@@ -80,7 +80,7 @@
             answer: 160,
         };
         let trial = LoadTrial::run(&[4; 6], vec![source], case.behaviour);
-        let outcome = trial.outcomes["class"];
+        let outcome = trial.outcomes[0];
         let grants = case.faulty.iter().flat_map(|&server| &trial.grants[server]);
         let between = |from: u64, to: u64| {
             let times = grants.clone().map(Duration::as_secs);
--- a/crates/dewspring/src/broker/tests/load.rs
+++ b/crates/dewspring/src/broker/tests/load.rs
@@ -14,7 +14,7 @@
     AttemptOutcome, BrokerSettings, BrokerState, Grant, GrantDecision, GrantRelease, GrantRequest,
     TicketDecision,
 };
-use crate::ids::{ClassName, GrantId, ServerName};
+use crate::ids::{GrantId, ServerName};
 
 /// Requests of one class, at random times.
 pub(super) struct LoadSource {
@@ -26,7 +26,7 @@
     pub(super) answer: u64,
 }
 
-/// What came of one class's requests.
+/// What came of one source's requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct LoadOutcome {
     pub(super) asked: u32,
@@ -52,8 +52,8 @@
     ends: BinaryHeap<Reverse<(Instant, GrantId)>>,
     waiting: IndexMap<GrantId, (usize, Instant)>,
     running: IndexMap<GrantId, (usize, Instant, GrantRelease)>,
-    /// Outcomes by class.
-    pub(super) outcomes: IndexMap<ClassName, LoadOutcome>,
+    /// Outcomes by source.
+    pub(super) outcomes: Vec<LoadOutcome>,
     /// Grants by server, with the time of each.
     pub(super) grants: IndexMap<ServerName, Vec<Duration>>,
 }
@@ -72,12 +72,12 @@
             arrivals: (0..sources.len())
                 .map(|index| Reverse((start, index)))
                 .collect(),
+            outcomes: vec![LoadOutcome::default(); sources.len()],
             sources,
             behaviour,
             ends: BinaryHeap::new(),
             waiting: IndexMap::new(),
             running: IndexMap::new(),
-            outcomes: IndexMap::new(),
             grants: IndexMap::new(),
         };
         while trial.step() {}
@@ -117,7 +117,7 @@
         }
         let ticket = self.state.ask(source.request.clone(), self.now);
         self.waiting.insert(ticket, (index, self.now));
-        self.outcome(index).asked += 1;
+        self.outcomes[index].asked += 1;
     }
 
     fn follow(&mut self, decision: TicketDecision) {
@@ -125,7 +125,7 @@
         let (index, asked_at) = waiting.expect("it waits");
         let GrantDecision::Granted(grant) = decision.decision else {
             let waited = self.now - asked_at;
-            let outcome = self.outcome(index);
+            let outcome = &mut self.outcomes[index];
             outcome.refused += 1;
             outcome.waited_in_vain += waited;
             return;
@@ -150,16 +150,11 @@
         let Reverse((_, ticket)) = self.ends.pop().expect("one is due");
         let (index, asked_at, release) = self.running.swap_remove(&ticket).expect("it runs");
         let is_in_time = self.now - asked_at <= self.sources[index].request.target_left;
-        let outcome = self.outcome(index);
+        let outcome = &mut self.outcomes[index];
         match release.outcome == AttemptOutcome::Completed && is_in_time {
             true => outcome.in_time += 1,
             false => outcome.late += 1,
         }
         self.state.release(&release, self.now);
     }
-
-    fn outcome(&mut self, index: usize) -> &mut LoadOutcome {
-        let class = self.sources[index].request.class.clone();
-        self.outcomes.entry(class).or_default()
-    }
 }
--- a/crates/dewspring/src/broker/thread.rs
+++ b/crates/dewspring/src/broker/thread.rs
@@ -75,7 +75,9 @@
         while !self.is_shut_down {
             let received = self.receiver.recv_timeout(self.idle_time(Instant::now()));
             let now = Instant::now();
-            self.publish_at.get_or_insert(now);
+            if received.is_ok() || self.state.next_wakeup().is_some_and(|at| at <= now) {
+                self.publish_at.get_or_insert(now);
+            }
             self.empty_mailbox(now);
             match received {
                 Ok(message) => self.handle(message, now),
