--- a/crates/dewspring/benches/broker.rs
+++ b/crates/dewspring/benches/broker.rs
@@ -7,14 +7,17 @@
 use std::collections::VecDeque;
 use std::hint::black_box;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use criterion::{BenchmarkId, Criterion};
 use dewspring::broker::{
-    AttemptOutcome, BrokerSettings, BrokerState, GrantDecision, GrantRelease, GrantRequest,
+    AttemptOutcome, BrokerHandle, BrokerSettings, BrokerState, GrantDecision, GrantRelease,
+    GrantRequest,
 };
 use dewspring::ids::GrantId;
 use dewspring::tables::{FleetConfig, PoolKind, PoolRow, PoolTable, RouteTable, ServerRow};
+use tokio::sync::oneshot;
 
 /// Numbers of replicas in the pool.
 const REPLICAS: [u32; 4] = [6, 60, 600, 4_800];
@@ -24,6 +27,8 @@
 const SLOTS: u32 = 4;
 /// Boot of the broker.
 const BOOT: u64 = 7;
+/// Requests that are asked together through a handle.
+const HANDLE_BATCH: u64 = 64;
 /// Simulated time of one iteration.
 const STEP: Duration = Duration::from_micros(100);
 /// Simulated time from one review to the next.
@@ -83,6 +88,18 @@
     }
 }
 
+/// Returns the release of a grant that ended well.
+fn release(grant: GrantId) -> GrantRelease {
+    GrantRelease {
+        grant,
+        boot: BOOT,
+        outcome: AttemptOutcome::Completed,
+        tokens: 50 + grant % 200,
+        first_token: Some(Duration::from_millis(100 + grant % 50)),
+        elapsed: Duration::from_millis(2_000 + grant % 1_000),
+    }
+}
+
 struct BrokerLoad {
     state: BrokerState,
     granted: VecDeque<GrantId>,
@@ -125,14 +142,7 @@
         let Some(grant) = self.granted.pop_front() else {
             return;
         };
-        let release = GrantRelease {
-            grant,
-            boot: BOOT,
-            outcome: AttemptOutcome::Completed,
-            tokens: 50 + grant % 200,
-            first_token: Some(Duration::from_millis(100 + grant % 50)),
-            elapsed: Duration::from_millis(2_000 + grant % 1_000),
-        };
+        let release = release(grant);
         self.state.release(&release, self.now);
         self.follow();
     }
@@ -208,6 +218,34 @@
     group.finish();
 }
 
+/// Measures requests through the ring and the broker's thread, 64 at a time.
+fn bench_handle(criterion: &mut Criterion) {
+    let handle = BrokerHandle::spawn(BrokerSettings::new("vm-1", BOOT));
+    handle.configure(Arc::new(config(60)));
+    let mut asked = 0;
+    criterion.bench_function("handle/64-requests", |bencher| {
+        bencher.iter(|| {
+            let replies = (0..HANDLE_BATCH).map(|_| {
+                asked += 1;
+                let (reply, receiver) = oneshot::channel();
+                handle
+                    .ask(request(asked), reply)
+                    .expect("the ring has room");
+                receiver
+            });
+            for reply in replies.collect::<Vec<_>>() {
+                let decision = reply.blocking_recv().expect("the broker runs");
+                let GrantDecision::Granted(grant) = decision else {
+                    panic!("refused: {decision:?}");
+                };
+                handle.release(release(grant.id));
+            }
+        });
+    });
+    handle.shut_down();
+    handle.join();
+}
+
 fn main() {
     print_memory();
     let criterion = Criterion::default()
@@ -217,5 +255,6 @@
     let mut criterion = criterion.configure_from_args();
     bench_requests(&mut criterion);
     bench_reviews(&mut criterion);
+    bench_handle(&mut criterion);
     criterion.final_summary();
 }
--- a/crates/dewspring/src/broker/handle.rs
+++ b/crates/dewspring/src/broker/handle.rs
@@ -84,6 +84,41 @@
     ///
     /// A [`Refusal`] if the ring is full or the broker has ended; `reply` is
     /// then dropped.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use dewspring::broker::{BrokerHandle, BrokerSettings, GrantDecision, GrantRequest};
+    ///
+    /// let handle = BrokerHandle::spawn(BrokerSettings::new("vm-1", 7));
+    /// let request = GrantRequest {
+    ///     request: "vm-2/1".into(),
+    ///     entry: "vm-2".into(),
+    ///     entry_boot: 3,
+    ///     pool: "rate-drafting".into(),
+    ///     class: "memo".into(),
+    ///     tier: 1,
+    ///     workspace: "office".into(),
+    ///     waited: Duration::ZERO,
+    ///     target_left: Duration::from_secs(60),
+    ///     timeout_left: Duration::from_secs(120),
+    ///     late_is_useful: true,
+    ///     floor_percent: 10,
+    ///     prompt_tokens: 400,
+    ///     max_tokens: None,
+    ///     prefix: None,
+    ///     excluded: Vec::new(),
+    /// };
+    /// let (reply, decision) = tokio::sync::oneshot::channel();
+    /// handle.ask(request, reply).expect("the ring has room");
+    /// // No configuration names the pool yet.
+    /// let decision = decision.blocking_recv().expect("the broker runs");
+    /// assert!(matches!(decision, GrantDecision::Refused(_)));
+    /// # handle.shut_down();
+    /// # handle.join();
+    /// ```
     pub fn ask(
         &self,
         request: GrantRequest,
