--- a/crates/dewspring/src/broker/tests/health.rs
+++ b/crates/dewspring/src/broker/tests/health.rs
@@ -80,7 +80,7 @@
             answer: 160,
         };
         let trial = LoadTrial::run(&[4; 6], vec![source], case.behaviour);
-        let outcome = trial.outcomes["class"];
+        let outcome = trial.outcomes[0];
         let grants = case.faulty.iter().flat_map(|&server| &trial.grants[server]);
         let between = |from: u64, to: u64| {
             let times = grants.clone().map(Duration::as_secs);
@@ -122,6 +122,11 @@
             .count(),
         2
     );
+    let changes = state.take_changes();
+    let ejected = changes
+        .iter()
+        .filter(|change| change.state == ServerState::Ejected);
+    assert_eq!(ejected.count(), 2, "{changes:?}");
     // With a smaller pool, fewer may be out.
     state.configure(&config(2, servers(&[1; 3])), now);
     let status = state.status();
