--- a/crates/dewspring/src/peer/duty.rs
+++ b/crates/dewspring/src/peer/duty.rs
@@ -18,7 +18,7 @@
 use super::grants::GrantService;
 use super::handle::{HandleParts, PeerHandle};
 use super::listener::PeerListener;
-use super::membership::VmIdentity;
+use super::member::VmIdentity;
 use super::messages::VmPlace;
 use super::settings::PeerSettings;
 use super::shared::{PeerCore, PeerShared};
@@ -194,6 +194,7 @@
     rng: SmallRng,
     pulls: Arc<Semaphore>,
     revision: Revision,
+    is_draining: bool,
     next_round: Option<Instant>,
     next_tidy: Instant,
 }
@@ -206,6 +207,7 @@
             rng: SmallRng::seed_from_u64(seed),
             pulls: Arc::new(Semaphore::new(super::service::OFFERS_AT_ONCE)),
             revision: 0,
+            is_draining: false,
             next_round: None,
             next_tidy: Instant::now() + TIDY_INTERVAL,
         }
@@ -218,7 +220,7 @@
             poll.tick().await;
             let now = Instant::now();
             self.take_lists(now);
-            self.spread_revision();
+            self.spread_changes();
             if self.next_round.is_some_and(|next| now >= next) {
                 self.begin_round(now);
             }
@@ -244,13 +246,17 @@
         }
     }
 
-    /// Tells some VMs at once when the revision in force has risen.
-    fn spread_revision(&mut self) {
+    /// Tells some VMs at once when the revision in force has risen, or when
+    /// this VM is about to leave.
+    fn spread_changes(&mut self) {
         let revision = self.core.exchange.revision();
-        if revision <= self.revision {
+        self.core.shared.revisions.note_in_force(revision);
+        let is_draining = self.core.shared.membership().is_draining();
+        if revision <= self.revision && is_draining == self.is_draining {
             return;
         }
-        self.revision = revision;
+        self.revision = revision.max(self.revision);
+        self.is_draining = is_draining;
         let targets = self.core.shared.membership().spread_targets(&mut self.rng);
         for target in targets {
             tokio::spawn(self.exchanger().exchange(target));
--- a/crates/dewspring/src/peer/exchanger.rs
+++ b/crates/dewspring/src/peer/exchanger.rs
@@ -1,14 +1,15 @@
 //! One heartbeat to another VM, and the configuration that follows from it.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::Semaphore;
 
 use super::errors::PeerError;
+use super::events::HeartbeatVerdict;
 use super::grants::GrantService;
 use super::links::PeerLink;
-use super::membership::{HeartbeatTarget, HeartbeatVerdict};
+use super::member::HeartbeatTarget;
 use super::service::PeerServiceClient;
 use super::shared::PeerCore;
 use super::wire::call_context;
@@ -45,11 +46,7 @@
         let question = shared.membership().question(&link.vm, revision);
         let context = call_context(HEARTBEAT_TIME);
         let answer = client.heartbeat(context, question).await?;
-        let now = Instant::now();
-        let verdict = self
-            .core
-            .change(|membership| membership.observe_answer(now, &link.vm, &answer));
-        self.core.count_verdict(verdict, &answer.vm);
+        let verdict = self.core.take_answer(&link.vm, &answer);
         if verdict == HeartbeatVerdict::Accepted {
             self.level(&client, answer.revision).await?;
         }
--- a/crates/dewspring/src/peer/handle.rs
+++ b/crates/dewspring/src/peer/handle.rs
@@ -15,11 +15,12 @@
 use super::notices::{GrantNotice, send_notice};
 use super::rendezvous::rendezvous_owner;
 use super::shared::PeerShared;
+use super::wire::CALLS_IN_FLIGHT;
 use crate::broker::{GrantDecision, GrantRelease, GrantRequest};
 use crate::ids::{PoolName, VmId};
 
 /// Questions to other VMs at the same time.
-const QUESTION_LIMIT: usize = 8_192;
+const QUESTION_LIMIT: usize = CALLS_IN_FLIGHT / 2;
 
 /// Where the broker of a pool is.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -140,10 +141,12 @@
         self.parts.shared.publish();
     }
 
-    /// Whether the platform's list was read and each VM on it has answered or
-    /// is dead.
+    /// Whether the platform's list was read, each VM on it has answered or is
+    /// dead, and no later revision was heard of than the one in force.
     pub fn peers_heard(&self) -> bool {
-        self.parts.shared.membership().peers_heard()
+        let shared = &self.parts.shared;
+        let is_heard = shared.membership().peers_heard();
+        is_heard && !shared.revisions.is_behind()
     }
 
     /// Returns what the duty has counted.
--- a/crates/dewspring/src/peer/links.rs
+++ b/crates/dewspring/src/peer/links.rs
@@ -20,7 +20,7 @@
 use super::preface::offer_preface;
 use super::service::PeerServiceClient;
 use super::shared::PeerShared;
-use super::wire::caller_transport;
+use super::wire::{CALLS_IN_FLIGHT, caller_transport};
 use crate::ids::VmId;
 
 /// Time in which a connection must be open and proved.
@@ -34,6 +34,9 @@
 /// It is shorter than the listener's, so that callers close first.
 const UNUSED_TIME: Duration = Duration::from_secs(15);
 
+/// Calls that wait to be written to one connection.
+const CALLS_TO_SEND: usize = 1_024;
+
 /// An open connection; dropping it ends its calls.
 struct LinkConnection {
     client: PeerServiceClient,
@@ -125,7 +128,10 @@
     stream.set_nodelay();
     let proved = offer_preface(&mut stream, &shared.secret).await;
     proved.map_err(|error| unreachable(&error))?;
-    let new = PeerServiceClient::new(Config::default(), caller_transport(stream));
+    let mut config = Config::default();
+    config.max_in_flight_requests = CALLS_IN_FLIGHT;
+    config.pending_request_buffer = CALLS_TO_SEND;
+    let new = PeerServiceClient::new(config, caller_transport(stream));
     let dispatch = tokio::spawn(async move {
         if let Err(error) = new.dispatch.await {
             log::debug!("peer: the connection to {address} ended: {error}.");
--- a/crates/dewspring/src/peer/listener.rs
+++ b/crates/dewspring/src/peer/listener.rs
@@ -23,7 +23,7 @@
 use super::preface::{PrefaceError, accept_preface};
 use super::service::{OFFERS_AT_ONCE, PeerServer, PeerService};
 use super::shared::PeerCore;
-use super::wire::callee_transport;
+use super::wire::{CALLS_IN_FLIGHT, callee_transport};
 use crate::configuration::ConfigExchange;
 
 /// Connections at the same time that have proved the secret.
@@ -35,9 +35,6 @@
 /// Time in which a connection must prove the secret.
 const PREFACE_TIME: Duration = Duration::from_secs(1);
 
-/// Calls in flight on one connection.
-const CALLS_IN_FLIGHT: usize = 1_024;
-
 /// Time without a call after which a connection is closed.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
@@ -112,7 +109,8 @@
             };
             let Ok(permit) = connections.try_acquire_owned() else {
                 core.shared.counters.refused_connections.add(1);
-                log::warn!("peer: refused {remote}, there are too many connections.");
+                core.shared
+                    .warn_of_stranger(|| format!("refused {remote}, too many connections."));
                 return;
             };
             tokio::spawn(async move {
@@ -122,7 +120,8 @@
         });
         if self.pending.push(task.abort_handle()) {
             counters.refused_connections.add(1);
-            log::warn!("peer: dropped the oldest of too many unproved connections.");
+            let line = || "dropped the oldest of too many unproved connections.".into();
+            self.core.shared.warn_of_stranger(line);
         }
     }
 }
@@ -143,7 +142,8 @@
         Ok(()) => Some(stream),
         Err(error) => {
             core.shared.counters.bad_prefaces.add(1);
-            log::warn!("peer: dropped the connection from {remote}: {error}.");
+            let line = || format!("dropped the connection from {remote}: {error}.");
+            core.shared.warn_of_stranger(line);
             None
         }
     }
@@ -194,7 +194,8 @@
     };
     if !is_ordinary_end(error) {
         core.shared.counters.bad_frames.add(1);
-        log::warn!("peer: dropped the connection from {remote}: bad frame: {error}.");
+        let line = || format!("dropped the connection from {remote}, bad frame: {error}.");
+        core.shared.warn_of_stranger(line);
     }
 }
 
--- a/crates/dewspring/src/peer/member.rs
+++ b/crates/dewspring/src/peer/member.rs
@@ -15,6 +15,26 @@
 /// Missed answers in a row after which a VM is dead.
 pub(super) const DEAD_AFTER_MISSES: u32 = 3;
 
+/// Who this VM is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VmIdentity {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Its boot.
+    pub boot: BootId,
+    /// Where it is reached.
+    pub place: VmPlace,
+}
+
+/// A VM that is to be sent a heartbeat.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HeartbeatTarget {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// Where it is reached.
+    pub place: VmPlace,
+}
+
 /// State of a VM as another VM sees it.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum MemberState {
--- a/crates/dewspring/src/peer/membership.rs
+++ b/crates/dewspring/src/peer/membership.rs
@@ -2,8 +2,9 @@
 //!
 //! The platform's lagging list says who may be asked; direct heartbeats
 //! correct it, and news in heartbeats carry what others found. Its neighbours
-//! are [`super::targets`], which chooses whom to ask, and [`super::news`],
-//! which holds what is still to be passed on.
+//! are [`super::targets`], which chooses whom to ask, [`super::observe`], which
+//! takes in what is heard, and [`super::news`], which holds what is still to be
+//! passed on.
 //!
 //! The main invariant: what a VM says of itself goes before what others say
 //! of it, and a boot that was replaced never speaks again.
@@ -13,69 +14,18 @@
 use indexmap::{IndexMap, IndexSet};
 use rand::Rng;
 
-use super::member::{DEAD_AFTER_MISSES, Liveness, MemberRecord, MemberStatus};
-use super::messages::{Heartbeat, Incarnation, LivenessNews, VmPlace};
+use super::events::MemberEvent;
+use super::member::{HeartbeatTarget, Liveness, MemberRecord, MemberStatus, VmIdentity};
+use super::messages::{Heartbeat, Incarnation, VmPlace};
 use super::news::NewsQueue;
 use super::rendezvous::{rendezvous_owner, ring_position};
-use super::targets::{HEARTBEAT_INTERVAL, TargetChoice, random_alive};
-use crate::ids::{BootId, PoolName, Revision, VmId};
+use super::targets::{TargetChoice, random_alive};
+use crate::ids::{PoolName, Revision, VmId};
 use crate::platform::{VmEntry, VmState};
 
 /// Time for which a VM that the list dropped and that is silent is kept.
 pub const FORGET_AFTER: Duration = Duration::from_secs(60);
 
-/// Time for which a direct answer outweighs another VM's word of death.
-const FRESH_FOR: Duration = HEARTBEAT_INTERVAL.saturating_mul(DEAD_AFTER_MISSES);
-
-/// News of one heartbeat that are read.
-const NEWS_READ_LIMIT: usize = 16;
-
-/// Who this VM is.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct VmIdentity {
-    /// Name of the VM.
-    pub vm: VmId,
-    /// Its boot.
-    pub boot: BootId,
-    /// Where it is reached.
-    pub place: VmPlace,
-}
-
-/// A VM that is to be sent a heartbeat.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct HeartbeatTarget {
-    /// Name of the VM.
-    pub vm: VmId,
-    /// Where it is reached.
-    pub place: VmPlace,
-}
-
-/// What became of a heartbeat that was received.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum HeartbeatVerdict {
-    /// It was taken in.
-    Accepted,
-    /// It comes from a boot that was replaced, and was dropped.
-    FormerBoot,
-    /// It comes from a VM that was not asked, and was dropped.
-    WrongVm,
-    /// It carries this VM's own name, and was dropped.
-    OwnName,
-    /// It comes from an unknown VM that doesn't say where it is.
-    Unknown,
-}
-
-/// A change that the other duties have to know of.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum MemberEvent {
-    /// A VM stopped answering: calls to it are over.
-    Died(VmId),
-    /// A boot of a VM stopped answering or was replaced: its grants are over.
-    BootEnded(VmId, BootId),
-    /// A VM that was taken for dead is back.
-    Returned(VmId),
-}
-
 /// All that a VM knows of the fleet.
 ///
 /// # Examples
@@ -95,15 +45,15 @@
 /// ```
 #[derive(Debug)]
 pub struct MembershipState {
-    identity: VmIdentity,
-    incarnation: Incarnation,
+    pub(super) identity: VmIdentity,
+    pub(super) incarnation: Incarnation,
     draining: bool,
     list_read: bool,
-    members: IndexMap<VmId, MemberRecord>,
+    pub(super) members: IndexMap<VmId, MemberRecord>,
     /// VMs with outstanding grants and the number of these grants.
     partners: IndexMap<VmId, usize>,
-    news: NewsQueue,
-    events: Vec<MemberEvent>,
+    pub(super) news: NewsQueue,
+    pub(super) events: Vec<MemberEvent>,
     round: usize,
 }
 
@@ -175,36 +125,6 @@
         answer
     }
 
-    /// Takes in a heartbeat that another VM sent by itself.
-    pub fn observe_question(&mut self, now: Instant, heartbeat: &Heartbeat) -> HeartbeatVerdict {
-        if heartbeat.vm == self.identity.vm {
-            return HeartbeatVerdict::OwnName;
-        }
-        if !self.members.contains_key(&heartbeat.vm) {
-            let Some(place) = heartbeat.place.clone() else {
-                return HeartbeatVerdict::Unknown;
-            };
-            self.add_unlisted(now, &heartbeat.vm, place);
-        }
-        self.observe(now, heartbeat)
-    }
-
-    /// Takes in the answer of the VM that was asked.
-    pub fn observe_answer(
-        &mut self,
-        now: Instant,
-        asked: &VmId,
-        heartbeat: &Heartbeat,
-    ) -> HeartbeatVerdict {
-        if heartbeat.vm != *asked {
-            return HeartbeatVerdict::WrongVm;
-        }
-        if !self.members.contains_key(asked) {
-            return HeartbeatVerdict::Unknown;
-        }
-        self.observe(now, heartbeat)
-    }
-
     /// Says from now on that this VM is about to leave.
     pub fn set_draining(&mut self) {
         if !self.draining {
@@ -310,7 +230,7 @@
         record.unlisted_since = None;
     }
 
-    fn add_unlisted(&mut self, now: Instant, vm: &VmId, place: VmPlace) {
+    pub(super) fn add_unlisted(&mut self, now: Instant, vm: &VmId, place: VmPlace) {
         let mut record = MemberRecord::new(place, ring_position(vm));
         record.unlisted_since = Some(now);
         self.members.insert(vm.clone(), record);
@@ -375,125 +295,6 @@
             news: self.news.take(recipient, self.members.len() + 1),
         }
     }
-
-    /// Takes in what a known VM says of itself and of others.
-    fn observe(&mut self, now: Instant, heartbeat: &Heartbeat) -> HeartbeatVerdict {
-        let record = &mut self.members[&heartbeat.vm];
-        let is_older = heartbeat.incarnation <= record.incarnation;
-        if is_older && record.is_former(heartbeat.boot) {
-            return HeartbeatVerdict::FormerBoot;
-        }
-        self.observe_sender(now, heartbeat);
-        for news in heartbeat.news.iter().take(NEWS_READ_LIMIT) {
-            self.observe_news(now, news);
-        }
-        HeartbeatVerdict::Accepted
-    }
-
-    fn observe_sender(&mut self, now: Instant, heartbeat: &Heartbeat) {
-        let vm = &heartbeat.vm;
-        let record = &mut self.members[vm];
-        let was_dead = record.liveness == Liveness::Dead;
-        let was_known = record.boot.is_some();
-        // The others may hold the VM for dead: it is told so, and contradicts.
-        let known = record.news(vm);
-        let is_rise = heartbeat.incarnation > record.incarnation;
-        let replaced = record.replace_boot(heartbeat.boot);
-        if let Some(boot) = replaced {
-            record.retire_boot(boot);
-        }
-        let is_new_drain = heartbeat.draining && !record.draining;
-        record.incarnation = record.incarnation.max(heartbeat.incarnation);
-        record.draining |= heartbeat.draining;
-        record.mark_heard(now);
-        if let Some(place) = &heartbeat.place
-            && record.unlisted_since.is_some()
-        {
-            record.place = place.clone();
-        }
-        let is_unlisted_join = !was_known && record.unlisted_since.is_some();
-        if is_unlisted_join || is_new_drain || (is_rise && was_known) {
-            self.news.push_some(record.news(vm));
-        } else if was_dead || replaced.is_some() {
-            self.news
-                .push_some(known.map(|news| LivenessNews { dead: true, ..news }));
-        }
-        if was_dead {
-            self.events.push(MemberEvent::Returned(vm.clone()));
-        } else if let Some(boot) = replaced {
-            self.events.push(MemberEvent::BootEnded(vm.clone(), boot));
-        }
-    }
-
-    fn observe_news(&mut self, now: Instant, news: &LivenessNews) {
-        if news.vm == self.identity.vm {
-            self.contradict(news);
-            return;
-        }
-        if !self.members.contains_key(&news.vm) {
-            let Some(place) = news.place.clone().filter(|_| !news.dead) else {
-                return;
-            };
-            self.add_unlisted(now, &news.vm, place);
-        }
-        let record = &mut self.members[&news.vm];
-        if is_newer(record, news) && !is_refuted(record, news, now) {
-            self.apply_news(news);
-        }
-    }
-
-    /// Raises the own incarnation above wrong news of this VM.
-    fn contradict(&mut self, news: &LivenessNews) {
-        let is_right = news.boot == self.identity.boot && !news.dead;
-        if !is_right && news.incarnation >= self.incarnation {
-            self.incarnation = news.incarnation.saturating_add(1);
-        }
-    }
-
-    fn apply_news(&mut self, news: &LivenessNews) {
-        let record = &mut self.members[&news.vm];
-        let was_dead = record.liveness == Liveness::Dead;
-        let replaced = record.replace_boot(news.boot);
-        record.incarnation = news.incarnation;
-        record.draining |= news.draining;
-        if news.dead {
-            record.liveness = Liveness::Dead;
-        } else if replaced.is_some() || !record.unreachable {
-            record.mark_live();
-        }
-        if news.dead && !was_dead {
-            self.events.push(MemberEvent::Died(news.vm.clone()));
-        }
-        if !was_dead && (news.dead || replaced.is_some()) {
-            let ended = replaced.unwrap_or(news.boot);
-            let event = MemberEvent::BootEnded(news.vm.clone(), ended);
-            self.events.push(event);
-        }
-        if was_dead && record.liveness != Liveness::Dead {
-            self.events.push(MemberEvent::Returned(news.vm.clone()));
-        }
-        self.news.push(news.clone());
-    }
-}
-
-/// Whether news say more than what is held of the VM.
-fn is_newer(record: &MemberRecord, news: &LivenessNews) -> bool {
-    if news.incarnation != record.incarnation {
-        return news.incarnation > record.incarnation;
-    }
-    let is_same_boot = record.boot == Some(news.boot);
-    let says_death = news.dead && record.liveness != Liveness::Dead;
-    let says_drain = news.draining && !record.draining;
-    is_same_boot && (says_death || says_drain)
-}
-
-/// Whether what the VM itself said speaks against the news.
-fn is_refuted(record: &MemberRecord, news: &LivenessNews, now: Instant) -> bool {
-    let is_fresh = record
-        .heard_at
-        .is_some_and(|heard| now.saturating_duration_since(heard) < FRESH_FOR);
-    let is_other_boot = record.boot != Some(news.boot);
-    record.is_former(news.boot) || is_fresh && (news.dead || is_other_boot)
 }
 
 fn member_status(vm: &VmId, record: &MemberRecord) -> MemberStatus {
--- a/crates/dewspring/src/peer/shared.rs
+++ b/crates/dewspring/src/peer/shared.rs
@@ -1,14 +1,17 @@
 //! What the tasks of the peer duty and its handle share.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
 
 use super::counters::CounterSet;
+use super::events::{HeartbeatVerdict, MemberEvent};
 use super::links::PeerLinks;
-use super::member::MemberStatus;
-use super::membership::{HeartbeatVerdict, MemberEvent, MembershipState, VmIdentity};
+use super::log_limit::LogLimiter;
+use super::member::{MemberStatus, VmIdentity};
+use super::membership::MembershipState;
 use super::messages::Heartbeat;
 use super::preface::SharedSecret;
 use super::wire::DOCUMENT_LIMIT;
@@ -25,6 +28,29 @@
     pub(super) members: Vec<MemberStatus>,
 }
 
+/// Which revisions this VM has in force and has heard of.
+#[derive(Debug, Default)]
+pub(super) struct RevisionMarks {
+    in_force: AtomicU64,
+    heard: AtomicU64,
+}
+
+impl RevisionMarks {
+    /// Notes the revision in force on this VM.
+    pub(super) fn note_in_force(&self, revision: Revision) {
+        self.in_force.fetch_max(revision, Ordering::AcqRel);
+    }
+
+    /// Whether a later revision was heard of than the one in force.
+    pub(super) fn is_behind(&self) -> bool {
+        self.heard.load(Ordering::Acquire) > self.in_force.load(Ordering::Acquire)
+    }
+
+    fn note_heard(&self, revision: Revision) {
+        self.heard.fetch_max(revision, Ordering::AcqRel);
+    }
+}
+
 /// The part that doesn't depend on the other duties.
 pub(super) struct PeerShared {
     pub(super) identity: VmIdentity,
@@ -32,6 +58,8 @@
     pub(super) counters: Arc<CounterSet>,
     pub(super) links: PeerLinks,
     pub(super) view: ArcSwap<FleetView>,
+    pub(super) revisions: RevisionMarks,
+    stranger_lines: Mutex<LogLimiter>,
     membership: Mutex<MembershipState>,
 }
 
@@ -44,6 +72,8 @@
             counters: Arc::default(),
             links: PeerLinks::default(),
             view: ArcSwap::default(),
+            revisions: RevisionMarks::default(),
+            stranger_lines: Mutex::default(),
             membership: Mutex::new(membership),
         };
         shared.publish();
@@ -55,6 +85,14 @@
         self.membership.lock().expect("no holder panics")
     }
 
+    /// Writes a log line that a stranger caused, unless there were too many.
+    pub(super) fn warn_of_stranger(&self, line: impl FnOnce() -> String) {
+        let mut limiter = self.stranger_lines.lock().expect("no holder panics");
+        if limiter.allows(Instant::now()) {
+            log::warn!("peer: {}", line());
+        }
+    }
+
     /// Lets the other duties see the membership as it is now.
     pub(super) fn publish(&self) {
         let membership = self.membership();
@@ -96,6 +134,7 @@
     /// Takes in a heartbeat that another VM sent, and returns the answer.
     pub(super) fn answer_heartbeat(&self, question: &Heartbeat) -> Heartbeat {
         let revision = self.exchange.revision();
+        self.shared.revisions.note_heard(question.revision);
         let (verdict, answer) = self.change(|membership| {
             let verdict = membership.observe_question(Instant::now(), question);
             (verdict, membership.answer(question, revision))
@@ -104,8 +143,21 @@
         answer
     }
 
+    /// Takes in the answer of the VM that was asked.
+    pub(super) fn take_answer(&self, asked: &VmId, answer: &Heartbeat) -> HeartbeatVerdict {
+        // It is noted first, so that nobody takes this VM for up to date.
+        let revisions = &self.shared.revisions;
+        if answer.vm == *asked {
+            revisions.note_heard(answer.revision);
+        }
+        let now = Instant::now();
+        let verdict = self.change(|membership| membership.observe_answer(now, asked, answer));
+        self.count_verdict(verdict, &answer.vm);
+        verdict
+    }
+
     /// Counts a heartbeat that was dropped.
-    pub(super) fn count_verdict(&self, verdict: HeartbeatVerdict, vm: &VmId) {
+    fn count_verdict(&self, verdict: HeartbeatVerdict, vm: &VmId) {
         if verdict != HeartbeatVerdict::Accepted {
             self.shared.counters.dropped_heartbeats.add(1);
             log::warn!("peer: dropped a heartbeat of {vm}: {verdict:?}.");
@@ -152,6 +204,7 @@
                 log::info!("peer: {vm} is back.");
                 self.shared.links.forgive(&vm);
             }
+            MemberEvent::Leaving(vm) => log::info!("peer: {vm} is about to leave."),
         }
     }
 }
--- a/crates/dewspring/src/peer/tests/duty.rs
+++ b/crates/dewspring/src/peer/tests/duty.rs
@@ -49,6 +49,24 @@
     );
 }
 
+#[test]
+fn a_new_vm_is_up_to_date_when_it_has_heard_its_peers() {
+    let fleet = TestFleet::open(3);
+    let document = vec![b'x'; 900_000];
+    let revision = 9;
+    for vm in &fleet.vms {
+        let document = document.clone();
+        vm.exchange.offer(ConfigSnapshot { revision, document });
+    }
+    for boot in 0..10 {
+        let joined = TestVm::spawn(settings(3, boot), fleet.directory.clone());
+        let is_heard = || joined.handle.peers_heard();
+        assert!(wait_for(3 * SECOND, is_heard), "boot {boot} hears not all");
+        assert_eq!(joined.exchange.revision(), revision, "boot {boot}");
+        joined.handle.shut_down();
+    }
+}
+
 #[test]
 fn a_vm_that_ends_is_dead_for_all_in_bounded_time() {
     let fleet = TestFleet::open(8);
@@ -178,6 +196,29 @@
     }
 }
 
+#[test]
+fn waiting_questions_hold_up_no_heartbeat() {
+    let fleet = TestFleet::open(2);
+    fleet.vms[1].broker.lock().unwrap().holds = true;
+    let broker = vm_name(1);
+    let asks = (0..4_000).map(|number| {
+        let question = request(format!("r-{number}"));
+        fleet.vms[0].handle.ask(&broker, question)
+    });
+    let asked = entry_runtime().block_on(async {
+        let all = futures::future::join_all(asks);
+        tokio::time::timeout(3 * SECOND, all).await
+    });
+    assert!(asked.is_err(), "questions are held");
+    let log = fleet.vms[1].broker.lock().unwrap();
+    assert_eq!((log.asked, log.forgotten.len()), (4_000, 0));
+    drop(log);
+    let live = Some(MemberState::Live);
+    assert_eq!(fleet.vms[0].state_of(&broker), live);
+    let is_clear = || fleet.vms[1].broker.lock().unwrap().waiting.is_empty();
+    assert!(wait_for(2 * SECOND, is_clear), "dropped questions are kept");
+}
+
 #[test]
 fn a_question_waits_no_longer_than_its_time() {
     let fleet = TestFleet::open(2);
--- a/crates/dewspring/src/peer/wire.rs
+++ b/crates/dewspring/src/peer/wire.rs
@@ -23,6 +23,12 @@
 /// Longest frame in bytes.
 pub(super) const FRAME_LIMIT: usize = DOCUMENT_LIMIT + (1 << 16);
 
+/// Calls in flight on one connection.
+///
+/// It is above the number of questions that a VM asks at the same time, so
+/// that heartbeats never wait behind them.
+pub(super) const CALLS_IN_FLIGHT: usize = 16_384;
+
 /// Longest time limit of a call.
 pub(super) const CALL_TIME_LIMIT: Duration = Duration::from_secs(3_600);
 
