Share the breaker of the claims' writers

Ruled out: a shorter timeout, which belongs to the store's client.

Change: the writers share the breaker, and it stays open for no less than the failed commit took. A full page asks its callers back much later. The tests' store and the wait for other threads stand once, in files of their own.

Conclusion: one claim of a VM waits for a store that hangs, not one a writer.

--- a/crates/dewspring/src/claims/breaker.rs
+++ b/crates/dewspring/src/claims/breaker.rs
@@ -1,7 +1,7 @@
 //! Refuses claims at once while the store is down.
 //!
-//! After a failure no call is made for a while; then one group of claims goes
-//! through as a probe.
+//! After a failure no writer makes a call for a while; then each lets one group
+//! of claims through as a probe.
 
 use std::time::{Duration, Instant};
 
@@ -31,11 +31,14 @@
         self.open_until.is_some_and(|until| now < until)
     }
 
-    /// Takes in that the store failed.
-    pub fn fail(&mut self, now: Instant, rng: &mut impl Rng) {
+    /// Takes in that the store failed after it was waited for.
+    ///
+    /// The time without calls is at least as long as the wait, so that a slow
+    /// store holds up at most every other claim.
+    pub fn fail(&mut self, now: Instant, waited: Duration, rng: &mut impl Rng) {
         self.failures = self.failures.saturating_add(1);
         let delay = backoff_delay(self.failures, OPEN_BASE, OPEN_LIMIT, rng);
-        self.open_until = Some(now + delay);
+        self.open_until = Some(now + delay.max(waited));
     }
 
     /// Takes in that the store answered.
--- a/crates/dewspring/src/claims/ledger.rs
+++ b/crates/dewspring/src/claims/ledger.rs
@@ -1,5 +1,6 @@
 //! The running ledger and the handle through which the entry duty uses it.
 
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use rand::rngs::StdRng;
 use tokio::sync::oneshot;
 
-use super::breaker::retry_after;
+use super::breaker::{StoreBreaker, retry_after};
 use super::key::{ClaimKey, ClaimOwner, PageNumber};
 use super::messages::{ClaimOutcome, ClaimRequest, ClaimToken, LedgerOverloaded, RecordedOutcome};
 use super::writer::{ClaimWriter, NonceSource, WriterMessage};
@@ -124,8 +125,9 @@
     pub fn spawn(store: impl PlatformStore, settings: LedgerSettings) -> Self {
         assert!(settings.page_count > 0, "a ledger has pages");
         assert!(settings.writers > 0, "a ledger has writers");
+        let breaker = Arc::default();
         let (rings, threads) = (0..settings.writers)
-            .map(|index| spawn_writer(store.clone(), &settings, index))
+            .map(|index| spawn_writer(store.clone(), &settings, &breaker, index))
             .unzip();
         let handle = ClaimHandle {
             rings,
@@ -158,6 +160,7 @@
 fn spawn_writer(
     store: impl PlatformStore,
     settings: &LedgerSettings,
+    breaker: &Arc<Mutex<StoreBreaker>>,
     index: u32,
 ) -> (Sender<WriterMessage>, JoinHandle<()>) {
     let (ring, messages) = bounded(WRITER_RING);
@@ -167,7 +170,14 @@
         step: u64::from(settings.writers),
     };
     let rng = StdRng::seed_from_u64(settings.seed.wrapping_add(u64::from(index)));
-    let writer = ClaimWriter::new(store, settings.clone(), messages, nonces, rng);
+    let writer = ClaimWriter::new(
+        store,
+        settings.clone(),
+        messages,
+        nonces,
+        Arc::clone(breaker),
+        rng,
+    );
     let thread = thread::Builder::new()
         .name(format!("claims-{index}"))
         .spawn(move || writer.run())
--- a/crates/dewspring/src/claims/settle.rs
+++ b/crates/dewspring/src/claims/settle.rs
@@ -9,6 +9,9 @@
 use super::messages::{ClaimOutcome, ClaimToken};
 use super::plan::{PageWork, PlanResult, WorkKind};
 
+/// Times the usual pause for a full page, which only age makes room on.
+const FULL_PAGE_FACTOR: u32 = 60;
+
 /// A finished message, settled.
 #[derive(Debug)]
 pub(super) struct SettledWork {
@@ -67,7 +70,9 @@
         WorkResult::Planned(PlanResult::Repeat(outcome)) => ClaimOutcome::Repeat(outcome),
         WorkResult::Planned(PlanResult::KeyReused) => ClaimOutcome::KeyReused,
         WorkResult::Planned(PlanResult::Expired) => ClaimOutcome::Expired,
-        WorkResult::Planned(PlanResult::PageFull) => ClaimOutcome::Overloaded { retry_after },
+        WorkResult::Planned(PlanResult::PageFull) => ClaimOutcome::Overloaded {
+            retry_after: retry_after * FULL_PAGE_FACTOR,
+        },
         WorkResult::StoreFailed | WorkResult::GivenUp => {
             ClaimOutcome::StoreUnavailable { retry_after }
         }
--- a/crates/dewspring/src/claims/tests/ledger.rs
+++ b/crates/dewspring/src/claims/tests/ledger.rs
@@ -8,8 +8,7 @@
 use super::super::messages::{ClaimOutcome, ClaimRequest, ClaimToken, RecordedOutcome};
 use super::key;
 use crate::platform::tests::faulty::FaultyStore;
-
-const PATIENCE: Duration = Duration::from_secs(10);
+use crate::platform::tests::{PATIENCE, wait_for};
 
 fn spawn(store: &FaultyStore, vm: &str) -> ClaimLedger {
     let settings = LedgerSettings {
@@ -43,14 +42,6 @@
     }
 }
 
-fn wait_for(what: &str, mut is_met: impl FnMut() -> bool) {
-    let deadline = Instant::now() + PATIENCE;
-    while !is_met() {
-        assert!(Instant::now() < deadline, "no {what} in {PATIENCE:?}");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 #[test]
 fn repeats_hear_the_outcome_on_every_vm() {
     let store = FaultyStore::open();
@@ -82,15 +73,16 @@
     handle.record(token, outcome.clone()).expect("room");
     store.set_latency(Duration::from_millis(50));
     let started = Instant::now();
+    let calls_before = store.calls();
     for number in 2..100 {
         let refused = claim(&handle, number);
         assert!(matches!(refused, ClaimOutcome::StoreUnavailable { .. }));
     }
     let elapsed = started.elapsed();
-    assert!(
-        elapsed < Duration::from_secs(2),
-        "98 refusals in {elapsed:?}"
-    );
+    assert!(elapsed < Duration::from_secs(2), "refused in {elapsed:?}");
+    // The pauses double, so each of the two writers probes a few times.
+    let calls = store.calls() - calls_before;
+    assert!(calls <= 20, "{calls} calls for 98 refusals");
     store.set_latency(Duration::ZERO);
     store.set_down(false);
     wait_for("outcome", || {
--- a/crates/dewspring/src/claims/tests/mod.rs
+++ b/crates/dewspring/src/claims/tests/mod.rs
@@ -4,6 +4,7 @@
 mod ledger;
 mod page;
 mod properties;
+mod sim_store;
 mod simulation;
 mod world;
 
--- a/crates/dewspring/src/claims/tests/properties.rs
+++ b/crates/dewspring/src/claims/tests/properties.rs
@@ -2,8 +2,9 @@
 
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 
+use super::sim_store::FaultRates;
 use super::simulation::check;
-use super::world::{FaultRates, SimulationWorld};
+use super::world::SimulationWorld;
 
 impl Arbitrary for FaultRates {
     fn arbitrary(g: &mut Gen) -> Self {
--- a/crates/dewspring/src/claims/tests/simulation.rs
+++ b/crates/dewspring/src/claims/tests/simulation.rs
@@ -9,7 +9,8 @@
 
 use std::env;
 
-use super::world::{FaultRates, SimulationTally, SimulationWorld};
+use super::sim_store::FaultRates;
+use super::world::{SimulationTally, SimulationWorld};
 
 const KEYS: usize = 600;
 const SEED: u64 = 0x000c_1a11;
@@ -50,9 +51,9 @@
     println!("seed {seed}: {tally:#?}");
     check(&tally).expect("the promises are kept");
     let tried = [
-        ("lost answers", tally.lost_answers),
-        ("late writes", tally.late_writes),
-        ("outages", tally.outages),
+        ("lost answers", tally.store.lost_answers),
+        ("late writes", tally.store.late_writes),
+        ("outages", tally.store.outages),
         ("crashes", tally.crashes),
         ("claims unsent in a crash", tally.unsent_in_crash),
         ("claims unsent in a pause", tally.unsent_in_pause),
--- a/crates/dewspring/src/claims/tests/world.rs
+++ b/crates/dewspring/src/claims/tests/world.rs
@@ -17,49 +17,19 @@
 use super::super::plan::{ClaimTime, KnownPage, PageWork, WorkKind};
 use super::super::settle::{SettleTerms, settle_work};
 use super::key;
-use crate::platform::{
-    EmbeddedStore, ExpectedVersion, PlatformStore, StoreEntry, StoreError, SwapOutcome,
-};
+use super::sim_store::{FaultRates, SimStore, StoreCounts};
 
 const PAGES: PageNumber = 4;
 const HORIZON: Duration = Duration::from_secs(3600);
 const FIRST_MINUTE: u64 = 1_000_000;
 const KEY_SPACING: u64 = 12;
 
-/// How often things go wrong, in thousandths, and how long callers wait.
-#[derive(Clone, Copy, Debug)]
-pub struct FaultRates {
-    /// Of swaps: the answer is lost, the write takes effect.
-    pub lost_done: u16,
-    /// Of swaps: the call is lost on its way.
-    pub lost_undone: u16,
-    /// Of swaps: the answer is lost, the write takes effect later, if it can.
-    pub delayed: u16,
-    /// Of reads: the answer is lost.
-    pub lost_read: u16,
-    /// Of steps: an outage of the store begins.
-    pub outage: u16,
-    /// Of steps: an entry crashes.
-    pub crash: u16,
-    /// Of steps: an entry is paused, for up to longer than the horizon.
-    pub pause: u16,
-    /// Of claims won: the entry takes the claim back and sends nothing.
-    pub release: u16,
-    /// Of steps: an entry that holds a claim or an answer goes on with it.
-    pub progress: u16,
-    /// Steps after which a claim is given up.
-    pub deadline_steps: u64,
-}
-
 /// What was tried and what came of it.
 #[derive(Clone, Debug, Default)]
 pub struct SimulationTally {
     pub keys: usize,
     pub attempts: u64,
-    pub swaps: u64,
-    pub lost_answers: u64,
-    pub late_writes: u64,
-    pub outages: u64,
+    pub store: StoreCounts,
     pub crashes: u64,
     pub unsent_in_crash: u64,
     pub pauses: u64,
@@ -95,14 +65,6 @@
     running: Vec<ClaimToken>,
 }
 
-/// A write whose answer was lost and which has not arrived yet.
-#[derive(Debug)]
-struct LateWrite {
-    key: String,
-    expected: ExpectedVersion,
-    value: Vec<u8>,
-}
-
 #[derive(Clone, Debug, Default)]
 struct KeyFate {
     drawn_minute: Option<u64>,
@@ -115,9 +77,7 @@
     rng: StdRng,
     started: Instant,
     step: u64,
-    store: EmbeddedStore,
-    outage_until: u64,
-    late_writes: Vec<LateWrite>,
+    store: SimStore,
     entries: Vec<SimEntry>,
     keys: Vec<KeyFate>,
     numbers: IndexMap<ClaimKey, usize>,
@@ -134,9 +94,7 @@
             rng: StdRng::seed_from_u64(seed),
             started: Instant::now(),
             step: 0,
-            store: EmbeddedStore::open(),
-            outage_until: 0,
-            late_writes: Vec::new(),
+            store: SimStore::open(rates, seed),
             entries: Vec::new(),
             keys: vec![KeyFate::default(); keys],
             numbers: (0..keys).map(|number| (key(number), number)).collect(),
@@ -155,6 +113,7 @@
             world.advance();
         }
         world.is_calm = true;
+        world.store.calm_down();
         for _ in 0..2000 {
             world.advance();
         }
@@ -202,13 +161,7 @@
                 self.submit(number);
             }
         }
-        if self.roll(self.rates.outage) {
-            self.tally.outages += 1;
-            self.outage_until = self.step + self.rng.random_range(1..100);
-        }
-        if !self.late_writes.is_empty() && self.rng.random_range(0..5) == 0 {
-            self.land_late_write();
-        }
+        self.store.advance();
         let index = self.rng.random_range(0..self.entries.len());
         if self.roll(self.rates.crash) {
             self.crash(index);
@@ -295,12 +248,11 @@
         let key = format!("/claims/{page}");
         let is_finished = match commit.next_step(time, &mut self.rng) {
             CommitStep::Read => {
-                commit.take_read(self.read(&key));
+                commit.take_read(self.store.read(&key));
                 false
             }
             CommitStep::Swap { expected, value } => {
-                let answer = self.swap(&key, expected, value);
-                commit.take_swap(answer);
+                commit.take_swap(self.store.swap(&key, expected, value));
                 false
             }
             CommitStep::Pause(_) => false,
@@ -382,62 +334,9 @@
         });
     }
 
-    fn check_up(&self) -> Result<(), StoreError> {
-        if self.step < self.outage_until && !self.is_calm {
-            return Err(StoreError::Unavailable("down".to_owned()));
-        }
-        Ok(())
-    }
-
-    fn read(&mut self, key: &str) -> Result<Option<StoreEntry>, StoreError> {
-        self.check_up()?;
-        if self.roll(self.rates.lost_read) {
-            return Err(StoreError::Unavailable("timeout".to_owned()));
-        }
-        self.store.get(key)
-    }
-
-    fn swap(
-        &mut self,
-        key: &str,
-        expected: ExpectedVersion,
-        value: Vec<u8>,
-    ) -> Result<SwapOutcome, StoreError> {
-        self.check_up()?;
-        self.tally.swaps += 1;
-        let lost = || Err(StoreError::AnswerLost("lost".to_owned()));
-        if self.roll(self.rates.lost_undone) {
-            self.tally.lost_answers += 1;
-            return lost();
-        }
-        if self.roll(self.rates.delayed) {
-            self.tally.lost_answers += 1;
-            self.late_writes.push(LateWrite {
-                key: key.to_owned(),
-                expected,
-                value,
-            });
-            return lost();
-        }
-        let answer = self.store.compare_and_swap(key, expected, &value, None);
-        if self.roll(self.rates.lost_done) {
-            self.tally.lost_answers += 1;
-            return lost();
-        }
-        answer
-    }
-
-    fn land_late_write(&mut self) {
-        let write = self.late_writes.swap_remove(0);
-        let answer = self
-            .store
-            .compare_and_swap(&write.key, write.expected, &write.value, None);
-        let has_landed = matches!(answer, Ok(SwapOutcome::Swapped(_)));
-        self.tally.late_writes += u64::from(has_landed);
-    }
-
     fn finish(mut self) -> SimulationTally {
         self.tally.keys = self.keys.len();
+        self.tally.store = self.store.counts();
         for fate in &self.keys {
             self.tally.most_executions = self.tally.most_executions.max(fate.executions);
             match (fate.executions, fate.is_doubtful) {
--- a/crates/dewspring/src/claims/writer.rs
+++ b/crates/dewspring/src/claims/writer.rs
@@ -5,6 +5,7 @@
 //! releases that the store didn't take are kept and tried again.
 
 use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -80,7 +81,9 @@
     messages: Receiver<WriterMessage>,
     nonces: NonceSource,
     rng: StdRng,
-    breaker: StoreBreaker,
+    /// Shared by the writers of this VM: what one of them finds spares the
+    /// others a wait.
+    breaker: Arc<Mutex<StoreBreaker>>,
     pages: IndexMap<PageNumber, KnownPage>,
     replies: IndexMap<WorkId, oneshot::Sender<ClaimOutcome>>,
     next_work: WorkId,
@@ -95,6 +98,7 @@
         settings: LedgerSettings,
         messages: Receiver<WriterMessage>,
         nonces: NonceSource,
+        breaker: Arc<Mutex<StoreBreaker>>,
         rng: StdRng,
     ) -> Self {
         Self {
@@ -103,7 +107,7 @@
             messages,
             nonces,
             rng,
-            breaker: StoreBreaker::default(),
+            breaker,
             pages: IndexMap::new(),
             replies: IndexMap::new(),
             next_work: 0,
@@ -178,7 +182,7 @@
     /// Takes what is kept, if it is time for another try.
     fn take_due(&mut self) -> Vec<PageWork> {
         let now = Instant::now();
-        if now < self.deferred_at || self.breaker.is_open(now) {
+        if now < self.deferred_at || self.breaker().is_open(now) {
             return Vec::new();
         }
         self.deferred_at = now + DEFERRED_INTERVAL;
@@ -208,7 +212,7 @@
     }
 
     fn commit_group(&mut self, page: PageNumber, group: Vec<PageWork>) {
-        let is_open = self.breaker.is_open(Instant::now());
+        let is_open = self.breaker().is_open(Instant::now());
         let mut work = if is_open {
             Vec::new()
         } else {
@@ -222,8 +226,9 @@
         if is_open {
             commit.refuse();
         } else {
+            let started = Instant::now();
             self.drive(page, &mut commit);
-            self.judge_store(&commit);
+            self.judge_store(&commit, started.elapsed());
         }
         self.finish_all(commit.take_finished());
         if let Some(known) = commit.into_known() {
@@ -248,15 +253,20 @@
         }
     }
 
-    fn judge_store(&mut self, commit: &PageCommit) {
+    fn judge_store(&mut self, commit: &PageCommit, waited: Duration) {
         if commit.has_store_failed() {
             log::warn!("claims: the store failed, claims are refused for a while");
-            self.breaker.fail(Instant::now(), &mut self.rng);
+            let mut breaker = lock_breaker(&self.breaker);
+            breaker.fail(Instant::now(), waited, &mut self.rng);
         } else if commit.has_store_answered() {
-            self.breaker.succeed();
+            self.breaker().succeed();
         }
     }
 
+    fn breaker(&self) -> MutexGuard<'_, StoreBreaker> {
+        lock_breaker(&self.breaker)
+    }
+
     fn remember(&mut self, page: PageNumber, known: KnownPage) {
         if self.pages.len() >= MAX_KNOWN_PAGES {
             self.pages.shift_remove_index(0);
@@ -301,6 +311,12 @@
     }
 }
 
+fn lock_breaker(breaker: &Mutex<StoreBreaker>) -> MutexGuard<'_, StoreBreaker> {
+    breaker
+        .lock()
+        .expect("no holder of the breaker's lock panics")
+}
+
 /// Returns the key of a page in the store.
 pub(super) fn page_key(fleet: &str, page: PageNumber) -> String {
     format!("/dewspring/{fleet}/claims/{page}")
--- a/crates/dewspring/src/configuration/tests/keeper.rs
+++ b/crates/dewspring/src/configuration/tests/keeper.rs
@@ -10,6 +10,7 @@
 use super::{document, read_plain};
 use crate::ids::Revision;
 use crate::platform::tests::faulty::FaultyStore;
+use crate::platform::tests::wait_for;
 use crate::platform::{EmbeddedStore, ExpectedVersion, PlatformStore, StoreError, SwapOutcome};
 use crate::tables::{ConfigDocument, config_key};
 
@@ -29,7 +30,6 @@
 kind = "service"
 server = [{ name = "d1", address = "127.0.0.1:9101", data_centre = "dc-1", slots = 4 }]
 "#;
-const PATIENCE: Duration = Duration::from_secs(10);
 
 fn spawn(store: &FaultyStore) -> ConfigKeeper {
     let settings = KeeperSettings {
@@ -51,14 +51,6 @@
     assert!(matches!(outcome, Ok(SwapOutcome::Swapped(_))));
 }
 
-fn wait_for(what: &str, mut is_met: impl FnMut() -> bool) {
-    let deadline = Instant::now() + PATIENCE;
-    while !is_met() {
-        assert!(Instant::now() < deadline, "no {what} in {PATIENCE:?}");
-        thread::sleep(Duration::from_millis(2));
-    }
-}
-
 fn wait_for_revision(keeper: &ConfigKeeper, revision: Revision) {
     wait_for("revision", || keeper.revision() == revision);
     assert_eq!(keeper.current().revision, revision);
