Run keyed requests at most once, through any daemon

Cause: a caller or the balancer may repeat a payment through another VM; without a claim it runs again. A caller that hung up also cut a payment off.

Ruled out: claiming after the grant; a repeat would queue for an answer that is already known, and a slot would be held during the store's write.

Change: routes that aren't idempotent claim the key in the store before the question to the broker; the claim is given back when nothing ran, filled with the outcome when it ran, and left standing when nobody can say. Such requests are finished and recorded when their caller hangs up, and not sent if it hangs up before.

--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -12,6 +12,7 @@
 use super::state::{DaemonContext, DaemonState};
 use crate::admin::AdminServer;
 use crate::broker::{BrokerHandle, BrokerSettings};
+use crate::claims::{ClaimLedger, LedgerSettings};
 use crate::configuration::{ConfigKeeper, KeeperSettings, load_files, store_document};
 use crate::entry::{EntryContext, EntryServer, EntrySettings, ShutdownOutcome};
 use crate::grants::{BrokerPlace, FleetGrants, RemoteBrokers, VmBrokers};
@@ -30,6 +31,7 @@
     admin: AdminServer,
     brokers: VmBrokers,
     peers: PeerHandle,
+    ledger: ClaimLedger,
     poller: ReportPoller,
     reader: ListReader,
     stops: Receiver<()>,
@@ -49,7 +51,10 @@
         let store = open_store(&settings)?;
         let directory = open_directory(&settings);
         let keeper_settings = KeeperSettings::new(settings.fleet.clone(), boot);
-        let keeper = ConfigKeeper::spawn(store, keeper_settings);
+        let keeper = ConfigKeeper::spawn(store.clone(), keeper_settings);
+        let ledger_settings =
+            LedgerSettings::new(settings.fleet.clone(), settings.vm.clone(), boot);
+        let ledger = ClaimLedger::spawn(store, ledger_settings);
         let brokers = spawn_brokers(&settings, boot);
         let peers = spawn_peers(&settings, boot, &keeper, directory.clone(), &brokers.own)?;
         let metrics = FleetMetrics::new();
@@ -63,6 +68,7 @@
             entry_settings(&settings, boot),
             keeper,
             FleetGrants::new(brokers.clone(), peers.clone()),
+            ledger.handle(),
             metrics,
             DecisionLog::new(settings.decision_capacity),
         ));
@@ -93,6 +99,7 @@
             admin,
             brokers,
             peers,
+            ledger,
             poller,
             reader,
             stops,
@@ -137,6 +144,8 @@
             broker.join();
         }
         self.peers.shut_down();
+        // Outcomes that still wait are written before the end.
+        self.ledger.shutdown();
         log::info!("daemon: Shut down: {outcome:?}.");
         outcome
     }
--- a/crates/dewspring/src/entry/context.rs
+++ b/crates/dewspring/src/entry/context.rs
@@ -7,6 +7,7 @@
 use super::grants::GrantSource;
 use super::problem::Problem;
 use crate::broker::{Refusal, RefusalReason};
+use crate::claims::ClaimHandle;
 use crate::ids::{BootId, RequestId, VmId};
 use crate::observe::{DecisionLog, FleetMetrics};
 use crate::tables::FleetConfig;
@@ -54,6 +55,8 @@
     pub config: C,
     /// Where grants come from.
     pub grants: G,
+    /// The ledger of keyed requests.
+    pub claims: ClaimHandle,
     /// Metrics of this VM.
     pub metrics: FleetMetrics,
     /// Recent decisions of this VM.
@@ -72,6 +75,7 @@
         settings: EntrySettings,
         config: C,
         grants: G,
+        claims: ClaimHandle,
         metrics: FleetMetrics,
         decisions: DecisionLog,
     ) -> Self {
@@ -79,6 +83,7 @@
             settings,
             config,
             grants,
+            claims,
             metrics,
             decisions,
             draining: AtomicBool::new(false),
--- a/crates/dewspring/src/entry/exchange.rs
+++ b/crates/dewspring/src/entry/exchange.rs
@@ -19,7 +19,9 @@
     LEAVING, PREFIX_HASH, PRIORITY, RAN, REQUEST_ID, RESUME_FROM, SERVER_NAME, VM_NAME,
     end_to_end_headers, forwarded_headers,
 };
+use super::keyed::{KeyedClaim, KeyedStep, claim_key, idempotency_key, request_fingerprint};
 use super::meter::AnswerMeter;
+use super::presence::CallerPresence;
 use super::problem::{Problem, RanState};
 use super::pump::AnswerPump;
 use super::request::ModelRequest;
@@ -50,6 +52,11 @@
     pub attempts: usize,
     /// Whether an attempt has failed in a way that it may have run.
     pub may_have_run: bool,
+    /// The claim of a keyed request, until its outcome is known.
+    pub claim: Option<KeyedClaim>,
+    /// Whether the caller still waits; `None` for a request that is cancelled
+    /// with its caller.
+    pub caller: Option<CallerPresence>,
     /// Keeps the request counted as in flight.
     pub _flight: FlightGuard<C, G>,
 }
@@ -63,9 +70,43 @@
 impl<C: ConfigSource, G: GrantSource> Exchange<C, G> {
     /// Serves the request and returns its answer, whose body may still come.
     pub(super) async fn serve(mut self) -> Response<AnswerBody> {
+        match self.claim().await {
+            Ok(None) => {}
+            Ok(Some(replayed)) => {
+                self.note("Repeated the recorded answer of this key.".into());
+                return replayed;
+            }
+            Err(problem) => return self.refuse(&problem),
+        }
         match self.begin(None).await {
             Ok(begun) => self.answer(begun),
-            Err(problem) => self.refuse(&self.honest(problem)),
+            Err(problem) => {
+                let problem = self.honest(problem);
+                self.refuse(&problem)
+            }
+        }
+    }
+
+    /// Claims the key of a request that must not run twice.
+    ///
+    /// Returns the recorded answer if it ran before.
+    async fn claim(&mut self) -> Result<Option<Response<AnswerBody>>, Problem> {
+        if self.route.idempotent {
+            return Ok(None);
+        }
+        let Some(key) = idempotency_key(&self.parts)? else {
+            return Ok(None);
+        };
+        let fingerprint = request_fingerprint(&self.parts, &self.body);
+        let deadline = self.arrived + self.route.timeout;
+        let claims = &self.context.claims;
+        match claim_key(claims, &self.workspace, &key, fingerprint, deadline).await? {
+            KeyedStep::Run(claim) => {
+                self.note("Claimed the key.".into());
+                self.claim = Some(claim);
+                Ok(None)
+            }
+            KeyedStep::Replay(response) => Ok(Some(response)),
         }
     }
 
@@ -164,6 +205,10 @@
         resume_from: Option<TokenCount>,
     ) -> Result<BegunAnswer<C, G>, AttemptFailure> {
         let attempt = AttemptGuard::new(Arc::clone(&self.context), grant);
+        if let Some(text) = self.obstacle() {
+            attempt.finish(AttemptOutcome::NotRun);
+            return Err(AttemptFailure::Withheld(text.into()));
+        }
         let request = self.server_request(attempt.grant(), resume_from);
         let address = attempt.grant().address;
         let connect_timeout = self.context.settings.connect_timeout;
@@ -185,6 +230,15 @@
         }
     }
 
+    /// Returns why the request must not be sent any more, right before it is.
+    fn obstacle(&self) -> Option<&'static str> {
+        if self.caller.as_ref().is_some_and(CallerPresence::is_gone) {
+            return Some("the caller hung up");
+        }
+        let is_old = self.claim.as_ref().is_some_and(|claim| !claim.may_send());
+        is_old.then_some("the claim is too old")
+    }
+
     fn check_answer(
         &self,
         attempt: AttemptGuard<C, G>,
@@ -251,7 +305,7 @@
             server_left: self.has_untried_server(&server),
         };
         let step = next_step(failure, state);
-        self.may_have_run |= !matches!(failure, AttemptFailure::NotRun(_));
+        self.may_have_run |= failure.may_have_run();
         self.note(format!("Server {server} failed: {failure:?}."));
         self.excluded.push(server);
         match step {
@@ -280,7 +334,12 @@
         servers.any(|server| server.name != *failed && !self.excluded.contains(&server.name))
     }
 
-    fn refuse(&self, problem: &Problem) -> Response<AnswerBody> {
+    fn refuse(mut self, problem: &Problem) -> Response<AnswerBody> {
+        if problem.ran() == RanState::No
+            && let Some(claim) = self.claim.take()
+        {
+            claim.release();
+        }
         let class = &self.route.class;
         if let Problem::Refused(refusal) = problem {
             self.context.metrics.count_refusal(class, refusal.reason);
@@ -330,7 +389,7 @@
     }
 
     /// Returns what the status of a server's answer says about the execution.
-    fn ran_state(&self, status: StatusCode) -> RanState {
+    pub(super) fn ran_state(&self, status: StatusCode) -> RanState {
         if is_refusal(status) {
             RanState::Unknown
         } else {
--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -15,6 +15,7 @@
 use super::exchange::Exchange;
 use super::grants::GrantSource;
 use super::headers::{REQUEST_ID, VM_NAME};
+use super::presence::CallerGuard;
 use super::problem::Problem;
 use super::request::{ModelRequest, read_body};
 use crate::ids::RequestId;
@@ -46,7 +47,7 @@
     let id = context.next_id();
     let is_draining = context.is_draining();
     let mut response = match accept(&context, &id, request).await {
-        Ok(Accepted::Exchange(exchange)) => exchange.serve().await,
+        Ok(Accepted::Exchange(exchange)) => serve(exchange, &id).await,
         Ok(Accepted::Answer(response)) => response,
         Err(problem) => {
             let text = format!("Answered {problem:?}.");
@@ -67,6 +68,25 @@
     response
 }
 
+/// Serves a request; one that must not run twice is not cut off in the middle
+/// when its caller hangs up.
+async fn serve<C: ConfigSource, G: GrantSource>(
+    mut exchange: Box<Exchange<C, G>>,
+    id: &RequestId,
+) -> Response<AnswerBody> {
+    if exchange.route.idempotent {
+        return exchange.serve().await;
+    }
+    let guard = CallerGuard::default();
+    exchange.caller = Some(guard.presence());
+    let served = tokio::spawn(exchange.serve()).await;
+    drop(guard);
+    served.unwrap_or_else(|_| {
+        let text = "The entry failed within the request.";
+        Problem::Unknown(text.into()).to_response(id)
+    })
+}
+
 enum Accepted<C: ConfigSource, G: GrantSource> {
     /// The request has a route and goes on to the broker.
     Exchange(Box<Exchange<C, G>>),
@@ -129,6 +149,8 @@
         excluded: Vec::new(),
         attempts: 0,
         may_have_run: false,
+        claim: None,
+        caller: None,
         _flight: flight,
     })))
 }
--- a/crates/dewspring/src/entry/headers.rs
+++ b/crates/dewspring/src/entry/headers.rs
@@ -21,6 +21,12 @@
 /// `Retry-After` in milliseconds, for callers that can use it.
 pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("retry-after-ms");
 
+/// Identity under which a request is executed at most once.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Says that an answer was recorded when its request ran before.
+pub const REPLAYED: HeaderName = HeaderName::from_static("x-dewspring-replayed");
+
 /// Priority towards an engine; a lower number goes first.
 pub const PRIORITY: HeaderName = HeaderName::from_static("x-priority");
 
--- a/crates/dewspring/src/entry/pump.rs
+++ b/crates/dewspring/src/entry/pump.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::header::CONTENT_TYPE;
 use tokio::time::timeout;
 
 use super::attempt::AttemptGuard;
@@ -16,6 +17,7 @@
 use super::exchange::{BegunAnswer, Exchange};
 use super::grants::GrantSource;
 use super::meter::AnswerMeter;
+use super::problem::RanState;
 use super::upstream::UpstreamAnswer;
 use crate::broker::AttemptOutcome;
 use crate::ids::TokenCount;
@@ -49,6 +51,9 @@
     resumes: usize,
     /// When the caller's first token came, over all attempts.
     first_token: Option<Instant>,
+    /// Whether the caller has hung up on a request that is finished all the
+    /// same, since it must not run twice.
+    is_abandoned: bool,
 }
 
 impl<C: ConfigSource, G: GrantSource> AnswerPump<C, G> {
@@ -67,6 +72,7 @@
             resumed_from: 0,
             resumes: 0,
             first_token: None,
+            is_abandoned: false,
         }
     }
 
@@ -91,8 +97,9 @@
         let silence = self.exchange.context.settings.silence_timeout;
         let wait = silence.min(self.exchange.time_left());
         let body = self.upstream.response.body_mut();
+        let may_cancel = self.exchange.route.idempotent;
         tokio::select! {
-            () = self.sender.closed() => PumpStep::CallerGone,
+            () = self.sender.closed(), if may_cancel => PumpStep::CallerGone,
             frame = timeout(wait, body.frame()) => match frame {
                 Err(_) => PumpStep::Broken("the server was silent".into()),
                 Ok(None) => PumpStep::End,
@@ -116,17 +123,24 @@
     }
 
     async fn deliver(&mut self, bytes: Bytes) -> PumpStep {
+        if let Some(claim) = &mut self.exchange.claim {
+            claim.capture(&bytes);
+        }
         let piece = self.meter.push(bytes);
         self.attempt
             .note_tokens(self.meter.tokens() - self.resumed_from);
         self.first_token = self.first_token.or(self.attempt.first_token());
-        if piece.is_empty() {
+        if piece.is_empty() || self.is_abandoned {
             return PumpStep::Piece(piece);
         }
         let silence = self.exchange.context.settings.silence_timeout;
         match self.sender.send_timeout(Ok(piece), silence).await {
             Ok(()) => PumpStep::Piece(Bytes::new()),
-            Err(_) => PumpStep::CallerGone,
+            Err(_) if self.exchange.route.idempotent => PumpStep::CallerGone,
+            Err(_) => {
+                self.is_abandoned = true;
+                PumpStep::Piece(Bytes::new())
+            }
         }
     }
 
@@ -171,7 +185,8 @@
         self
     }
 
-    fn complete(self) {
+    fn complete(mut self) {
+        self.record_outcome();
         let tokens = self.meter.tokens();
         let route = &self.exchange.route;
         let metrics = &self.exchange.context.metrics;
@@ -208,6 +223,18 @@
         self.attempt.finish(outcome);
     }
 
+    /// Records the answer of a keyed request, unless the server's status
+    /// leaves open whether it ran.
+    fn record_outcome(&mut self) {
+        let response = &self.upstream.response;
+        if self.exchange.ran_state(response.status()) != RanState::Yes {
+            return;
+        }
+        if let Some(claim) = self.exchange.claim.take() {
+            claim.record(response.status(), response.headers().get(CONTENT_TYPE));
+        }
+    }
+
     fn cancel(self) {
         let tokens = self.attempt.tokens();
         let metrics = &self.exchange.context.metrics;
--- a/crates/dewspring/src/entry/retry.rs
+++ b/crates/dewspring/src/entry/retry.rs
@@ -23,6 +23,18 @@
     BrokenOff(String),
     /// The request's time is up; it may have run.
     TimedOut,
+    /// The entry itself held the request back, so nothing was sent.
+    Withheld(String),
+}
+
+impl AttemptFailure {
+    /// Returns whether the request may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        match self {
+            Self::NotRun(_) | Self::Withheld(_) => false,
+            Self::BrokenOff(_) | Self::TimedOut => true,
+        }
+    }
 }
 
 /// What is known of a request when an attempt at it has failed.
@@ -70,14 +82,16 @@
     let may_repeat = match failure {
         AttemptFailure::NotRun(_) => true,
         AttemptFailure::BrokenOff(_) => state.idempotent,
-        AttemptFailure::TimedOut => false,
+        AttemptFailure::TimedOut | AttemptFailure::Withheld(_) => false,
     };
     let has_room = state.attempts < MAX_ATTEMPTS && state.server_left;
     if may_repeat && has_room && !state.time_left.is_zero() {
         return RetryStep::Retry;
     }
     RetryStep::GiveUp(match failure {
-        AttemptFailure::NotRun(_) => Problem::Unreachable(UNREACHABLE_RETRY),
+        AttemptFailure::NotRun(_) | AttemptFailure::Withheld(_) => {
+            Problem::Unreachable(UNREACHABLE_RETRY)
+        }
         AttemptFailure::BrokenOff(detail) => Problem::Unknown(detail.clone()),
         AttemptFailure::TimedOut => Problem::TimedOut,
     })
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -7,6 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,7 +22,22 @@
 const EXIT_POLL: Duration = Duration::from_millis(5);
 const HTTP_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Returns a loopback address whose port is free now.
+/// First port that is given out; ports below are for fixed addresses.
+const FIRST_PORT: u32 = 10_000;
+
+/// Number of ports that are given out. They end below the range from which
+/// the system takes the ports of outgoing connections, so that none of those
+/// can take a port between its choice and its use.
+const PORT_COUNT: u32 = 22_000;
+
+/// Distance between the first ports of two processes.
+const PROCESS_STEP: u32 = 100;
+
+/// Ports that this process has looked at.
+static TAKEN_PORTS: AtomicU32 = AtomicU32::new(0);
+
+/// Returns a loopback address whose port is free now and is given out once in
+/// this process.
 ///
 /// # Panics
 ///
@@ -35,8 +51,16 @@
 /// ```
 #[must_use]
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    listener.local_addr().expect("a bound address")
+    let start = std::process::id().wrapping_mul(PROCESS_STEP);
+    for _ in 0..PORT_COUNT {
+        let taken = TAKEN_PORTS.fetch_add(1, Ordering::Relaxed);
+        let offset = start.wrapping_add(taken) % PORT_COUNT;
+        let port = u16::try_from(FIRST_PORT + offset).expect("the range ends below 65,536");
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr().expect("a bound address");
+        }
+    }
+    panic!("no port is free");
 }
 
 /// Returns the path of a program that was built beside the current test.
