Refuse claims on a page that came back older

Cause: if the store comes back with older data, claims are missing from a page and their keys could run again; and a page that can't be read took the breaker of all pages with it.

Ruled out: writing the claims that a VM remembers back, since no VM remembers all; a mark on the page, which only helps if a VM that remembers comes first.

Change: a writer remembers the newest version of each page that it has seen. A page below it, or one that can't be read, refuses its claims and no others.

--- a/crates/dewspring/src/claims/commit.rs
+++ b/crates/dewspring/src/claims/commit.rs
@@ -10,7 +10,7 @@
 
 use super::page::{LedgerPage, PageError};
 use super::plan::{ClaimTime, KnownPage, PageWork, PlanResult, WorkKind, plan_work};
-use crate::platform::{ExpectedVersion, StoreEntry, StoreError, SwapOutcome};
+use crate::platform::{ExpectedVersion, StoreEntry, StoreError, StoreVersion, SwapOutcome};
 
 /// Swaps of one group that may fail before its claims are refused.
 const MAX_ATTEMPTS: u32 = 24;
@@ -65,10 +65,23 @@
     expected: ExpectedVersion,
 }
 
+/// What a writer remembers of a page from one commit to the next.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PageMemory {
+    /// The page as last known, if anything.
+    pub known: Option<KnownPage>,
+    /// Newest version that the store gave; 0 before the first one.
+    pub newest: StoreVersion,
+    /// Whether the page could not be used when it was last read.
+    pub is_unusable: bool,
+}
+
 /// A group of messages on its way into a page.
 #[derive(Clone, Debug)]
 pub(super) struct PageCommit {
     known: Option<KnownPage>,
+    newest: StoreVersion,
+    is_unusable: bool,
     /// Whether the page at hand was read in the course of this commit.
     is_fresh: bool,
     waiting: Vec<PageWork>,
@@ -83,10 +96,12 @@
 }
 
 impl PageCommit {
-    /// Begins a commit with what is remembered of the page, if anything.
-    pub fn new(known: Option<KnownPage>, waiting: Vec<PageWork>, horizon_minutes: u64) -> Self {
+    /// Begins a commit with what is remembered of the page.
+    pub fn new(memory: PageMemory, waiting: Vec<PageWork>, horizon_minutes: u64) -> Self {
         Self {
-            known,
+            known: memory.known,
+            newest: memory.newest,
+            is_unusable: memory.is_unusable,
             is_fresh: false,
             waiting,
             sent: None,
@@ -116,9 +131,13 @@
         std::mem::take(&mut self.finished)
     }
 
-    /// Returns the page as last known, to be remembered.
-    pub fn into_known(self) -> Option<KnownPage> {
-        self.known
+    /// Returns what is to be remembered of the page.
+    pub fn into_memory(self) -> PageMemory {
+        PageMemory {
+            known: self.known,
+            newest: self.newest,
+            is_unusable: self.is_unusable,
+        }
     }
 
     /// Decides what comes next.
@@ -224,6 +243,7 @@
 
     fn finish_sent(&mut self, sent: SentDraft, version: u64) {
         self.has_store_answered = true;
+        self.newest = version;
         self.known = Some(KnownPage {
             page: sent.page,
             version: ExpectedVersion::Version(version),
@@ -246,17 +266,27 @@
         }
     }
 
-    /// Remembers the page as the store holds it.
+    /// Takes the page as the store holds it.
+    ///
+    /// A page that can't be read, or that came back older than it was, may
+    /// lack claims: no message is committed to it.
     fn learn(&mut self, entry: Option<StoreEntry>) {
-        match load_page(entry) {
+        self.has_store_answered = true;
+        let version = entry.as_ref().map_or(0, |entry| entry.version);
+        match load_page(entry, self.newest) {
             Ok(known) => {
                 self.known = Some(known);
+                self.newest = version;
+                self.is_unusable = false;
                 self.is_fresh = true;
-                self.has_store_answered = true;
             }
             Err(error) => {
-                log::error!("claims: a page can't be read: {error}");
-                self.fail();
+                if !self.is_unusable {
+                    log::error!("claims: refused, a page can't be used: {error}");
+                }
+                self.is_unusable = true;
+                self.known = None;
+                self.refuse();
             }
         }
     }
@@ -296,7 +326,11 @@
     }
 }
 
-fn load_page(entry: Option<StoreEntry>) -> Result<KnownPage, PageError> {
+fn load_page(entry: Option<StoreEntry>, newest: StoreVersion) -> Result<KnownPage, PageError> {
+    let found = entry.as_ref().map_or(0, |entry| entry.version);
+    if found < newest {
+        return Err(PageError::Older { found, newest });
+    }
     let Some(entry) = entry else {
         return Ok(KnownPage {
             page: LedgerPage::default(),
--- a/crates/dewspring/src/claims/page.rs
+++ b/crates/dewspring/src/claims/page.rs
@@ -10,7 +10,7 @@
 use super::key::{ClaimKey, ClaimNonce, ClaimOwner};
 use super::messages::RecordedOutcome;
 use crate::ids::{BootId, VmId};
-use crate::platform::{EncodedBytes, MAX_VALUE_BYTES};
+use crate::platform::{EncodedBytes, MAX_VALUE_BYTES, StoreVersion};
 
 /// Upper bound of one claim in a page, with an outcome but without its body,
 /// in bytes.
@@ -53,9 +53,14 @@
     reserved_bytes: usize,
 }
 
-/// A page that can't be read; it is never written over.
+/// A page that can't be used; it is never written over.
 #[derive(Debug, Error)]
 pub(super) enum PageError {
+    #[error("it has version {found}, but had version {newest} before")]
+    Older {
+        found: StoreVersion,
+        newest: StoreVersion,
+    },
     #[error("{0}")]
     Json(#[from] serde_json::Error),
     #[error("a claim of an owner that the page doesn't list")]
--- a/crates/dewspring/src/claims/tests/commit.rs
+++ b/crates/dewspring/src/claims/tests/commit.rs
@@ -5,7 +5,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use super::super::commit::{CommitStep, FinishedWork, PageCommit, WorkResult};
+use super::super::commit::{CommitStep, FinishedWork, PageCommit, PageMemory, WorkResult};
 use super::super::messages::{ClaimOutcome, ClaimRequest, RecordedOutcome};
 use super::super::page::LedgerPage;
 use super::super::plan::{ClaimTime, KnownPage, PageWork, PlanResult, WorkKind};
@@ -25,7 +25,7 @@
 impl CommitDriver {
     fn new(work: Vec<PageWork>) -> Self {
         Self {
-            commit: PageCommit::new(None, work, HORIZON),
+            commit: PageCommit::new(PageMemory::default(), work, HORIZON),
             time: ClaimTime {
                 now: Instant::now(),
                 minute: MINUTE,
@@ -250,16 +250,53 @@
 }
 
 #[test]
-fn never_writes_over_a_page_that_it_cannot_read() {
-    let mut driver = CommitDriver::new(vec![claim("a", 1)]);
-    assert_eq!(driver.step(), CommitStep::Read);
-    let entry = StoreEntry {
-        value: b"garbage".to_vec(),
-        version: 7,
+fn never_writes_over_a_page_that_it_cannot_use() {
+    struct PageCase {
+        name: &'static str,
+        entry: Option<StoreEntry>,
+        newest: u64,
+    }
+    let entry = |value: &[u8]| {
+        Some(StoreEntry {
+            value: value.to_vec(),
+            version: 7,
+        })
     };
-    driver.commit.take_read(Ok(Some(entry)));
-    assert_eq!(driver.step(), CommitStep::Finished);
-    assert_eq!(driver.results(), [WorkResult::StoreFailed]);
+    let cases = [
+        PageCase {
+            name: "garbage",
+            entry: entry(b"garbage"),
+            newest: 0,
+        },
+        PageCase {
+            name: "older than it was",
+            entry: entry(&LedgerPage::default().encode()),
+            newest: 8,
+        },
+        PageCase {
+            name: "gone",
+            entry: None,
+            newest: 8,
+        },
+    ];
+    for case in cases {
+        let memory = PageMemory {
+            known: None,
+            newest: case.newest,
+            is_unusable: false,
+        };
+        let mut driver = CommitDriver::new(Vec::new());
+        driver.commit = PageCommit::new(memory, vec![claim("a", 1)], HORIZON);
+        assert_eq!(driver.step(), CommitStep::Read, "{}", case.name);
+        driver.commit.take_read(Ok(case.entry));
+        assert_eq!(driver.step(), CommitStep::Finished, "{}", case.name);
+        assert_eq!(driver.results(), [WorkResult::StoreFailed], "{}", case.name);
+        // Other pages are not concerned.
+        assert!(!driver.commit.has_store_failed(), "{}", case.name);
+        let memory = driver.commit.into_memory();
+        assert_eq!(memory.newest, case.newest, "{}", case.name);
+        assert!(memory.is_unusable, "{}", case.name);
+    }
 }
 
 #[test]
@@ -268,8 +305,13 @@
         page: page_after(None, claim("a", 1)),
         version: ExpectedVersion::Version(7),
     };
-    let mut driver = CommitDriver::new(vec![claim("b", 2)]);
-    driver.commit = PageCommit::new(Some(remembered), vec![claim("b", 2)], HORIZON);
+    let memory = PageMemory {
+        known: Some(remembered),
+        newest: 7,
+        is_unusable: false,
+    };
+    let mut driver = CommitDriver::new(Vec::new());
+    driver.commit = PageCommit::new(memory, vec![claim("b", 2)], HORIZON);
     driver.read(Some(&LedgerPage::default()));
     driver.swap(Ok(SwapOutcome::Swapped(9)));
     assert_eq!(driver.results(), planned(PlanResult::Done));
--- a/crates/dewspring/src/claims/tests/ledger.rs
+++ b/crates/dewspring/src/claims/tests/ledger.rs
@@ -7,6 +7,7 @@
 use super::super::ledger::{ClaimHandle, ClaimLedger, LedgerSettings};
 use super::super::messages::{ClaimOutcome, ClaimRequest, ClaimToken, RecordedOutcome};
 use super::key;
+use crate::platform::EmbeddedStore;
 use crate::platform::tests::faulty::FaultyStore;
 use crate::platform::tests::{PATIENCE, wait_for};
 
@@ -120,6 +121,20 @@
     assert!(matches!(late, Ok(ClaimOutcome::Overloaded { .. })));
 }
 
+#[test]
+fn refuses_on_a_page_that_came_back_older() {
+    let store = FaultyStore::open();
+    let ledger = spawn(&store, "a");
+    let handle = ledger.handle();
+    drop(win(&handle, 1));
+    store.restore(EmbeddedStore::open());
+    for _ in 0..2 {
+        let refused = claim(&handle, 1);
+        assert!(matches!(refused, ClaimOutcome::StoreUnavailable { .. }));
+    }
+    ledger.shutdown();
+}
+
 #[test]
 fn commits_what_waits_together() {
     let store = FaultyStore::open();
--- a/crates/dewspring/src/claims/tests/world.rs
+++ b/crates/dewspring/src/claims/tests/world.rs
@@ -11,10 +11,10 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use super::super::commit::{CommitStep, PageCommit};
+use super::super::commit::{CommitStep, PageCommit, PageMemory};
 use super::super::key::{ClaimKey, ClaimNonce, ClaimOwner, PageNumber};
 use super::super::messages::{ClaimOutcome, ClaimRequest, ClaimToken, RecordedOutcome};
-use super::super::plan::{ClaimTime, KnownPage, PageWork, WorkKind};
+use super::super::plan::{ClaimTime, PageWork, WorkKind};
 use super::super::settle::{SettleTerms, settle_work};
 use super::key;
 use super::sim_store::{FaultRates, SimStore, StoreCounts};
@@ -60,7 +60,7 @@
     paused_until: u64,
     inbox: Vec<PageWork>,
     commit: Option<(PageNumber, PageCommit)>,
-    pages: IndexMap<PageNumber, KnownPage>,
+    pages: IndexMap<PageNumber, PageMemory>,
     held: Vec<ClaimToken>,
     running: Vec<ClaimToken>,
 }
@@ -271,8 +271,8 @@
             }
         }
         if is_finished {
-            let known = commit.into_known().map(|known| (page, known));
-            self.entries[index].pages.extend(known);
+            let memory = commit.into_memory();
+            self.entries[index].pages.insert(page, memory);
         } else {
             self.entries[index].commit = Some((page, commit));
         }
@@ -365,6 +365,6 @@
         .into_iter()
         .partition(|work| work.key.page(PAGES) == page);
     entry.inbox = rest;
-    let known = entry.pages.swap_remove(&page);
-    entry.commit = Some((page, PageCommit::new(known, group, HORIZON.as_secs() / 60)));
+    let memory = entry.pages.swap_remove(&page).unwrap_or_default();
+    entry.commit = Some((page, PageCommit::new(memory, group, HORIZON.as_secs() / 60)));
 }
--- a/crates/dewspring/src/claims/writer.rs
+++ b/crates/dewspring/src/claims/writer.rs
@@ -15,11 +15,11 @@
 use tokio::sync::oneshot;
 
 use super::breaker::{StoreBreaker, retry_after};
-use super::commit::{CommitStep, FinishedWork, PageCommit};
+use super::commit::{CommitStep, FinishedWork, PageCommit, PageMemory};
 use super::key::{ClaimKey, ClaimNonce, ClaimOwner, PageNumber};
 use super::ledger::LedgerSettings;
 use super::messages::{ClaimOutcome, ClaimRequest, ClaimToken, RecordedOutcome};
-use super::plan::{ClaimTime, KnownPage, PageWork, WorkId, WorkKind};
+use super::plan::{ClaimTime, PageWork, WorkId, WorkKind};
 use super::settle::{SettleTerms, settle_work};
 use crate::platform::PlatformStore;
 
@@ -84,7 +84,7 @@
     /// Shared by the writers of this VM: what one of them finds spares the
     /// others a wait.
     breaker: Arc<Mutex<StoreBreaker>>,
-    pages: IndexMap<PageNumber, KnownPage>,
+    pages: IndexMap<PageNumber, PageMemory>,
     replies: IndexMap<WorkId, oneshot::Sender<ClaimOutcome>>,
     next_work: WorkId,
     deferred: VecDeque<PageWork>,
@@ -220,9 +220,9 @@
             self.take_deferred(page)
         };
         work.extend(group);
-        let known = self.pages.swap_remove(&page);
+        let memory = self.pages.shift_remove(&page).unwrap_or_default();
         let horizon_minutes = self.settings.horizon_minutes();
-        let mut commit = PageCommit::new(known, work, horizon_minutes);
+        let mut commit = PageCommit::new(memory, work, horizon_minutes);
         if is_open {
             commit.refuse();
         } else {
@@ -231,9 +231,7 @@
             self.judge_store(&commit, started.elapsed());
         }
         self.finish_all(commit.take_finished());
-        if let Some(known) = commit.into_known() {
-            self.remember(page, known);
-        }
+        self.remember(page, commit.into_memory());
     }
 
     /// Makes the calls that a commit asks for.
@@ -267,11 +265,17 @@
         lock_breaker(&self.breaker)
     }
 
-    fn remember(&mut self, page: PageNumber, known: KnownPage) {
-        if self.pages.len() >= MAX_KNOWN_PAGES {
-            self.pages.shift_remove_index(0);
+    /// Remembers a page; of the pages used longest ago only the version.
+    fn remember(&mut self, page: PageNumber, memory: PageMemory) {
+        self.pages.insert(page, memory);
+        let mut known: Vec<&mut PageMemory> = self
+            .pages
+            .values_mut()
+            .filter(|memory| memory.known.is_some())
+            .collect();
+        if known.len() > MAX_KNOWN_PAGES {
+            known[0].known = None;
         }
-        self.pages.insert(page, known);
     }
 
     fn finish_all(&mut self, finished: Vec<FinishedWork>) {
