Count slots that others fill in a pool's rate

Cause: a broker that takes over sees its servers full of its forerunner's work. It took them for lost, reckoned with one slot, and refused 9 of 20 requests or more as unable to meet a target that they could meet.

Ruled out: no estimate while others fill slots; the burst after a change of broker is when it is needed.

Change: the rate of a pool counts its share of all slots of serving servers; grants still wait for slots that are free.

--- a/crates/dewspring/src/broker/replica.rs
+++ b/crates/dewspring/src/broker/replica.rs
@@ -85,8 +85,13 @@
     /// Slots that this broker may fill, beside the work of others.
     pub(super) fn slots(&self) -> u32 {
         let foreign = self.foreign.current().requests;
-        let share = self.share.share_of(self.row_slots);
-        share.min(self.row_slots.saturating_sub(foreign))
+        let beside = self.row_slots.saturating_sub(foreign);
+        self.share_of_slots().min(beside)
+    }
+
+    /// Slots that this broker may fill once the work of others is done.
+    pub(super) fn share_of_slots(&self) -> u32 {
+        self.share.share_of(self.row_slots)
     }
 
     /// Whether the server is there to take new work, fit for it or not.
--- a/crates/dewspring/src/broker/replicas.rs
+++ b/crates/dewspring/src/broker/replicas.rs
@@ -41,7 +41,7 @@
         let delay = state.delay(pool_pace) * 1e6;
         Self {
             delay: state.is_free().then_some(delay as u64),
-            slots: if is_active { state.slots() } else { 0 },
+            slots: if is_active { state.share_of_slots() } else { 0 },
             is_serving: state.is_serving(),
             is_out: state.is_out(),
             is_free_for_probe: state.is_free_for_probe(),
@@ -126,7 +126,8 @@
         serving.any(|state| !excluded.contains(&state.name))
     }
 
-    /// Slots of the servers that take new work.
+    /// Slots of the servers that take new work, those included that others
+    /// fill now.
     pub(super) fn serving_slots(&self) -> u32 {
         self.serving_slots
     }
--- a/crates/dewspring/src/broker/tests/admission.rs
+++ b/crates/dewspring/src/broker/tests/admission.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use super::load::{LoadSource, LoadTrial};
-use super::{BOOT, config, refusal, release, request, servers};
-use crate::broker::{AttemptOutcome, BrokerSettings, BrokerState, RefusalReason};
+use super::{BOOT, config, granted, refusal, release, request, servers};
+use crate::broker::{AttemptOutcome, BrokerSettings, BrokerState, RefusalReason, ServerReport};
 
 /// Returns one second's requests of a class, each of about a second.
 fn source(class: &str, tier: u8, rate: f64, late_is_useful: bool) -> LoadSource {
@@ -131,3 +131,35 @@
         assert_eq!(refusal(decision).reason, RefusalReason::TargetMissed);
     }
 }
+
+#[test]
+fn work_of_others_delays_requests_and_refuses_none() {
+    let now = Instant::now();
+    let mut state = BrokerState::new(BrokerSettings::new("vm", BOOT));
+    state.configure(&config(1, servers(&[4, 4])), now);
+    let first = state.ask(request("r"), now);
+    state.release(&release(first), now);
+    state.take_decisions();
+    // Another broker has filled the servers, as after a change of broker.
+    let mut report = |running: u32, asked: u32| {
+        for server in ["server-0", "server-1"] {
+            let report = ServerReport {
+                server: server.into(),
+                running,
+                ..ServerReport::default()
+            };
+            state.report(&report, now);
+        }
+        for _ in 0..asked {
+            let mut strict = request("r");
+            strict.late_is_useful = false;
+            strict.target_left = Duration::from_secs(5);
+            state.ask(strict, now);
+        }
+        state.take_decisions()
+    };
+    // Twenty requests of a second fit into five.
+    let early = report(5, 20);
+    assert!(early.is_empty(), "{early:?}");
+    assert_eq!(granted(&report(0, 0)).len(), 8);
+}
