Give up what is past its time before slots come free

Cause: when the broker had been held up, an expired grant's slot went to a request that was past its timeout, since grants were ended first.

Change: the queue is cleared of expired requests first. In the thread, marks go before a new configuration, so nothing is granted to a server that leaves.

--- a/crates/dewspring/src/broker/state.rs
+++ b/crates/dewspring/src/broker/state.rs
@@ -152,15 +152,17 @@
     /// Does what has become due: gives up waiting requests and ends grants
     /// that were never released.
     pub fn advance(&mut self, now: Instant) {
-        while let Some(record) = self.grants.pop_expired(now) {
-            self.end(record, None, now);
-        }
         for index in 0..self.pools.len() {
             while let Some(queued) = self.pools[index].queue.pop_expired(now) {
                 let reason = expiry_reason(&queued, now);
                 self.refuse(queued, reason, now);
             }
         }
+        // Only now, since a slot that comes free must not go to a request that
+        // is past its time.
+        while let Some(record) = self.grants.pop_expired(now) {
+            self.end(record, None, now);
+        }
         self.sweep(now);
     }
 
--- a/crates/dewspring/src/broker/tests/model.rs
+++ b/crates/dewspring/src/broker/tests/model.rs
@@ -382,6 +382,14 @@
             decision.turn == Some(ServiceTurn::Floor) || !others.any(is_higher),
             "a lower tier goes first without its floor",
         );
+        assert!(
+            decision.waited < request.timeout_left,
+            "granted after its timeout"
+        );
+        assert!(
+            request.late_is_useful || decision.waited < request.target_left,
+            "granted after its target",
+        );
         let hold = Duration::from_secs(2) + request.timeout_left.saturating_sub(decision.waited);
         let record = GrantedRecord {
             server: grant.server.clone(),
--- a/crates/dewspring/src/broker/thread.rs
+++ b/crates/dewspring/src/broker/thread.rs
@@ -119,6 +119,11 @@
             lost_entries,
             is_shut_down,
         } = content;
+        // Marks go first, so that nothing is granted to a server that leaves.
+        for (server, mark) in marks {
+            log::info!("broker: server {server} is marked {mark:?}");
+            self.state.mark(&server, mark, now);
+        }
         if let Some(share) = share {
             self.state.set_share(share, now);
         }
@@ -126,10 +131,6 @@
             log::info!("broker: follows revision {}", config.revision);
             self.state.configure(&config, now);
         }
-        for (server, mark) in marks {
-            log::info!("broker: server {server} is marked {mark:?}");
-            self.state.mark(&server, mark, now);
-        }
         for report in reports.values() {
             self.state.report(report, now);
         }
