Test the daemon's ports with bad input

Cause: nothing checked what a live daemon does with bytes that are no request.

Ruled out: fuzzing the parser in the process; the limits of time, connections and memory belong to the running daemon.

--- a/crates/dewspringd/tests/common/mod.rs
+++ b/crates/dewspringd/tests/common/mod.rs
@@ -37,6 +37,8 @@
     pub service_flags: Vec<String>,
     /// Flags of each daemon besides its addresses.
     pub daemon_flags: Vec<String>,
+    /// Variables of each daemon besides its secret.
+    pub daemon_environment: Vec<(String, String)>,
     /// Text of the routes table.
     pub routes: String,
     /// Keys of the engine pool besides its servers.
@@ -54,6 +56,7 @@
             engine_flags: vec!["--token-interval-ms=5".into()],
             service_flags: Vec::new(),
             daemon_flags: Vec::new(),
+            daemon_environment: Vec::new(),
             routes: DEFAULT_ROUTES.into(),
             engine_pool: "can_resume = true\nrefusal_means_not_run = true\n".into(),
             service_pool: String::new(),
@@ -176,6 +179,7 @@
             .arg(format!("--peer-listen={peer}"))
             .arg("--log-level=warn")
             .args(&self.plan.daemon_flags)
+            .envs(self.plan.daemon_environment.iter().cloned())
             .env("DEWSPRING_SECRET", SECRET);
         TestDaemon {
             process: RunningProcess::spawn_command(&mut command),
@@ -371,6 +375,18 @@
     .expect("the daemon answers")
 }
 
+/// Returns the resident memory of a process in bytes.
+pub fn resident_bytes(pid: u32) -> u64 {
+    let path = format!("/proc/{pid}/status");
+    let text = std::fs::read_to_string(path).expect("the process lives");
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kibibytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+    let kibibytes: u64 = kibibytes
+        .and_then(|number| number.trim().parse().ok())
+        .expect("the system tells the resident memory");
+    kibibytes * 1024
+}
+
 /// A caller's chat request.
 #[derive(Clone)]
 pub struct ChatCall {
