Let refused connections get a whole answer

Cause: the answer to a connection above the limit declared 83 bytes and had 84, so a strict reader found bytes of no answer behind it. A caller that was still sending its request lost the answer to a reset (test a_flood_of_connections_is_refused_and_harms_no_one failed, first with "the header has no end", then with "Broken pipe").

Ruled out: reading the request before the refusal; the refusal must cost less than a request.

Change: the declared length is right. The connection is closed for writing and what the caller still sends is read, for a second and 4 MiB at most. Refused connections are bounded by the same number as served ones; those above are just closed. The note on the header's limit says how exact it is.

--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -13,7 +13,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{Semaphore, oneshot};
@@ -25,6 +25,9 @@
 use super::handler::handle;
 
 /// Largest header of a request, in bytes.
+///
+/// It is compared with what is held after a read that found no end of the
+/// header, so a header of up to twice the size may pass.
 const MAX_HEADER_BYTES: usize = 32 * 1024;
 
 /// Most headers of a request.
@@ -36,17 +39,20 @@
 /// Time for which a VM that leaves still answers new requests with a refusal.
 const DRAIN_NOTICE: Duration = Duration::from_millis(300);
 
-/// Time for a refused connection to take its answer.
+/// Time for a refused connection to take its answer and to close.
 const BUSY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Most that is read from a refused connection, in bytes.
+const MAX_BUSY_BYTES: u64 = 4 << 20;
+
 /// Answer to a connection above the limit.
 const BUSY_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
     content-type: application/problem+json\r\n\
     x-dewspring-ran: no\r\n\
     retry-after: 1\r\n\
     connection: close\r\n\
-    content-length: 83\r\n\r\n\
-    {\"type\":\"urn:dewspring:problem:connections\",\"title\":\"Too many connections\"}       \r\n";
+    content-length: 75\r\n\r\n\
+    {\"type\":\"urn:dewspring:problem:connections\",\"title\":\"Too many connections\"}";
 
 /// How a shutdown ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -168,6 +174,8 @@
 ) {
     let limit = context.settings.max_connections;
     let slots = Arc::new(Semaphore::new(limit));
+    // Refused connections are bounded too; those above are just closed.
+    let refusals = Arc::new(Semaphore::new(limit));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -179,7 +187,12 @@
         };
         let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
             log::warn!("entry: A connection above the limit of {limit} was refused.");
-            tokio::spawn(refuse_connection(stream));
+            if let Ok(slot) = Arc::clone(&refusals).try_acquire_owned() {
+                tokio::spawn(async move {
+                    refuse_connection(stream).await;
+                    drop(slot);
+                });
+            }
             continue;
         };
         context
@@ -194,13 +207,24 @@
     }
 }
 
-async fn refuse_connection(mut stream: TcpStream) {
-    let refused = timeout(BUSY_TIMEOUT, stream.write_all(BUSY_ANSWER)).await;
+async fn refuse_connection(stream: TcpStream) {
+    let refused = timeout(BUSY_TIMEOUT, send_refusal(stream)).await;
     if !matches!(refused, Ok(Ok(()))) {
         log::debug!("entry: A refused connection took no answer.");
     }
 }
 
+/// Writes the refusal and reads what the caller still sends.
+///
+/// A connection that is closed with bytes unread is reset, and a reset can
+/// take the answer from a caller that is still sending.
+async fn send_refusal(mut stream: TcpStream) -> io::Result<()> {
+    stream.write_all(BUSY_ANSWER).await?;
+    stream.shutdown().await?;
+    tokio::io::copy(&mut stream.take(MAX_BUSY_BYTES), &mut tokio::io::sink()).await?;
+    Ok(())
+}
+
 async fn serve_connection<C: ConfigSource, G: GrantSource>(
     stream: TcpStream,
     context: Arc<EntryContext<C, G>>,
--- a/crates/dewspringd/tests/hostile.rs
+++ b/crates/dewspringd/tests/hostile.rs
@@ -14,7 +14,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{ChatCall, FleetPlan, TestFleet, resident_bytes};
+use common::{ChatCall, FleetPlan, TestFleet, resident_bytes, send, wait_until};
+use oxhttp::model::{Body, Request};
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use raw_http::{RawAnswer, SendEnd, read_answers, read_to_close, send_raw};
 use standins::process::get_json;
@@ -840,3 +841,47 @@
         assert_eq!(answer.header("x-dewspring-ran"), Some(ran), "{}", case.name);
     }
 }
+
+#[test]
+fn a_flood_of_connections_is_refused_and_harms_no_one() {
+    const CONNECTIONS: usize = 16;
+    const EXCESS: usize = 40;
+    let fleet = hostile_fleet(Duration::from_secs(2), CONNECTIONS as u64);
+    let entry = fleet.daemons[0].entry;
+    let memory = resident_bytes(fleet.daemons[0].process.pid());
+    // One caller is served while others hold the remaining connections.
+    let served = thread::spawn(move || ChatCall::new(entry, 200).send());
+    wait_until("the stream runs", || !fleet.executions().is_empty());
+    let held: Vec<_> = (1..CONNECTIONS)
+        .map(|_| TcpStream::connect(entry).expect("a connection"))
+        .collect();
+
+    let silent: Vec<_> = (0..EXCESS)
+        .map(|_| send_raw(entry, b"", SendEnd::Silence, CLOSE_LIMIT))
+        .collect();
+    for transcript in &silent {
+        assert!(transcript.is_closed);
+        let answers = read_answers(&transcript.bytes, false).expect("HTTP");
+        assert_eq!(answers.len(), 1);
+        assert_eq!(answers[0].status, 503);
+        assert_eq!(answers[0].header("x-dewspring-ran"), Some("no"));
+    }
+    // Callers that send a whole request must not lose the answer to a reset.
+    for _ in 0..EXCESS {
+        let request = Request::post(format!("http://{entry}{CHAT_PATH}"))
+            .body(Body::from(vec![b' '; 200_000]))
+            .expect("a valid request");
+        let answer = send(request).expect("a refused caller gets its answer");
+        assert_eq!((answer.status, answer.ran.as_str()), (503, "no"));
+    }
+    let answer = served.join().expect("the caller ends");
+    assert!(answer.is_own_stream(200), "{answer:?}");
+    drop(held);
+    wait_until("callers are served again", || {
+        ChatCall::new(entry, 2).send().is_own_stream(2)
+    });
+    let limit =
+        (EXCESS + CONNECTIONS) as u64 * REQUEST_COPIES * (MAX_HEADER_BYTES + MAX_BODY_BYTES);
+    let growth = resident_bytes(fleet.daemons[0].process.pid()).saturating_sub(memory);
+    assert!(growth <= limit, "{growth} bytes more, above {limit}");
+}
