Refuse a request whose class or workspace can't be read

Cause: a class or workspace header with bytes that are no visible ASCII counted as absent, so the request ran in the class of the route without a label, or for the route's workspace (property bad_requests_are_refused_and_run_nowhere failed: UnreadableHeader("x-request-class", [244, 141, 177, 149, 128]) got status 200).

Ruled out: reading such bytes as Latin-1; no table can hold such a label.

Change: such a header is answered as malformed, and nothing runs.

--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -100,12 +100,12 @@
     } else {
         None
     };
-    let label = header_text(&parts, &context.settings.class_header);
+    let label = header_text(&parts, &context.settings.class_header)?;
     let route = find_route(&config, &parts, model.as_ref(), label)?.clone();
     if body.len() as u64 > route.max_body_bytes {
         return Err(Problem::BodyTooLarge(route.max_body_bytes));
     }
-    let workspace = header_text(&parts, &context.settings.workspace_header)
+    let workspace = header_text(&parts, &context.settings.workspace_header)?
         .map_or_else(|| route.workspace.clone(), String::from);
     if workspace.len() > MAX_WORKSPACE_BYTES {
         return Err(Problem::Malformed("The workspace name is too long.".into()));
@@ -174,9 +174,18 @@
         .filter(move |route| route.matches_path(path))
 }
 
-fn header_text<'a>(parts: &'a Parts, name: &str) -> Option<&'a str> {
-    let value = parts.headers.get(name)?;
-    value.to_str().ok().filter(|text| !text.is_empty())
+/// Returns a header's text, or `None` if it is absent or empty.
+///
+/// A header that can't be read is refused: the request would run in another
+/// class, or for another workspace, than its caller asked for.
+fn header_text<'a>(parts: &'a Parts, name: &str) -> Result<Option<&'a str>, Problem> {
+    let Some(value) = parts.headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| Problem::Malformed(format!("The header {name} can't be read.")))?;
+    Ok(Some(text).filter(|text| !text.is_empty()))
 }
 
 fn model_list(routes: &RouteTable) -> Response<AnswerBody> {
--- a/crates/dewspringd/tests/hostile.rs
+++ b/crates/dewspringd/tests/hostile.rs
@@ -187,6 +187,8 @@
     ManyHeaders(usize),
     /// A header that classes requests, with a byte that no header may have.
     Injection(&'static str, u8),
+    /// A header that classes requests, with bytes that are no ASCII.
+    UnreadableHeader(&'static str, Vec<u8>),
     /// A body that announces another length than it has.
     WrongLength(String),
     /// A chunked body that is cut or contradicts itself.
@@ -296,6 +298,12 @@
                 header.extend_from_slice(b"x-priority: 0\r\n");
                 chat_bytes(&header, body)
             }
+            Self::UnreadableHeader(name, value) => {
+                let mut header = format!("{name}: ").into_bytes();
+                header.extend_from_slice(value);
+                header.extend_from_slice(b"\r\n");
+                chat_bytes(&header, body)
+            }
             Self::WrongLength(header) => {
                 format!("POST {CHAT_PATH} HTTP/1.1\r\nhost: x\r\n{header}\r\n\r\n{CHAT_BODY}")
                     .into()
@@ -355,7 +363,11 @@
                 header,
                 *source.choose(&[0, 1, b'\r', 0x1f, 0x7f]).expect("a byte"),
             ),
-            5 => Self::Injection(header, 0),
+            5 => {
+                let length = number_in(source, 1, 8);
+                let value = (0..length).map(|_| u8::arbitrary(source) | 0x80).collect();
+                Self::UnreadableHeader(header, value)
+            }
             6 => Self::WrongLength(one_of(source, WRONG_LENGTHS).into()),
             7 => Self::BadChunks(one_of(source, BAD_CHUNKS)),
             8 => Self::DeepBody(number_in(source, 200, 30_000)),
