Bound what is kept of a caller's long names

Cause: a problem's text is logged, kept for the operators and sent back.

Ruled out: cutting in the log of decisions; the answer to the caller would still repeat the name.

Change: problems quote at most 128 letters of a caller's text.

--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -15,7 +15,7 @@
 use super::exchange::Exchange;
 use super::grants::GrantSource;
 use super::headers::{REQUEST_ID, VM_NAME};
-use super::problem::Problem;
+use super::problem::{Problem, quoted_start};
 use super::request::{ModelRequest, read_body};
 use crate::ids::RequestId;
 use crate::tables::{FleetConfig, RouteMatch, RouteRow, RouteTable};
@@ -145,11 +145,11 @@
         RouteMatch::Route(route) => Ok(route),
         RouteMatch::UnknownPath => Err(Problem::UnknownPath),
         RouteMatch::UnknownModel => {
-            let name = name.unwrap_or_default().to_string();
+            let name = quoted_start(name.unwrap_or_default());
             Err(Problem::UnknownModel(name))
         }
         RouteMatch::UnknownLabel => {
-            let label = label.unwrap_or_default().to_string();
+            let label = quoted_start(label.unwrap_or_default());
             Err(Problem::UnknownLabel(label))
         }
         RouteMatch::MethodNotAllowed => Err(Problem::MethodNotAllowed),
--- a/crates/dewspring/src/entry/problem.rs
+++ b/crates/dewspring/src/entry/problem.rs
@@ -11,6 +11,9 @@
 use crate::broker::{Refusal, RefusalReason};
 use crate::ids::RequestId;
 
+/// Most letters of a caller's text that an answer or a log line repeats.
+const MAX_QUOTED_LETTERS: usize = 128;
+
 const PROBLEM_TYPE: &str = "application/problem+json";
 
 /// Whether the caller's request ran at a backend server.
@@ -73,6 +76,17 @@
     },
 }
 
+/// Returns the start of a text that a caller has a hand in.
+///
+/// Problems are logged and kept for a while, so a long name in many requests
+/// would fill the memory.
+pub(super) fn quoted_start(text: &str) -> String {
+    match text.char_indices().nth(MAX_QUOTED_LETTERS) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text.into(),
+    }
+}
+
 #[derive(Serialize)]
 struct ProblemBody<'a> {
     r#type: String,
--- a/crates/dewspring/src/entry/request.rs
+++ b/crates/dewspring/src/entry/request.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 use siphasher::sip::SipHasher13;
 
-use super::problem::Problem;
+use super::problem::{Problem, quoted_start};
 use crate::ids::TokenCount;
 
 /// Mean length of a token in a prompt, in bytes.
@@ -68,8 +68,7 @@
     /// assert_eq!(ModelRequest::parse(body).unwrap().model, "wire");
     /// ```
     pub fn parse(body: &[u8]) -> Result<Self, Problem> {
-        let parsed: ModelBody = serde_json::from_slice(body)
-            .map_err(|error| Problem::Malformed(format!("The body can't be read: {error}.")))?;
+        let parsed: ModelBody = serde_json::from_slice(body).map_err(|error| unreadable(&error))?;
         let start = prompt_start(&parsed)?;
         let mut hasher = SipHasher13::new();
         hasher.write(parsed.model.as_bytes());
@@ -84,6 +83,12 @@
     }
 }
 
+fn unreadable(error: &serde_json::Error) -> Problem {
+    // The error repeats values of the body.
+    let why = quoted_start(&error.to_string());
+    Problem::Malformed(format!("The body can't be read: {why}."))
+}
+
 fn prompt_start(body: &ModelBody) -> Result<String, Problem> {
     let first = match (&body.prompt, &body.messages) {
         (Some(prompt), _) => prompt,
--- a/crates/dewspringd/tests/hostile.rs
+++ b/crates/dewspringd/tests/hostile.rs
@@ -774,6 +774,52 @@
     }
 }
 
+/// A request that is refused with a long text of the caller's in it.
+struct LongCase {
+    name: &'static str,
+    input: Vec<u8>,
+    status: u16,
+}
+
+#[test]
+fn long_names_are_not_kept() {
+    const BATCHES: usize = 20;
+    let case = |name, headers: &str, body: &str, status| LongCase {
+        name,
+        input: chat_bytes(
+            format!("{headers}connection: close\r\n").as_bytes(),
+            body.as_bytes(),
+        ),
+        status,
+    };
+    let long = "m".repeat(60_000);
+    let model = format!(r#"{{"model":"{long}","prompt":"x"}}"#);
+    let stream = format!(r#"{{"model":"small","prompt":"x","stream":"{long}"}}"#);
+    let label = format!("x-request-class: {}\r\n", &long[..30_000]);
+    let workspace = format!("x-workspace: {}\r\n", &long[..30_000]);
+    let cases = [
+        case("model", "", &model, 404),
+        case("wrong type", "", &stream, 400),
+        case("workspace", &workspace, CHAT_BODY, 400),
+        case("label and model", &label, &model, 404),
+    ];
+    let fleet = hostile_fleet(INPUT_TIMEOUT, MAX_CONNECTIONS);
+    let requests = (BATCHES * BATCH_SIZE * cases.len()) as u64;
+    let growth = CONNECTION_GROWTH + requests * DECISION_BYTES;
+    let target = HostileTarget::new(&fleet, growth);
+    for case in cases {
+        for _ in 0..BATCHES {
+            let batch = vec![case.input.clone(); BATCH_SIZE];
+            for answers in send_batch(target.entry, &batch).expect(case.name) {
+                assert_eq!(answers[0].status, case.status, "{}", case.name);
+                let length = answers[0].body.len();
+                assert!(length < 1024, "{}: {length} bytes repeated", case.name);
+            }
+        }
+        target.check_memory().expect(case.name);
+    }
+}
+
 struct SlowCase {
     name: &'static str,
     /// What is sent at once.
