Refuse requests while a daemon has no configuration

Ruled out: taking no connections until then; the balancer needs an answer, and the port tells it that the VM lives.

Change: a daemon that isn't ready answers 503 as not run, with a jittered time to come back, from the same check as a daemon that shuts down.

--- a/crates/dewspring/src/daemon/state.rs
+++ b/crates/dewspring/src/daemon/state.rs
@@ -23,6 +23,10 @@
     fn current(&self) -> Arc<FleetConfig> {
         ConfigKeeper::current(self)
     }
+
+    fn is_ready(&self) -> bool {
+        ConfigKeeper::is_ready(self)
+    }
 }
 
 /// The parts that answer operators.
--- a/crates/dewspring/src/entry/context.rs
+++ b/crates/dewspring/src/entry/context.rs
@@ -12,8 +12,9 @@
 use crate::observe::{DecisionLog, FleetMetrics};
 use crate::tables::FleetConfig;
 
-/// Longest time that a caller is told to stay away from a VM that leaves.
-const SHUTDOWN_RETRY: Duration = Duration::from_secs(1);
+/// Longest time that a caller is told to stay away from a VM that comes or
+/// goes.
+const AWAY_RETRY: Duration = Duration::from_secs(1);
 
 /// Settings of the entry.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -44,6 +45,9 @@
 pub trait ConfigSource: Clone + Send + Sync + 'static {
     /// Returns the newest configuration that this VM has.
     fn current(&self) -> Arc<FleetConfig>;
+
+    /// Returns whether requests may be served by that configuration.
+    fn is_ready(&self) -> bool;
 }
 
 /// What all requests of one entry share.
@@ -121,13 +125,23 @@
         format!("{}-{:x}-{number}", self.settings.vm, self.settings.boot)
     }
 
-    /// Returns the refusal of a VM that shuts down.
-    pub(super) fn shutdown_problem(&self) -> Problem {
-        let part: f64 = rand::random();
-        Problem::Refused(Refusal {
-            reason: RefusalReason::ShuttingDown,
-            retry_after: SHUTDOWN_RETRY.mul_f64(part),
-        })
+    /// Returns why this VM takes no request now; nothing of it has run.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a VM that shuts down or has no configuration yet.
+    pub(super) fn check_open(&self) -> Result<(), Problem> {
+        let retry_after = AWAY_RETRY.mul_f64(rand::random());
+        if self.is_draining() {
+            return Err(Problem::Refused(Refusal {
+                reason: RefusalReason::ShuttingDown,
+                retry_after,
+            }));
+        }
+        if !self.config.is_ready() {
+            return Err(Problem::NotReady(retry_after));
+        }
+        Ok(())
     }
 }
 
--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -103,9 +103,7 @@
     // Counted in before the check, so that a shutdown waits for all that it
     // did not refuse.
     let flight = context.enter();
-    if context.is_draining() {
-        return Err(context.shutdown_problem());
-    }
+    context.check_open()?;
     let config = context.config.current();
     let (parts, incoming) = request.into_parts();
     let path = parts.uri.path();
--- a/crates/dewspring/src/entry/problem.rs
+++ b/crates/dewspring/src/entry/problem.rs
@@ -57,6 +57,8 @@
     SlowSender,
     /// The request is refused and didn't run.
     Refused(Refusal),
+    /// This VM has no configuration that it may serve by.
+    NotReady(Duration),
     /// Every attempt failed before the request was sent.
     Unreachable(Duration),
     /// A server broke off or was silent; the request may have run.
@@ -149,6 +151,7 @@
             Self::BodyTooLarge(_) => (413, "too-large", "The body is too large"),
             Self::SlowSender => (408, "slow-sender", "The body didn't come in time"),
             Self::Refused(refusal) => refusal_status(refusal.reason),
+            Self::NotReady(_) => (503, "not-ready", "The daemon is not ready"),
             Self::Unreachable(_) => (503, "unreachable", "No server could be reached"),
             Self::Unknown(_) => (502, "unknown", "The request may have run"),
             Self::TimedOut => (504, "timeout", "The request may have run"),
@@ -171,7 +174,7 @@
             Self::BodyTooLarge(limit) => format!("The limit is {limit} bytes."),
             Self::Refused(refusal) => format!("Refused: {:?}. Nothing ran.", refusal.reason),
             Self::KeyRefused { detail, .. } => detail.clone(),
-            Self::Unreachable(_) => "Nothing ran.".into(),
+            Self::NotReady(_) | Self::Unreachable(_) => "Nothing ran.".into(),
             Self::InProgress => "It is running, or its outcome isn't known.".into(),
             _ => String::new(),
         }
@@ -180,7 +183,7 @@
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Refused(refusal) => Some(refusal.retry_after),
-            Self::Unreachable(retry_after) => Some(*retry_after),
+            Self::NotReady(retry_after) | Self::Unreachable(retry_after) => Some(*retry_after),
             Self::KeyRefused { retry_after, .. } => Some(*retry_after),
             _ => None,
         }
--- a/crates/dewspringd/tests/whole_path.rs
+++ b/crates/dewspringd/tests/whole_path.rs
@@ -5,7 +5,7 @@
 
 use common::{CallAnswer, ChatCall, FleetPlan, TestFleet, admin_json, send};
 use oxhttp::model::{Body, Request};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 #[test]
 fn requests_are_served_through_every_daemon() {
@@ -135,3 +135,21 @@
         serde_json::from_str(&answer.body.expect("a whole answer")).expect("the list is JSON");
     assert_eq!(body["data"][0]["id"], "small");
 }
+
+#[test]
+fn a_daemon_without_a_configuration_refuses_as_not_run() {
+    let fleet = TestFleet::start(FleetPlan {
+        daemons: 1,
+        engines: 1,
+        ..FleetPlan::default()
+    });
+    fleet.control_platform(&json!({ "mode": "down" }));
+    // Its only peer would give it the configuration, so it is frozen.
+    fleet.daemons[0].process.freeze();
+    let fresh = fleet.start_daemon(2);
+    let answer = ChatCall::new(fresh.entry, 5).send();
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert_eq!(answer.ran, "no");
+    assert!(answer.retry_after.is_some());
+    fleet.daemons[0].process.resume();
+}
