--- a/crates/dewspring/examples/peer_cost.rs
+++ b/crates/dewspring/examples/peer_cost.rs
@@ -14,14 +14,25 @@
 use dewspring::broker::{Grant, GrantDecision, GrantRelease, GrantRequest, Refusal};
 use dewspring::configuration::{ConfigExchange, ConfigSnapshot};
 use dewspring::ids::{BootId, RequestId, Revision, VmId};
-use dewspring::peer::{GrantService, PeerCounts, PeerDuty, PeerHandle, PeerSettings, SharedSecret};
+use dewspring::peer::{
+    GrantService, HEARTBEAT_INTERVAL, Heartbeat, MembershipState, PeerCounts, PeerDuty, PeerHandle,
+    PeerSettings, SharedSecret, VmIdentity, VmPlace,
+};
 use dewspring::platform::{DirectoryError, VmDirectory, VmEntry, VmState};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::oneshot;
 
 /// Numbers of VMs that are measured.
 const FLEET_SIZES: [usize; 3] = [8, 32, 64];
 
+/// Lengths of the list for which the computing of a round is measured.
+const LISTED_SIZES: [usize; 3] = [8, 64, 800];
+
+/// Rounds that are measured for each of them.
+const ROUNDS: u32 = 1_000;
+
 /// Time for which heartbeats are measured.
 const MEASURED_TIME: Duration = Duration::from_secs(15);
 
@@ -126,9 +137,61 @@
         );
         fleet.iter().for_each(PeerHandle::shut_down);
     }
+    measure_rounds();
     measure_questions();
 }
 
+/// Measures what one VM of a large fleet computes in a round.
+fn measure_rounds() {
+    for size in LISTED_SIZES {
+        let mut membership = MembershipState::new(VmIdentity {
+            vm: vm_name(0),
+            boot: 1,
+            place: VmPlace {
+                address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                data_centre: data_centre(0),
+            },
+        });
+        let mut now = Instant::now();
+        let entries: Vec<VmEntry> = (0..size).map(listed_vm).collect();
+        membership.apply_list(now, &entries);
+        let mut rng = SmallRng::seed_from_u64(1);
+        let begin = Instant::now();
+        for _ in 0..ROUNDS {
+            now += HEARTBEAT_INTERVAL;
+            for target in membership.tick(now, &mut rng) {
+                let answer = answer_of(&target.vm);
+                membership.observe_answer(now, &target.vm, &answer);
+            }
+            assert_eq!(membership.members().len(), size - 1);
+            assert_eq!(membership.eligible_vms().len(), size);
+        }
+        let spent = begin.elapsed() / ROUNDS;
+        println!("{size} listed VMs: {spent:?} of computing in a round");
+    }
+}
+
+fn listed_vm(index: usize) -> VmEntry {
+    VmEntry {
+        vm: vm_name(index),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: data_centre(index),
+        state: VmState::Live,
+    }
+}
+
+fn answer_of(vm: &VmId) -> Heartbeat {
+    Heartbeat {
+        vm: vm.clone(),
+        boot: 2,
+        incarnation: 1,
+        revision: 41,
+        draining: false,
+        place: None,
+        news: Vec::new(),
+    }
+}
+
 fn measure_questions() {
     let fleet = open_fleet(2);
     let mut builder = Builder::new_current_thread();
--- a/crates/dewspring/src/peer/exchanger.rs
+++ b/crates/dewspring/src/peer/exchanger.rs
@@ -71,7 +71,7 @@
         };
         let pulled = client.pull_config(call_context(DOCUMENT_TIME), own).await?;
         if let Some(snapshot) = pulled {
-            self.core.offer(snapshot).await;
+            self.core.offer(snapshot.into()).await;
         }
         drop(permit);
         Ok(())
@@ -80,7 +80,7 @@
     async fn push(&self, client: &PeerServiceClient, other: Revision) -> Result<(), PeerError> {
         if let Some(snapshot) = self.core.newer_snapshot(other) {
             let context = call_context(DOCUMENT_TIME);
-            client.push_config(context, snapshot).await?;
+            client.push_config(context, snapshot.into()).await?;
         }
         Ok(())
     }
--- a/crates/dewspring/src/peer/mod.rs
+++ b/crates/dewspring/src/peer/mod.rs
@@ -14,6 +14,7 @@
 
 mod asks;
 mod counters;
+mod documents;
 mod duty;
 mod errors;
 mod events;
--- a/crates/dewspring/src/peer/service.rs
+++ b/crates/dewspring/src/peer/service.rs
@@ -6,11 +6,12 @@
 use tarpc::context::Context;
 use tokio::sync::{Semaphore, oneshot};
 
+use super::documents::SnapshotFrame;
 use super::grants::{GrantService, WithdrawGuard};
 use super::messages::{GrantWithdrawal, Heartbeat};
 use super::shared::PeerCore;
 use crate::broker::{GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason};
-use crate::configuration::{ConfigExchange, ConfigSnapshot};
+use crate::configuration::ConfigExchange;
 use crate::ids::{Revision, VmId};
 
 /// Time after which a caller may ask again when the broker ended.
@@ -26,10 +27,10 @@
     async fn heartbeat(question: Heartbeat) -> Heartbeat;
 
     /// Returns the document in force if it is newer.
-    async fn pull_config(after: Revision) -> Option<ConfigSnapshot>;
+    async fn pull_config(after: Revision) -> Option<SnapshotFrame>;
 
     /// Offers a document that is newer.
-    async fn push_config(snapshot: ConfigSnapshot);
+    async fn push_config(snapshot: SnapshotFrame);
 
     /// Asks the broker for leave to run a request.
     async fn ask(request: GrantRequest) -> GrantDecision;
@@ -64,13 +65,13 @@
         self.core.answer_heartbeat(&question)
     }
 
-    async fn pull_config(self, _: Context, after: Revision) -> Option<ConfigSnapshot> {
-        self.core.newer_snapshot(after)
+    async fn pull_config(self, _: Context, after: Revision) -> Option<SnapshotFrame> {
+        self.core.newer_snapshot(after).map(SnapshotFrame::from)
     }
 
-    async fn push_config(self, _: Context, snapshot: ConfigSnapshot) {
+    async fn push_config(self, _: Context, snapshot: SnapshotFrame) {
         let permit = self.offers.acquire().await;
-        self.core.offer(snapshot).await;
+        self.core.offer(snapshot.into()).await;
         drop(permit);
     }
 
--- a/crates/dewspring/src/peer/tests/port.rs
+++ b/crates/dewspring/src/peer/tests/port.rs
@@ -5,15 +5,19 @@
 use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
+use futures::SinkExt;
 use quickcheck::{Gen, QuickCheck};
+use tarpc::{ClientMessage, Request};
 use tokio::runtime::{Builder, Runtime};
 
 use super::fakes::{SECRET, TestFleet, request, wait_for};
 use super::fleet::vm_name;
 use crate::broker::GrantDecision;
+use crate::configuration::{ConfigExchange, ConfigSnapshot};
 use crate::peer::SharedSecret;
 use crate::peer::preface::{accept_preface, offer_preface};
-use crate::peer::wire::FRAME_LIMIT;
+use crate::peer::service::{PeerServiceRequest, PeerServiceResponse};
+use crate::peer::wire::{FRAME_LIMIT, call_context, caller_transport};
 use crate::platform::{VmEntry, VmState};
 
 const SEED: u64 = 20_261_203;
@@ -42,7 +46,11 @@
 fn can_ask(fleet: &TestFleet, runtime: &Runtime) -> bool {
     let broker = vm_name(1);
     let ask = fleet.vms[0].handle.ask(&broker, request("r"));
-    matches!(runtime.block_on(ask), Ok(GrantDecision::Granted(_)))
+    let asked = runtime.block_on(ask);
+    if asked.is_err() {
+        println!("asked: {asked:?}");
+    }
+    matches!(asked, Ok(GrantDecision::Granted(_)))
 }
 
 /// The fleet of the property, which takes plain arguments.
@@ -145,6 +153,38 @@
     drop(silent);
 }
 
+#[test]
+fn a_vm_that_reads_no_answers_holds_up_nobody() {
+    let fleet = TestFleet::open(2);
+    fleet.vms[1].exchange.offer(ConfigSnapshot {
+        revision: 1,
+        document: vec![b'x'; 200_000],
+    });
+    let runtime = io_runtime();
+    let stream = connect(&runtime, fleet.vms[1].handle.local_address(), true);
+    stream.set_nonblocking(true).expect("it is a socket");
+    let slow = runtime.block_on(async {
+        let stream = tokio::net::TcpStream::from_std(stream).expect("it is a socket");
+        let mut calls = caller_transport::<_, _, PeerServiceResponse>(stream);
+        for id in 0..150 {
+            let call = ClientMessage::Request(Request {
+                context: call_context(Duration::from_secs(60)),
+                id,
+                message: PeerServiceRequest::PullConfig { after: 0 },
+            });
+            calls.send(call).await.expect("the duty reads");
+        }
+        calls
+    });
+    // The answers exceed what the sockets hold, so the duty can't write them.
+    for _ in 0..50 {
+        let begin = Instant::now();
+        assert!(can_ask(&fleet, &runtime));
+        assert!(begin.elapsed() < Duration::from_millis(300));
+    }
+    drop(slow);
+}
+
 #[test]
 fn a_vm_that_falls_silent_holds_up_nobody() {
     struct Case {
