Let early refusals reach callers that still send

Cause: an answer that was given before the whole body was read (unknown path, body above the limit, shutdown) was followed by a close with bytes unread, and the reset took it from the caller. The caller could not know that nothing ran (test an_early_refusal_reaches_a_caller_that_still_sends failed: broken pipe).

Ruled out: reading the body before each refusal; every refusal to come would have to remember it, and the HTTP library's own refusals can't.

--- a/crates/dewspring/src/entry/mod.rs
+++ b/crates/dewspring/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod grants;
 mod handler;
 mod headers;
+mod linger;
 mod meter;
 mod problem;
 mod pump;
--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -1,19 +1,22 @@
 //! The listener for callers: connections, limits and shutdown.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
+use hyper::rt::Write;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{Semaphore, oneshot};
@@ -23,6 +26,7 @@
 use super::context::{ConfigSource, EntryContext};
 use super::grants::GrantSource;
 use super::handler::handle;
+use super::linger::LingeringStream;
 
 /// Largest header of a request, in bytes.
 ///
@@ -40,10 +44,7 @@
 const DRAIN_NOTICE: Duration = Duration::from_millis(300);
 
 /// Time for a refused connection to take its answer and to close.
-const BUSY_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Most that is read from a refused connection, in bytes.
-const MAX_BUSY_BYTES: u64 = 4 << 20;
+const BUSY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Answer to a connection above the limit.
 const BUSY_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
@@ -214,15 +215,11 @@
     }
 }
 
-/// Writes the refusal and reads what the caller still sends.
-///
-/// A connection that is closed with bytes unread is reset, and a reset can
-/// take the answer from a caller that is still sending.
+/// Writes the refusal and closes once the caller has ended its sending.
 async fn send_refusal(mut stream: TcpStream) -> io::Result<()> {
     stream.write_all(BUSY_ANSWER).await?;
-    stream.shutdown().await?;
-    tokio::io::copy(&mut stream.take(MAX_BUSY_BYTES), &mut tokio::io::sink()).await?;
-    Ok(())
+    let mut stream = LingeringStream::new(stream);
+    poll_fn(|context| Pin::new(&mut stream).poll_shutdown(context)).await
 }
 
 async fn serve_connection<C: ConfigSource, G: GrantSource>(
@@ -243,7 +240,7 @@
         .header_read_timeout(header_timeout)
         .max_buf_size(MAX_HEADER_BYTES)
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(LingeringStream::new(stream), service);
     if let Err(error) = watcher.watch(connection).await {
         log::debug!("entry: A connection ended early: {error}.");
     }
