--- a/crates/dewspring/src/entry/mod.rs
+++ b/crates/dewspring/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod handler;
 mod headers;
 mod keyed;
+mod linger;
 mod meter;
 mod presence;
 mod problem;
