Try failing servers again, and keep stragglers while requests wait

A server with one or two failures was delayed for good: it got no request that could have cleared it, and no probe, as it was not ejected. Near full load the ejection of a straggler cost more than it saved.

Change: the delay by failures ends after five seconds, the count stays. A pause is at most 20 seconds. A slow server is ejected only while nothing waits and comes back when something does.

--- a/crates/dewspring/src/broker/health.rs
+++ b/crates/dewspring/src/broker/health.rs
@@ -23,7 +23,9 @@
 /// First pause of an ejected server.
 const MIN_PAUSE: Duration = Duration::from_secs(5);
 /// Longest pause of an ejected server.
-const MAX_PAUSE: Duration = Duration::from_secs(60);
+const MAX_PAUSE: Duration = Duration::from_secs(20);
+/// Time for which a failure delays a server that is not ejected.
+const FAILURE_MEMORY: Duration = Duration::from_secs(5);
 /// Time after which a probe no longer waits for a request that can bear it.
 const PROBE_PATIENCE: Duration = Duration::from_secs(5);
 /// Releases on which a server's pace rests.
@@ -91,6 +93,8 @@
     phase: HealthPhase,
     pause: Duration,
     failures: u32,
+    /// End of the extra delay by failures, if there is any.
+    delayed_until: Option<Instant>,
     strikes: u32,
     answer: ServicePace,
     first_token: ServicePace,
@@ -104,6 +108,7 @@
             phase: HealthPhase::Fit,
             pause: MIN_PAUSE,
             failures: 0,
+            delayed_until: None,
             strikes: 0,
             answer: ServicePace::new(WINDOW),
             first_token: ServicePace::new(WINDOW),
@@ -136,9 +141,20 @@
         }
     }
 
-    /// Whether the server is to be ejected, as far as the limit allows it.
-    pub(super) fn is_unfit(&self) -> bool {
-        self.is_fit() && (self.failures >= MAX_FAILURES || self.strikes >= MAX_STRIKES)
+    /// Whether the server fails so often that it is to be ejected.
+    pub(super) fn is_failing(&self) -> bool {
+        self.is_fit() && self.failures >= MAX_FAILURES
+    }
+
+    /// Whether the server is so slow that it is to be ejected if the others
+    /// can do without it.
+    pub(super) fn is_slow(&self) -> bool {
+        self.is_fit() && self.strikes >= MAX_STRIKES
+    }
+
+    /// Whether the server is out for nothing but its slowness.
+    pub(super) fn is_out_for_slowness(&self) -> bool {
+        !self.is_fit() && self.failures == 0
     }
 
     /// Pace of the server's requests.
@@ -158,7 +174,10 @@
 
     /// Extra delay by failures, in seconds.
     pub(super) fn delay(&self) -> f64 {
-        f64::from(self.failures.min(2 * MAX_FAILURES)) * FAILURE_DELAY
+        match self.delayed_until {
+            Some(_) => f64::from(self.failures.min(2 * MAX_FAILURES)) * FAILURE_DELAY,
+            None => 0.0,
+        }
     }
 
     /// Notes a grant; on probe it is the probe.
@@ -172,10 +191,14 @@
     pub(super) fn end(&mut self, sample: Option<&HealthSample>, median: HealthPaces, now: Instant) {
         let outcome = sample.map(|sample| sample.outcome);
         match outcome {
-            Some(AttemptOutcome::Completed) => self.failures = 0,
+            Some(AttemptOutcome::Completed) => {
+                self.failures = 0;
+                self.delayed_until = None;
+            }
             Some(AttemptOutcome::Cancelled) | None => {}
             Some(AttemptOutcome::NotRun | AttemptOutcome::Failed | AttemptOutcome::Unknown) => {
                 self.failures = self.failures.saturating_add(1);
+                self.delayed_until = Some(now + FAILURE_MEMORY);
             }
         }
         if self.phase == HealthPhase::Probed {
@@ -193,6 +216,8 @@
         {
             self.phase = HealthPhase::Probing { since: now };
         }
+        // The server is tried again; one more failure delays it again.
+        self.delayed_until = self.delayed_until.filter(|&until| until > now);
         if !std::mem::take(&mut self.is_fresh) {
             return;
         }
--- a/crates/dewspring/src/broker/pool.rs
+++ b/crates/dewspring/src/broker/pool.rs
@@ -125,7 +125,7 @@
 
     /// Compares the servers with each other and forgets what is too old.
     pub(super) fn review(&mut self, now: Instant) {
-        self.replicas.review(now);
+        self.replicas.review(self.queue.len(), now);
         self.follow_pace();
     }
 
--- a/crates/dewspring/src/broker/replicas.rs
+++ b/crates/dewspring/src/broker/replicas.rs
@@ -192,7 +192,7 @@
     ) {
         let median = self.median;
         self.change(id, |state| state.end(work, sample, median, now));
-        self.eject_if_unfit(id, now);
+        self.eject_if(id, now, |state| state.health().is_failing());
         if self.get(id).is_some_and(ReplicaState::is_gone) {
             self.forget(id);
         }
@@ -200,18 +200,36 @@
 
     /// Compares the servers with each other, ejects the unfit and lets the
     /// ejected be probed.
-    pub(super) fn review(&mut self, now: Instant) {
+    ///
+    /// A slow server still does some work, so it is ejected only while nothing
+    /// is `queued`, and comes back when something is.
+    pub(super) fn review(&mut self, queued: usize, now: Instant) {
         let states = self.rows.values().map(|row| &row.state);
         let serving = states.filter(|state| state.is_serving());
         let median = median_of(serving.map(|state| state.health().paces(now)));
         self.median = median;
         for id in self.ids() {
             self.change(id, |state| state.review(median, now));
-            self.eject_if_unfit(id, now);
+            self.eject_if(id, now, |state| state.health().is_failing());
+            if queued == 0 {
+                self.eject_if(id, now, |state| state.health().is_slow());
+            }
+        }
+        if queued > 0 {
+            self.reinstate_slow();
         }
         self.keep_limit();
     }
 
+    fn reinstate_slow(&mut self) {
+        let rows = self.out.iter().map(|id| (id, &self.rows[id].state));
+        let mut slow = rows.filter(|(_, state)| state.health().is_out_for_slowness());
+        let id = slow.next().map(|(&id, _)| id);
+        if let Some(id) = id {
+            self.change(id, ReplicaState::reinstate);
+        }
+    }
+
     /// Takes servers back while more than the limit are out.
     pub(super) fn keep_limit(&mut self) {
         while self.out.len() > self.out_limit() {
@@ -226,9 +244,14 @@
         self.serving_count / MAX_OUT_FRACTION
     }
 
-    fn eject_if_unfit(&mut self, id: ReplicaId, now: Instant) {
+    fn eject_if(
+        &mut self,
+        id: ReplicaId,
+        now: Instant,
+        is_unfit: impl FnOnce(&ReplicaState) -> bool,
+    ) {
         let state = self.get(id).expect("the server is known");
-        let is_unfit = state.is_serving() && state.health().is_unfit();
+        let is_unfit = state.is_serving() && is_unfit(state);
         if is_unfit && self.out.len() < self.out_limit() {
             self.change(id, |state| state.eject(now));
         }
