Steer a broker while many entries ask

Cause: marks, configurations and shares come while grants go out, and no test had both at once. Sums of slots could overflow with absurd tables.

Change: the test of many entries runs beside a thread that marks, configures, shares and reports a lost entry; the sum of slots is wider.

--- a/crates/dewspring/src/broker/handle.rs
+++ b/crates/dewspring/src/broker/handle.rs
@@ -33,7 +33,7 @@
 
 /// A running broker.
 ///
-/// Clones lead to the same broker. No method waits.
+/// Clones lead to the same broker. No method but [`join`](Self::join) waits.
 #[derive(Clone, Debug)]
 pub struct BrokerHandle {
     sender: Sender<BrokerMessage>,
--- a/crates/dewspring/src/broker/replicas.rs
+++ b/crates/dewspring/src/broker/replicas.rs
@@ -65,7 +65,7 @@
     out: BTreeSet<ReplicaId>,
     ring: ServerRing,
     next_id: ReplicaId,
-    serving_slots: u32,
+    serving_slots: u64,
     serving_count: usize,
     pool_pace: f64,
     median: HealthPaces,
@@ -129,7 +129,7 @@
     /// Slots of the servers that take new work, those included that others
     /// fill now.
     pub(super) fn serving_slots(&self) -> u32 {
-        self.serving_slots
+        u32::try_from(self.serving_slots).unwrap_or(u32::MAX)
     }
 
     /// Lists the servers that may get one more request, the least delayed
@@ -327,7 +327,8 @@
         }
         set_member(&mut self.probes, id, after.is_free_for_probe);
         set_member(&mut self.out, id, after.is_out);
-        self.serving_slots = self.serving_slots - before.slots + after.slots;
+        self.serving_slots += u64::from(after.slots);
+        self.serving_slots -= u64::from(before.slots);
         self.serving_count += usize::from(after.is_serving);
         self.serving_count -= usize::from(before.is_serving);
     }
--- a/crates/dewspring/src/broker/tests/handle.rs
+++ b/crates/dewspring/src/broker/tests/handle.rs
@@ -6,7 +6,9 @@
 use tokio::sync::oneshot;
 
 use super::{BOOT, config, release, request, servers};
-use crate::broker::{BrokerHandle, BrokerSettings, GrantDecision, RefusalReason};
+use crate::broker::{
+    BrokerHandle, BrokerSettings, GrantDecision, RefusalReason, ServerMark, ShareDivisor,
+};
 
 /// Longest time that a test waits for the broker.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -147,12 +149,24 @@
             finished
         }
     };
+    let steering = handle.clone();
+    let steering = std::thread::spawn(move || {
+        for revision in 2..200 {
+            let mark = [ServerMark::Leaving, ServerMark::Live][revision as usize % 2];
+            steering.mark("server-0".into(), mark);
+            steering.configure(Arc::new(config(revision, servers(&[2, 2, 2]))));
+            steering.set_share(ShareDivisor::new(revision as u32 % 3));
+            steering.forget_entry("another".into(), 1);
+            std::thread::yield_now();
+        }
+    });
     let entries = (0..4).map(|number| std::thread::spawn(entry(number)));
     let entries = entries.collect::<Vec<_>>();
     let finished = entries
         .into_iter()
         .map(|entry| entry.join().expect("the entry ends"));
     assert_eq!(finished.sum::<u32>(), 400);
+    steering.join().expect("the steering ends");
     wait_until(&handle, 0, 0);
     end(&handle);
 }
