Hold less memory for each stream

Cause: 800 streams at once held 84 KiB of resident memory each; the target is under 64 KiB. A heap profile showed two buffers of 16 KiB a stream that a kept slice of the request or of the answer's header held, a pump of 9 KiB that was large because of the rarely used resume, and the place of the request's future (5 KiB), which the connection keeps.

Change: the entry keeps copies of the request's parts instead of slices, lets go of the answer's header, and boxes the resume and the request's future. A caller that hangs up during a resume is noticed at once now.

--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -17,7 +17,7 @@
 use super::headers::{REQUEST_ID, VM_NAME};
 use super::presence::CallerGuard;
 use super::problem::{Problem, quoted_start};
-use super::request::{ModelRequest, read_body};
+use super::request::{ModelRequest, detach, read_body};
 use crate::ids::RequestId;
 use crate::tables::{FleetConfig, RouteMatch, RouteRow, RouteTable};
 
@@ -141,7 +141,7 @@
         config,
         route,
         workspace,
-        parts,
+        parts: detach(&parts),
         body,
         model,
         excluded: Vec::new(),
--- a/crates/dewspring/src/entry/keyed.rs
+++ b/crates/dewspring/src/entry/keyed.rs
@@ -156,10 +156,7 @@
     }
 
     /// Records the whole answer.
-    pub(super) fn record(self, status: StatusCode, content_type: Option<&HeaderValue>) {
-        let content_type = content_type
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default();
+    pub(super) fn record(self, status: StatusCode, content_type: &str) {
         let is_whole = self.captured.len() as u64 == self.length;
         let outcome = if is_whole {
             RecordedOutcome::new(status.as_u16(), content_type, &self.captured)
--- a/crates/dewspring/src/entry/pump.rs
+++ b/crates/dewspring/src/entry/pump.rs
@@ -8,7 +8,6 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::header::CONTENT_TYPE;
 use tokio::time::timeout;
 
 use super::attempt::AttemptGuard;
@@ -18,7 +17,7 @@
 use super::grants::GrantSource;
 use super::meter::AnswerMeter;
 use super::problem::RanState;
-use super::upstream::UpstreamAnswer;
+use super::upstream::UpstreamStream;
 use crate::broker::AttemptOutcome;
 use crate::ids::TokenCount;
 use crate::observe::WasteCause;
@@ -27,6 +26,9 @@
 /// Most times that one broken stream is resumed.
 const MAX_RESUMES: usize = 2;
 
+/// Longest piece that is copied, in bytes.
+const COPIED_BYTES: usize = 1024;
+
 /// What the next read of the server's answer gave.
 enum PumpStep {
     /// Bytes of the answer.
@@ -43,7 +45,7 @@
 pub(super) struct AnswerPump<C: ConfigSource, G: GrantSource> {
     exchange: Exchange<C, G>,
     attempt: AttemptGuard<C, G>,
-    upstream: UpstreamAnswer,
+    upstream: UpstreamStream,
     sender: PieceSender,
     meter: AnswerMeter,
     /// Tokens that the caller had when this attempt began.
@@ -66,7 +68,7 @@
         Self {
             exchange,
             attempt: begun.attempt,
-            upstream: begun.upstream,
+            upstream: begun.upstream.into_stream(),
             sender,
             meter,
             resumed_from: 0,
@@ -84,19 +86,36 @@
                 PumpStep::Piece(_) => {}
                 PumpStep::End => return self.complete(),
                 PumpStep::CallerGone => return self.cancel(),
-                PumpStep::Broken(text) => match self.resume(text).await {
-                    Ok(resumed) => self = resumed,
-                    Err(broken) => return broken.abort().await,
+                PumpStep::Broken(text) => match self.after_break(text).await {
+                    PumpStep::Piece(_) => {}
+                    PumpStep::CallerGone => return self.cancel(),
+                    PumpStep::End | PumpStep::Broken(_) => return self.abort().await,
                 },
             }
         }
     }
 
+    /// Resumes a broken stream, unless its caller hangs up meanwhile.
+    async fn after_break(&mut self, text: String) -> PumpStep {
+        let sender = self.sender.clone();
+        // The future is large and seldom needed, so it has a place of its own.
+        let resumed = Box::pin(self.resume(&text));
+        let is_resumed = tokio::select! {
+            () = sender.closed() => return PumpStep::CallerGone,
+            is_resumed = resumed => is_resumed,
+        };
+        if is_resumed {
+            PumpStep::Piece(Bytes::new())
+        } else {
+            PumpStep::Broken(text)
+        }
+    }
+
     /// Reads on, and notices at once when the caller hangs up.
     async fn next_step(&mut self) -> PumpStep {
         let silence = self.exchange.context.settings.silence_timeout;
         let wait = silence.min(self.exchange.time_left());
-        let body = self.upstream.response.body_mut();
+        let body = &mut self.upstream.body;
         let may_cancel = self.exchange.route.idempotent;
         tokio::select! {
             () = self.sender.closed(), if may_cancel => PumpStep::CallerGone,
@@ -126,7 +145,7 @@
         if let Some(claim) = &mut self.exchange.claim {
             claim.capture(&bytes);
         }
-        let piece = self.meter.push(bytes);
+        let piece = compact(self.meter.push(bytes));
         self.attempt
             .note_tokens(self.meter.tokens() - self.resumed_from);
         self.first_token = self.first_token.or(self.attempt.first_token());
@@ -145,32 +164,33 @@
     }
 
     fn is_short(&self) -> bool {
-        let is_ok = self.upstream.response.status().is_success();
+        let is_ok = self.upstream.status.is_success();
         is_ok && self.meter.is_short()
     }
 
     /// Goes on with the stream at another server, if that is allowed.
-    async fn resume(mut self, text: String) -> Result<Self, Self> {
+    async fn resume(&mut self, text: &str) -> bool {
         self.exchange.note(format!("The answer broke: {text}."));
         let may_resume = self.exchange.pool().can_resume
             && self.exchange.route.idempotent
             && self.resumes < MAX_RESUMES
             && self.meter.restart();
         if !may_resume {
-            return Err(self);
+            return false;
         }
         let tokens = self.meter.tokens();
         let server = self.attempt.grant().server.clone();
         self.exchange.excluded.push(server);
         match self.exchange.begin(Some(tokens)).await {
             Ok(begun) if begun.upstream.response.status().is_success() => {
-                Ok(self.switch(begun, tokens))
+                self.switch(begun, tokens);
+                true
             }
-            Ok(_) | Err(_) => Err(self),
+            Ok(_) | Err(_) => false,
         }
     }
 
-    fn switch(mut self, begun: BegunAnswer<C, G>, tokens: TokenCount) -> Self {
+    fn switch(&mut self, begun: BegunAnswer<C, G>, tokens: TokenCount) {
         self.exchange
             .note(format!("Resumed after {tokens} tokens."));
         self.exchange
@@ -179,10 +199,9 @@
             .count_retry(&self.exchange.route.class);
         let broken = std::mem::replace(&mut self.attempt, begun.attempt);
         broken.finish(AttemptOutcome::Unknown);
-        self.upstream = begun.upstream;
+        self.upstream = begun.upstream.into_stream();
         self.resumed_from = tokens;
         self.resumes += 1;
-        self
     }
 
     fn complete(mut self) {
@@ -215,7 +234,7 @@
             elapsed.as_millis(),
             self.attempt.sent().elapsed().as_millis()
         ));
-        let outcome = if self.upstream.response.status().is_server_error() {
+        let outcome = if self.upstream.status.is_server_error() {
             AttemptOutcome::Failed
         } else {
             AttemptOutcome::Completed
@@ -226,12 +245,12 @@
     /// Records the answer of a keyed request, unless the server's status
     /// leaves open whether it ran.
     fn record_outcome(&mut self) {
-        let response = &self.upstream.response;
-        if self.exchange.ran_state(response.status()) != RanState::Yes {
+        let upstream = &self.upstream;
+        if self.exchange.ran_state(upstream.status) != RanState::Yes {
             return;
         }
         if let Some(claim) = self.exchange.claim.take() {
-            claim.record(response.status(), response.headers().get(CONTENT_TYPE));
+            claim.record(upstream.status, &upstream.content_type);
         }
     }
 
@@ -257,3 +276,12 @@
         let _gone = self.sender.send(Err(BrokenAnswer)).await;
     }
 }
+
+/// Copies a short piece, so that it doesn't hold the whole buffer in which it
+/// was read while it waits for the caller.
+fn compact(piece: Bytes) -> Bytes {
+    if piece.len() > COPIED_BYTES {
+        return piece;
+    }
+    Bytes::copy_from_slice(&piece)
+}
--- a/crates/dewspring/src/entry/request.rs
+++ b/crates/dewspring/src/entry/request.rs
@@ -5,7 +5,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
 use serde::Deserialize;
 use serde_json::Value;
 use siphasher::sip::SipHasher13;
@@ -104,6 +107,23 @@
     })
 }
 
+/// Copies the parts of a request that are kept until its answer ends.
+///
+/// What is read from a connection are slices of its buffer; a single kept
+/// slice would hold the whole buffer for as long as the answer takes.
+pub(super) fn detach(parts: &Parts) -> Parts {
+    let mut copy = Request::new(()).into_parts().0;
+    copy.method = parts.method.clone();
+    copy.version = parts.version;
+    copy.uri = parts.uri.to_string().parse().unwrap_or_default();
+    for (name, value) in &parts.headers {
+        if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
+            copy.headers.append(name.clone(), value);
+        }
+    }
+    copy
+}
+
 /// Reads a whole request body within a limit and a time.
 pub(super) async fn read_body(
     body: Incoming,
@@ -115,7 +135,7 @@
         .await
         .map_err(|_| Problem::SlowSender)?;
     match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
+        Ok(collected) => Ok(Bytes::copy_from_slice(&collected.to_bytes())),
         Err(error) if error.is::<LengthLimitError>() => Err(Problem::BodyTooLarge(limit)),
         Err(error) => Err(Problem::Malformed(format!("The body broke off: {error}."))),
     }
--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -233,7 +233,9 @@
     let header_timeout = context.settings.header_timeout;
     let service = service_fn(move |request: Request<Incoming>| {
         let context = Arc::clone(&context);
-        async move { answer(context, request).await }
+        // The connection keeps the place of its last future; a box of its own
+        // gives the memory back while the answer is streamed.
+        async move { Box::pin(answer(context, request)).await }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/dewspring/src/entry/upstream.rs
+++ b/crates/dewspring/src/entry/upstream.rs
@@ -11,7 +11,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::{Request, Response};
+use hyper::header::CONTENT_TYPE;
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -51,6 +52,33 @@
     pub _connection: ConnectionGuard,
 }
 
+/// The body of a server's answer, with what is needed of its header.
+///
+/// It holds no part of the header itself, so that the buffer in which the
+/// header was read can be used again.
+#[derive(Debug)]
+pub(super) struct UpstreamStream {
+    pub status: StatusCode,
+    /// Content type; empty if the server named none.
+    pub content_type: String,
+    pub body: Incoming,
+    _connection: ConnectionGuard,
+}
+
+impl UpstreamAnswer {
+    /// Lets go of the header.
+    pub(super) fn into_stream(self) -> UpstreamStream {
+        let content_type = self.response.headers().get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        UpstreamStream {
+            status: self.response.status(),
+            content_type: content_type.unwrap_or_default().into(),
+            body: self.response.into_body(),
+            _connection: self._connection,
+        }
+    }
+}
+
 /// Sends a request and waits for the header of its answer.
 pub(crate) async fn call(
     address: SocketAddr,
