End the calls of a link whose heartbeat is not answered in time

Cause: a VM that hangs for its callers, but whose own heartbeats arrive, stays live; a question to it waited until its own time was over.

--- a/crates/dewspring/src/peer/exchanger.rs
+++ b/crates/dewspring/src/peer/exchanger.rs
@@ -45,7 +45,13 @@
         let revision = self.core.exchange.revision();
         let question = shared.membership().question(&link.vm, revision);
         let context = call_context(HEARTBEAT_TIME);
-        let answer = client.heartbeat(context, question).await?;
+        let answer = client.heartbeat(context, question).await;
+        let answer = answer.map_err(PeerError::from);
+        if answer == Err(PeerError::TimedOut) {
+            // The other VM may be heard all the same; calls to it are not.
+            link.reset();
+        }
+        let answer = answer?;
         let verdict = self.core.take_answer(&link.vm, &answer);
         if verdict == HeartbeatVerdict::Accepted {
             self.level(&client, answer.revision).await?;
--- a/crates/dewspring/src/peer/links.rs
+++ b/crates/dewspring/src/peer/links.rs
@@ -103,7 +103,7 @@
     }
 
     /// Closes the connection, which ends its calls at once.
-    fn reset(&self) {
+    pub(super) fn reset(&self) {
         if let Ok(mut connection) = self.connection.try_lock() {
             *connection = None;
         }
--- a/crates/dewspring/src/peer/tests/port.rs
+++ b/crates/dewspring/src/peer/tests/port.rs
@@ -10,7 +10,7 @@
 use tarpc::{ClientMessage, Request};
 use tokio::runtime::{Builder, Runtime};
 
-use super::fakes::{SECRET, TestFleet, request, wait_for};
+use super::fakes::{SECRET, TestFleet, TestVm, request, settings, wait_for};
 use super::fleet::vm_name;
 use crate::broker::GrantDecision;
 use crate::configuration::{ConfigExchange, ConfigSnapshot};
@@ -46,11 +46,7 @@
 fn can_ask(fleet: &TestFleet, runtime: &Runtime) -> bool {
     let broker = vm_name(1);
     let ask = fleet.vms[0].handle.ask(&broker, request("r"));
-    let asked = runtime.block_on(ask);
-    if asked.is_err() {
-        println!("asked: {asked:?}");
-    }
-    matches!(asked, Ok(GrantDecision::Granted(_)))
+    matches!(runtime.block_on(ask), Ok(GrantDecision::Granted(_)))
 }
 
 /// The fleet of the property, which takes plain arguments.
@@ -190,17 +186,26 @@
     struct Case {
         name: &'static str,
         proves: bool,
+        asks: bool,
         within: Duration,
     }
     let cases = [
         Case {
             name: "it accepts and never speaks",
             proves: false,
+            asks: false,
             within: Duration::from_millis(1_000),
         },
         Case {
             name: "it hangs after the proof",
             proves: true,
+            asks: false,
+            within: Duration::from_millis(1_700),
+        },
+        Case {
+            name: "it hangs, but its own heartbeats arrive",
+            proves: true,
+            asks: true,
             within: Duration::from_millis(1_700),
         },
     ];
@@ -208,9 +213,15 @@
         let fleet = TestFleet::open(2);
         let runtime = io_runtime();
         let mute = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = mute.local_addr().expect("it is bound");
+        let mut half = settings(2, 102);
+        half.advertised = Some(address);
+        let half = case
+            .asks
+            .then(|| TestVm::spawn(half, fleet.directory.clone()));
         fleet.directory.list.lock().unwrap().push(VmEntry {
             vm: vm_name(2),
-            address: mute.local_addr().expect("it is bound"),
+            address,
             data_centre: "dc-1".into(),
             state: VmState::Live,
         });
@@ -225,6 +236,7 @@
         assert!(spent < case.within, "{}: {spent:?}", case.name);
         println!("{}: {:?} after {spent:?}", case.name, asked);
         assert!(can_ask(&fleet, &runtime));
+        half.iter().for_each(|vm| vm.handle.shut_down());
         drop(fleet);
         hanging.join().expect("it only waits");
     }
