Spare a question that is asked again from its earlier withdrawal

Cause: the broker withdraws all questions of a request; the withdrawal of a question that was given up could arrive after the entry had asked again, and ended the new one as ShuttingDown.

Ruled out: sending the withdrawal first; the entry would wait for a broker that has just failed it, and the guard at the broker can run late as well.

Change: after a question was given up, the same request is asked under an id of its own.

--- a/crates/dewspring/src/peer/handle.rs
+++ b/crates/dewspring/src/peer/handle.rs
@@ -17,7 +17,7 @@
 use super::shared::PeerShared;
 use super::wire::CALLS_IN_FLIGHT;
 use crate::broker::{GrantDecision, GrantRelease, GrantRequest};
-use crate::ids::{PoolName, VmId};
+use crate::ids::{PoolName, RequestId, VmId};
 
 /// Questions to other VMs at the same time.
 const QUESTION_LIMIT: usize = CALLS_IN_FLIGHT / 2;
@@ -79,10 +79,16 @@
     ) -> Result<GrantDecision, PeerError> {
         let permit = Arc::clone(&self.questions).try_acquire_owned();
         let permit = permit.map_err(|_| PeerError::Overloaded)?;
+        let shared = &self.parts.shared;
+        let asked = request.request.clone();
+        let question_id = shared.given_up().question_id(&asked);
         let question = BrokerQuestion {
-            shared: Arc::clone(&self.parts.shared),
+            shared: Arc::clone(shared),
             link: self.link(broker)?,
-            request,
+            request: GrantRequest {
+                request: question_id,
+                ..request
+            },
         };
         let (reply, receiver) = oneshot::channel();
         self.parts.runtime.spawn(async move {
@@ -92,10 +98,14 @@
         let mut waiter = DecisionWaiter {
             handle: self,
             broker,
+            request: asked,
             receiver,
+            is_decided: false,
         };
         let result = (&mut waiter.receiver).await;
-        result.unwrap_or(Err(PeerError::Ended))
+        let result = result.unwrap_or(Err(PeerError::Ended));
+        waiter.is_decided = result.is_ok();
+        result
     }
 
     /// Ends a grant of a broker on another VM, without waiting.
@@ -180,15 +190,22 @@
 
 /// A caller that waits for a decision.
 ///
-/// Dropped between the arrival of a grant and its taking, it gives it back.
+/// Dropped before a decision, it notes that the question is withdrawn; dropped
+/// between the arrival of a grant and its taking, it gives the grant back.
 struct DecisionWaiter<'a> {
     handle: &'a PeerHandle,
     broker: &'a VmId,
+    request: RequestId,
     receiver: oneshot::Receiver<AskResult>,
+    is_decided: bool,
 }
 
 impl Drop for DecisionWaiter<'_> {
     fn drop(&mut self) {
+        if self.is_decided {
+            return;
+        }
+        self.handle.parts.shared.given_up().note(&self.request);
         self.receiver.close();
         if let Ok(Ok(GrantDecision::Granted(grant))) = self.receiver.try_recv() {
             self.handle.release(self.broker, unused_grant(&grant));
--- a/crates/dewspring/src/peer/mod.rs
+++ b/crates/dewspring/src/peer/mod.rs
@@ -19,6 +19,7 @@
 mod errors;
 mod events;
 mod exchanger;
+mod given_up;
 mod grants;
 mod handle;
 mod links;
--- a/crates/dewspring/src/peer/shared.rs
+++ b/crates/dewspring/src/peer/shared.rs
@@ -8,6 +8,7 @@
 
 use super::counters::CounterSet;
 use super::events::{HeartbeatVerdict, MemberEvent};
+use super::given_up::GivenUpQuestions;
 use super::links::PeerLinks;
 use super::log_limit::LogLimiter;
 use super::member::{MemberStatus, VmIdentity};
@@ -60,6 +61,7 @@
     pub(super) view: ArcSwap<FleetView>,
     pub(super) revisions: RevisionMarks,
     stranger_lines: Mutex<LogLimiter>,
+    given_up: Mutex<GivenUpQuestions>,
     membership: Mutex<MembershipState>,
 }
 
@@ -74,6 +76,7 @@
             view: ArcSwap::default(),
             revisions: RevisionMarks::default(),
             stranger_lines: Mutex::default(),
+            given_up: Mutex::default(),
             membership: Mutex::new(membership),
         };
         shared.publish();
@@ -85,6 +88,11 @@
         self.membership.lock().expect("no holder panics")
     }
 
+    /// Returns the questions that were given up lately.
+    pub(super) fn given_up(&self) -> MutexGuard<'_, GivenUpQuestions> {
+        self.given_up.lock().expect("no holder panics")
+    }
+
     /// Writes a log line that a stranger caused, unless there were too many.
     pub(super) fn warn_of_stranger(&self, line: impl FnOnce() -> String) {
         let mut limiter = self.stranger_lines.lock().expect("no holder panics");
--- a/crates/dewspring/src/peer/tests/duty.rs
+++ b/crates/dewspring/src/peer/tests/duty.rs
@@ -196,6 +196,25 @@
     }
 }
 
+#[test]
+fn a_withdrawal_spares_the_same_request_asked_again() {
+    let fleet = TestFleet::open(2);
+    fleet.vms[1].broker.lock().unwrap().holds = true;
+    let broker = vm_name(1);
+    let runtime = entry_runtime();
+    for round in 0..50 {
+        let question = request(format!("r-{round}"));
+        let mut first = Box::pin(fleet.vms[0].handle.ask(&broker, question.clone()));
+        assert_eq!(first.as_mut().now_or_never(), None);
+        std::thread::sleep(Duration::from_micros(40 * round));
+        drop(first);
+        let again = fleet.vms[0].handle.ask(&broker, question);
+        let limit = Duration::from_millis(30);
+        let asked = runtime.block_on(async { tokio::time::timeout(limit, again).await });
+        assert!(asked.is_err(), "round {round}: {asked:?}");
+    }
+}
+
 #[test]
 fn waiting_questions_hold_up_no_heartbeat() {
     let fleet = TestFleet::open(2);
