--- a/crates/dewspring/src/peer/mod.rs
+++ b/crates/dewspring/src/peer/mod.rs
@@ -13,12 +13,14 @@
 //! [`VmDirectory`]: crate::platform::VmDirectory
 
 mod asks;
+mod choices;
 mod counters;
 mod documents;
 mod duty;
 mod errors;
 mod events;
 mod exchanger;
+mod given_up;
 mod grants;
 mod handle;
 mod links;
--- a/crates/dewspring/src/peer/shared.rs
+++ b/crates/dewspring/src/peer/shared.rs
@@ -6,8 +6,10 @@
 
 use arc_swap::ArcSwap;
 
+use super::choices::BrokerChoices;
 use super::counters::CounterSet;
 use super::events::{HeartbeatVerdict, MemberEvent};
+use super::given_up::GivenUpQuestions;
 use super::links::PeerLinks;
 use super::log_limit::LogLimiter;
 use super::member::{MemberStatus, VmIdentity};
@@ -22,8 +24,8 @@
 /// The fleet as the other duties read it, without a lock.
 #[derive(Debug, Default)]
 pub(super) struct FleetView {
-    /// VMs that may be in charge of pools, this one included.
-    pub(super) eligible: Vec<VmId>,
+    /// The brokers among the VMs that may be in charge of pools.
+    pub(super) choices: Arc<BrokerChoices>,
     /// All other VMs.
     pub(super) members: Vec<MemberStatus>,
 }
@@ -60,6 +62,7 @@
     pub(super) view: ArcSwap<FleetView>,
     pub(super) revisions: RevisionMarks,
     stranger_lines: Mutex<LogLimiter>,
+    given_up: Mutex<GivenUpQuestions>,
     membership: Mutex<MembershipState>,
 }
 
@@ -74,6 +77,7 @@
             view: ArcSwap::default(),
             revisions: RevisionMarks::default(),
             stranger_lines: Mutex::default(),
+            given_up: Mutex::default(),
             membership: Mutex::new(membership),
         };
         shared.publish();
@@ -85,6 +89,11 @@
         self.membership.lock().expect("no holder panics")
     }
 
+    /// Returns the questions that were given up lately.
+    pub(super) fn given_up(&self) -> MutexGuard<'_, GivenUpQuestions> {
+        self.given_up.lock().expect("no holder panics")
+    }
+
     /// Writes a log line that a stranger caused, unless there were too many.
     pub(super) fn warn_of_stranger(&self, line: impl FnOnce() -> String) {
         let mut limiter = self.stranger_lines.lock().expect("no holder panics");
@@ -95,9 +104,17 @@
 
     /// Lets the other duties see the membership as it is now.
     pub(super) fn publish(&self) {
+        // The lock is kept until the view is stored, so that views stay in order.
         let membership = self.membership();
+        let eligible = membership.eligible_vms();
+        let present = Arc::clone(&self.view.load().choices);
+        let choices = if *present.eligible() == *eligible {
+            present
+        } else {
+            Arc::new(BrokerChoices::new(eligible))
+        };
         let view = FleetView {
-            eligible: membership.eligible_vms(),
+            choices,
             members: membership.members(),
         };
         self.view.store(Arc::new(view));
