Read the counts of a key run once

Cause: the check of 10,000 keys read all counts for each key and had not ended after 8 minutes. Change: the counts are read once for the check; the assertions are the same.

--- a/crates/dewspringd/tests/at_most_once.rs
+++ b/crates/dewspringd/tests/at_most_once.rs
@@ -16,8 +16,8 @@
 use common::{CallAnswer, FleetPlan, TestDaemon, TestFleet, is_ready, send, wait_until};
 use oxhttp::model::{Body, Request};
 use quickcheck::{Arbitrary, Gen};
-use serde_json::json;
-use standins::process::{get_json, post_json};
+use serde_json::{Value, json};
+use standins::process::{RunningProcess, get_json, post_json};
 
 const DEFAULT_KEYS: u64 = 600;
 const DEFAULT_SEED: u64 = 20_261_203;
@@ -44,13 +44,27 @@
     send(request)
 }
 
+/// How often each key ran, at each service.
+struct RunCounts(Vec<Value>);
+
+impl RunCounts {
+    fn read(fleet: &TestFleet) -> Self {
+        let read = |service: &RunningProcess| {
+            let answer = get_json(service.address(), "/executions");
+            answer.expect("the service answers").body["keys"].take()
+        };
+        Self(fleet.services.iter().map(read).collect())
+    }
+
+    fn of(&self, key: &str) -> u64 {
+        let counts = self.0.iter().map(|keys| keys[key].as_u64().unwrap_or(0));
+        counts.sum()
+    }
+}
+
 /// Returns how often a key ran, over all services.
 fn runs_of(fleet: &TestFleet, key: &str) -> u64 {
-    let counts = fleet.services.iter().map(|service| {
-        let answer = get_json(service.address(), "/executions").expect("the service answers");
-        answer.body["keys"][key].as_u64().unwrap_or(0)
-    });
-    counts.sum()
+    RunCounts::read(fleet).of(key)
 }
 
 #[test]
@@ -281,10 +295,11 @@
 }
 
 fn check_keys(fleet: &TestFleet, keys: usize, tally: &KeyTally) {
+    let counts = RunCounts::read(fleet);
     let mut once = 0;
     for number in 0..keys {
         let key = format!("key-{number}");
-        let runs = runs_of(fleet, &key);
+        let runs = counts.of(&key);
         assert!(runs <= 1, "{key} ran {runs} times");
         once += runs;
     }
