Read the list of VMs once for all duties of a daemon

Cause: two duties read the platform's list, each once a second: 408 calls by 8 daemons in 25 s, and the platform counts each call.

Ruled out: a longer interval alone; a leaving server must be seen within 3 s.

--- a/crates/dewspring/src/daemon/director.rs
+++ b/crates/dewspring/src/daemon/marker.rs
@@ -1,4 +1,6 @@
-//! Reads the platform's list of VMs and marks leaving backend servers.
+//! Looks at the platform's list of VMs and marks leaving backend servers.
+//!
+//! The peer duty reads the list; this one looks at its latest reading.
 
 use std::net::SocketAddr;
 use std::thread::JoinHandle;
@@ -10,58 +12,56 @@
 use crate::broker::{BrokerHandle, ServerMark};
 use crate::configuration::ConfigKeeper;
 use crate::ids::ServerName;
-use crate::platform::{VmDirectory, VmState};
+use crate::platform::{SharedDirectory, VmDirectory, VmState};
 
-/// Time between two reads of the list.
-pub(super) const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two looks at the latest reading of the list.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The running reader of the list.
+/// The running duty that marks servers.
 #[derive(Debug)]
-pub(super) struct ListReader {
+pub(super) struct ServerMarker {
     stop: Sender<()>,
     thread: JoinHandle<()>,
 }
 
-impl ListReader {
-    /// Starts to read the list.
+impl ServerMarker {
+    /// Starts to look at the list.
     pub(super) fn spawn(
-        directory: impl VmDirectory,
+        directory: SharedDirectory<impl VmDirectory>,
         keeper: ConfigKeeper,
         brokers: Vec<BrokerHandle>,
     ) -> Self {
         let (stop, stopped) = bounded(1);
         let thread = std::thread::Builder::new()
-            .name("vm-list".into())
+            .name("server-marks".into())
             .spawn(move || run(&directory, &keeper, &brokers, &stopped))
             .expect("the system gives a thread");
         Self { stop, thread }
     }
 
-    /// Stops reading.
+    /// Stops looking.
     pub(super) fn shut_down(self) {
         drop(self.stop);
-        self.thread.join().expect("the list's thread runs");
+        self.thread.join().expect("the thread of the marks runs");
     }
 }
 
 fn run(
-    directory: &impl VmDirectory,
+    directory: &SharedDirectory<impl VmDirectory>,
     keeper: &ConfigKeeper,
     brokers: &[BrokerHandle],
     stopped: &Receiver<()>,
 ) {
     let mut marks: IndexMap<ServerName, VmState> = IndexMap::new();
-    while stopped.recv_timeout(LIST_INTERVAL) == Err(RecvTimeoutError::Timeout) {
-        match directory.list() {
-            Ok(entries) => {
-                let states = entries
-                    .into_iter()
-                    .map(|entry| (entry.address, entry.state))
-                    .collect();
-                mark_servers(&states, keeper, brokers, &mut marks);
-            }
-            Err(error) => log::debug!("daemon: {error}."),
-        }
+    while stopped.recv_timeout(LOOK_INTERVAL) == Err(RecvTimeoutError::Timeout) {
+        let Some(entries) = directory.latest() else {
+            continue;
+        };
+        let states = entries
+            .iter()
+            .map(|entry| (entry.address, entry.state))
+            .collect();
+        mark_servers(&states, keeper, brokers, &mut marks);
     }
 }
 
--- a/crates/dewspring/src/daemon/mod.rs
+++ b/crates/dewspring/src/daemon/mod.rs
@@ -4,9 +4,9 @@
 //! entry and the operators' address in that order, and [`Daemon::shut_down`]
 //! ends them in an order that cuts off no request.
 
-mod director;
 mod error;
 mod follower;
+mod marker;
 mod run;
 mod state;
 
--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -6,9 +6,9 @@
 
 use crossbeam::channel::{Receiver, bounded};
 
-use super::director::{LIST_INTERVAL, ListReader};
 use super::error::DaemonError;
 use super::follower::spawn_follower;
+use super::marker::ServerMarker;
 use super::state::{DaemonContext, DaemonState};
 use crate::admin::AdminServer;
 use crate::broker::{BrokerHandle, BrokerSettings};
@@ -21,6 +21,7 @@
 use crate::peer::{self, PeerDuty, PeerHandle, PeerSettings};
 use crate::platform::{
     AnyDirectory, AnyStore, EmbeddedDirectory, EmbeddedStore, GatewayDirectory, GatewayStore,
+    SharedDirectory,
 };
 use crate::reports::{PollerSettings, ReportPoller};
 use crate::settings::{DaemonSettings, PlatformKind};
@@ -33,7 +34,7 @@
     peers: PeerHandle,
     ledger: ClaimLedger,
     poller: ReportPoller,
-    reader: ListReader,
+    marker: ServerMarker,
     stops: Receiver<()>,
     stop: crossbeam::channel::Sender<()>,
     shutdown_timeout: Duration,
@@ -49,7 +50,7 @@
     pub fn spawn(settings: DaemonSettings) -> Result<Self, DaemonError> {
         let boot: BootId = rand::random();
         let store = open_store(&settings)?;
-        let directory = open_directory(&settings);
+        let directory = SharedDirectory::new(open_directory(&settings));
         let keeper_settings = KeeperSettings::new(settings.fleet.clone(), boot);
         let keeper = ConfigKeeper::spawn(store.clone(), keeper_settings);
         let ledger_settings =
@@ -62,7 +63,7 @@
         // The follower ends with the keeper.
         let _follower = spawn_follower(&keeper, both.clone(), peers.clone(), metrics.clone());
         let poller = spawn_poller(&settings, &keeper, &brokers.own, peers.clone());
-        let reader = ListReader::spawn(directory, keeper.clone(), both);
+        let marker = ServerMarker::spawn(directory, keeper.clone(), both);
 
         let context = Arc::new(EntryContext::new(
             entry_settings(&settings, boot),
@@ -101,7 +102,7 @@
             peers,
             ledger,
             poller,
-            reader,
+            marker,
             stops,
             stop,
             shutdown_timeout: settings.shutdown_timeout,
@@ -138,7 +139,7 @@
         self.peers.set_draining();
         let outcome = self.entry.shut_down(self.shutdown_timeout);
         self.poller.shut_down();
-        self.reader.shut_down();
+        self.marker.shut_down();
         for broker in [self.brokers.own, self.brokers.fallback] {
             broker.shut_down();
             broker.join();
@@ -165,7 +166,7 @@
     settings: &DaemonSettings,
     boot: BootId,
     keeper: &ConfigKeeper,
-    directory: AnyDirectory,
+    directory: SharedDirectory<AnyDirectory>,
     broker: &BrokerHandle,
 ) -> Result<PeerHandle, DaemonError> {
     let secret = peer::SharedSecret::new(settings.secret.as_str())?;
@@ -176,7 +177,7 @@
         settings.peer_listen,
         secret,
     );
-    peer_settings.list_interval = LIST_INTERVAL;
+    peer_settings.list_interval = settings.list_interval;
     Ok(PeerDuty::spawn(
         peer_settings,
         keeper.clone(),
--- a/crates/dewspring/src/platform/mod.rs
+++ b/crates/dewspring/src/platform/mod.rs
@@ -13,6 +13,7 @@
 mod gateway_call;
 mod gateway_directory;
 mod gateway_messages;
+mod shared;
 mod store;
 
 #[cfg(test)]
@@ -24,6 +25,7 @@
 pub use gateway::GatewayStore;
 pub use gateway_directory::GatewayDirectory;
 pub(crate) use gateway_messages::EncodedBytes;
+pub use shared::SharedDirectory;
 pub use store::{
     DirectoryError, ExpectedVersion, LeaseGrant, LeaseId, MAX_VALUE_BYTES, PlatformStore,
     StoreEntry, StoreError, StoreVersion, SwapOutcome, VmDirectory, VmEntry, VmState,
--- a/crates/dewspring/src/settings/command.rs
+++ b/crates/dewspring/src/settings/command.rs
@@ -78,6 +78,12 @@
             "Longest wait for an answer of the platform",
         )
         .default_value("1s"),
+        flag(
+            "list-interval",
+            "DEWSPRING_LIST_INTERVAL",
+            "Time between two reads of the platform's list of VMs",
+        )
+        .default_value("1s"),
         flag(
             "routes",
             "DEWSPRING_ROUTES",
--- a/crates/dewspring/src/settings/daemon.rs
+++ b/crates/dewspring/src/settings/daemon.rs
@@ -76,6 +76,8 @@
     pub platform: PlatformKind,
     /// Longest wait for an answer of the platform.
     pub platform_timeout: Duration,
+    /// Time between two reads of the platform's list of VMs.
+    pub list_interval: Duration,
     /// Number of threads that serve callers.
     pub entry_threads: usize,
     /// Number of callers' connections at once.
@@ -161,6 +163,7 @@
             fleet: reader.name("fleet"),
             platform: reader.platform(),
             platform_timeout: reader.duration("platform-timeout"),
+            list_interval: reader.duration("list-interval"),
             entry_threads: reader.count("entry-threads"),
             max_connections: reader.count("max-connections"),
             header_timeout: reader.duration("header-timeout"),
