Tell callers of a VM without tables to come back

Cause: a daemon that has no revision yet answered every path with 404, which is final for a caller; its balancer may not have read /readyz yet (test a_daemon_that_starts_while_the_store_is_down_waits failed: status 404).

Ruled out: binding the callers' port after the first revision; the port must be known, and a refused connection says less.

Change: without a revision the entry answers 503 with the time to come back.

--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -87,6 +87,9 @@
         return Err(context.shutdown_problem());
     }
     let config = context.config.current();
+    if config.revision == 0 {
+        return Err(Problem::NotConfigured);
+    }
     let (parts, incoming) = request.into_parts();
     let path = parts.uri.path();
     if path == MODELS_PATH && parts.method == Method::GET {
--- a/crates/dewspringd/tests/common/mod.rs
+++ b/crates/dewspringd/tests/common/mod.rs
@@ -210,7 +210,7 @@
         });
         put_key(
             self.platform.address(),
-            &format!("/dewspring/{FLEET}/config"),
+            &config_key(),
             document.to_string().as_bytes(),
         );
     }
@@ -303,17 +303,28 @@
     text
 }
 
+/// Returns the key of the fleet's document in the platform's store.
+pub fn config_key() -> String {
+    format!("/dewspring/{FLEET}/config")
+}
+
 /// Sets a key of the fake platform by the gateway's protocol.
 pub fn put_key(platform: SocketAddr, key: &str, value: &[u8]) {
-    let order = json!({
-        "compare": [],
-        "success": [{ "request_put": { "key": to_base64(key.as_bytes()), "value": to_base64(value) } }],
-        "failure": [],
-    });
+    let order = put_request(key, value);
     let answer = post_json(platform, "/v3/kv/txn", &order).expect("the platform answers");
     assert_eq!(answer.status, 200, "{:?}", answer.body);
 }
 
+/// Returns the gateway's message that sets a key, whatever it holds.
+pub fn put_request(key: &str, value: &[u8]) -> Value {
+    let put = json!({ "key": to_base64(key.as_bytes()), "value": to_base64(value) });
+    json!({
+        "compare": [],
+        "success": [{ "request_put": put }],
+        "failure": [],
+    })
+}
+
 fn to_base64(bytes: &[u8]) -> String {
     const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
