Show that a ready daemon can refuse its first request

Cause: the configuration is published, and the daemon ready, before the thread that follows it has given the tables to the broker. The first request is then refused with 503 no-server.

Ruled out: a late report of a server; the refusal comes within 5 ms of the start and the next request is served.

Change: a test starts a daemon 100 times and calls it as soon as /readyz allows.

--- a/crates/dewspringd/tests/store.rs
+++ b/crates/dewspringd/tests/store.rs
@@ -344,3 +344,15 @@
     wait_until("the daemon serves", || is_serving(daemon));
     assert_eq!(revision_of(daemon), 1);
 }
+
+#[test]
+fn a_daemon_that_is_ready_serves_at_once() {
+    const STARTS: usize = 100;
+    let fleet = store_fleet(0);
+    for start in 0..STARTS {
+        let daemon = fleet.start_daemon(1);
+        while !is_ready(&daemon) {}
+        let answer = ChatCall::new(daemon.entry, 3).send();
+        assert!(answer.is_own_stream(3), "start {start}: {answer:?}");
+    }
+}
