Name the tables' files as the settings do

Ruled out: base names alone; dewctl prints paths too.

Change: the daemon checks the files under their paths.

--- a/crates/dewspring/src/configuration/files.rs
+++ b/crates/dewspring/src/configuration/files.rs
@@ -5,7 +5,9 @@
 
 use thiserror::Error;
 
-use crate::tables::{ConfigDocument, DocumentChange, TableErrors, TableTexts};
+use crate::tables::{
+    ConfigDocument, DocumentChange, TableErrors, TableSource, TableTexts, check_tables,
+};
 
 /// Why the tables can't be loaded.
 #[derive(Debug, Error)]
@@ -28,7 +30,7 @@
 /// # Errors
 ///
 /// [`LoadError`] names the file that can't be read, or all faults of the
-/// tables.
+/// tables with the paths of their files.
 ///
 /// # Examples
 ///
@@ -41,11 +43,21 @@
     routes: impl AsRef<Path>,
     pools: impl AsRef<Path>,
 ) -> Result<ConfigDocument, LoadError> {
+    let (routes, pools) = (routes.as_ref(), pools.as_ref());
     let texts = TableTexts {
-        routes: load_text(routes.as_ref())?,
-        pools: load_text(pools.as_ref())?,
+        routes: load_text(routes)?,
+        pools: load_text(pools)?,
     };
-    texts.check()?;
+    check_tables(
+        TableSource {
+            file: &routes.to_string_lossy(),
+            text: &texts.routes,
+        },
+        TableSource {
+            file: &pools.to_string_lossy(),
+            text: &texts.pools,
+        },
+    )?;
     Ok(ConfigDocument::first(DocumentChange {
         change_id: "files".to_owned(),
         operator: "settings".to_owned(),
