Give the tests' daemons ports that nothing else takes

Cause: a daemon's port was found by a probe that binds it, among the ports that the system gives to outgoing connections. Two runs failed with "does not listen": one beside a test with 100 connections, one beside a test that starts 100 daemons.

Ruled out: port 0, since the test must know three addresses before the start; a probe that binds, below the system's range: the second failure came with it, and a process that another thread starts holds the probe's listener until it runs.

Change: the tests give out ports below the system's range, each once, and probe them by a connection.

--- a/crates/dewspringd/tests/common/mod.rs
+++ b/crates/dewspringd/tests/common/mod.rs
@@ -9,18 +9,27 @@
 
 use std::fmt::Write;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use oxhttp::Client;
 use oxhttp::model::{Body, Request, Response};
 use serde_json::{Value, json};
-use standins::process::{JsonAnswer, RunningProcess, free_address, post_json, send_json};
+use standins::process::{JsonAnswer, RunningProcess, post_json, send_json};
 
 pub const SECRET: &str = "the-secret-of-the-test-fleet";
 pub const FLEET: &str = "test";
 const READY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Ports from which daemons get theirs.
+const FIRST_DAEMON_PORT: u16 = 10_000;
+const DAEMON_PORTS: u16 = 20_000;
+
+/// Distance of the ports that two test programs try first.
+const PORTS_PER_PROCESS: u32 = 67;
+
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// What a fleet consists of.
@@ -154,9 +163,9 @@
 
     /// Starts a daemon with the fleet's settings.
     pub fn start_daemon(&self, number: usize) -> TestDaemon {
-        let entry = free_address();
-        let admin = free_address();
-        let peer = free_address();
+        let entry = daemon_address();
+        let admin = daemon_address();
+        let peer = daemon_address();
         self.start_daemon_at(number, entry, admin, peer)
     }
 
@@ -273,6 +282,26 @@
     }
 }
 
+/// Returns an address for a daemon that is about to start.
+///
+/// Its port is below those that the system gives to outgoing connections: one
+/// of the many connections of a test could take such a port before the daemon
+/// binds it.
+pub fn daemon_address() -> SocketAddr {
+    static TRIED: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    loop {
+        let number = start.wrapping_add(TRIED.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_DAEMON_PORT + (number % u32::from(DAEMON_PORTS)) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        // A listener for the probe could live on in a process that another
+        // thread is about to start.
+        if TcpStream::connect(address).is_err() {
+            return address;
+        }
+    }
+}
+
 pub fn start_engine(number: usize, flags: &[String]) -> RunningProcess {
     let name = format!("--name=engine-{number}");
     let mut arguments = vec!["--listen=127.0.0.1:0", "--model=small", &name];
--- a/crates/dewspringd/tests/settings.rs
+++ b/crates/dewspringd/tests/settings.rs
@@ -10,10 +10,10 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use common::{DEFAULT_ROUTES, SECRET, wait_until};
+use common::{DEFAULT_ROUTES, SECRET, daemon_address, wait_until};
 use oxhttp::model::Method;
 use serde_json::Value;
-use standins::process::{free_address, get_json, send_json};
+use standins::process::{get_json, send_json};
 
 const EXIT_LIMIT: Duration = Duration::from_secs(5);
 const IDLE_EXIT_LIMIT: Duration = Duration::from_secs(2);
@@ -309,7 +309,7 @@
         .replace("127.0.0.1:", "nowhere:");
     let routes = dir.write("my-routes.toml", &routes);
     let pools = dir.write("my-pools.toml", &pools);
-    let mut command = embedded_command(&routes, &pools, free_address(), free_address());
+    let mut command = embedded_command(&routes, &pools, daemon_address(), daemon_address());
     let output = run_to_end(&mut command);
     let text = String::from_utf8(output.stderr).expect("text");
     assert_eq!(output.status.code(), Some(1), "{text}");
@@ -336,7 +336,7 @@
     let dir = ScratchDir::create("missing-tables");
     let routes = dir.write("routes.toml", DEFAULT_ROUTES);
     let missing = dir.0.join("none.toml");
-    let mut command = embedded_command(&routes, &missing, free_address(), free_address());
+    let mut command = embedded_command(&routes, &missing, daemon_address(), daemon_address());
     let output = run_to_end(&mut command);
     let text = String::from_utf8(output.stderr).expect("text");
     assert_eq!(output.status.code(), Some(1), "{text}");
@@ -344,7 +344,7 @@
 }
 
 fn embedded_command(routes: &Path, pools: &Path, entry: SocketAddr, admin: SocketAddr) -> Command {
-    let peer = free_address();
+    let peer = daemon_address();
     let mut command = daemon_command(&["--vm=a", "--data-centre=dk-east-1"]);
     command
         .arg(format!("--routes={}", routes.display()))
@@ -364,8 +364,8 @@
     let holder = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let taken = holder.local_addr().expect("a bound address");
     let cases = [
-        ("listen", taken, free_address()),
-        ("admin-listen", free_address(), taken),
+        ("listen", taken, daemon_address()),
+        ("admin-listen", daemon_address(), taken),
     ];
     for (name, entry, admin) in cases {
         let mut command = embedded_command(&routes, &pools, entry, admin);
@@ -439,7 +439,7 @@
 #[test]
 fn json_logs_parse_and_hold_no_secret() {
     let dir = ScratchDir::create("json-logs");
-    let (entry, admin) = (free_address(), free_address());
+    let (entry, admin) = (daemon_address(), daemon_address());
     let daemon = start_json_daemon(&dir, entry, admin);
     make_log_lines(entry, admin);
     let log = end_with_json_log(daemon);
@@ -452,7 +452,7 @@
 #[test]
 fn json_logs_parse_after_a_call_that_upsets_a_library() {
     let dir = ScratchDir::create("json-logs-of-libraries");
-    let (entry, admin) = (free_address(), free_address());
+    let (entry, admin) = (daemon_address(), daemon_address());
     let daemon = start_json_daemon(&dir, entry, admin);
     let mut stream = TcpStream::connect(admin).expect("a connection");
     stream
@@ -496,7 +496,7 @@
     let routes = dir.write("routes.toml", DEFAULT_ROUTES);
     let pools = dir.write("pools.toml", POOLS);
     for case in cases {
-        let (entry, admin) = (free_address(), free_address());
+        let (entry, admin) = (daemon_address(), daemon_address());
         let daemon = LoggedDaemon::spawn(&mut embedded_command(&routes, &pools, entry, admin));
         wait_until_ready(admin);
         let _callers: Vec<_> = (0..case.callers)
