--- a/crates/dewspring/src/admin/server.rs
+++ b/crates/dewspring/src/admin/server.rs
@@ -13,8 +13,10 @@
 use super::secret::is_authorized;
 use crate::settings::SharedSecret;
 
-const MAX_CONNECTIONS: usize = 64;
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Enough that silent connections don't keep the balancer's check of readiness
+/// waiting.
+const MAX_CONNECTIONS: usize = 512;
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 const EXPLAIN_PREFIX: &str = "/v1/explain/";
 const JSON: &str = "application/json";
 const TEXT: &str = "text/plain; charset=utf-8";
--- a/crates/dewspring/src/daemon/follower.rs
+++ b/crates/dewspring/src/daemon/follower.rs
@@ -6,6 +6,7 @@
 
 use crossbeam::channel::RecvTimeoutError;
 
+use super::applied::AppliedConfig;
 use crate::broker::BrokerHandle;
 use crate::configuration::ConfigKeeper;
 use crate::observe::FleetMetrics;
@@ -17,6 +18,7 @@
 /// Starts the thread that follows the configuration until the keeper ends.
 pub(super) fn spawn_follower(
     keeper: &ConfigKeeper,
+    applied: AppliedConfig,
     brokers: Vec<BrokerHandle>,
     peers: PeerHandle,
     metrics: FleetMetrics,
@@ -27,12 +29,12 @@
         .name("config-follower".into())
         .spawn(move || {
             // A revision that came before the subscription is followed too.
-            configure(&keeper, &brokers, &metrics);
+            metrics.set_revision(applied.apply(&brokers).revision);
             loop {
                 match revisions.recv_timeout(PEER_INTERVAL) {
                     Ok(revision) => {
                         log::info!("daemon: Revision {revision} is in force.");
-                        configure(&keeper, &brokers, &metrics);
+                        metrics.set_revision(applied.apply(&brokers).revision);
                     }
                     Err(RecvTimeoutError::Timeout) => {}
                     Err(RecvTimeoutError::Disconnected) => return,
@@ -44,11 +46,3 @@
         })
         .expect("the system gives a thread")
 }
-
-fn configure(keeper: &ConfigKeeper, brokers: &[BrokerHandle], metrics: &FleetMetrics) {
-    let config = keeper.current();
-    metrics.set_revision(config.revision);
-    for broker in brokers {
-        broker.configure(config.clone());
-    }
-}
--- a/crates/dewspring/src/daemon/mod.rs
+++ b/crates/dewspring/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 //! entry and the operators' address in that order, and [`Daemon::shut_down`]
 //! ends them in an order that cuts off no request.
 
+mod applied;
 mod error;
 mod follower;
 mod marker;
--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -6,6 +6,7 @@
 
 use crossbeam::channel::{Receiver, bounded};
 
+use super::applied::AppliedConfig;
 use super::error::DaemonError;
 use super::follower::spawn_follower;
 use super::marker::ServerMarker;
@@ -28,7 +29,7 @@
 
 /// A running daemon.
 pub struct Daemon {
-    entry: EntryServer<ConfigKeeper, FleetGrants<PeerHandle>>,
+    entry: EntryServer<AppliedConfig, FleetGrants<PeerHandle>>,
     admin: AdminServer,
     brokers: VmBrokers,
     peers: PeerHandle,
@@ -61,13 +62,20 @@
         let metrics = FleetMetrics::new();
         let both = vec![brokers.own.clone(), brokers.fallback.clone()];
         // The follower ends with the keeper.
-        let _follower = spawn_follower(&keeper, both.clone(), peers.clone(), metrics.clone());
-        let poller = spawn_poller(&settings, &keeper, &brokers.own, peers.clone());
-        let marker = ServerMarker::spawn(directory, keeper.clone(), both);
+        let applied = AppliedConfig::new(keeper.clone());
+        let _follower = spawn_follower(
+            &keeper,
+            applied.clone(),
+            both.clone(),
+            peers.clone(),
+            metrics.clone(),
+        );
+        let poller = spawn_poller(&settings, &applied, &brokers.own, peers.clone());
+        let marker = ServerMarker::spawn(directory, keeper, both);
 
         let context = Arc::new(EntryContext::new(
             entry_settings(&settings, boot),
-            keeper,
+            applied,
             FleetGrants::new(brokers.clone(), peers.clone()),
             ledger.handle(),
             metrics,
@@ -217,7 +225,7 @@
 
 fn spawn_poller(
     settings: &DaemonSettings,
-    keeper: &ConfigKeeper,
+    applied: &AppliedConfig,
     broker: &BrokerHandle,
     peers: PeerHandle,
 ) -> ReportPoller {
@@ -226,13 +234,13 @@
         timeout: settings.connect_timeout,
     };
     let is_own = move |pool: &PoolName| peers.place(pool) == BrokerPlace::Local;
-    ReportPoller::spawn(poller_settings, keeper.clone(), broker.clone(), is_own)
+    ReportPoller::spawn(poller_settings, applied.clone(), broker.clone(), is_own)
 }
 
 fn bind_entry(
     settings: &DaemonSettings,
     context: &Arc<DaemonContext>,
-) -> Result<EntryServer<ConfigKeeper, FleetGrants<PeerHandle>>, DaemonError> {
+) -> Result<EntryServer<AppliedConfig, FleetGrants<PeerHandle>>, DaemonError> {
     EntryServer::bind(settings.listen, Arc::clone(context)).map_err(|source| DaemonError::Bind {
         address: settings.listen,
         source,
--- a/crates/dewspring/src/daemon/state.rs
+++ b/crates/dewspring/src/daemon/state.rs
@@ -4,30 +4,19 @@
 
 use crossbeam::channel::Sender;
 
+use super::applied::AppliedConfig;
 use crate::admin::{
     AdminSource, DrainReport, ExplainReport, ExplainStep, PeerState, PeerStatus, PoolStatus,
     ServerState, ServerStatus, StatusReport,
 };
 use crate::broker::{self, BrokerHandle};
-use crate::configuration::ConfigKeeper;
 use crate::entry::{ConfigSource, EntryContext};
 use crate::grants::{BrokerPlace, FleetGrants, RemoteBrokers};
 use crate::ids::DataCentreName;
 use crate::peer::{MemberState, MemberStatus, PeerHandle};
-use crate::tables::FleetConfig;
 
 /// The entry's context as this daemon uses it.
-pub(super) type DaemonContext = EntryContext<ConfigKeeper, FleetGrants<PeerHandle>>;
-
-impl ConfigSource for ConfigKeeper {
-    fn current(&self) -> Arc<FleetConfig> {
-        ConfigKeeper::current(self)
-    }
-
-    fn is_ready(&self) -> bool {
-        ConfigKeeper::is_ready(self)
-    }
-}
+pub(super) type DaemonContext = EntryContext<AppliedConfig, FleetGrants<PeerHandle>>;
 
 /// The parts that answer operators.
 #[derive(Clone)]
--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -105,9 +105,6 @@
     let flight = context.enter();
     context.check_open()?;
     let config = context.config.current();
-    if config.revision == 0 {
-        return Err(Problem::NotConfigured);
-    }
     let (parts, incoming) = request.into_parts();
     let path = parts.uri.path();
     if path == MODELS_PATH && parts.method == Method::GET {
--- a/crates/dewspring/src/entry/problem.rs
+++ b/crates/dewspring/src/entry/problem.rs
@@ -11,9 +11,6 @@
 use crate::broker::{Refusal, RefusalReason};
 use crate::ids::RequestId;
 
-/// Time after which a caller may come back to a VM without tables.
-const CONFIGURATION_RETRY: Duration = Duration::from_secs(1);
-
 /// Most letters of a caller's text that an answer or a log line repeats.
 const MAX_QUOTED_LETTERS: usize = 128;
 
@@ -46,8 +43,6 @@
 pub enum Problem {
     /// The request can't be read.
     Malformed(String),
-    /// This VM has no tables yet.
-    NotConfigured,
     /// No route has this path.
     UnknownPath,
     /// No route has this model.
@@ -149,7 +144,6 @@
     fn kind(&self) -> ProblemKind {
         let (status, slug, title) = match self {
             Self::Malformed(_) => (400, "malformed", "The request can't be read"),
-            Self::NotConfigured => (503, "not-configured", "The daemon has no tables yet"),
             Self::UnknownPath => (404, "unknown-path", "No route has this path"),
             Self::UnknownModel(_) => (404, "unknown-model", "No route has this model"),
             Self::UnknownLabel(_) => (404, "unknown-label", "No route has this label"),
@@ -191,7 +185,6 @@
             Self::Refused(refusal) => Some(refusal.retry_after),
             Self::NotReady(retry_after) | Self::Unreachable(retry_after) => Some(*retry_after),
             Self::KeyRefused { retry_after, .. } => Some(*retry_after),
-            Self::NotConfigured => Some(CONFIGURATION_RETRY),
             _ => None,
         }
     }
--- a/crates/dewspring/src/observe/logs.rs
+++ b/crates/dewspring/src/observe/logs.rs
@@ -31,5 +31,9 @@
         .try_apply();
     if installed.is_err() {
         log::debug!("observe: Logging is set up already.");
+        return;
     }
+    // A library's panic is a log record like any other, so that a log in JSON
+    // stays one object a line.
+    std::panic::set_hook(Box::new(|panic| log::error!("observe: {panic}")));
 }
