Test tiers, floors, turns and refusals through real processes

Cause: priorities, floors and turns were proved on the broker's state only, not through daemons, peers and engines.

Ruled out: a queue that is full; its bound of 10,000 requests isn't a setting, so the queue is long (64 of 8 slots) instead. Counting by time: the bounds are counted in requests that engines began, which a slow machine doesn't change.

Daemons of tests take ports below those that the system gives to outgoing connections: in one run a daemon found its port taken.

--- a/crates/dewspringd/tests/common/mod.rs
+++ b/crates/dewspringd/tests/common/mod.rs
@@ -7,16 +7,19 @@
     reason = "each test program uses a part of the module"
 )]
 
+pub mod callers;
+
 use std::fmt::Write;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::process::Command;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use oxhttp::Client;
 use oxhttp::model::{Body, Request, Response};
 use serde_json::{Value, json};
-use standins::process::{JsonAnswer, RunningProcess, free_address, post_json, send_json};
+use standins::process::{JsonAnswer, RunningProcess, post_json, send_json};
 
 pub const SECRET: &str = "the-secret-of-the-test-fleet";
 pub const FLEET: &str = "test";
@@ -151,9 +154,7 @@
 
     /// Starts a daemon with the fleet's settings.
     pub fn start_daemon(&self, number: usize) -> TestDaemon {
-        let entry = free_address();
-        let admin = free_address();
-        let peer = free_address();
+        let [entry, admin, peer] = [(); 3].map(|()| server_address());
         self.start_daemon_at(number, entry, admin, peer)
     }
 
@@ -299,15 +300,40 @@
     text
 }
 
+/// Returns a free loopback address for a daemon.
+///
+/// Its port lies below those that the system gives to outgoing connections, so
+/// that no caller's connection takes it before the daemon listens.
+fn server_address() -> SocketAddr {
+    const FIRST_PORT: u32 = 10_000;
+    const PORTS: u32 = 20_000;
+    const PORTS_OF_PROCESS: u32 = 64;
+    static DRAWN: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let drawn = DRAWN.fetch_add(1, Ordering::Relaxed);
+        let place = std::process::id().wrapping_mul(PORTS_OF_PROCESS);
+        let port = FIRST_PORT + place.wrapping_add(drawn) % PORTS;
+        let port = u16::try_from(port).expect("the range lies within all ports");
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr().expect("a bound address");
+        }
+    }
+}
+
 /// Sets a key of the fake platform by the gateway's protocol.
 pub fn put_key(platform: SocketAddr, key: &str, value: &[u8]) {
+    let answer = try_put_key(platform, key, value).expect("the platform answers");
+    assert_eq!(answer.status, 200, "{:?}", answer.body);
+}
+
+/// Sets a key of a platform that may lose its answer.
+pub fn try_put_key(platform: SocketAddr, key: &str, value: &[u8]) -> std::io::Result<JsonAnswer> {
     let order = json!({
         "compare": [],
         "success": [{ "request_put": { "key": to_base64(key.as_bytes()), "value": to_base64(value) } }],
         "failure": [],
     });
-    let answer = post_json(platform, "/v3/kv/txn", &order).expect("the platform answers");
-    assert_eq!(answer.status, 200, "{:?}", answer.body);
+    post_json(platform, "/v3/kv/txn", &order)
 }
 
 fn to_base64(bytes: &[u8]) -> String {
@@ -389,6 +415,7 @@
     pub ran: String,
     pub server: String,
     pub retry_after: Option<String>,
+    pub retry_after_ms: Option<u64>,
     /// The body, or what broke it off.
     pub body: Result<String, String>,
     pub elapsed: Duration,
@@ -416,6 +443,15 @@
     ///
     /// Panics if the entry takes the request and gives no answer.
     pub fn try_send(&self) -> Option<CallAnswer> {
+        match send(self.request()) {
+            Ok(answer) => Some(answer),
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => None,
+            Err(error) => panic!("the entry gives no answer: {error}"),
+        }
+    }
+
+    /// Returns the request that the caller sends.
+    pub fn request(&self) -> Request<Body> {
         let body = json!({
             "model": "small",
             "stream": self.stream,
@@ -428,14 +464,9 @@
         if let Some(label) = self.label {
             builder = builder.header("x-request-class", label);
         }
-        let request = builder
+        builder
             .body(Body::from(body.to_string()))
-            .expect("a valid request");
-        match send(request) {
-            Ok(answer) => Some(answer),
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused => None,
-            Err(error) => panic!("the entry gives no answer: {error}"),
-        }
+            .expect("a valid request")
     }
 }
 
@@ -456,6 +487,7 @@
     let ran = header("x-dewspring-ran").unwrap_or_default();
     let server = header("x-dewspring-server").unwrap_or_default();
     let retry_after = header("retry-after");
+    let retry_after_ms = header("retry-after-ms").and_then(|text| text.parse().ok());
     let body = response
         .into_body()
         .to_string()
@@ -466,6 +498,7 @@
         ran,
         server,
         retry_after,
+        retry_after_ms,
         body,
         elapsed: started.elapsed(),
     })
