Hear the peers before a new VM is ready

Cause: a new VM was ready as soon as the store had answered. A store that came back with older data made it ready with revision 1 while its peers followed 4: an accepted change reverted at that entry.

Ruled out: taking the store for the newest, which only the other VMs can refute; and waiting without a limit, since the platform's list may fail while its store answers.

Change: `ReadyGate` in the daemon waits until all listed peers were heard and the newest revision that they told of is in force, for 5 s at most. It stays open then. The limit leaves one gap: a VM whose peers stay silent, or whose peers' document doesn't come within 5 s, is ready with what the store holds.

Conclusion: a new VM follows its peers past an older store.

--- a/crates/dewspring/src/daemon/mod.rs
+++ b/crates/dewspring/src/daemon/mod.rs
@@ -7,8 +7,11 @@
 mod director;
 mod error;
 mod follower;
+mod ready;
 mod run;
 mod state;
+#[cfg(test)]
+mod tests;
 
 pub use error::DaemonError;
 pub use run::Daemon;
--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, bounded};
 
 use super::director::{LIST_INTERVAL, ListReader};
 use super::error::DaemonError;
 use super::follower::spawn_follower;
+use super::ready::ReadyGate;
 use super::state::{DaemonContext, DaemonState};
 use crate::admin::AdminServer;
 use crate::broker::{BrokerHandle, BrokerSettings};
@@ -72,6 +73,7 @@
             context,
             broker: brokers.own.clone(),
             peers: peers.clone(),
+            gate: Arc::new(ReadyGate::new(Instant::now())),
             data_centre: settings.data_centre.clone(),
             stop: stop.clone(),
         };
--- a/crates/dewspring/src/daemon/state.rs
+++ b/crates/dewspring/src/daemon/state.rs
@@ -1,9 +1,11 @@
 //! What the operators' address sees of the daemon.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use crossbeam::channel::Sender;
 
+use super::ready::ReadyGate;
 use crate::admin::{
     AdminSource, DrainReport, ExplainReport, ExplainStep, PeerState, PeerStatus, PoolStatus,
     ServerState, ServerStatus, StatusReport,
@@ -31,6 +33,7 @@
     pub context: Arc<DaemonContext>,
     pub broker: BrokerHandle,
     pub peers: PeerHandle,
+    pub gate: Arc<ReadyGate>,
     pub data_centre: DataCentreName,
     /// Tells the program to shut down.
     pub stop: Sender<()>,
@@ -38,7 +41,10 @@
 
 impl AdminSource for DaemonState {
     fn is_ready(&self) -> bool {
-        self.context.config.is_ready() && !self.context.is_draining()
+        let is_heard = || self.peers.peers_heard();
+        self.context.config.is_ready()
+            && self.gate.is_open(Instant::now(), is_heard)
+            && !self.context.is_draining()
     }
 
     fn metrics(&self) -> String {
