--- a/crates/dewspring/src/daemon/mod.rs
+++ b/crates/dewspring/src/daemon/mod.rs
@@ -8,8 +8,11 @@
 mod error;
 mod follower;
 mod marker;
+mod ready;
 mod run;
 mod state;
+#[cfg(test)]
+mod tests;
 
 pub use error::DaemonError;
 pub use run::Daemon;
--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, bounded};
 
@@ -10,6 +10,7 @@
 use super::error::DaemonError;
 use super::follower::spawn_follower;
 use super::marker::ServerMarker;
+use super::ready::ReadyGate;
 use super::state::{DaemonContext, DaemonState};
 use crate::admin::AdminServer;
 use crate::broker::{BrokerHandle, BrokerSettings};
@@ -87,6 +88,7 @@
             context,
             broker: brokers.own.clone(),
             peers: peers.clone(),
+            gate: Arc::new(ReadyGate::new(Instant::now())),
             data_centre: settings.data_centre.clone(),
             stop: stop.clone(),
         };
--- a/crates/dewspringd/tests/common/mod.rs
+++ b/crates/dewspringd/tests/common/mod.rs
@@ -7,29 +7,23 @@
     reason = "each test program uses a part of the module"
 )]
 
+pub mod callers;
+
 use std::fmt::Write;
 use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::process::Command;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use oxhttp::Client;
 use oxhttp::model::{Body, Request, Response};
 use serde_json::{Value, json};
-use standins::process::{JsonAnswer, RunningProcess, post_json, send_json};
+use standins::process::{JsonAnswer, RunningProcess, free_address, post_json, send_json};
 
 pub const SECRET: &str = "the-secret-of-the-test-fleet";
 pub const FLEET: &str = "test";
 const READY_LIMIT: Duration = Duration::from_secs(10);
 
-/// Ports from which daemons get theirs.
-const FIRST_DAEMON_PORT: u16 = 10_000;
-const DAEMON_PORTS: u16 = 20_000;
-
-/// Distance of the ports that two test programs try first.
-const PORTS_PER_PROCESS: u32 = 67;
-
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// What a fleet consists of.
@@ -163,9 +157,7 @@
 
     /// Starts a daemon with the fleet's settings.
     pub fn start_daemon(&self, number: usize) -> TestDaemon {
-        let entry = daemon_address();
-        let admin = daemon_address();
-        let peer = daemon_address();
+        let [entry, admin, peer] = [(); 3].map(|()| free_address());
         self.start_daemon_at(number, entry, admin, peer)
     }
 
@@ -282,26 +274,6 @@
     }
 }
 
-/// Returns an address for a daemon that is about to start.
-///
-/// Its port is below those that the system gives to outgoing connections: one
-/// of the many connections of a test could take such a port before the daemon
-/// binds it.
-pub fn daemon_address() -> SocketAddr {
-    static TRIED: AtomicU32 = AtomicU32::new(0);
-    let start = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
-    loop {
-        let number = start.wrapping_add(TRIED.fetch_add(1, Ordering::Relaxed));
-        let port = FIRST_DAEMON_PORT + (number % u32::from(DAEMON_PORTS)) as u16;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        // A listener for the probe could live on in a process that another
-        // thread is about to start.
-        if TcpStream::connect(address).is_err() {
-            return address;
-        }
-    }
-}
-
 pub fn start_engine(number: usize, flags: &[String]) -> RunningProcess {
     let name = format!("--name=engine-{number}");
     let mut arguments = vec!["--listen=127.0.0.1:0", "--model=small", &name];
@@ -339,11 +311,15 @@
 
 /// Sets a key of the fake platform by the gateway's protocol.
 pub fn put_key(platform: SocketAddr, key: &str, value: &[u8]) {
-    let order = put_request(key, value);
-    let answer = post_json(platform, "/v3/kv/txn", &order).expect("the platform answers");
+    let answer = try_put_key(platform, key, value).expect("the platform answers");
     assert_eq!(answer.status, 200, "{:?}", answer.body);
 }
 
+/// Sets a key of a platform that may lose its answer.
+pub fn try_put_key(platform: SocketAddr, key: &str, value: &[u8]) -> std::io::Result<JsonAnswer> {
+    post_json(platform, "/v3/kv/txn", &put_request(key, value))
+}
+
 /// Returns the gateway's message that sets a key, whatever it holds.
 pub fn put_request(key: &str, value: &[u8]) -> Value {
     let put = json!({ "key": to_base64(key.as_bytes()), "value": to_base64(value) });
@@ -445,6 +421,7 @@
     pub ran: String,
     pub server: String,
     pub retry_after: Option<String>,
+    pub retry_after_ms: Option<u64>,
     /// The body, or what broke it off.
     pub body: Result<String, String>,
     pub elapsed: Duration,
@@ -472,6 +449,15 @@
     ///
     /// Panics if the entry takes the request and gives no answer.
     pub fn try_send(&self) -> Option<CallAnswer> {
+        match send(self.request()) {
+            Ok(answer) => Some(answer),
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => None,
+            Err(error) => panic!("the entry gives no answer: {error}"),
+        }
+    }
+
+    /// Returns the request that the caller sends.
+    pub fn request(&self) -> Request<Body> {
         let body = json!({
             "model": "small",
             "stream": self.stream,
@@ -484,14 +470,9 @@
         if let Some(label) = self.label {
             builder = builder.header("x-request-class", label);
         }
-        let request = builder
+        builder
             .body(Body::from(body.to_string()))
-            .expect("a valid request");
-        match send(request) {
-            Ok(answer) => Some(answer),
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused => None,
-            Err(error) => panic!("the entry gives no answer: {error}"),
-        }
+            .expect("a valid request")
     }
 }
 
@@ -512,6 +493,7 @@
     let ran = header("x-dewspring-ran").unwrap_or_default();
     let server = header("x-dewspring-server").unwrap_or_default();
     let retry_after = header("retry-after");
+    let retry_after_ms = header("retry-after-ms").and_then(|text| text.parse().ok());
     let body = response
         .into_body()
         .to_string()
@@ -522,6 +504,7 @@
         ran,
         server,
         retry_after,
+        retry_after_ms,
         body,
         elapsed: started.elapsed(),
     })
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -4,7 +4,7 @@
 
 use std::env;
 use std::io::{self, BufRead, BufReader};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -56,8 +56,11 @@
         let taken = TAKEN_PORTS.fetch_add(1, Ordering::Relaxed);
         let offset = start.wrapping_add(taken) % PORT_COUNT;
         let port = u16::try_from(FIRST_PORT + offset).expect("the range ends below 65,536");
-        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
-            return listener.local_addr().expect("a bound address");
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        // A listener as a probe could live on for a moment in a process that
+        // another thread is about to start.
+        if TcpStream::connect(address).is_err() {
+            return address;
         }
     }
     panic!("no port is free");
