Keep a room in the queue for each class

Cause: a queue that was full of higher tiers refused every request of a lower tier, so the lower class had nothing that waited for its floor.

Ruled out: rooms within the limit. A higher tier would then be refused for the places of a lower one.

A request of the lowest tier that has a class beyond its room gives way.

Conclusion: a floor holds whatever fills the queue.

--- a/crates/dewspring/src/broker/queue.rs
+++ b/crates/dewspring/src/broker/queue.rs
@@ -268,12 +268,22 @@
         self.work_down_to(tier) - own
     }
 
-    /// Takes the request out that gives way first: in the lowest tier that
-    /// waits, the latest of the workspace with the most queued work.
-    pub(super) fn pop_victim(&mut self) -> Option<QueuedRequest> {
-        let tier = self.classes.keys().map(|key| key.tier).max()?;
-        let classes = self.classes.iter().filter(|(key, _)| key.tier == tier);
-        let loads = classes.flat_map(|(_, class)| class.queue.loads());
+    /// Number of requests that wait beyond the room of their class.
+    pub(super) fn len_beyond(&self, class_room: usize) -> usize {
+        let classes = self.classes.values();
+        let beyond = classes.map(|class| class.queue.len().saturating_sub(class_room));
+        beyond.sum()
+    }
+
+    /// Takes the request out that gives way first: in the lowest tier with a
+    /// class beyond its room, the latest of the workspace with the most queued
+    /// work in such classes.
+    pub(super) fn pop_victim(&mut self, class_room: usize) -> Option<QueuedRequest> {
+        let classes = self.classes.iter();
+        let crowded = classes.filter(|(_, class)| class.queue.len() > class_room);
+        let tier = crowded.clone().map(|(key, _)| key.tier).max()?;
+        let crowded = crowded.filter(|(key, _)| key.tier == tier);
+        let loads = crowded.flat_map(|(_, class)| class.queue.loads());
         let ticket = find_victim(loads)?;
         self.remove(ticket)
     }
