--- a/crates/dewspring/src/broker/tests/admission.rs
+++ b/crates/dewspring/src/broker/tests/admission.rs
@@ -43,21 +43,55 @@
     assert_eq!(archive.refused, 0, "{archive:?}");
 }
 
+struct FloodCase {
+    late_is_useful: bool,
+    queue_limit: usize,
+}
+
 #[test]
 fn a_flood_from_one_workspace_costs_the_others_little() {
-    let mut sources = ["flood", "desk", "radio"].map(|workspace| {
-        let mut source = source("wire", 1, 1.0, false);
-        source.request.workspace = workspace.into();
-        source
-    });
-    // The pool serves about eight requests a second.
-    sources[0].interval = Duration::from_millis(25);
-    let trial = LoadTrial::run(SEED, &[4, 4], sources.into(), |_, _, _| {
+    let cases = [
+        FloodCase {
+            late_is_useful: false,
+            queue_limit: 10_000,
+        },
+        FloodCase {
+            late_is_useful: true,
+            // With the room of the class, for a hundred requests.
+            queue_limit: 84,
+        },
+    ];
+    for case in cases {
+        let mut sources = ["flood", "desk", "radio"].map(|workspace| {
+            let mut source = source("wire", 1, 1.0, case.late_is_useful);
+            source.request.workspace = workspace.into();
+            source
+        });
+        // The pool serves about eight requests a second.
+        sources[0].interval = Duration::from_millis(25);
+        let mut settings = BrokerSettings::new("vm", BOOT);
+        settings.queue_limit = case.queue_limit;
+        let trial = LoadTrial::run_with(settings, SEED, &[4, 4], sources.into(), |_, _, _| {
+            (0.01, AttemptOutcome::Completed)
+        });
+        for outcome in &trial.outcomes[1..] {
+            assert!(outcome.in_time * 100 >= outcome.asked * 95, "{outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn a_class_with_a_floor_is_served_while_higher_tiers_fill_the_queue() {
+    let mut sources = [("urgent", 0, 20.0), ("archive", 3, 0.2)]
+        .map(|(class, tier, rate)| source(class, tier, rate, true));
+    sources[1].request.floor_percent = 5;
+    let mut settings = BrokerSettings::new("vm", BOOT);
+    settings.queue_limit = 100;
+    let trial = LoadTrial::run_with(settings, SEED, &[4, 4], sources.into(), |_, _, _| {
         (0.01, AttemptOutcome::Completed)
     });
-    for outcome in &trial.outcomes[1..] {
-        assert!(outcome.in_time * 100 >= outcome.asked * 95, "{outcome:?}");
-    }
+    assert!(trial.outcomes[0].refused > 0, "{:?}", trial.outcomes);
+    assert_eq!(trial.outcomes[1].refused, 0, "{:?}", trial.outcomes);
 }
 
 #[test]
@@ -83,6 +117,7 @@
     let now = Instant::now();
     let mut settings = BrokerSettings::new("vm", BOOT);
     settings.queue_limit = 20;
+    settings.class_room = 0;
     let mut state = BrokerState::new(settings);
     state.configure(&config(1, servers(&[1])), now);
     let first = state.ask(request("r"), now);
