Let one type hold the fleet's secret

Cause: settings::SharedSecret held an unchecked text and peer::SharedSecret a checked key.

Ruled out: handing bytes to the peer duty, whose caller could then pass any length.

Change: settings::SharedSecret::new checks the length, and the settings use it. The peer duty takes that type and keeps its proof key privately. DaemonError::Secret goes. The example of the refused short secret moves with the check, and the settings' table has a case for an empty secret.

--- a/crates/dewspring/examples/peer_cost.rs
+++ b/crates/dewspring/examples/peer_cost.rs
@@ -16,9 +16,10 @@
 use dewspring::ids::{BootId, RequestId, Revision, VmId};
 use dewspring::peer::{
     GrantService, HEARTBEAT_INTERVAL, Heartbeat, MembershipState, PeerCounts, PeerDuty, PeerHandle,
-    PeerSettings, SharedSecret, VmIdentity, VmPlace, rendezvous_owner,
+    PeerSettings, VmIdentity, VmPlace, rendezvous_owner,
 };
 use dewspring::platform::{DirectoryError, VmDirectory, VmEntry, VmState};
+use dewspring::settings::SharedSecret;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::runtime::{Builder, Runtime};
--- a/crates/dewspring/src/admin/secret.rs
+++ b/crates/dewspring/src/admin/secret.rs
@@ -16,10 +16,11 @@
 /// use dewspring::admin::is_authorized;
 /// use dewspring::settings::SharedSecret;
 ///
-/// let secret = SharedSecret::new("0123456789abcdef");
+/// let secret = SharedSecret::new("0123456789abcdef")?;
 /// assert!(is_authorized(&secret, Some(b"Bearer 0123456789abcdef")));
 /// assert!(!is_authorized(&secret, Some(b"Bearer 0123456789abcdee")));
 /// assert!(!is_authorized(&secret, None));
+/// # Ok::<(), dewspring::settings::SecretError>(())
 /// ```
 pub fn is_authorized(secret: &SharedSecret, header: Option<&[u8]>) -> bool {
     let Some(token) = header.and_then(|header| header.strip_prefix(SCHEME)) else {
--- a/crates/dewspring/src/admin/tests.rs
+++ b/crates/dewspring/src/admin/tests.rs
@@ -62,8 +62,8 @@
 #[test]
 fn only_health_is_open() {
     let address = "127.0.0.1:0".parse().expect("a valid address");
-    let server = AdminServer::bind(address, SharedSecret::new(SECRET), FakeSource)
-        .expect("the listener starts");
+    let secret = SharedSecret::new(SECRET).expect("it is long enough");
+    let server = AdminServer::bind(address, secret, FakeSource).expect("the listener starts");
     let case = |method, path, token, status| AdminCase {
         method,
         path,
--- a/crates/dewspring/src/daemon/error.rs
+++ b/crates/dewspring/src/daemon/error.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 use crate::configuration::LoadError;
-use crate::peer::{PeerStartError, SecretError};
+use crate::peer::PeerStartError;
 use crate::platform::StoreError;
 
 /// Why a daemon can't start.
@@ -23,9 +23,6 @@
     /// The peer duty can't start.
     #[error(transparent)]
     Peer(#[from] PeerStartError),
-    /// The secret can't be used.
-    #[error(transparent)]
-    Secret(#[from] SecretError),
     /// A table's file can't be read.
     #[error(transparent)]
     Load(#[from] LoadError),
--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -18,7 +18,7 @@
 use crate::grants::{BrokerPlace, FleetGrants, RemoteBrokers, VmBrokers};
 use crate::ids::{BootId, PoolName};
 use crate::observe::{DecisionLog, FleetMetrics};
-use crate::peer::{self, PeerDuty, PeerHandle, PeerSettings};
+use crate::peer::{PeerDuty, PeerHandle, PeerSettings};
 use crate::platform::{
     AnyDirectory, AnyStore, EmbeddedDirectory, EmbeddedStore, GatewayDirectory, GatewayStore,
 };
@@ -168,13 +168,12 @@
     directory: AnyDirectory,
     broker: &BrokerHandle,
 ) -> Result<PeerHandle, DaemonError> {
-    let secret = peer::SharedSecret::new(settings.secret.as_str())?;
     let mut peer_settings = PeerSettings::new(
         settings.vm.clone(),
         boot,
         settings.data_centre.clone(),
         settings.peer_listen,
-        secret,
+        settings.secret.clone(),
     );
     peer_settings.list_interval = LIST_INTERVAL;
     Ok(PeerDuty::spawn(
--- a/crates/dewspring/src/peer/duty.rs
+++ b/crates/dewspring/src/peer/duty.rs
@@ -20,6 +20,7 @@
 use super::listener::PeerListener;
 use super::member::VmIdentity;
 use super::messages::VmPlace;
+use super::preface::ProofKey;
 use super::settings::PeerSettings;
 use super::shared::{PeerCore, PeerShared};
 use super::targets::HEARTBEAT_INTERVAL;
@@ -72,7 +73,7 @@
                 data_centre: settings.data_centre,
             },
         };
-        let shared = Arc::new(PeerShared::new(identity, settings.secret));
+        let shared = Arc::new(PeerShared::new(identity, ProofKey::new(&settings.secret)));
         let runtime = start_runtime()?;
         let runtime_handle = runtime.handle().clone();
         let (stop, stopped) = watch::channel(false);
--- a/crates/dewspring/src/peer/links.rs
+++ b/crates/dewspring/src/peer/links.rs
@@ -126,7 +126,7 @@
     let stream = stream.map_err(|error| unreachable(&error))?;
     let mut stream = CountedStream::new(stream, Arc::clone(&shared.counters));
     stream.set_nodelay();
-    let proved = offer_preface(&mut stream, &shared.secret).await;
+    let proved = offer_preface(&mut stream, &shared.key).await;
     proved.map_err(|error| unreachable(&error))?;
     let mut config = Config::default();
     config.max_in_flight_requests = CALLS_IN_FLIGHT;
--- a/crates/dewspring/src/peer/listener.rs
+++ b/crates/dewspring/src/peer/listener.rs
@@ -133,7 +133,7 @@
     remote: SocketAddr,
 ) -> Option<CountedStream<TcpStream>> {
     stream.set_nodelay();
-    let preface = accept_preface(&mut stream, &core.shared.secret);
+    let preface = accept_preface(&mut stream, &core.shared.key);
     let proved = match timeout(PREFACE_TIME, preface).await {
         Ok(proved) => proved,
         Err(_) => Err(PrefaceError::Io(io::ErrorKind::TimedOut.into())),
--- a/crates/dewspring/src/peer/mod.rs
+++ b/crates/dewspring/src/peer/mod.rs
@@ -52,7 +52,6 @@
 pub use member::{HeartbeatTarget, MemberState, MemberStatus, VmIdentity};
 pub use membership::{FORGET_AFTER, MembershipState};
 pub use messages::{GrantWithdrawal, Heartbeat, Incarnation, LivenessNews, VmPlace};
-pub use preface::{SecretError, SharedSecret};
 pub use rendezvous::rendezvous_owner;
 pub use settings::PeerSettings;
 pub use targets::HEARTBEAT_INTERVAL;
--- a/crates/dewspring/src/peer/preface.rs
+++ b/crates/dewspring/src/peer/preface.rs
@@ -4,7 +4,6 @@
 //! All three messages have a fixed length, so nothing is parsed before the
 //! proof. Later frames are neither encrypted nor authenticated.
 
-use std::fmt;
 use std::hash::Hasher;
 use std::io;
 
@@ -13,6 +12,8 @@
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
+use crate::settings::SharedSecret;
+
 /// Protocol and version, the first bytes of the acceptor.
 const MAGIC: [u8; 8] = *b"dewpeer1";
 
@@ -22,9 +23,6 @@
 /// Length of a proof in bytes.
 const PROOF_BYTES: usize = 16;
 
-/// Shortest secret in bytes.
-const SECRET_BYTES: usize = 16;
-
 /// Says which side made a proof, so that none can be sent back to its maker.
 const CONNECTOR_ROLE: u8 = b'c';
 
@@ -37,11 +35,6 @@
 /// Keyed hash over both nonces.
 type PrefaceProof = [u8; PROOF_BYTES];
 
-/// Why a text can't be the secret.
-#[derive(Clone, Debug, Eq, Error, PartialEq)]
-#[error("the secret has fewer than {SECRET_BYTES} bytes")]
-pub struct SecretError;
-
 /// Why a connection was refused before its first frame.
 #[derive(Debug, Error)]
 pub(super) enum PrefaceError {
@@ -56,40 +49,18 @@
     Io(#[from] io::Error),
 }
 
-/// The key made from the secret that all VMs of the fleet share.
-///
-/// It is never printed.
-#[derive(Clone)]
-pub struct SharedSecret {
-    key: [u8; 16],
-}
+/// The key of all proofs, made from the secret of the fleet.
+pub(super) struct ProofKey([u8; 16]);
 
-impl SharedSecret {
+impl ProofKey {
     /// Returns the key of a secret.
-    ///
-    /// # Errors
-    ///
-    /// [`SecretError`] if the text has fewer than 16 bytes.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use dewspring::peer::SharedSecret;
-    ///
-    /// assert!(SharedSecret::new("too short").is_err());
-    /// ```
-    pub fn new(secret: &str) -> Result<Self, SecretError> {
-        if secret.len() < SECRET_BYTES {
-            return Err(SecretError);
-        }
-        let key = SipHasher24::new_with_key(b"dewspring secret")
-            .hash(secret.as_bytes())
-            .as_bytes();
-        Ok(SharedSecret { key })
+    pub(super) fn new(secret: &SharedSecret) -> Self {
+        let hasher = SipHasher24::new_with_key(b"dewspring secret");
+        ProofKey(hasher.hash(secret.as_bytes()).as_bytes())
     }
 
     fn prove(&self, role: u8, acceptor: &PrefaceNonce, connector: &PrefaceNonce) -> PrefaceProof {
-        let mut hasher = SipHasher24::new_with_key(&self.key);
+        let mut hasher = SipHasher24::new_with_key(&self.0);
         hasher.write(&MAGIC);
         hasher.write_u8(role);
         hasher.write(acceptor);
@@ -98,16 +69,10 @@
     }
 }
 
-impl fmt::Debug for SharedSecret {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("SharedSecret(..)")
-    }
-}
-
 /// Lets a connector prove the secret, then proves it to the connector.
 pub(super) async fn accept_preface(
     stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
-    secret: &SharedSecret,
+    key: &ProofKey,
 ) -> Result<(), PrefaceError> {
     let own: PrefaceNonce = rand::random();
     let mut challenge = [0; MAGIC.len() + NONCE_BYTES];
@@ -118,8 +83,8 @@
     let mut proof = PrefaceProof::default();
     stream.read_exact(&mut nonce).await?;
     stream.read_exact(&mut proof).await?;
-    check_proof(&proof, &secret.prove(CONNECTOR_ROLE, &own, &nonce))?;
-    let answer = secret.prove(ACCEPTOR_ROLE, &own, &nonce);
+    check_proof(&proof, &key.prove(CONNECTOR_ROLE, &own, &nonce))?;
+    let answer = key.prove(ACCEPTOR_ROLE, &own, &nonce);
     stream.write_all(&answer).await?;
     Ok(())
 }
@@ -127,7 +92,7 @@
 /// Proves the secret to an acceptor, then lets the acceptor prove it.
 pub(super) async fn offer_preface(
     stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
-    secret: &SharedSecret,
+    key: &ProofKey,
 ) -> Result<(), PrefaceError> {
     let mut magic = [0; MAGIC.len()];
     stream.read_exact(&mut magic).await?;
@@ -139,11 +104,11 @@
     let own: PrefaceNonce = rand::random();
     let mut offer = [0; NONCE_BYTES + PROOF_BYTES];
     offer[..NONCE_BYTES].copy_from_slice(&own);
-    offer[NONCE_BYTES..].copy_from_slice(&secret.prove(CONNECTOR_ROLE, &nonce, &own));
+    offer[NONCE_BYTES..].copy_from_slice(&key.prove(CONNECTOR_ROLE, &nonce, &own));
     stream.write_all(&offer).await?;
     let mut proof = PrefaceProof::default();
     stream.read_exact(&mut proof).await?;
-    check_proof(&proof, &secret.prove(ACCEPTOR_ROLE, &nonce, &own))
+    check_proof(&proof, &key.prove(ACCEPTOR_ROLE, &nonce, &own))
 }
 
 /// Compares two proofs in constant time.
--- a/crates/dewspring/src/peer/settings.rs
+++ b/crates/dewspring/src/peer/settings.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::preface::SharedSecret;
 use crate::ids::{BootId, DataCentreName, VmId};
+use crate::settings::SharedSecret;
 
 /// Time between two readings of the platform's list, unless set otherwise.
 const DEFAULT_LIST_INTERVAL: Duration = Duration::from_secs(5);
@@ -36,13 +36,14 @@
     /// # Examples
     ///
     /// ```
-    /// use dewspring::peer::{PeerSettings, SharedSecret};
+    /// use dewspring::peer::PeerSettings;
+    /// use dewspring::settings::SharedSecret;
     ///
     /// let secret = SharedSecret::new("0123456789abcdef0123456789abcdef")?;
     /// let listen = "127.0.0.1:7401".parse().unwrap();
     /// let settings = PeerSettings::new("vm-1", 7, "dc-1", listen, secret);
     /// assert_eq!(settings.boot, 7);
-    /// # Ok::<(), dewspring::peer::SecretError>(())
+    /// # Ok::<(), dewspring::settings::SecretError>(())
     /// ```
     pub fn new(
         vm: impl Into<VmId>,
--- a/crates/dewspring/src/peer/shared.rs
+++ b/crates/dewspring/src/peer/shared.rs
@@ -15,7 +15,7 @@
 use super::member::{MemberStatus, VmIdentity};
 use super::membership::MembershipState;
 use super::messages::Heartbeat;
-use super::preface::SharedSecret;
+use super::preface::ProofKey;
 use super::wire::DOCUMENT_LIMIT;
 use crate::configuration::{ConfigExchange, ConfigSnapshot};
 use crate::ids::{Revision, VmId};
@@ -56,7 +56,7 @@
 /// The part that doesn't depend on the other duties.
 pub(super) struct PeerShared {
     pub(super) identity: VmIdentity,
-    pub(super) secret: SharedSecret,
+    pub(super) key: ProofKey,
     pub(super) counters: Arc<CounterSet>,
     pub(super) links: PeerLinks,
     pub(super) view: ArcSwap<FleetView>,
@@ -67,11 +67,11 @@
 }
 
 impl PeerShared {
-    pub(super) fn new(identity: VmIdentity, secret: SharedSecret) -> Self {
+    pub(super) fn new(identity: VmIdentity, key: ProofKey) -> Self {
         let membership = MembershipState::new(identity.clone());
         let shared = PeerShared {
             identity,
-            secret,
+            key,
             counters: Arc::default(),
             links: PeerLinks::default(),
             view: ArcSwap::default(),
--- a/crates/dewspring/src/peer/tests/duty.rs
+++ b/crates/dewspring/src/peer/tests/duty.rs
@@ -11,7 +11,8 @@
 use super::fleet::vm_name;
 use crate::broker::{AttemptOutcome, GrantDecision, GrantRelease};
 use crate::configuration::{ConfigExchange, ConfigSnapshot};
-use crate::peer::{BrokerPlace, MemberState, PeerError, SharedSecret};
+use crate::peer::{BrokerPlace, MemberState, PeerError};
+use crate::settings::SharedSecret;
 
 const SEED: u64 = 20_261_203;
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/dewspring/src/peer/tests/fakes.rs
+++ b/crates/dewspring/src/peer/tests/fakes.rs
@@ -10,10 +10,11 @@
 use crate::broker::{Grant, GrantDecision, GrantRelease, GrantRequest, Refusal};
 use crate::configuration::{ConfigExchange, ConfigSnapshot};
 use crate::ids::{BootId, RequestId, Revision, VmId};
-use crate::peer::{GrantService, MemberState, PeerDuty, PeerHandle, PeerSettings, SharedSecret};
+use crate::peer::{GrantService, MemberState, PeerDuty, PeerHandle, PeerSettings};
 use crate::platform::{DirectoryError, VmDirectory, VmEntry, VmState};
+use crate::settings::SharedSecret;
 
-pub(super) const SECRET: &str = "a secret of the whole test fleet";
+const SECRET: &str = "a secret of the whole test fleet";
 
 /// Holds the newest snapshot and the time when it came.
 #[derive(Clone, Default)]
@@ -155,11 +156,15 @@
     }
 }
 
+/// The secret of the test fleets.
+pub(super) fn secret() -> SharedSecret {
+    SharedSecret::new(SECRET).expect("it is long enough")
+}
+
 /// Settings of one VM that listens on a free port.
 pub(super) fn settings(index: usize, boot: BootId) -> PeerSettings {
-    let secret = SharedSecret::new(SECRET).expect("it is long enough");
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-    let mut settings = PeerSettings::new(vm_name(index), boot, "dc-1", listen, secret);
+    let mut settings = PeerSettings::new(vm_name(index), boot, "dc-1", listen, secret());
     settings.list_interval = Duration::from_millis(50);
     settings
 }
--- a/crates/dewspring/src/peer/tests/port.rs
+++ b/crates/dewspring/src/peer/tests/port.rs
@@ -10,12 +10,11 @@
 use tarpc::{ClientMessage, Request};
 use tokio::runtime::{Builder, Runtime};
 
-use super::fakes::{SECRET, TestFleet, TestVm, request, settings, wait_for};
+use super::fakes::{TestFleet, TestVm, request, secret, settings, wait_for};
 use super::fleet::vm_name;
 use crate::broker::GrantDecision;
 use crate::configuration::{ConfigExchange, ConfigSnapshot};
-use crate::peer::SharedSecret;
-use crate::peer::preface::{accept_preface, offer_preface};
+use crate::peer::preface::{ProofKey, accept_preface, offer_preface};
 use crate::peer::service::{PeerServiceRequest, PeerServiceResponse};
 use crate::peer::wire::{FRAME_LIMIT, call_context, caller_transport};
 use crate::platform::{VmEntry, VmState};
@@ -33,8 +32,7 @@
         let stream = tokio::net::TcpStream::connect(address).await;
         let mut stream = stream.expect("the duty listens");
         if proves {
-            let secret = SharedSecret::new(SECRET).expect("it is long enough");
-            let proved = offer_preface(&mut stream, &secret).await;
+            let proved = offer_preface(&mut stream, &ProofKey::new(&secret())).await;
             proved.expect("the secret is right");
         }
         let stream = stream.into_std().expect("it is a socket");
@@ -246,7 +244,7 @@
 fn hang(listener: &std::net::TcpListener, proves: bool) {
     listener.set_nonblocking(true).expect("it is a socket");
     let runtime = io_runtime();
-    let secret = SharedSecret::new(SECRET).expect("it is long enough");
+    let key = ProofKey::new(&secret());
     let begin = Instant::now();
     let mut held = Vec::new();
     while begin.elapsed() < Duration::from_secs(3) {
@@ -256,7 +254,7 @@
                 let stream = tokio::net::TcpStream::from_std(stream);
                 let mut stream = stream.expect("it is a socket");
                 if proves {
-                    let proved = accept_preface(&mut stream, &secret).await;
+                    let proved = accept_preface(&mut stream, &key).await;
                     proved.expect("the secret is right");
                 }
                 stream
--- a/crates/dewspring/src/settings/daemon.rs
+++ b/crates/dewspring/src/settings/daemon.rs
@@ -12,6 +12,7 @@
 use crate::ids::{DataCentreName, VmId};
 use crate::observe::LogFormat;
 
+/// Shortest secret in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
 /// Where the platform's store is.
@@ -28,19 +29,36 @@
     Gateway(SocketAddr),
 }
 
-/// The shared secret of the fleet, which is never printed.
+/// Why a text can't be the secret of the fleet.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("must have {MIN_SECRET_BYTES} bytes or more")]
+pub struct SecretError;
+
+/// The secret that all VMs of the fleet share, which is never printed.
 #[derive(Clone, Eq, PartialEq)]
 pub struct SharedSecret(String);
 
 impl SharedSecret {
-    /// Wraps a secret.
-    pub fn new(secret: impl Into<String>) -> Self {
-        Self(secret.into())
-    }
-
-    /// Returns the text of the secret.
-    pub fn as_str(&self) -> &str {
-        &self.0
+    /// Checks and wraps a secret.
+    ///
+    /// # Errors
+    ///
+    /// [`SecretError`] if the text has fewer than 16 bytes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewspring::settings::SharedSecret;
+    ///
+    /// assert!(SharedSecret::new("0123456789abcdef").is_ok());
+    /// assert!(SharedSecret::new("too short").is_err());
+    /// ```
+    pub fn new(secret: impl Into<String>) -> Result<Self, SecretError> {
+        let secret = secret.into();
+        if secret.len() < MIN_SECRET_BYTES {
+            return Err(SecretError);
+        }
+        Ok(Self(secret))
     }
 
     /// Returns the bytes of the secret.
@@ -265,11 +283,14 @@
     }
 
     fn secret(&mut self, flag: &'static str) -> SharedSecret {
-        let secret = self.text(flag).unwrap_or_default();
-        if !secret.is_empty() && secret.len() < MIN_SECRET_BYTES {
-            self.report(flag, format!("must have {MIN_SECRET_BYTES} bytes or more"));
-        }
-        SharedSecret(secret)
+        let unusable = SharedSecret(String::new());
+        let Some(text) = self.text(flag) else {
+            return unusable;
+        };
+        SharedSecret::new(text).unwrap_or_else(|error| {
+            self.report(flag, error.to_string());
+            unusable
+        })
     }
 
     fn platform(&mut self) -> PlatformKind {
--- a/crates/dewspring/src/settings/mod.rs
+++ b/crates/dewspring/src/settings/mod.rs
@@ -11,4 +11,6 @@
 mod tests;
 
 pub use command::settings_command;
-pub use daemon::{DaemonSettings, PlatformKind, SettingError, SettingErrors, SharedSecret};
+pub use daemon::{
+    DaemonSettings, PlatformKind, SecretError, SettingError, SettingErrors, SharedSecret,
+};
--- a/crates/dewspring/src/settings/tests.rs
+++ b/crates/dewspring/src/settings/tests.rs
@@ -32,6 +32,16 @@
                 "--pools: must be set",
             ],
         },
+        SettingCase {
+            flags: &[
+                "dewspringd",
+                "--vm=a",
+                "--data-centre=d",
+                "--secret=",
+                "--platform=127.0.0.1:2379",
+            ],
+            errors: &["--secret: must have 16 bytes or more"],
+        },
         SettingCase {
             flags: &[
                 "dewspringd",
