Keep the frozen broker's leak in a test of its own

Cause: one test checked both that a frozen broker is followed and that it gives its grants back. The second fails for a known fault and hid the first.

--- a/crates/dewspringd/tests/brokers.rs
+++ b/crates/dewspringd/tests/brokers.rs
@@ -161,7 +161,9 @@
     }
 }
 
-fn run_case(loss: BrokerLoss) {
+/// Loses the broker under load, checks what callers and engines saw, and
+/// returns the fleet with the index of the lost broker.
+fn run_case(loss: BrokerLoss) -> (TestFleet, usize) {
     let mut fleet = start_fleet();
     let broker = fleet.broker_of(POOL);
     let others = [(broker + 1) % 3, (broker + 2) % 3];
@@ -192,7 +194,7 @@
         running.iter().all(|&most| most <= MAX_RUNNING),
         "{running:?}"
     );
-    check_no_leak(&fleet, broker, loss);
+    (fleet, broker)
 }
 
 /// Checks the answers of the entry on the broker's own VM.
@@ -214,8 +216,8 @@
 }
 
 /// Checks that no broker counts a grant as out once nothing runs.
-fn check_no_leak(fleet: &TestFleet, broker: usize, loss: BrokerLoss) {
-    let ended = (loss != BrokerLoss::Frozen).then_some(broker);
+fn check_no_leak((fleet, broker): &(TestFleet, usize), loss: BrokerLoss) {
+    let ended = (loss != BrokerLoss::Frozen).then_some(*broker);
     let held = |daemon| {
         let count = |key| pool_count(daemon, POOL, key);
         (count("queued"), count("in_flight"))
@@ -239,7 +241,8 @@
 
 #[test]
 fn a_killed_broker_is_followed() {
-    run_case(BrokerLoss::Killed);
+    let ended = run_case(BrokerLoss::Killed);
+    check_no_leak(&ended, BrokerLoss::Killed);
 }
 
 #[test]
@@ -247,7 +250,14 @@
     run_case(BrokerLoss::Frozen);
 }
 
+#[test]
+fn a_broker_that_was_frozen_keeps_no_grant() {
+    let ended = run_case(BrokerLoss::Frozen);
+    check_no_leak(&ended, BrokerLoss::Frozen);
+}
+
 #[test]
 fn a_broker_that_shuts_down_refuses_no_queued_caller() {
-    run_case(BrokerLoss::ShutDown);
+    let ended = run_case(BrokerLoss::ShutDown);
+    check_no_leak(&ended, BrokerLoss::ShutDown);
 }
