Wait for a broker that daemons name

Cause: a daemon lists no pool until its broker has shown its first state; when all daemons did so, the tests took their silence for an agreement. One of nine runs of tests/tiers.rs failed so. An early failure of tests/brokers.rs whose message was not kept fits it, but that isn't shown.

Change: the tests wait until all daemons name the same broker.

--- a/crates/dewspringd/tests/common/callers.rs
+++ b/crates/dewspringd/tests/common/callers.rs
@@ -83,7 +83,8 @@
                 .map(|daemon| text_of(&pool_status(daemon, pool)["broker"]))
                 .collect();
             agreed = brokers.first().cloned().unwrap_or_default();
-            brokers.len() == 1
+            // A daemon whose broker hasn't shown its state yet names none.
+            brokers.len() == 1 && !agreed.is_empty()
         });
         let number = agreed.strip_prefix("vm-").expect("a VM of the fleet");
         number.parse::<usize>().expect("a number") - 1
