Carry a server's word that it leaves to the broker

Cause: an answer with the header x-leaving marked the server only at the brokers of the entry's own VM. The broker of the pool, mostly on another VM, went on granting it until a report or the platform's list said the same.

Ruled out: removing GrantSource::mark_leaving. A release comes only when the answer ends, which takes minutes for a long stream; the call tells the two brokers of this VM when the header comes, among them the fallback, which gets no releases of the pool's broker.

Change: GrantRelease has leaving, set by the attempt whose answer had the header. The broker marks the server before the slot comes free.

Conclusion: the word reaches the broker that decides with the first answer that ends.

--- a/crates/dewspring/benches/broker.rs
+++ b/crates/dewspring/benches/broker.rs
@@ -97,6 +97,7 @@
         tokens: 50 + grant % 200,
         first_token: Some(Duration::from_millis(100 + grant % 50)),
         elapsed: Duration::from_millis(2_000 + grant % 1_000),
+        leaving: false,
     }
 }
 
--- a/crates/dewspring/src/broker/messages.rs
+++ b/crates/dewspring/src/broker/messages.rs
@@ -135,4 +135,6 @@
     pub first_token: Option<Duration>,
     /// Time from sending the request to its end.
     pub elapsed: Duration,
+    /// Whether the server's answer said that the server is leaving.
+    pub leaving: bool,
 }
--- a/crates/dewspring/src/broker/pool.rs
+++ b/crates/dewspring/src/broker/pool.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Returns the name of a server.
+    pub(super) fn server(&self, replica: ReplicaId) -> Option<&ServerName> {
+        self.replicas.get(replica).map(|state| &state.name)
+    }
+
     /// Whether any server takes new work at all.
     pub(super) fn is_serving(&self) -> bool {
         self.replicas.is_serving()
--- a/crates/dewspring/src/broker/state.rs
+++ b/crates/dewspring/src/broker/state.rs
@@ -137,16 +137,21 @@
         }
     }
 
-    /// Ends a grant; a grant of another boot or one that has ended already is
-    /// passed over.
+    /// Ends a grant, and marks its server if that said that it is leaving; a
+    /// grant of another boot or one that has ended already is passed over.
     pub fn release(&mut self, release: &GrantRelease, now: Instant) {
         self.advance(now);
         if release.boot != self.settings.boot {
             return;
         }
-        if let Some(record) = self.grants.remove(release.grant) {
-            self.end(record, Some(release), now);
+        let Some(record) = self.grants.remove(release.grant) else {
+            return;
+        };
+        if release.leaving {
+            // Before the slot comes free, so that no request gets it.
+            self.mark_server_of(&record, now);
         }
+        self.end(record, Some(release), now);
     }
 
     /// Does what has become due: gives up waiting requests and ends grants
--- a/crates/dewspring/src/broker/state/control.rs
+++ b/crates/dewspring/src/broker/state/control.rs
@@ -7,6 +7,7 @@
 
 use super::BrokerState;
 use crate::broker::control::{ServerMark, ServerReport, ShareDivisor};
+use crate::broker::grants::GrantRecord;
 use crate::broker::messages::RefusalReason;
 use crate::ids::{BootId, GrantId, PoolName, ServerName, VmId};
 use crate::tables::FleetConfig;
@@ -72,6 +73,14 @@
         self.settle_pool(&name, now);
     }
 
+    /// Marks the server of a grant as leaving.
+    pub(super) fn mark_server_of(&mut self, record: &GrantRecord, now: Instant) {
+        let pool = self.pools.get(&record.pool);
+        let server = pool.and_then(|pool| pool.server(record.replica));
+        let server = server.expect("a server stays known while it has grants");
+        self.mark(&server.clone(), ServerMark::Leaving, now);
+    }
+
     /// Ends the grants of an entry that is gone, and forgets its questions.
     ///
     /// Returns the tickets that get no decision any more.
--- a/crates/dewspring/src/broker/tests.rs
+++ b/crates/dewspring/src/broker/tests.rs
@@ -101,6 +101,7 @@
         tokens: 100,
         first_token: Some(Duration::from_millis(100)),
         elapsed: Duration::from_secs(1),
+        leaving: false,
     }
 }
 
--- a/crates/dewspring/src/broker/tests/model.rs
+++ b/crates/dewspring/src/broker/tests/model.rs
@@ -207,7 +207,11 @@
             3 => AttemptOutcome::Cancelled,
             _ => AttemptOutcome::Completed,
         };
-        self.granted.swap_remove(&grant);
+        release.leaving = outcome > 240;
+        let record = self.granted.swap_remove(&grant);
+        if release.leaving {
+            self.marked.extend(record.map(|record| record.server));
+        }
         self.state.release(&release, self.now);
     }
 
--- a/crates/dewspring/src/broker/tests/state.rs
+++ b/crates/dewspring/src/broker/tests/state.rs
@@ -191,6 +191,17 @@
                 state.report(&report, now);
             },
         },
+        LeavingCase {
+            name: "said in an answer",
+            event: |state, now| {
+                let mut request = request("first");
+                request.excluded = vec!["server-1".into()];
+                let mut release = release(state.ask(request, now));
+                release.leaving = true;
+                state.release(&release, now);
+                state.take_decisions();
+            },
+        },
         LeavingCase {
             name: "drained in the table",
             event: |state, now| {
--- a/crates/dewspring/src/entry/attempt.rs
+++ b/crates/dewspring/src/entry/attempt.rs
@@ -20,6 +20,7 @@
     first_token: Option<Instant>,
     tokens: TokenCount,
     outcome: AttemptOutcome,
+    leaving: bool,
 }
 
 impl<C, G: GrantSource> AttemptGuard<C, G> {
@@ -31,6 +32,7 @@
             first_token: None,
             tokens: 0,
             outcome: AttemptOutcome::Cancelled,
+            leaving: false,
         }
     }
 
@@ -61,6 +63,15 @@
         self.tokens = tokens;
     }
 
+    /// Notes that the server says that it is leaving.
+    ///
+    /// The brokers of this VM hear it at once, the one that gave the grant by
+    /// the release, which comes only when the answer ends.
+    pub(super) fn note_leaving(&mut self) {
+        self.leaving = true;
+        self.context.grants.mark_leaving(&self.grant.server);
+    }
+
     /// Ends the attempt with an outcome.
     pub(super) fn finish(mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
@@ -76,6 +87,7 @@
             tokens: self.tokens,
             first_token: self.first_token.map(|time| time.duration_since(self.sent)),
             elapsed: self.sent.elapsed(),
+            leaving: self.leaving,
         };
         self.context.grants.release(&self.grant, release);
     }
--- a/crates/dewspring/src/entry/exchange.rs
+++ b/crates/dewspring/src/entry/exchange.rs
@@ -241,12 +241,12 @@
 
     fn check_answer(
         &self,
-        attempt: AttemptGuard<C, G>,
+        mut attempt: AttemptGuard<C, G>,
         upstream: UpstreamAnswer,
     ) -> Result<BegunAnswer<C, G>, AttemptFailure> {
         let headers = upstream.response.headers();
         if headers.contains_key(LEAVING) {
-            self.context.grants.mark_leaving(&attempt.grant().server);
+            attempt.note_leaving();
         }
         let status = upstream.response.status();
         if is_refusal(status) && self.pool().refusal_means_not_run {
--- a/crates/dewspring/src/entry/grants.rs
+++ b/crates/dewspring/src/entry/grants.rs
@@ -19,6 +19,7 @@
     /// Ends a grant.
     fn release(&self, grant: &Grant, release: GrantRelease);
 
-    /// Notes that a server said that it is leaving.
+    /// Notes at once, for the brokers of this VM, that a server said that it is
+    /// leaving; the release tells the broker that gave the grant.
     fn mark_leaving(&self, server: &ServerName);
 }
--- a/crates/dewspring/src/grants/tests.rs
+++ b/crates/dewspring/src/grants/tests.rs
@@ -119,6 +119,7 @@
             tokens: 1,
             first_token: None,
             elapsed: Duration::from_millis(1),
+            leaving: false,
         };
         self.grants.release(grant, release);
     }
--- a/crates/dewspring/src/peer/asks.rs
+++ b/crates/dewspring/src/peer/asks.rs
@@ -32,6 +32,7 @@
         tokens: 0,
         first_token: None,
         elapsed: Duration::ZERO,
+        leaving: false,
     }
 }
 
--- a/crates/dewspring/src/peer/tests/duty.rs
+++ b/crates/dewspring/src/peer/tests/duty.rs
@@ -302,6 +302,7 @@
                 tokens: 10,
                 first_token: None,
                 elapsed: SECOND,
+                leaving: false,
             },
         );
     }
