Spread the whole seconds of Retry-After

Cause: the entry rounded every wait up to whole seconds, so refusals of one burst, which differ below a second, sent their callers back together.

Ruled out: fractions in Retry-After, which the header doesn't have; retry-after-ms keeps the exact value.

Change: the entry rounds up with the probability of the fraction of a second, to a second at least, except on a VM that shuts down or isn't ready. The broker spreads its wait over 1 to 1.5 times the computed one instead of up to its double.

The table of problems fixed one value; it now fixes the values and their shares over 1,000 answers, within a tenth. The bounds of the broker's wait for twenty requests of a second are now 20 to 30 s; they were 15 to 45 s.

Conclusion: callers that read whole seconds are spread too.

--- a/crates/dewspring/src/broker/admission.rs
+++ b/crates/dewspring/src/broker/admission.rs
@@ -15,6 +15,8 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest such time, before it is spread.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Largest factor by which such a time is spread.
+const MAX_SPREAD: f64 = 1.5;
 /// Shortest such time when another broker takes over.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Longest wait that is estimated.
@@ -70,8 +72,9 @@
 
 /// Returns the time after which a refused caller may come back.
 ///
-/// It is the time in which the pool drains what waits, spread up to its
-/// double, so that callers who were refused together don't come back together.
+/// It is the time in which the pool drains what waits, spread up to half as
+/// much again, so that callers who were refused together don't come back
+/// together.
 pub(super) fn retry_after(
     reason: RefusalReason,
     drain_time: Duration,
@@ -81,5 +84,5 @@
         RefusalReason::ShuttingDown => SHUTDOWN_RETRY_AFTER,
         _ => drain_time.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
     };
-    base.mul_f64(generator.random_range(1.0..2.0))
+    base.mul_f64(generator.random_range(1.0..MAX_SPREAD))
 }
--- a/crates/dewspring/src/broker/tests/admission.rs
+++ b/crates/dewspring/src/broker/tests/admission.rs
@@ -130,7 +130,7 @@
         .iter()
         .map(|decision| refusal(decision).retry_after);
     // Twenty requests of one second wait for one slot.
-    let bounds = Duration::from_secs(15)..Duration::from_secs(45);
+    let bounds = Duration::from_secs(20)..=Duration::from_secs(30);
     assert!(refused.clone().all(|time| bounds.contains(&time)));
     let mut times = refused.collect::<Vec<_>>();
     times.sort();
--- a/crates/dewspring/src/entry/problem.rs
+++ b/crates/dewspring/src/entry/problem.rs
@@ -4,6 +4,7 @@
 
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use rand::{Rng, RngExt};
 use serde::Serialize;
 
 use super::body::AnswerBody;
@@ -14,6 +15,8 @@
 /// Most letters of a caller's text that an answer or a log line repeats.
 const MAX_QUOTED_LETTERS: usize = 128;
 
+const NANOS_PER_SECOND: f64 = 1e9;
+
 const PROBLEM_TYPE: &str = "application/problem+json";
 
 /// Whether the caller's request ran at a backend server.
@@ -134,7 +137,8 @@
             headers.insert(REQUEST_ID, value);
         }
         if let Some(retry_after) = self.retry_after() {
-            let seconds = retry_after.as_millis().div_ceil(1000) as u64;
+            let seconds = whole_seconds(retry_after, &mut rand::rng());
+            let seconds = seconds.max(self.min_retry_seconds());
             headers.insert(RETRY_AFTER, seconds.into());
             headers.insert(RETRY_AFTER_MS, (retry_after.as_millis() as u64).into());
         }
@@ -180,6 +184,17 @@
         }
     }
 
+    /// Returns the least value of the header `Retry-After`, in seconds.
+    ///
+    /// Where this VM takes no request, another one may take it at once.
+    fn min_retry_seconds(&self) -> u64 {
+        match self {
+            Self::NotReady(_) => 0,
+            Self::Refused(refusal) if refusal.reason == RefusalReason::ShuttingDown => 0,
+            _ => 1,
+        }
+    }
+
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Refused(refusal) => Some(refusal.retry_after),
@@ -190,6 +205,16 @@
     }
 }
 
+/// Rounds a time up with the probability of its fraction of a second, and down
+/// otherwise.
+///
+/// Callers that read only whole seconds then come back spread out too, and
+/// after the same time on average.
+fn whole_seconds(time: Duration, generator: &mut impl Rng) -> u64 {
+    let fraction = f64::from(time.subsec_nanos()) / NANOS_PER_SECOND;
+    time.as_secs() + u64::from(generator.random_bool(fraction))
+}
+
 fn refusal_status(reason: RefusalReason) -> (u16, &'static str, &'static str) {
     match reason {
         RefusalReason::Overloaded => (503, "overloaded", "The daemon can't take more"),
--- a/crates/dewspring/src/entry/tests.rs
+++ b/crates/dewspring/src/entry/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the entry's plain functions.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +17,8 @@
 
 const SEED: u64 = 0x5eed;
 const CASES: u64 = 300;
+/// Answers to one problem, enough for shares within a tenth.
+const ANSWERS: u32 = 1_000;
 
 fn checker() -> QuickCheck {
     QuickCheck::new()
@@ -72,7 +75,9 @@
     problem: Problem,
     status: u16,
     ran: &'static str,
-    retry_after: Option<&'static str>,
+    /// Seconds in the header with the share of answers that give them; none
+    /// without the header.
+    retry_after: &'static [(&'static str, f64)],
 }
 
 #[test]
@@ -89,33 +94,44 @@
         ran,
         retry_after,
     };
+    let full = |millis| refusal(RefusalReason::QueueFull, millis);
+    let unreachable = Problem::Unreachable(Duration::from_millis(4500));
+    let not_ready = Problem::NotReady(Duration::from_millis(500));
+    let shut_down = refusal(RefusalReason::ShuttingDown, 0);
     let cases = [
-        case(
-            refusal(RefusalReason::QueueFull, 1200),
-            429,
-            "no",
-            Some("2"),
-        ),
-        case(
-            refusal(RefusalReason::ShuttingDown, 0),
-            503,
-            "no",
-            Some("0"),
-        ),
-        case(Problem::UnknownPath, 404, "no", None),
-        case(Problem::BodyTooLarge(9), 413, "no", None),
-        case(Problem::Unknown("reset".into()), 502, "unknown", None),
-        case(Problem::TimedOut, 504, "unknown", None),
-        case(Problem::InProgress, 409, "unknown", None),
+        case(full(1200), 429, "no", &[("1", 0.8), ("2", 0.2)]),
+        case(full(2000), 429, "no", &[("2", 1.0)]),
+        case(full(300), 429, "no", &[("1", 1.0)]),
+        case(unreachable, 503, "no", &[("4", 0.5), ("5", 0.5)]),
+        case(not_ready, 503, "no", &[("0", 0.5), ("1", 0.5)]),
+        case(shut_down, 503, "no", &[("0", 1.0)]),
+        case(Problem::UnknownPath, 404, "no", &[]),
+        case(Problem::BodyTooLarge(9), 413, "no", &[]),
+        case(Problem::Unknown("reset".into()), 502, "unknown", &[]),
+        case(Problem::TimedOut, 504, "unknown", &[]),
+        case(Problem::InProgress, 409, "unknown", &[]),
     ];
     for case in cases {
-        let response = case.problem.to_response(&"a-1-1".into());
-        let headers = response.headers();
-        assert_eq!(response.status().as_u16(), case.status);
-        assert_eq!(headers[RAN], case.ran);
-        assert_eq!(headers[REQUEST_ID], "a-1-1");
-        let retry_after = headers.get(RETRY_AFTER).map(HeaderValue::as_bytes);
-        assert_eq!(retry_after, case.retry_after.map(str::as_bytes));
+        let mut seconds = BTreeMap::new();
+        for _ in 0..ANSWERS {
+            let response = case.problem.to_response(&"a-1-1".into());
+            let headers = response.headers();
+            assert_eq!(response.status().as_u16(), case.status);
+            assert_eq!(headers[RAN], case.ran);
+            assert_eq!(headers[REQUEST_ID], "a-1-1");
+            if let Some(value) = headers.get(RETRY_AFTER) {
+                let value = value.to_str().expect("a number").to_owned();
+                *seconds.entry(value).or_insert(0.0) += 1.0 / f64::from(ANSWERS);
+            }
+        }
+        let shares = seconds.iter();
+        let shares = shares.map(|(value, share)| (value.as_str(), *share));
+        let shares = shares.collect::<Vec<_>>();
+        assert_eq!(shares.len(), case.retry_after.len(), "{shares:?}");
+        for (share, expected) in shares.iter().zip(case.retry_after) {
+            assert_eq!(share.0, expected.0);
+            assert!((share.1 - expected.1).abs() < 0.1, "{shares:?}");
+        }
     }
 }
 
