Test that a leaving server is reported to the broker

Cause: no test showed that the header x-leaving of an answer reaches the release of the grant. The one of dewspringd passes without it, since its engines also report that they leave.

Ruled out: a test of the attempt alone, which leaves out the header.

Change: an entry in front of a server that answers with and without the header, and a source of grants that notes what it is told.

--- a/crates/dewspring/src/entry/tests.rs
+++ b/crates/dewspring/src/entry/tests.rs
@@ -15,6 +15,8 @@
 };
 use crate::broker::{Refusal, RefusalReason};
 
+mod leaving;
+
 const SEED: u64 = 0x5eed;
 const CASES: u64 = 300;
 /// Answers to one problem, enough for shares within a tenth.
