Keep rendezvous hashing in one module

Cause: the broker and the peer duty each had a module for it, and a choice of a VM hashed the name anew for each candidate.

Ruled out: one weight function for VMs and servers. It would move pools between brokers while a fleet runs two releases.

The hash of a name is started once for all candidates. New tests hold chosen owners, computed by a separate SipHash-1-3, and the ring's order. The balance test looks VMs up by hash; its names, VMs and bounds are unchanged.

--- a/crates/dewspring/src/lib.rs
+++ b/crates/dewspring/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod observe;
 pub mod peer;
 pub mod platform;
+mod rendezvous;
 pub mod reports;
 pub mod settings;
 pub mod tables;
--- a/crates/dewspring/src/peer/choices.rs
+++ b/crates/dewspring/src/peer/choices.rs
@@ -7,8 +7,8 @@
 
 use indexmap::IndexMap;
 
-use super::rendezvous::rendezvous_owner;
 use crate::ids::{PoolName, VmId};
+use crate::rendezvous::rendezvous_owner;
 
 /// Pools that are kept; names beyond them are hashed each time.
 const KEPT_POOLS: usize = 4_096;
--- a/crates/dewspring/src/peer/mod.rs
+++ b/crates/dewspring/src/peer/mod.rs
@@ -33,7 +33,6 @@
 mod notices;
 mod observe;
 mod preface;
-mod rendezvous;
 mod service;
 mod settings;
 mod shared;
@@ -43,6 +42,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use crate::rendezvous::rendezvous_owner;
 pub use counters::PeerCounts;
 pub use duty::PeerDuty;
 pub use errors::{PeerError, PeerStartError};
@@ -52,6 +52,5 @@
 pub use member::{HeartbeatTarget, MemberState, MemberStatus, VmIdentity};
 pub use membership::{FORGET_AFTER, MembershipState};
 pub use messages::{GrantWithdrawal, Heartbeat, Incarnation, LivenessNews, VmPlace};
-pub use rendezvous::rendezvous_owner;
 pub use settings::PeerSettings;
 pub use targets::HEARTBEAT_INTERVAL;
--- a/crates/dewspring/src/peer/tests/mod.rs
+++ b/crates/dewspring/src/peer/tests/mod.rs
@@ -5,5 +5,4 @@
 mod fleet;
 mod membership;
 mod port;
-mod rendezvous;
 mod scale;
--- /dev/null
+++ b/crates/dewspring/src/rendezvous.rs
@@ -0,0 +1,123 @@
+//! Rendezvous hashing: which VM or server is in charge of a key.
+//!
+//! Each pair of key and candidate has a weight, and the candidate with the
+//! highest weight is in charge. When a candidate is lost, only the keys that it
+//! was in charge of move. The peer duty chooses brokers with it, and the broker
+//! chooses servers for prefixes.
+//!
+//! The main invariant: the weights are the same on all VMs.
+
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+
+use siphasher::sip::SipHasher13;
+
+use crate::ids::VmId;
+
+#[cfg(test)]
+mod tests;
+
+/// Keys of the hash that places VMs.
+const VM_KEYS: (u64, u64) = (0x6465_7773_7072_696e, 0x672d_7065_6572_2d31);
+
+/// Byte between the name and the VM that are hashed together.
+const SEPARATOR: u8 = 0xff;
+
+/// Members of a ring among which a key is placed.
+const WINDOW: usize = 8;
+
+/// Returns the candidate that is in charge of a name, if there is any.
+///
+/// The result doesn't depend on the order of the candidates.
+///
+/// # Examples
+///
+/// ```
+/// use dewspring::peer::rendezvous_owner;
+///
+/// let vms = ["vm-1".to_string(), "vm-2".to_string()];
+/// let owner = rendezvous_owner("drafting", vms.iter());
+/// assert!(owner.is_some());
+/// assert_eq!(owner, rendezvous_owner("drafting", vms.iter().rev()));
+/// ```
+pub fn rendezvous_owner<'a>(
+    name: &str,
+    candidates: impl IntoIterator<Item = &'a VmId>,
+) -> Option<&'a VmId> {
+    let hasher = name_hasher(name);
+    candidates
+        .into_iter()
+        .max_by_key(|vm| (vm_weight(hasher, vm), *vm))
+}
+
+/// Returns the place of a VM on the ring of heartbeats.
+pub(crate) fn ring_position(vm: &str) -> u64 {
+    vm_weight(name_hasher(""), vm)
+}
+
+/// Returns a hash that is the same on all VMs.
+pub(crate) fn stable_hash(value: impl Hash) -> u64 {
+    let mut hasher = SipHasher13::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns the weight of a hashed candidate for a hashed key.
+pub(crate) fn weight(key: u64, candidate: u64) -> u64 {
+    SipHasher13::new_with_keys(key, candidate).finish()
+}
+
+/// Candidates by their hash, for choices that must not look at all of them.
+///
+/// The ring limits the weights to the members that follow the key, which are
+/// all members of a small ring. A member that comes or goes moves only the
+/// keys near it.
+#[derive(Debug)]
+pub(crate) struct HashRing<Member> {
+    points: BTreeMap<u64, Member>,
+}
+
+impl<Member> Default for HashRing<Member> {
+    fn default() -> Self {
+        HashRing {
+            points: BTreeMap::new(),
+        }
+    }
+}
+
+impl<Member: Copy + Ord> HashRing<Member> {
+    /// Adds a member.
+    pub(crate) fn insert(&mut self, hash: u64, member: Member) {
+        self.points.insert(hash, member);
+    }
+
+    /// Takes a member out.
+    pub(crate) fn remove(&mut self, hash: u64) {
+        self.points.remove(&hash);
+    }
+
+    /// Lists the members near a key, the best first.
+    pub(crate) fn places(&self, key: u64) -> Vec<Member> {
+        let after = self.points.range(key..);
+        let window = after.chain(self.points.range(..key)).take(WINDOW);
+        let mut places = window
+            .map(|(&hash, &member)| (weight(key, hash), member))
+            .collect::<Vec<_>>();
+        places.sort_unstable_by(|one, other| other.cmp(one));
+        places.into_iter().map(|(_, member)| member).collect()
+    }
+}
+
+/// Returns a hasher that has taken in a name, for all VMs to go on from.
+fn name_hasher(name: &str) -> SipHasher13 {
+    let mut hasher = SipHasher13::new_with_keys(VM_KEYS.0, VM_KEYS.1);
+    hasher.write(name.as_bytes());
+    hasher.write_u8(SEPARATOR);
+    hasher
+}
+
+/// Hashes a VM after a name.
+fn vm_weight(mut hasher: SipHasher13, vm: &str) -> u64 {
+    hasher.write(vm.as_bytes());
+    hasher.finish()
+}
--- a/crates/dewspring/src/peer/tests/rendezvous.rs
+++ b/crates/dewspring/src/rendezvous/tests.rs
@@ -1,9 +1,10 @@
-//! Properties of rendezvous hashing.
+//! Properties of rendezvous hashing, and choices that may not change.
 
+use indexmap::IndexSet;
 use quickcheck::{Gen, QuickCheck};
 
+use super::{HashRing, rendezvous_owner, stable_hash, weight};
 use crate::ids::VmId;
-use crate::peer::rendezvous_owner;
 
 const SEED: u64 = 20_261_203;
 
@@ -60,11 +61,11 @@
         },
     ];
     for case in cases {
-        let vms = vm_names(case.vms);
+        let vms: IndexSet<VmId> = vm_names(case.vms).into_iter().collect();
         let mut counts = vec![0_usize; case.vms];
         for name in 0..case.names {
             let owner = rendezvous_owner(&format!("pool-{name}"), &vms).expect("there are VMs");
-            let index = vms.iter().position(|vm| vm == owner).expect("it is one");
+            let index = vms.get_index_of(owner).expect("it is one");
             counts[index] += 1;
         }
         let mean = case.names as f64 / case.vms as f64;
@@ -81,3 +82,46 @@
 fn no_candidate_means_no_owner() {
     assert_eq!(rendezvous_owner("pool", std::iter::empty()), None);
 }
+
+#[test]
+fn owners_stay_the_same_between_releases() {
+    struct Case {
+        name: &'static str,
+        owner: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "drafting",
+            owner: "vm-004",
+        },
+        Case {
+            name: "booking",
+            owner: "vm-039",
+        },
+        Case {
+            name: "",
+            owner: "vm-027",
+        },
+    ];
+    let vms = vm_names(40);
+    for case in cases {
+        let owner = rendezvous_owner(case.name, &vms).map(String::as_str);
+        assert_eq!(owner, Some(case.owner), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_ring_lists_its_members_near_a_key_by_weight() {
+    let mut ring = HashRing::default();
+    let hashes: Vec<u64> = (0..5_u64).map(stable_hash).collect();
+    for (member, hash) in hashes.iter().enumerate() {
+        ring.insert(*hash, member);
+    }
+    let key = stable_hash("prefix");
+    let places = ring.places(key);
+    assert_eq!(places.len(), 5);
+    let weights = places.iter().map(|member| weight(key, hashes[*member]));
+    assert!(weights.is_sorted_by(|one, other| one >= other));
+    ring.remove(hashes[places[0]]);
+    assert_eq!(ring.places(key), places[1..]);
+}
