Tell operators when each VM was last heard

Cause: heard_ago_ms in the status of a VM was always null, since the peer duty published no such time.

Ruled out: publishing the instant itself, which would give the reader of the status the duty of reading the clock against it.

Change: MemberStatus has heard_ago as of its publication, which each round of heartbeats renews; MembershipState::members and member take the time. The daemon fills heard_ago_ms from it. Tests cover the state machine and what operators are told. A link in the comment of tick that rustdoc could not resolve is mended with it.

--- a/crates/dewspring/examples/peer_cost.rs
+++ b/crates/dewspring/examples/peer_cost.rs
@@ -181,7 +181,7 @@
                 let answer = answer_of(&target.vm);
                 membership.observe_answer(now, &target.vm, &answer);
             }
-            assert_eq!(membership.members().len(), size - 1);
+            assert_eq!(membership.members(now).len(), size - 1);
             assert_eq!(membership.eligible_vms().len(), size);
         }
         let spent = begin.elapsed() / ROUNDS;
--- a/crates/dewspring/src/daemon/state.rs
+++ b/crates/dewspring/src/daemon/state.rs
@@ -1,6 +1,7 @@
 //! What the operators' address sees of the daemon.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crossbeam::channel::Sender;
 
@@ -16,6 +17,9 @@
 use crate::peer::{MemberState, MemberStatus, PeerHandle};
 use crate::tables::FleetConfig;
 
+#[cfg(test)]
+mod tests;
+
 /// The entry's context as this daemon uses it.
 pub(super) type DaemonContext = EntryContext<ConfigKeeper, FleetGrants<PeerHandle>>;
 
@@ -69,7 +73,7 @@
             return None;
         }
         let to_step = |step: crate::observe::DecisionStep| ExplainStep {
-            at_ms: u64::try_from(step.after.as_millis()).unwrap_or(u64::MAX),
+            at_ms: whole_millis(step.after),
             part: step.part.into(),
             text: step.text,
         };
@@ -117,6 +121,10 @@
     }
 }
 
+fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn peer_status(member: &MemberStatus) -> PeerStatus {
     PeerStatus {
         vm: member.vm.clone(),
@@ -126,7 +134,7 @@
             MemberState::Suspect => PeerState::Suspect,
             MemberState::Dead => PeerState::Dead,
         },
-        heard_ago_ms: None,
+        heard_ago_ms: member.heard_ago.map(whole_millis),
     }
 }
 
--- a/crates/dewspring/src/peer/handle.rs
+++ b/crates/dewspring/src/peer/handle.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
+use std::time::Instant;
 
 use tokio::runtime::Handle;
 use tokio::sync::{Semaphore, oneshot, watch};
@@ -178,7 +179,7 @@
     /// Returns the link to a VM that is known and not dead.
     fn link(&self, vm: &VmId) -> Result<Arc<PeerLink>, PeerError> {
         let shared = &self.parts.shared;
-        let member = shared.membership().member(vm);
+        let member = shared.membership().member(Instant::now(), vm);
         let member = member.ok_or_else(|| PeerError::Unknown(vm.clone()))?;
         if member.state == MemberState::Dead {
             return Err(PeerError::Dead(vm.clone()));
--- a/crates/dewspring/src/peer/member.rs
+++ b/crates/dewspring/src/peer/member.rs
@@ -1,6 +1,6 @@
 //! What a VM holds of one other VM.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::messages::{Incarnation, LivenessNews, VmPlace};
 use crate::ids::{BootId, VmId};
@@ -61,6 +61,8 @@
     pub state: MemberState,
     /// Whether the platform's list names it.
     pub listed: bool,
+    /// Time since it was last heard itself, as of this status; `None` before.
+    pub heard_ago: Option<Duration>,
 }
 
 /// How far a VM's silence has gone.
--- a/crates/dewspring/src/peer/membership.rs
+++ b/crates/dewspring/src/peer/membership.rs
@@ -89,7 +89,7 @@
 
     /// Begins a round of heartbeats and returns whom to ask.
     ///
-    /// It is called once for each [`HEARTBEAT_INTERVAL`]. A question of an
+    /// It is called once for each [`HEARTBEAT_INTERVAL`](super::HEARTBEAT_INTERVAL). A question of an
     /// earlier round that has no answer yet counts as missed.
     pub fn tick(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<HeartbeatTarget> {
         self.count_misses();
@@ -172,20 +172,20 @@
     }
 
     /// Returns the status of all other VMs, in the order of their names.
-    pub fn members(&self) -> Vec<MemberStatus> {
+    pub fn members(&self, now: Instant) -> Vec<MemberStatus> {
         let mut members: Vec<MemberStatus> = self
             .members
             .iter()
-            .map(|(vm, record)| member_status(vm, record))
+            .map(|(vm, record)| member_status(now, vm, record))
             .collect();
         members.sort_by(|left, right| left.vm.cmp(&right.vm));
         members
     }
 
     /// Returns the status of one other VM, if it is known.
-    pub fn member(&self, vm: &VmId) -> Option<MemberStatus> {
+    pub fn member(&self, now: Instant, vm: &VmId) -> Option<MemberStatus> {
         let record = self.members.get(vm)?;
-        Some(member_status(vm, record))
+        Some(member_status(now, vm, record))
     }
 
     /// Returns some random VMs that are to hear of a new revision at once.
@@ -297,12 +297,15 @@
     }
 }
 
-fn member_status(vm: &VmId, record: &MemberRecord) -> MemberStatus {
+fn member_status(now: Instant, vm: &VmId, record: &MemberRecord) -> MemberStatus {
     MemberStatus {
         vm: vm.clone(),
         place: record.place.clone(),
         boot: record.boot,
         state: record.state(),
         listed: record.unlisted_since.is_none(),
+        heard_ago: record
+            .heard_at
+            .map(|heard| now.saturating_duration_since(heard)),
     }
 }
--- a/crates/dewspring/src/peer/shared.rs
+++ b/crates/dewspring/src/peer/shared.rs
@@ -115,7 +115,7 @@
         };
         let view = FleetView {
             choices,
-            members: membership.members(),
+            members: membership.members(Instant::now()),
         };
         self.view.store(Arc::new(view));
     }
--- a/crates/dewspring/src/peer/tests/membership.rs
+++ b/crates/dewspring/src/peer/tests/membership.rs
@@ -10,7 +10,7 @@
 use crate::ids::BootId;
 use crate::peer::{
     FORGET_AFTER, HEARTBEAT_INTERVAL, Heartbeat, HeartbeatVerdict, LivenessNews, MemberEvent,
-    MemberState, MembershipState,
+    MemberState, MemberStatus, MembershipState,
 };
 use crate::platform::VmState;
 
@@ -49,9 +49,12 @@
         self.membership.observe_answer(self.now, &asked, heartbeat)
     }
 
+    fn members(&self) -> Vec<MemberStatus> {
+        self.membership.members(self.now)
+    }
+
     fn state(&self) -> Option<MemberState> {
-        let members = self.membership.members();
-        members.first().map(|member| member.state)
+        self.members().first().map(|member| member.state)
     }
 }
 
@@ -155,7 +158,7 @@
     let ended = MemberEvent::BootEnded(vm_name(1), 7);
     assert_eq!(bench.membership.take_events(), [ended]);
     assert_eq!(bench.answer(&heartbeat(7, 4)), HeartbeatVerdict::FormerBoot);
-    assert_eq!(bench.membership.members()[0].boot, Some(8));
+    assert_eq!(bench.members()[0].boot, Some(8));
 }
 
 #[test]
@@ -185,7 +188,7 @@
         let answer = bench.membership.answer(&question, 0);
         alive.observe_answer(bench.now, &vm_name(0), &answer);
     }
-    assert_eq!(bench.membership.members()[0].boot, Some(8));
+    assert_eq!(bench.members()[0].boot, Some(8));
 }
 
 #[test]
@@ -247,7 +250,7 @@
         bench.now += case.silent_for;
         let gossip = gossip(case.news);
         bench.membership.observe_question(bench.now, &gossip);
-        let member = bench.membership.members().swap_remove(0);
+        let member = bench.members().swap_remove(0);
         assert_eq!(member.state, case.expected, "{}", case.name);
         assert_eq!(member.boot, Some(case.boot), "{}", case.name);
     }
@@ -294,7 +297,7 @@
     bench
         .membership
         .observe_question(bench.now, &gossip(news(7, 1, false)));
-    let members = bench.membership.members();
+    let members = bench.members();
     let joined = &members[1];
     assert_eq!(
         (joined.state, joined.listed),
@@ -370,7 +373,7 @@
                 }
                 _ => drop(bench.answer(&heartbeat(1, incarnation))),
             }
-            if bench.membership.members()[0].boot == Some(1) {
+            if bench.members()[0].boot == Some(1) {
                 return false;
             }
         }
@@ -381,3 +384,48 @@
         .tests(300)
         .quickcheck(property as fn(Vec<(u8, u8, u8)>) -> bool);
 }
+
+#[test]
+fn status_tells_the_time_since_a_vm_was_heard() {
+    struct Case {
+        name: &'static str,
+        is_heard: bool,
+        rounds: u32,
+        heard_ago: Option<Duration>,
+    }
+    let cases = [
+        Case {
+            name: "never heard",
+            is_heard: false,
+            rounds: 2,
+            heard_ago: None,
+        },
+        Case {
+            name: "heard now",
+            is_heard: true,
+            rounds: 0,
+            heard_ago: Some(Duration::ZERO),
+        },
+        Case {
+            name: "silent for two rounds",
+            is_heard: true,
+            rounds: 2,
+            heard_ago: Some(2 * HEARTBEAT_INTERVAL),
+        },
+    ];
+    for case in cases {
+        let mut bench = WatchBench::new();
+        if case.is_heard {
+            bench.answer(&heartbeat(7, 1));
+        }
+        (0..case.rounds).for_each(|_| bench.tick());
+        assert_eq!(
+            bench.members()[0].heard_ago,
+            case.heard_ago,
+            "{}",
+            case.name
+        );
+        let member = bench.membership.member(bench.now, &vm_name(1));
+        assert_eq!(member, bench.members().pop(), "{}", case.name);
+    }
+}
--- a/crates/dewspring/src/peer/tests/scale.rs
+++ b/crates/dewspring/src/peer/tests/scale.rs
@@ -99,7 +99,7 @@
     /// Whether every living VM holds just the lost ones for dead.
     fn views_agree(&self) -> bool {
         self.living().all(|index| {
-            let members = self.members[index].members();
+            let members = self.members[index].members(self.now);
             members
                 .iter()
                 .all(|m| self.alive[vm_index(&m.vm)] == (m.state == MemberState::Live))
