--- a/crates/dewspring/src/entry/exchange.rs
+++ b/crates/dewspring/src/entry/exchange.rs
@@ -222,7 +222,9 @@
                     CallError::BrokenOff(text) => {
                         (AttemptOutcome::Unknown, AttemptFailure::BrokenOff(text))
                     }
-                    CallError::TimedOut => (AttemptOutcome::Unknown, AttemptFailure::TimedOut),
+                    CallError::TimedOut => {
+                        (self.timeout_outcome(&attempt), AttemptFailure::TimedOut)
+                    }
                 };
                 attempt.finish(outcome);
                 Err(failure)
@@ -230,6 +232,18 @@
         }
     }
 
+    /// Returns what a timeout says of the server.
+    ///
+    /// A request that came late to a server ends early there; only a long
+    /// silence is the server's fault.
+    fn timeout_outcome(&self, attempt: &AttemptGuard<C, G>) -> AttemptOutcome {
+        if attempt.sent().elapsed() >= self.context.settings.silence_timeout {
+            AttemptOutcome::Unknown
+        } else {
+            AttemptOutcome::Cancelled
+        }
+    }
+
     /// Returns why the request must not be sent any more, right before it is.
     fn obstacle(&self) -> Option<&'static str> {
         if self.caller.as_ref().is_some_and(CallerPresence::is_gone) {
--- a/crates/dewspring/src/entry/pump.rs
+++ b/crates/dewspring/src/entry/pump.rs
@@ -4,7 +4,7 @@
 //! by the server, or cancelled by the caller. Dropping its upstream closes
 //! the server's connection, so a caller that hangs up cancels the call.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -206,18 +206,32 @@
 
     fn complete(mut self) {
         self.record_outcome();
+        let is_failure = self.upstream.status.is_server_error();
         let tokens = self.meter.tokens();
+        let elapsed = self.exchange.arrived.elapsed();
+        if !is_failure {
+            self.measure(tokens, elapsed);
+        }
+        self.exchange.note(format!(
+            "Completed with status {} and {tokens} tokens after {} ms; the server took {} ms.",
+            self.upstream.status.as_u16(),
+            elapsed.as_millis(),
+            self.attempt.sent().elapsed().as_millis()
+        ));
+        self.attempt.finish(if is_failure {
+            AttemptOutcome::Failed
+        } else {
+            AttemptOutcome::Completed
+        });
+    }
+
+    /// Counts a whole answer that the server did not mark as failed.
+    fn measure(&self, tokens: TokenCount, elapsed: Duration) {
         let route = &self.exchange.route;
         let metrics = &self.exchange.context.metrics;
-        let elapsed = self.exchange.arrived.elapsed();
         let first_token = self
             .first_token
             .map(|time| time.duration_since(self.exchange.arrived));
-        let first_in_time = match (route.first_token, first_token) {
-            (Some(target), Some(time)) => time <= target,
-            _ => true,
-        };
-        let in_time = elapsed <= route.target && first_in_time;
         if let Some(time) = first_token {
             metrics.observe_first_token(&route.class, time);
             if tokens > 1 {
@@ -225,21 +239,17 @@
                 metrics.observe_interval(&route.class, interval);
             }
         }
-        if !in_time && route.late == LatePolicy::Worthless {
+        let first_in_time = match (route.first_token, first_token) {
+            (Some(target), Some(time)) => time <= target,
+            _ => true,
+        };
+        let in_time = elapsed <= route.target && first_in_time;
+        let is_wasted = !in_time && route.late == LatePolicy::Worthless;
+        let good_tokens = if is_wasted { 0 } else { tokens };
+        if is_wasted {
             metrics.count_waste(WasteCause::Late, tokens);
         }
-        metrics.count_completed(&route.class, in_time, tokens);
-        self.exchange.note(format!(
-            "Completed with {tokens} tokens after {} ms; the server took {} ms.",
-            elapsed.as_millis(),
-            self.attempt.sent().elapsed().as_millis()
-        ));
-        let outcome = if self.upstream.status.is_server_error() {
-            AttemptOutcome::Failed
-        } else {
-            AttemptOutcome::Completed
-        };
-        self.attempt.finish(outcome);
+        metrics.count_completed(&route.class, in_time, good_tokens);
     }
 
     /// Records the answer of a keyed request, unless the server's status
--- a/crates/dewspring/src/observe/logs.rs
+++ b/crates/dewspring/src/observe/logs.rs
@@ -15,13 +15,17 @@
     Text,
 }
 
+/// Levels of libraries that log each call.
+const LIBRARY_LEVELS: &str = "tarpc=warn";
+
 /// Sends log records of `level` or more severe to standard error.
 ///
 /// `level` is a filter such as `info` or `warn,dewspring=debug`.
 ///
 /// A second call leaves the first one's set-up in force.
 pub fn install_logs(format: LogFormat, level: impl Into<String>) {
-    let filter: RustLogFilter = level.into().as_str().into();
+    let filter = format!("{},{LIBRARY_LEVELS}", level.into());
+    let filter: RustLogFilter = filter.as_str().into();
     let appender = match format {
         LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
         LogFormat::Text => Stderr::default().with_layout(PlainTextLayout::default()),
