--- a/crates/dewspring/src/broker/estimate.rs
+++ b/crates/dewspring/src/broker/estimate.rs
@@ -62,9 +62,11 @@
         self.work_at(request, MEDIAN)
     }
 
-    /// Estimates the work of a request if its answer is among the long ones.
-    pub(super) fn longest_work(&self, request: &GrantRequest) -> TokenCount {
-        self.work_at(request, LONGEST)
+    /// Estimates the work of a request if its answer is among the long ones;
+    /// `None` if nothing is known of answers in its class.
+    pub(super) fn longest_work(&self, request: &GrantRequest) -> Option<TokenCount> {
+        self.answer(&request.class, &request.workspace, LONGEST)?;
+        Some(self.work_at(request, LONGEST))
     }
 
     fn work_at(&self, request: &GrantRequest, quantile: f32) -> TokenCount {
--- a/crates/dewspring/src/broker/pool.rs
+++ b/crates/dewspring/src/broker/pool.rs
@@ -166,8 +166,11 @@
         self.budget.note_request(is_retry, now);
         let capacity = self.capacity(now);
         queued.work = self.estimator.work(&queued.request);
+        // A class that is refused for a guess would never be learnt, so it is
+        // refused only for the wait until its target has passed.
         let longest = self.estimator.longest_work(&queued.request);
-        queued.give_up_at = give_up_at(queued, capacity.service_time(longest));
+        let service_time = longest.map_or(Duration::ZERO, |work| capacity.service_time(work));
+        queued.give_up_at = give_up_at(queued, service_time);
         let wait = capacity.drain_time(self.queue.work_ahead(queued));
         if queued.give_up_at <= now || !is_in_time(queued, wait, now) {
             return Some(expiry_reason(queued, now));
--- a/crates/dewspring/src/peer/duty.rs
+++ b/crates/dewspring/src/peer/duty.rs
@@ -221,6 +221,7 @@
             poll.tick().await;
             let now = Instant::now();
             self.take_lists(now);
+            self.start_rounds(now);
             self.spread_changes();
             if self.next_round.is_some_and(|next| now >= next) {
                 self.begin_round(now);
@@ -232,6 +233,14 @@
         }
     }
 
+    /// Starts the rounds as soon as another VM is known, be it by the list or
+    /// because it spoke first while the list can't be read.
+    fn start_rounds(&mut self, now: Instant) {
+        if self.next_round.is_none() && self.core.shared.membership().knows_members() {
+            self.next_round = Some(now);
+        }
+    }
+
     /// Takes in new lists; the first one starts the rounds.
     fn take_lists(&mut self, now: Instant) {
         loop {
--- a/crates/dewspring/src/peer/handle.rs
+++ b/crates/dewspring/src/peer/handle.rs
@@ -115,7 +115,7 @@
         let shared = &self.parts.shared;
         shared.membership().close_grant(broker);
         let notice = GrantNotice::Release(release);
-        match self.link(broker) {
+        match self.notice_link(broker) {
             Ok(link) => send_notice(&self.parts.runtime, shared, link, notice),
             Err(error) => {
                 shared.counters.lost_notices.add(1);
@@ -177,11 +177,28 @@
     }
 
     /// Returns the link to a VM that is known and not dead.
+    /// Returns the link to a VM that can be asked.
     fn link(&self, vm: &VmId) -> Result<Arc<PeerLink>, PeerError> {
+        self.link_in(vm, |state| state != MemberState::Dead)
+    }
+
+    /// Returns the link to a VM that may be told something.
+    ///
+    /// A VM that counts as dead may be frozen and come back with its grants,
+    /// so notices are kept for it as long as their tries last.
+    fn notice_link(&self, vm: &VmId) -> Result<Arc<PeerLink>, PeerError> {
+        self.link_in(vm, |_| true)
+    }
+
+    fn link_in(
+        &self,
+        vm: &VmId,
+        is_allowed: impl FnOnce(MemberState) -> bool,
+    ) -> Result<Arc<PeerLink>, PeerError> {
         let shared = &self.parts.shared;
         let member = shared.membership().member(Instant::now(), vm);
         let member = member.ok_or_else(|| PeerError::Unknown(vm.clone()))?;
-        if member.state == MemberState::Dead {
+        if !is_allowed(member.state) {
             return Err(PeerError::Dead(vm.clone()));
         }
         Ok(shared.links.get(vm, member.place.address))
--- a/crates/dewspring/src/peer/membership.rs
+++ b/crates/dewspring/src/peer/membership.rs
@@ -199,10 +199,25 @@
             .collect()
     }
 
-    /// Whether the list was read and each VM on it has answered or is dead.
+    /// Whether each VM that may be asked has answered or is dead.
+    ///
+    /// Those are the VMs on the list. Until the list can be read, they are
+    /// those that have spoken to this VM or were named by one that has, and
+    /// there must be one.
     pub fn peers_heard(&self) -> bool {
-        let mut listed = self.members.values().filter(|r| r.unlisted_since.is_none());
-        self.list_read && listed.all(|r| r.heard_at.is_some() || r.liveness == Liveness::Dead)
+        let is_settled = |r: &MemberRecord| r.heard_at.is_some() || r.liveness == Liveness::Dead;
+        let mut members = self.members.values();
+        if self.list_read {
+            let mut listed = members.filter(|record| record.unlisted_since.is_none());
+            return listed.all(is_settled);
+        }
+        let has_heard = self.members.values().any(|r| r.heard_at.is_some());
+        has_heard && members.all(is_settled)
+    }
+
+    /// Whether any other VM is known.
+    pub fn knows_members(&self) -> bool {
+        !self.members.is_empty()
     }
 
     /// Takes the changes since the last call.
--- a/crates/dewspring/src/peer/notices.rs
+++ b/crates/dewspring/src/peer/notices.rs
@@ -29,10 +29,11 @@
 const CALL_TIME: Duration = Duration::from_secs(1);
 
 /// Pause between two tries.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// Tries before a batch is dropped.
-const TRIES: u32 = 5;
+/// Tries before a batch is dropped: some 15 to 45 s, more than a VM is frozen
+/// for in a migration.
+const TRIES: u32 = 30;
 
 /// One notice to a broker.
 #[derive(Clone, Debug)]
