Choose the nearest VMs of a ring in one pass

Cause: in the scale test of 800 VMs in a debug build, each round of each VM copied and partly sorted all others three times to find one to eight.

Change: the few nearest are kept sorted while the others are looked at once. The order, ties included, is the same.

--- a/crates/dewspring/src/peer/targets.rs
+++ b/crates/dewspring/src/peer/targets.rs
@@ -123,15 +123,20 @@
     where
         'a: 'b,
     {
-        let mut order: Vec<(u64, &VmId)> = candidates
-            .map(|(vm, record)| (record.position.wrapping_sub(self.position), *vm))
-            .collect();
-        if order.len() > count {
-            order.select_nth_unstable(count);
-            order.truncate(count);
+        // The few that are wanted are kept sorted, so that the others cost one
+        // comparison each.
+        let mut nearest: Vec<(u64, &VmId)> = Vec::with_capacity(count + 1);
+        for (vm, record) in candidates {
+            let distance = record.position.wrapping_sub(self.position);
+            let is_full = nearest.len() == count;
+            if is_full && nearest.last().is_none_or(|last| *last <= (distance, *vm)) {
+                continue;
+            }
+            let place = nearest.partition_point(|other| *other < (distance, *vm));
+            nearest.insert(place, (distance, *vm));
+            nearest.truncate(count);
         }
-        order.sort_unstable();
-        order.into_iter().map(|(_, vm)| vm).collect()
+        nearest.into_iter().map(|(_, vm)| vm).collect()
     }
 }
 
