Use the field's terms in the peer duty's names and comments

Cause: names and comments of the peer duty and a few others paraphrased or used metaphors ("stranger", "forgive", "speaks", "in charge", "machine").

Ruled out: renaming LivenessNews, which is a public type in messages and tests of several slices.

Change: unauthenticated connection, owner, eligible, refute, counts as dead, VM and state machine stand in their place. The text of log lines, public names and assertions are unchanged; one test is renamed to idle_unauthenticated_connections_are_closed_and_others_served.

Conclusion: the broker, entry and grants slices and the daemon's tests were left out and are still to be read for this.

--- a/crates/dewload/src/path/mod.rs
+++ b/crates/dewload/src/path/mod.rs
@@ -1,7 +1,7 @@
 //! What the way through a daemon adds to a stream.
 //!
-//! Direct and routed streams alternate in one run, so that both meet the same
-//! machine. At each number of streams, all of one kind are open at once.
+//! Direct and routed streams alternate in one run on one VM, so that both meet
+//! the same load. At each number of streams, all of one kind are open at once.
 
 mod memory;
 mod report;
--- a/crates/dewspring/src/admin/mod.rs
+++ b/crates/dewspring/src/admin/mod.rs
@@ -1,4 +1,4 @@
-//! The address for operators and machines: health, metrics, state and drains.
+//! The address for operators and programs: health, metrics, state and drains.
 //!
 //! Everything but the health of the daemon asks for the fleet's shared
 //! secret.
--- a/crates/dewspring/src/claims/commit.rs
+++ b/crates/dewspring/src/claims/commit.rs
@@ -1,4 +1,4 @@
-//! The commit of a group of messages to one page, as a machine of steps.
+//! The commit of a group of messages to one page, as a state machine.
 //!
 //! It says which call the store gets next and takes in the answer; it makes no
 //! call itself. Main invariant: a claim is won only by an acknowledged swap or
--- a/crates/dewspring/src/peer/choices.rs
+++ b/crates/dewspring/src/peer/choices.rs
@@ -16,7 +16,7 @@
 /// The choices among one set of VMs.
 #[derive(Debug, Default)]
 pub(super) struct BrokerChoices {
-    /// VMs that may be in charge of pools, this one included.
+    /// VMs that may be brokers, this one included.
     eligible: Vec<VmId>,
     kept: Mutex<IndexMap<PoolName, VmId>>,
 }
@@ -30,12 +30,12 @@
         }
     }
 
-    /// Returns the VMs that may be in charge.
+    /// Returns the VMs that may be brokers.
     pub(super) fn eligible(&self) -> &[VmId] {
         &self.eligible
     }
 
-    /// Returns the VM that is in charge of a pool, if there is any.
+    /// Returns the VM that is the broker of a pool, if there is any.
     pub(super) fn broker_of(&self, pool: &PoolName) -> Option<VmId> {
         let mut kept = self.kept.lock().expect("no holder panics");
         if let Some(vm) = kept.get(pool) {
--- a/crates/dewspring/src/peer/duty.rs
+++ b/crates/dewspring/src/peer/duty.rs
@@ -43,7 +43,7 @@
 /// Length of such a step.
 const FLUSH_STEP: Duration = Duration::from_millis(10);
 
-/// The peer duty, which speaks with the other VMs.
+/// The peer duty, which exchanges messages with the other VMs.
 #[derive(Debug)]
 pub struct PeerDuty;
 
--- a/crates/dewspring/src/peer/events.rs
+++ b/crates/dewspring/src/peer/events.rs
@@ -24,7 +24,7 @@
     Died(VmId),
     /// A boot of a VM stopped answering or was replaced: its grants are over.
     BootEnded(VmId, BootId),
-    /// A VM that was taken for dead is back.
+    /// A VM that counted as dead answers again.
     Returned(VmId),
     /// A VM says that it is about to leave.
     Leaving(VmId),
--- a/crates/dewspring/src/peer/handle.rs
+++ b/crates/dewspring/src/peer/handle.rs
@@ -126,7 +126,7 @@
 
     /// Returns where the broker of a pool is, as this VM sees it now.
     ///
-    /// It is on this VM when no other VM may be in charge.
+    /// It is on this VM when no other VM is eligible.
     pub fn broker_for(&self, pool: &PoolName) -> BrokerPlace {
         let view = self.parts.shared.view.load();
         match view.choices.broker_of(pool) {
--- a/crates/dewspring/src/peer/links.rs
+++ b/crates/dewspring/src/peer/links.rs
@@ -167,7 +167,7 @@
     }
 
     /// Lets a connect be tried at once after failed ones.
-    pub(super) fn forgive(&self, vm: &VmId) {
+    pub(super) fn allow_connect(&self, vm: &VmId) {
         if let Some(link) = self.lock().get(vm) {
             link.times().failed = None;
         }
--- a/crates/dewspring/src/peer/listener.rs
+++ b/crates/dewspring/src/peer/listener.rs
@@ -47,7 +47,8 @@
 /// Connections that have not proved the secret yet, the oldest first.
 ///
 /// A new one takes the place of the oldest when there are too many, so that
-/// silent strangers can't keep out a VM, which proves it within a round trip.
+/// idle unauthenticated connections can't exclude a VM, which proves it within a
+/// round trip.
 #[derive(Default)]
 struct PendingPrefaces {
     tasks: VecDeque<AbortHandle>,
@@ -110,7 +111,7 @@
             let Ok(permit) = connections.try_acquire_owned() else {
                 core.shared.counters.refused_connections.add(1);
                 core.shared
-                    .warn_of_stranger(|| format!("refused {remote}, too many connections."));
+                    .warn_of_unauthenticated(|| format!("refused {remote}, too many connections."));
                 return;
             };
             tokio::spawn(async move {
@@ -121,7 +122,7 @@
         if self.pending.push(task.abort_handle()) {
             counters.refused_connections.add(1);
             let line = || "dropped the oldest of too many unproved connections.".into();
-            self.core.shared.warn_of_stranger(line);
+            self.core.shared.warn_of_unauthenticated(line);
         }
     }
 }
@@ -143,7 +144,7 @@
         Err(error) => {
             core.shared.counters.bad_prefaces.add(1);
             let line = || format!("dropped the connection from {remote}: {error}.");
-            core.shared.warn_of_stranger(line);
+            core.shared.warn_of_unauthenticated(line);
             None
         }
     }
@@ -195,7 +196,7 @@
     if !is_ordinary_end(error) {
         core.shared.counters.bad_frames.add(1);
         let line = || format!("dropped the connection from {remote}, bad frame: {error}.");
-        core.shared.warn_of_stranger(line);
+        core.shared.warn_of_unauthenticated(line);
     }
 }
 
--- a/crates/dewspring/src/peer/log_limit.rs
+++ b/crates/dewspring/src/peer/log_limit.rs
@@ -1,4 +1,4 @@
-//! A bound on the log lines that strangers can cause.
+//! A bound on the log lines that unauthenticated connections can cause.
 
 use std::time::{Duration, Instant};
 
--- a/crates/dewspring/src/peer/member.rs
+++ b/crates/dewspring/src/peer/member.rs
@@ -38,7 +38,7 @@
 /// State of a VM as another VM sees it.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum MemberState {
-    /// The VM answers, or nothing speaks against it.
+    /// The VM answers, or has missed no answer yet.
     Live,
     /// The VM missed answers, but not enough of them to be dead.
     Suspect,
@@ -65,14 +65,14 @@
     pub heard_ago: Option<Duration>,
 }
 
-/// How far a VM's silence has gone.
+/// Liveness of a VM by the answers that it missed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Liveness {
     /// It answers, or it was not asked.
     Live,
     /// It missed some answers.
     Suspect,
-    /// It is taken for dead.
+    /// It counts as dead.
     Dead,
 }
 
@@ -132,9 +132,9 @@
         self.draining || self.list_state == VmState::Leaving
     }
 
-    /// Whether the VM may be in charge of pools.
+    /// Whether the VM may be a broker.
     ///
-    /// A suspect VM stays in charge, so that a short delay moves no pool.
+    /// A suspect VM stays eligible, so that a short delay moves no pool.
     pub(super) fn is_eligible(&self) -> bool {
         matches!(self.state(), MemberState::Live | MemberState::Suspect)
     }
@@ -170,7 +170,7 @@
         self.mark_live();
     }
 
-    /// Forgets all silence.
+    /// Resets the missed answers.
     pub(super) fn mark_live(&mut self) {
         self.liveness = Liveness::Live;
         self.waiting = false;
--- a/crates/dewspring/src/peer/membership.rs
+++ b/crates/dewspring/src/peer/membership.rs
@@ -7,7 +7,7 @@
 //! passed on.
 //!
 //! The main invariant: what a VM says of itself goes before what others say
-//! of it, and a boot that was replaced never speaks again.
+//! of it, and heartbeats of a boot that was replaced are dropped.
 
 use std::time::{Duration, Instant};
 
@@ -114,7 +114,7 @@
 
     /// Returns the heartbeat that answers the one of another VM.
     ///
-    /// A VM that is held under another boot is told so and contradicts.
+    /// A VM that is known under another boot is sent that entry and refutes it.
     pub fn answer(&mut self, question: &Heartbeat, revision: Revision) -> Heartbeat {
         let mut answer = self.heartbeat(&question.vm, revision, None);
         if let Some(record) = self.members.get(&question.vm)
@@ -161,7 +161,7 @@
         rendezvous_owner(pool, vms.iter()).cloned()
     }
 
-    /// Returns the VMs that may be in charge of pools, this one included.
+    /// Returns the VMs that may be brokers, this one included.
     pub fn eligible_vms(&self) -> Vec<VmId> {
         let eligible = self.members.iter().filter(|(_, r)| r.is_eligible());
         let mut vms: Vec<VmId> = eligible.map(|(vm, _)| vm.clone()).collect();
--- a/crates/dewspring/src/peer/messages.rs
+++ b/crates/dewspring/src/peer/messages.rs
@@ -9,7 +9,7 @@
 
 use crate::ids::{BootId, DataCentreName, RequestId, Revision, VmId};
 
-/// Number that a VM raises to contradict older news of itself.
+/// Number that a VM raises to refute older news of itself.
 pub type Incarnation = u64;
 
 /// Where a VM is reached.
@@ -41,7 +41,7 @@
 /// What a VM says of itself; a heartbeat is answered by a heartbeat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Heartbeat {
-    /// The VM that speaks.
+    /// The VM that sends the heartbeat.
     pub vm: VmId,
     /// Its boot.
     pub boot: BootId,
--- a/crates/dewspring/src/peer/news.rs
+++ b/crates/dewspring/src/peer/news.rs
@@ -49,7 +49,7 @@
 
     /// Takes the items for one heartbeat to `recipient`.
     ///
-    /// News of the recipient itself go first, so that it can contradict them.
+    /// News of the recipient itself go first, so that it can refute them.
     pub(super) fn take(&mut self, recipient: &VmId, fleet: usize) -> Vec<LivenessNews> {
         let mut order: Vec<usize> = (0..self.items.len()).collect();
         order.sort_by_key(|&index| {
--- a/crates/dewspring/src/peer/observe.rs
+++ b/crates/dewspring/src/peer/observe.rs
@@ -12,7 +12,7 @@
 use super::targets::HEARTBEAT_INTERVAL;
 use crate::ids::VmId;
 
-/// Time for which a direct answer outweighs another VM's word of death.
+/// Time for which a direct answer overrides another VM's report of a death.
 const FRESH_FOR: Duration = HEARTBEAT_INTERVAL.saturating_mul(DEAD_AFTER_MISSES);
 
 /// News of one heartbeat that are read.
@@ -68,7 +68,7 @@
         let record = &mut self.members[vm];
         let was_dead = record.liveness == Liveness::Dead;
         let was_known = record.boot.is_some();
-        // The others may hold the VM for dead: it is told so, and contradicts.
+        // Others may count the VM as dead; it is sent that entry and refutes it.
         let known = record.news(vm);
         let is_rise = heartbeat.incarnation > record.incarnation;
         let replaced = record.replace_boot(heartbeat.boot);
@@ -103,7 +103,7 @@
 
     fn observe_news(&mut self, now: Instant, news: &LivenessNews) {
         if news.vm == self.identity.vm {
-            self.contradict(news);
+            self.refute(news);
             return;
         }
         if !self.members.contains_key(&news.vm) {
@@ -119,7 +119,7 @@
     }
 
     /// Raises the own incarnation above wrong news of this VM.
-    fn contradict(&mut self, news: &LivenessNews) {
+    fn refute(&mut self, news: &LivenessNews) {
         let is_right = news.boot == self.identity.boot && !news.dead;
         if !is_right && news.incarnation >= self.incarnation {
             self.incarnation = news.incarnation.saturating_add(1);
@@ -166,7 +166,7 @@
     is_same_boot && (says_death || says_drain)
 }
 
-/// Whether what the VM itself said speaks against the news.
+/// Whether what the VM itself sent refutes the news.
 fn is_refuted(record: &MemberRecord, news: &LivenessNews, now: Instant) -> bool {
     let is_fresh = record
         .heard_at
--- a/crates/dewspring/src/peer/shared.rs
+++ b/crates/dewspring/src/peer/shared.rs
@@ -24,7 +24,7 @@
 /// The fleet as the other duties read it, without a lock.
 #[derive(Debug, Default)]
 pub(super) struct FleetView {
-    /// The brokers among the VMs that may be in charge of pools.
+    /// The choice of a broker among the eligible VMs.
     pub(super) choices: Arc<BrokerChoices>,
     /// All other VMs.
     pub(super) members: Vec<MemberStatus>,
@@ -61,7 +61,7 @@
     pub(super) links: PeerLinks,
     pub(super) view: ArcSwap<FleetView>,
     pub(super) revisions: RevisionMarks,
-    stranger_lines: Mutex<LogLimiter>,
+    unauthenticated_lines: Mutex<LogLimiter>,
     given_up: Mutex<GivenUpQuestions>,
     membership: Mutex<MembershipState>,
 }
@@ -76,7 +76,7 @@
             links: PeerLinks::default(),
             view: ArcSwap::default(),
             revisions: RevisionMarks::default(),
-            stranger_lines: Mutex::default(),
+            unauthenticated_lines: Mutex::default(),
             given_up: Mutex::default(),
             membership: Mutex::new(membership),
         };
@@ -94,9 +94,9 @@
         self.given_up.lock().expect("no holder panics")
     }
 
-    /// Writes a log line that a stranger caused, unless there were too many.
-    pub(super) fn warn_of_stranger(&self, line: impl FnOnce() -> String) {
-        let mut limiter = self.stranger_lines.lock().expect("no holder panics");
+    /// Writes a log line that an unauthenticated connection caused, unless there were too many.
+    pub(super) fn warn_of_unauthenticated(&self, line: impl FnOnce() -> String) {
+        let mut limiter = self.unauthenticated_lines.lock().expect("no holder panics");
         if limiter.allows(Instant::now()) {
             log::warn!("peer: {}", line());
         }
@@ -214,12 +214,12 @@
             }
             MemberEvent::BootEnded(vm, boot) => {
                 log::info!("peer: boot {boot} of {vm} is over.");
-                self.shared.links.forgive(&vm);
+                self.shared.links.allow_connect(&vm);
                 self.grants.forget_entry(vm, boot);
             }
             MemberEvent::Returned(vm) => {
                 log::info!("peer: {vm} is back.");
-                self.shared.links.forgive(&vm);
+                self.shared.links.allow_connect(&vm);
             }
             MemberEvent::Leaving(vm) => log::info!("peer: {vm} is about to leave."),
         }
--- a/crates/dewspring/src/peer/tests/port.rs
+++ b/crates/dewspring/src/peer/tests/port.rs
@@ -1,4 +1,4 @@
-//! Strangers, garbage and slow peers at a live port.
+//! Unauthenticated connections, garbage and slow peers at a live port.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -130,7 +130,7 @@
 }
 
 #[test]
-fn silent_strangers_are_cut_off_and_others_served() {
+fn idle_unauthenticated_connections_are_closed_and_others_served() {
     let fleet = TestFleet::open(2);
     let runtime = io_runtime();
     let address = fleet.vms[1].handle.local_address();
--- a/crates/dewspring/src/rendezvous.rs
+++ b/crates/dewspring/src/rendezvous.rs
@@ -1,9 +1,9 @@
-//! Rendezvous hashing: which VM or server is in charge of a key.
+//! Rendezvous hashing: which VM or server owns a key.
 //!
 //! Each pair of key and candidate has a weight, and the candidate with the
-//! highest weight is in charge. When a candidate is lost, only the keys that it
-//! was in charge of move. The peer duty chooses brokers with it, and the broker
-//! chooses servers for prefixes.
+//! highest weight is the owner. When a candidate is lost, only its keys move.
+//! The peer duty chooses brokers with it, and the broker chooses servers for
+//! prefixes.
 //!
 //! The main invariant: the weights are the same on all VMs.
 
@@ -26,7 +26,7 @@
 /// Members of a ring among which a key is placed.
 const WINDOW: usize = 8;
 
-/// Returns the candidate that is in charge of a name, if there is any.
+/// Returns the candidate that owns a name, if there is any.
 ///
 /// The result doesn't depend on the order of the candidates.
 ///
--- a/crates/standins/src/bin/fake-service.rs
+++ b/crates/standins/src/bin/fake-service.rs
@@ -1,4 +1,4 @@
-//! A stand-in for a plain backend service.
+//! A stand-in for a plain service among the backend servers.
 
 use std::process::ExitCode;
 
