Name the function in dewctl's documentation

Cause: rustdoc took [`run`] for a function or a module when private items are documented.

Ruled out: renaming the module, which nothing else needs.

Change: the links name run().

Conclusion: done.

--- a/crates/dewctl/src/lib.rs
+++ b/crates/dewctl/src/lib.rs
@@ -1,8 +1,8 @@
 //! The operators' command line, as a library.
 //!
-//! The program `dewctl` is a thin driver: it hands [`run`] its arguments, its
+//! The program `dewctl` is a thin driver: it hands [`run()`] its arguments, its
 //! output streams and the platform's store. Each command is a module that
-//! returns a report; [`run`] prints it as text or JSON and turns every outcome
+//! returns a report; [`run()`] prints it as text or JSON and turns every outcome
 //! into an [`ExitStatus`].
 //!
 //! - [`commit`]: a change of the stored document, applied at most once.
