--- a/crates/dewspringd/tests/shutdown.rs
+++ b/crates/dewspringd/tests/shutdown.rs
@@ -1,7 +1,10 @@
 //! A graceful shutdown cuts off no answer, down to the last byte.
+//!
+//! `DEWSPRING_TEST_RESTARTS` sets the number of rolling restarts.
 
 mod common;
 
+use std::env;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -11,6 +14,7 @@
 
 const STREAMS: usize = 24;
 const TOKENS: usize = 60;
+const DEFAULT_RESTARTS: usize = 10;
 const EXIT_LIMIT: Duration = Duration::from_secs(20);
 
 #[test]
@@ -39,9 +43,12 @@
 
 #[test]
 fn rolling_restarts_break_no_answer() {
-    const ROUNDS: usize = 10;
+    let rounds = env::var("DEWSPRING_TEST_RESTARTS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(DEFAULT_RESTARTS);
     let mut fleet = TestFleet::start(FleetPlan::default());
-    for round in 0..ROUNDS {
+    for round in 0..rounds {
         let number = round % fleet.daemons.len();
         let entry = fleet.daemons[number].entry;
         let stopped = Arc::new(AtomicBool::new(false));
