Take the room in the queue for each class back

Cause: with the room, a higher tier could be refused for room while a lower one waited in its own room, and the property that says otherwise had been replaced by a weaker one.

Ruled out: keeping both rules; when a queue is full of higher tiers, either a higher one is refused while a lower one waits, or the lower one gives way.

--- a/crates/dewspring/src/broker/control.rs
+++ b/crates/dewspring/src/broker/control.rs
@@ -14,8 +14,6 @@
 const DEFAULT_GRANT_VALIDITY: Duration = Duration::from_secs(2);
 /// Requests that may wait for one pool unless the settings say otherwise.
 const DEFAULT_QUEUE_LIMIT: usize = 10_000;
-/// Requests of each class that may wait beyond the limit by default.
-const DEFAULT_CLASS_ROOM: usize = 16;
 /// Messages that the ring into the broker's thread holds by default.
 const DEFAULT_RING_CAPACITY: usize = 16_384;
 
@@ -28,11 +26,8 @@
     pub boot: BootId,
     /// Time for which a grant may be used once it is given.
     pub grant_validity: Duration,
-    /// Requests that may wait for one pool beside the rooms of its classes.
+    /// Requests that may wait for one pool.
     pub queue_limit: usize,
-    /// Requests of each class that may wait beyond the limit, so that none is
-    /// kept out of a queue that is full of others.
-    pub class_room: usize,
     /// Messages that the ring into the broker's thread holds.
     pub ring_capacity: usize,
     /// Seed of the generator behind the jitter.
@@ -56,7 +51,6 @@
             boot,
             grant_validity: DEFAULT_GRANT_VALIDITY,
             queue_limit: DEFAULT_QUEUE_LIMIT,
-            class_room: DEFAULT_CLASS_ROOM,
             ring_capacity: DEFAULT_RING_CAPACITY,
             seed: boot,
         }
--- a/crates/dewspring/src/broker/queue.rs
+++ b/crates/dewspring/src/broker/queue.rs
@@ -271,26 +271,14 @@
         self.work_down_to(tier) - own
     }
 
-    /// Number of requests that wait beyond the room of their class.
-    pub(super) fn len_beyond(&self, class_room: usize) -> usize {
-        let classes = self.classes.values();
-        let beyond = classes.map(|class| class.queue.len().saturating_sub(class_room));
-        beyond.sum()
-    }
-
-    /// Takes the request out that gives way first: in the lowest tier with a
-    /// class beyond its room, the latest in such classes of the workspace with
-    /// the most queued work.
-    pub(super) fn pop_victim(&mut self, class_room: usize) -> Option<QueuedRequest> {
+    /// Takes the request out that gives way first: in the lowest tier that
+    /// waits, the latest of the workspace with the most queued work.
+    pub(super) fn pop_victim(&mut self) -> Option<QueuedRequest> {
         let classes = self.classes.iter();
-        let crowded = classes.filter(|(_, class)| class.queue.len() > class_room);
-        let tier = crowded.map(|(key, _)| key.tier).max()?;
-        let victims = self.tiers[&tier].victims(|ticket| &self.waiting[&ticket].request.workspace);
-        // At most the rooms of the tier's other classes are passed over.
-        let mut victims = victims.filter(|ticket| {
-            let class = &self.classes[&class_of(&self.waiting[ticket])];
-            class.queue.len() > class_room
-        });
+        let waiting = classes.filter(|(_, class)| class.queue.len() > 0);
+        let tier = waiting.map(|(key, _)| key.tier).max()?;
+        let mut victims =
+            self.tiers[&tier].victims(|ticket| &self.waiting[&ticket].request.workspace);
         let ticket = victims.next()?;
         drop(victims);
         self.remove(ticket)
--- a/crates/dewspring/src/broker/state.rs
+++ b/crates/dewspring/src/broker/state.rs
@@ -251,15 +251,15 @@
         pool.queue.push(queued);
     }
 
-    /// Refuses a request of the lowest tier if too many wait beyond the rooms
-    /// of their classes; that may be the newest one itself.
+    /// Refuses a request of the lowest tier if too many wait; that may be the
+    /// newest one itself.
     fn make_room(&mut self, name: &PoolName, now: Instant) {
-        let class_room = self.settings.class_room;
+        let limit = self.settings.queue_limit;
         let pool = self.pools.get_mut(name).expect("the pool is known");
-        if pool.queue.len_beyond(class_room) <= self.settings.queue_limit {
+        if pool.queue.len() <= limit {
             return;
         }
-        let victim = pool.queue.pop_victim(class_room);
+        let victim = pool.queue.pop_victim();
         let victim = victim.expect("a queue over its limit has a victim");
         self.refuse(victim, RefusalReason::QueueFull, now);
     }
