--- a/crates/dewspring/src/broker/choice.rs
+++ b/crates/dewspring/src/broker/choice.rs
@@ -9,9 +9,9 @@
 use super::estimate::prompt_work;
 use super::prefix::PrefixIndex;
 use super::queued::QueuedRequest;
-use super::rendezvous::{stable_hash, weight};
 use super::replica::ReplicaId;
 use super::replicas::ReplicaSet;
+use crate::rendezvous::{stable_hash, weight};
 
 /// Servers with the least delay that are looked at.
 const LEAST_DELAYED: usize = 4;
--- a/crates/dewspring/src/broker/mod.rs
+++ b/crates/dewspring/src/broker/mod.rs
@@ -24,7 +24,6 @@
 mod prefix;
 mod queue;
 mod queued;
-mod rendezvous;
 mod replica;
 mod replicas;
 mod shares;
--- a/crates/dewspring/src/broker/replica.rs
+++ b/crates/dewspring/src/broker/replica.rs
@@ -6,7 +6,7 @@
 use super::control::{ServerMark, ServerReport, ShareDivisor};
 use super::health::{HealthPaces, HealthSample, ReplicaHealth};
 use super::load::{ForeignLoad, ServerLoad};
-use super::rendezvous::stable_hash;
+use crate::rendezvous::stable_hash;
 use super::status::{ServerState, ServerStatus};
 use crate::ids::{ServerName, TokenCount};
 use crate::tables::ServerRow;
--- a/crates/dewspring/src/broker/replicas.rs
+++ b/crates/dewspring/src/broker/replicas.rs
@@ -11,7 +11,7 @@
 use super::control::ShareDivisor;
 use super::health::{HealthPaces, HealthSample, median_of};
 use super::pace::DEFAULT_PACE;
-use super::rendezvous::ServerRing;
+use crate::rendezvous::HashRing;
 use super::replica::{ReplicaId, ReplicaState};
 use super::status::{ServerChange, ServerStatus};
 use crate::ids::{ServerName, TokenCount};
@@ -63,7 +63,7 @@
     free: BTreeSet<(u64, ReplicaId)>,
     probes: BTreeSet<ReplicaId>,
     out: BTreeSet<ReplicaId>,
-    ring: ServerRing,
+    ring: HashRing<ReplicaId>,
     next_id: ReplicaId,
     serving_slots: u64,
     serving_count: usize,
@@ -80,7 +80,7 @@
             free: BTreeSet::new(),
             probes: BTreeSet::new(),
             out: BTreeSet::new(),
-            ring: ServerRing::default(),
+            ring: HashRing<ReplicaId>::default(),
             next_id: 0,
             serving_slots: 0,
             serving_count: 0,
@@ -144,7 +144,7 @@
     }
 
     /// The servers by the hash of their name.
-    pub(super) fn ring(&self) -> &ServerRing {
+    pub(super) fn ring(&self) -> &HashRing<ReplicaId> {
         &self.ring
     }
 
--- a/crates/dewspringd/src/main.rs
+++ b/crates/dewspringd/src/main.rs
@@ -11,10 +11,11 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-/// The settings or the tables are wrong.
+/// The settings are wrong.
 const EXIT_SETTINGS: u8 = 2;
 
-/// The daemon couldn't start, or answers were cut off at shutdown.
+/// The daemon couldn't start, be it for wrong tables, or answers were cut off
+/// at shutdown.
 const EXIT_FAILED: u8 = 1;
 
 fn main() -> ExitCode {
