--- a/crates/dewspring/src/broker/replica.rs
+++ b/crates/dewspring/src/broker/replica.rs
@@ -6,9 +6,9 @@
 use super::control::{ServerMark, ServerReport, ShareDivisor};
 use super::health::{HealthPaces, HealthSample, ReplicaHealth};
 use super::load::{ForeignLoad, ServerLoad};
-use crate::rendezvous::stable_hash;
 use super::status::{ServerState, ServerStatus};
 use crate::ids::{ServerName, TokenCount};
+use crate::rendezvous::stable_hash;
 use crate::tables::ServerRow;
 
 /// Number of a server, never used again in the same pool.
--- a/crates/dewspring/src/broker/replicas.rs
+++ b/crates/dewspring/src/broker/replicas.rs
@@ -11,10 +11,10 @@
 use super::control::ShareDivisor;
 use super::health::{HealthPaces, HealthSample, median_of};
 use super::pace::DEFAULT_PACE;
-use crate::rendezvous::HashRing;
 use super::replica::{ReplicaId, ReplicaState};
 use super::status::{ServerChange, ServerStatus};
 use crate::ids::{ServerName, TokenCount};
+use crate::rendezvous::HashRing;
 use crate::tables::ServerRow;
 
 /// One server in so many may be ejected or on probe.
@@ -80,7 +80,7 @@
             free: BTreeSet::new(),
             probes: BTreeSet::new(),
             out: BTreeSet::new(),
-            ring: HashRing<ReplicaId>::default(),
+            ring: HashRing::default(),
             next_id: 0,
             serving_slots: 0,
             serving_count: 0,
