Prove leaving servers with the broker frozen

Cause: the guarantee named a frozen broker as not proved.

Change: two more cases of tests/leaving.rs: the broker is frozen with the mark, by the server or by the operators; callers use the other two daemons.

--- a/crates/dewspringd/tests/leaving.rs
+++ b/crates/dewspringd/tests/leaving.rs
@@ -23,6 +23,8 @@
     /// Marks the first engine as leaving.
     mark: fn(&mut TestFleet),
     list_lag_ms: u64,
+    /// Whether the pool's broker is frozen from the moment of the mark on.
+    is_broker_frozen: bool,
 }
 
 #[test]
@@ -30,21 +32,15 @@
     let cases = [
         LeavingCase {
             name: "the server says it",
-            mark: |fleet| {
-                let order = json!({ "leaving": true });
-                let answer = post_json(fleet.engines[0].address(), "/control", &order);
-                assert_eq!(answer.expect("the engine answers").status, 200);
-            },
+            mark: say_leaving,
             list_lag_ms: LIST_LAG_MS,
+            is_broker_frozen: false,
         },
         LeavingCase {
             name: "the operators drain it",
-            mark: |fleet| {
-                let pools = fleet.pools_text();
-                let drained = pools.replacen("slots = 8", "slots = 8, drain = true", 1);
-                fleet.apply_text(&drained);
-            },
+            mark: drain,
             list_lag_ms: LIST_LAG_MS,
+            is_broker_frozen: false,
         },
         LeavingCase {
             name: "the platform's list says it",
@@ -57,6 +53,19 @@
                 fleet.publish_vms_with(&[entry]);
             },
             list_lag_ms: 0,
+            is_broker_frozen: false,
+        },
+        LeavingCase {
+            name: "the server says it while the broker is frozen",
+            mark: say_leaving,
+            list_lag_ms: LIST_LAG_MS,
+            is_broker_frozen: true,
+        },
+        LeavingCase {
+            name: "the operators drain it while the broker is frozen",
+            mark: drain,
+            list_lag_ms: LIST_LAG_MS,
+            is_broker_frozen: true,
         },
     ];
     thread::scope(|scope| {
@@ -66,14 +75,32 @@
     });
 }
 
+fn say_leaving(fleet: &mut TestFleet) {
+    let order = json!({ "leaving": true });
+    let answer = post_json(fleet.engines[0].address(), "/control", &order);
+    assert_eq!(answer.expect("the engine answers").status, 200);
+}
+
+fn drain(fleet: &mut TestFleet) {
+    let pools = fleet.pools_text();
+    let drained = pools.replacen("slots = 8", "slots = 8, drain = true", 1);
+    fleet.apply_text(&drained);
+}
+
 fn run_case(case: &LeavingCase) {
-    let mut fleet = TestFleet::start(FleetPlan::default());
+    let mut fleet = TestFleet::start(FleetPlan {
+        daemons: 3,
+        ..FleetPlan::default()
+    });
+    let broker = fleet.broker_of("engines");
     fleet.control_platform(&json!({ "list_lag_ms": case.list_lag_ms }));
     let stop_at = Instant::now() + Duration::from_secs(1) + LEAVE_LIMIT + WATCH_TIME;
     let callers: Vec<_> = fleet
         .daemons
         .iter()
-        .flat_map(|daemon| [daemon.entry; 4])
+        .enumerate()
+        .filter(|(place, _)| !case.is_broker_frozen || *place != broker)
+        .flat_map(|(_, daemon)| [daemon.entry; 4])
         .map(|entry| thread::spawn(move || call_until(entry, stop_at)))
         .collect();
 
@@ -83,6 +110,9 @@
         "{}: the server had work",
         case.name
     );
+    if case.is_broker_frozen {
+        fleet.daemons[broker].process.freeze();
+    }
     (case.mark)(&mut fleet);
     thread::sleep(LEAVE_LIMIT);
     let at_limit = executions(&fleet, 0);
