Prove that a grant which came too late isn't used

Cause: an entry that was paused after the broker's decision holds a grant that the broker has taken back; nothing tested that it isn't used.

--- a/crates/dewspring/src/entry/tests/leaving.rs
+++ b/crates/dewspring/src/entry/tests/leaving.rs
@@ -3,11 +3,12 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, Sender, unbounded};
 
-use crate::broker::{Grant, GrantDecision, GrantRelease, GrantRequest};
+use crate::broker::{AttemptOutcome, Grant, GrantDecision, GrantRelease, GrantRequest};
 use crate::claims::{ClaimLedger, LedgerSettings};
 use crate::entry::{ConfigSource, EntryContext, EntryServer, EntrySettings, GrantSource};
 use crate::ids::ServerName;
@@ -16,6 +17,7 @@
 use crate::tables::{FleetConfig, TableTexts};
 
 const WAIT: Duration = Duration::from_secs(5);
+const LATE: Duration = Duration::from_millis(100);
 const ROUTES: &str = "[[route]]\nname = \"archive\"\npath = \"/archive/\"\npool = \"services\"\n\
     tier = 3\ntarget = \"5s\"\ntimeout = \"10s\"\nidempotent = true\n";
 
@@ -38,17 +40,25 @@
     server: SocketAddr,
     marks: Sender<ServerName>,
     releases: Sender<GrantRelease>,
+    /// Number of grants that come later than they are valid.
+    late_grants: u64,
+    asked: Arc<AtomicU64>,
 }
 
 impl GrantSource for FakeGrants {
     async fn ask(&self, _request: GrantRequest) -> GrantDecision {
+        let id = self.asked.fetch_add(1, Ordering::Relaxed) + 1;
+        let is_late = id <= self.late_grants;
+        if is_late {
+            tokio::time::sleep(LATE).await;
+        }
         GrantDecision::Granted(Grant {
-            id: 1,
+            id,
             broker: "vm-2".into(),
             boot: 2,
             server: "desk".into(),
             address: self.server,
-            valid_for: WAIT,
+            valid_for: if is_late { LATE / 2 } else { WAIT },
             reason: String::new(),
         })
     }
@@ -115,8 +125,8 @@
         .expect("the entry reads");
 }
 
-/// Serves one call through an entry, and returns the marks and the release.
-fn serve_one(header: &'static str) -> (Receiver<ServerName>, GrantRelease) {
+/// Serves one call through an entry, and returns the marks and the releases.
+fn serve_one(header: &'static str, late_grants: u64) -> (Receiver<ServerName>, Vec<GrantRelease>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("an address is free");
     let server = listener.local_addr().expect("it is bound");
     std::thread::spawn(move || answer_one(&listener, header));
@@ -126,20 +136,35 @@
         server,
         marks,
         releases,
+        late_grants,
+        asked: Arc::default(),
     });
     let mut caller = TcpStream::connect(entry.address()).expect("the entry listens");
     let call = b"GET /archive/1 HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n";
     caller.write_all(call).expect("the entry reads");
-    let release = released.recv_timeout(WAIT).expect("the grant is released");
+    let releases = (0..=late_grants)
+        .map(|_| released.recv_timeout(WAIT).expect("a grant is released"))
+        .collect();
     entry.shut_down(WAIT);
-    (marked, release)
+    (marked, releases)
 }
 
 #[test]
 fn a_leaving_server_is_reported_to_the_broker() {
     for (header, leaving) in [("", false), ("x-leaving: true\r\n", true)] {
-        let (marks, release) = serve_one(header);
-        assert_eq!(release.leaving, leaving, "{header}");
+        let (marks, releases) = serve_one(header, 0);
+        assert_eq!(releases[0].leaving, leaving, "{header}");
         assert_eq!(marks.try_recv().is_ok(), leaving, "{header}");
     }
 }
+
+#[test]
+fn a_grant_that_came_too_late_is_given_back_unused() {
+    let (_, releases) = serve_one("", 1);
+    let ends: Vec<_> = releases
+        .iter()
+        .map(|end| (end.grant, end.outcome))
+        .collect();
+    let expected = [(1, AttemptOutcome::NotRun), (2, AttemptOutcome::Completed)];
+    assert_eq!(ends, expected);
+}
