Wait for the change itself, not for its number alone

Ruled out: comparing the documents; the change id tells them apart.

Change: a daemon's status names its change id, and the wait compares it.

--- a/crates/dewctl/src/run.rs
+++ b/crates/dewctl/src/run.rs
@@ -6,7 +6,6 @@
 use std::path::Path;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use dewspring::ids::Revision;
 use dewspring::platform::PlatformStore;
 use dewspring::tables::{ConfigDocument, TableDiff, config_key, draw_change_id};
 use indicatif::{ProgressBar, ProgressStyle};
@@ -25,7 +24,7 @@
 use crate::show::{ShownDocument, ShownHistory, ShownRevision, read_fleet};
 use crate::status::StatusTable;
 use crate::tables_dir::{TablesDir, read_base, write_base};
-use crate::wait::{WaitLimits, wait_in_force};
+use crate::wait::{AwaitedChange, WaitLimits, wait_in_force};
 
 /// Bounds of the attempts to change the stored document.
 const COMMIT_LIMITS: CommitLimits = CommitLimits {
@@ -295,13 +294,17 @@
         if !arguments.wait {
             return Ok(());
         }
-        self.wait(report.revision, arguments)?;
+        let change = AwaitedChange {
+            revision: report.revision,
+            change_id: report.change_id.clone(),
+        };
+        self.wait(&change, arguments)?;
         self.printer.report(&InForceReport {
             in_force_everywhere: report.revision,
         })
     }
 
-    fn wait(&self, revision: Revision, arguments: WaitArguments) -> Result<(), CommandError> {
+    fn wait(&self, change: &AwaitedChange, arguments: WaitArguments) -> Result<(), CommandError> {
         let client = self.settings.admin_client()?;
         let limits = WaitLimits {
             timeout: Duration::from_secs(arguments.timeout_seconds),
@@ -310,8 +313,8 @@
         // It draws on standard error, and only on a terminal.
         let bar = ProgressBar::new(client.daemons() as u64);
         bar.set_style(progress_style());
-        bar.set_message(format!("revision {revision} in force"));
-        let outcome = wait_in_force(&client, revision, limits, |daemons| {
+        bar.set_message(format!("revision {} in force", change.revision));
+        let outcome = wait_in_force(&client, change, limits, |daemons| {
             bar.set_position(daemons as u64);
         });
         bar.finish_and_clear();
--- a/crates/dewctl/src/wait.rs
+++ b/crates/dewctl/src/wait.rs
@@ -20,6 +20,15 @@
     pub interval: Duration,
 }
 
+/// The change that is waited for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AwaitedChange {
+    /// Its revision.
+    pub revision: Revision,
+    /// Its identity, if it is known.
+    pub change_id: Option<String>,
+}
+
 /// A daemon that doesn't have the revision in force.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LaggingDaemon {
@@ -52,7 +61,10 @@
     }
 }
 
-/// Asks all daemons until each has the revision or a later one in force.
+/// Asks all daemons until each has the change or a later revision in force.
+///
+/// A daemon may hold another change under the same revision when the store
+/// came back with older data; it doesn't have the awaited one in force.
 ///
 /// `show_progress` is told after each round how many daemons have it.
 ///
@@ -66,18 +78,19 @@
 /// use std::time::Duration;
 ///
 /// use dewctl::admin::AdminClient;
-/// use dewctl::wait::{WaitLimits, wait_in_force};
+/// use dewctl::wait::{AwaitedChange, WaitLimits, wait_in_force};
 ///
 /// let client = AdminClient::open(Vec::new(), "secret", Duration::from_secs(1));
 /// let limits = WaitLimits {
 ///     timeout: Duration::from_secs(1),
 ///     interval: Duration::from_millis(100),
 /// };
-/// assert_eq!(wait_in_force(&client, 1, limits, |_| {}), Ok(()));
+/// let change = AwaitedChange { revision: 1, change_id: None };
+/// assert_eq!(wait_in_force(&client, &change, limits, |_| {}), Ok(()));
 /// ```
 pub fn wait_in_force(
     client: &AdminClient,
-    revision: Revision,
+    change: &AwaitedChange,
     limits: WaitLimits,
     mut show_progress: impl FnMut(usize),
 ) -> Result<(), WaitTimeout> {
@@ -86,14 +99,17 @@
         let answers = client.status_of_all();
         let lagging: Vec<LaggingDaemon> = answers
             .iter()
-            .filter_map(|answer| lagging_daemon(answer, revision))
+            .filter_map(|answer| lagging_daemon(answer, change))
             .collect();
         show_progress(answers.len() - lagging.len());
         if lagging.is_empty() {
             return Ok(());
         }
         if started.elapsed() + limits.interval >= limits.timeout {
-            return Err(WaitTimeout { revision, lagging });
+            return Err(WaitTimeout {
+                revision: change.revision,
+                lagging,
+            });
         }
         thread::sleep(limits.interval);
     }
@@ -101,10 +117,14 @@
 
 fn lagging_daemon(
     answer: &DaemonAnswer<StatusReport>,
-    revision: Revision,
+    change: &AwaitedChange,
 ) -> Option<LaggingDaemon> {
     let state = match &answer.answer {
-        Ok(report) if report.revision >= revision => return None,
+        Ok(report) if is_another_change(report, change) => {
+            let revision = report.revision;
+            format!("another change of revision {revision} on {}", report.vm)
+        }
+        Ok(report) if report.revision >= change.revision => return None,
         Ok(report) => format!("revision {} on {}", report.revision, report.vm),
         Err(error) => error.reason.clone(),
     };
@@ -113,3 +133,10 @@
         state,
     })
 }
+
+fn is_another_change(report: &StatusReport, change: &AwaitedChange) -> bool {
+    let is_told = !report.change_id.is_empty();
+    let differs = |id: &String| *id != report.change_id;
+    let is_same_revision = report.revision == change.revision;
+    is_same_revision && is_told && change.change_id.as_ref().is_some_and(differs)
+}
--- a/crates/dewctl/tests/dewctl/command_line.rs
+++ b/crates/dewctl/tests/dewctl/command_line.rs
@@ -282,6 +282,17 @@
     assert!(result.errors.contains(&expected), "{result:?}");
 }
 
+#[test]
+fn another_change_of_the_same_revision_is_not_in_force() {
+    let store = TestStore::open(Some(&first_document(2)));
+    let daemon = FakeDaemon::spawn_with_change("vm-1", 2, 0, "another");
+    let arguments = ["drain", "server", "s0", "--wait", "--wait-timeout", "1"];
+    let result = run(&store, &[&daemon], &arguments);
+    assert_status(&result, ExitStatus::WaitTimeout);
+    let expected = format!("{}: another change of revision 2 on vm-1", daemon.address);
+    assert!(result.errors.contains(&expected), "{result:?}");
+}
+
 #[test]
 fn status_shows_each_daemon() {
     let store = TestStore::default();
--- a/crates/dewctl/tests/dewctl/support/admin.rs
+++ b/crates/dewctl/tests/dewctl/support/admin.rs
@@ -33,6 +33,7 @@
 struct DaemonState {
     vm: String,
     revision: u64,
+    change_id: String,
     /// Number of status answers before the revision is in force.
     lag: Arc<AtomicU64>,
     drains: Arc<AtomicU64>,
@@ -40,11 +41,17 @@
 
 impl FakeDaemon {
     pub fn spawn(vm: &str, revision: u64, lag: u64) -> Self {
+        Self::spawn_with_change(vm, revision, lag, "")
+    }
+
+    /// Starts a daemon that names the change behind its revision.
+    pub fn spawn_with_change(vm: &str, revision: u64, lag: u64, change_id: &str) -> Self {
         let address = refused_address();
         let drains = Arc::new(AtomicU64::new(0));
         let state = DaemonState {
             vm: vm.to_owned(),
             revision,
+            change_id: change_id.to_owned(),
             lag: Arc::new(AtomicU64::new(lag)),
             drains: Arc::clone(&drains),
         };
@@ -108,6 +115,7 @@
             boot: 1,
             data_centre: "dc-1".to_owned(),
             revision: self.revision - u64::from(lags),
+            change_id: self.change_id.clone(),
             ready: true,
             draining: false,
             peers: vec![PeerStatus {
--- a/crates/dewspring/src/admin/messages.rs
+++ b/crates/dewspring/src/admin/messages.rs
@@ -31,6 +31,10 @@
     pub data_centre: DataCentreName,
     /// Revision in force; 0 before the first one.
     pub revision: Revision,
+    /// Identity of the change that made that revision; empty before the first
+    /// one.
+    #[serde(default)]
+    pub change_id: String,
     /// Whether the daemon takes callers' requests.
     pub ready: bool,
     /// Whether the daemon is on its way out.
--- a/crates/dewspring/src/admin/tests.rs
+++ b/crates/dewspring/src/admin/tests.rs
@@ -29,6 +29,7 @@
             boot: 1,
             data_centre: "dk-east-1".into(),
             revision: 3,
+            change_id: "c3".into(),
             ready: false,
             draining: false,
             peers: Vec::new(),
--- a/crates/dewspring/src/daemon/state.rs
+++ b/crates/dewspring/src/daemon/state.rs
@@ -49,11 +49,13 @@
 
     fn status(&self) -> StatusReport {
         let settings = &self.context.settings;
+        let config = self.context.config.current();
         StatusReport {
             vm: settings.vm.clone(),
             boot: settings.boot,
             data_centre: self.data_centre.clone(),
-            revision: self.context.config.current().revision,
+            revision: config.revision,
+            change_id: config.change_id.clone(),
             ready: self.is_ready(),
             draining: self.context.is_draining(),
             peers: self.peers.members().iter().map(peer_status).collect(),
