Look at the end of an answer before the caller's side

The pump chose at random between the end of the answer and the caller's side, which is gone once an answer of known length is delivered: such answers were counted as cancelled and their tokens as wasted.

Change: the choice is ordered, the end first.

--- a/crates/dewspring/src/entry/pump.rs
+++ b/crates/dewspring/src/entry/pump.rs
@@ -118,7 +118,9 @@
         let body = &mut self.upstream.body;
         let may_cancel = self.exchange.route.idempotent;
         tokio::select! {
-            () = self.sender.closed(), if may_cancel => PumpStep::CallerGone,
+            // An answer that has ended is looked at first: its caller's side
+            // may be gone because it has got everything.
+            biased;
             frame = timeout(wait, body.frame()) => match frame {
                 Err(_) => PumpStep::Broken("the server was silent".into()),
                 Ok(None) => PumpStep::End,
@@ -127,6 +129,7 @@
                     PumpStep::Piece(frame.into_data().unwrap_or_default())
                 }
             },
+            () = self.sender.closed(), if may_cancel => PumpStep::CallerGone,
         }
     }
 
