Cut the reading of a request into steps

Cause: one function read, routed and checked a request in 55 lines. Change: reading, the choice of the route and of the workspace are functions of their own; behaviour is unchanged.

--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::http::request::Parts;
@@ -18,7 +19,7 @@
 use super::presence::CallerGuard;
 use super::problem::{Problem, quoted_start};
 use super::request::{ModelRequest, detach, read_body};
-use crate::ids::RequestId;
+use crate::ids::{RequestId, WorkspaceId};
 use crate::tables::{FleetConfig, RouteMatch, RouteRow, RouteTable};
 
 const MODELS_PATH: &str = "/v1/models";
@@ -111,23 +112,12 @@
         return Ok(Accepted::Answer(model_list(&config.routes)));
     }
 
-    let limit = body_limit(&config.routes, path).ok_or(Problem::UnknownPath)?;
-    let body = read_body(incoming, limit, context.settings.body_timeout).await?;
-    let model = if takes_model(&config.routes, path) {
-        Some(ModelRequest::parse(&body)?)
-    } else {
-        None
-    };
-    let label = header_text(&parts, &context.settings.class_header)?;
-    let route = find_route(&config, &parts, model.as_ref(), label)?.clone();
-    if body.len() as u64 > route.max_body_bytes {
+    let read = read_request(context, &config.routes, parts, incoming).await?;
+    let route = find_route(context, &config, &read)?.clone();
+    if read.body.len() as u64 > route.max_body_bytes {
         return Err(Problem::BodyTooLarge(route.max_body_bytes));
     }
-    let workspace = header_text(&parts, &context.settings.workspace_header)?
-        .map_or_else(|| route.workspace.clone(), String::from);
-    if workspace.len() > MAX_WORKSPACE_BYTES {
-        return Err(Problem::Malformed("The workspace name is too long.".into()));
-    }
+    let workspace = find_workspace(context, &read.parts, &route)?;
     context.metrics.count_request(&route.class);
     let text = format!(
         "Matched route {}, class {}, tier {}, workspace {workspace}, pool {}.",
@@ -141,9 +131,9 @@
         config,
         route,
         workspace,
-        parts: detach(&parts),
-        body,
-        model,
+        parts: detach(&read.parts),
+        body: read.body,
+        model: read.model,
         excluded: Vec::new(),
         attempts: 0,
         may_have_run: false,
@@ -153,12 +143,52 @@
     })))
 }
 
-fn find_route<'a>(
-    config: &'a FleetConfig,
+/// A request with its whole body.
+struct ReadRequest {
+    parts: Parts,
+    body: Bytes,
+    /// What routing needs of the body, on paths that take a model.
+    model: Option<ModelRequest>,
+}
+
+async fn read_request<C: ConfigSource, G: GrantSource>(
+    context: &EntryContext<C, G>,
+    routes: &RouteTable,
+    parts: Parts,
+    incoming: Incoming,
+) -> Result<ReadRequest, Problem> {
+    let path = parts.uri.path();
+    let limit = body_limit(routes, path).ok_or(Problem::UnknownPath)?;
+    let body = read_body(incoming, limit, context.settings.body_timeout).await?;
+    let model = if takes_model(routes, path) {
+        Some(ModelRequest::parse(&body)?)
+    } else {
+        None
+    };
+    Ok(ReadRequest { parts, body, model })
+}
+
+fn find_workspace<C: ConfigSource, G: GrantSource>(
+    context: &EntryContext<C, G>,
     parts: &Parts,
-    model: Option<&ModelRequest>,
-    label: Option<&str>,
+    route: &RouteRow,
+) -> Result<WorkspaceId, Problem> {
+    let named = header_text(parts, &context.settings.workspace_header)?;
+    let workspace = named.unwrap_or(&route.workspace);
+    if workspace.len() > MAX_WORKSPACE_BYTES {
+        return Err(Problem::Malformed("The workspace name is too long.".into()));
+    }
+    Ok(workspace.into())
+}
+
+fn find_route<'a, C: ConfigSource, G: GrantSource>(
+    context: &EntryContext<C, G>,
+    config: &'a FleetConfig,
+    read: &ReadRequest,
 ) -> Result<&'a RouteRow, Problem> {
+    let parts = &read.parts;
+    let label = header_text(parts, &context.settings.class_header)?;
+    let model = read.model.as_ref();
     let name = model.map(|model| model.model.as_str());
     let method = parts.method.as_str();
     match config.routes.find(method, parts.uri.path(), name, label) {
