--- a/crates/dewctl/src/apply.rs
+++ b/crates/dewctl/src/apply.rs
@@ -1,7 +1,7 @@
 //! Applies an operator's tables on top of what that operator saw.
 
 use dewspring::ids::Revision;
-use dewspring::platform::PlatformStore;
+use dewspring::store::PlatformStore;
 use dewspring::tables::{ConfigDocument, RebaseError, RowKey, TableTexts, rebase_tables};
 
 use crate::commit::{ChangeOrigin, CommitLimits, CommitOutcome, ProposedTables, commit_change};
--- a/crates/dewctl/src/commit.rs
+++ b/crates/dewctl/src/commit.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use dewspring::platform::{
+use dewspring::store::{
     ExpectedVersion, PlatformStore, StoreEntry, StoreError, StoreVersion, SwapOutcome,
 };
 use dewspring::tables::{ConfigDocument, DocumentChange, HistoryEntry, TableTexts};
@@ -35,7 +35,7 @@
 ///
 /// ```
 /// use dewctl::commit::read_document;
-/// use dewspring::platform::EmbeddedStore;
+/// use dewspring::store::EmbeddedStore;
 ///
 /// let stored = read_document(&EmbeddedStore::open(), "/dewspring/north/config")?;
 /// assert_eq!(stored, None);
@@ -125,7 +125,7 @@
 /// use std::time::Duration;
 ///
 /// use dewctl::commit::{ChangeOrigin, CommitLimits, CommitOutcome, ProposedTables, commit_change};
-/// use dewspring::platform::EmbeddedStore;
+/// use dewspring::store::EmbeddedStore;
 /// use dewspring::tables::TableTexts;
 ///
 /// let origin = ChangeOrigin {
--- a/crates/dewctl/src/drain.rs
+++ b/crates/dewctl/src/drain.rs
@@ -1,7 +1,7 @@
 //! Takes a VM or a backend server out of service.
 
 use dewspring::admin::DrainReport;
-use dewspring::platform::PlatformStore;
+use dewspring::store::PlatformStore;
 use dewspring::tables::{ConfigDocument, set_server_drain};
 
 use crate::admin::AdminClient;
--- a/crates/dewctl/src/error.rs
+++ b/crates/dewctl/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use dewspring::platform::StoreError;
+use dewspring::store::StoreError;
 use dewspring::tables::{DocumentError, EditError, TableErrors};
 use thiserror::Error;
 
--- a/crates/dewctl/src/main.rs
+++ b/crates/dewctl/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use dewspring::platform::GatewayStore;
+use dewspring::store::GatewayStore;
 
 fn main() -> ExitCode {
     let arguments = std::env::args_os();
--- a/crates/dewctl/src/run.rs
+++ b/crates/dewctl/src/run.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use dewspring::platform::PlatformStore;
+use dewspring::store::PlatformStore;
 use dewspring::tables::{ConfigDocument, TableDiff, config_key, draw_change_id};
 use indicatif::{ProgressBar, ProgressStyle};
 
@@ -47,7 +47,7 @@
 ///
 /// ```
 /// use dewctl::{ExitStatus, run};
-/// use dewspring::platform::EmbeddedStore;
+/// use dewspring::store::EmbeddedStore;
 ///
 /// let (mut output, mut errors) = (Vec::new(), Vec::new());
 /// let arguments = ["dewctl", "check", "no-such-directory"];
--- a/crates/dewctl/src/show.rs
+++ b/crates/dewctl/src/show.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use dewspring::ids::Revision;
-use dewspring::platform::PlatformStore;
+use dewspring::store::PlatformStore;
 use dewspring::tables::{ConfigDocument, HistoryEntry, config_key};
 use serde::Serialize;
 
@@ -22,7 +22,7 @@
 /// ```
 /// use dewctl::CommandError;
 /// use dewctl::show::read_fleet;
-/// use dewspring::platform::EmbeddedStore;
+/// use dewspring::store::EmbeddedStore;
 ///
 /// let outcome = read_fleet(&EmbeddedStore::open(), "north");
 /// assert!(matches!(outcome, Err(CommandError::NoDocument(_))));
--- a/crates/dewctl/tests/dewctl/support/store.rs
+++ b/crates/dewctl/tests/dewctl/support/store.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use dewspring::platform::{
+use dewspring::store::{
     ExpectedVersion, LeaseGrant, LeaseId, PlatformStore, StoreEntry, StoreError, StoreVersion,
     SwapOutcome,
 };
--- /dev/null
+++ b/crates/dewedge/src/http/body.rs
@@ -0,0 +1,177 @@
+//! Bodies with a length, in chunks, or up to the end of the connection.
+
+use thiserror::Error;
+
+/// Most bytes of the line before a chunk; sizes take at most 16 digits.
+const MAX_CHUNK_LINE: usize = 256;
+
+/// Most bytes of trailers, which are read and dropped.
+const MAX_TRAILERS: usize = 4096;
+
+/// Where a body ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyLength {
+    /// After this many bytes.
+    Exact(u64),
+    /// After the last chunk.
+    Chunked,
+    /// With the connection.
+    UntilClose,
+}
+
+/// Why a body is refused.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("malformed chunk")]
+pub struct BodyError;
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum DecoderState {
+    Exact(u64),
+    UntilClose,
+    ChunkLine(Vec<u8>),
+    ChunkData(u64),
+    ChunkEnd(u8),
+    Trailers(Vec<u8>, usize),
+    Done,
+}
+
+/// Takes the framing off a body, in pieces of any size.
+#[derive(Clone, Debug)]
+pub struct BodyDecoder {
+    state: DecoderState,
+}
+
+impl BodyDecoder {
+    /// Makes a decoder at the start of a body.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewedge::http::{BodyDecoder, BodyLength};
+    ///
+    /// let mut decoder = BodyDecoder::new(BodyLength::Chunked);
+    /// let mut body = Vec::new();
+    /// let used = decoder.decode(b"2\r\nok\r\n0\r\n\r\nmore", &mut body).unwrap();
+    /// assert_eq!((used, body.as_slice(), decoder.is_done()), (12, b"ok".as_slice(), true));
+    /// ```
+    pub fn new(length: BodyLength) -> Self {
+        let state = match length {
+            BodyLength::Exact(0) => DecoderState::Done,
+            BodyLength::Exact(left) => DecoderState::Exact(left),
+            BodyLength::Chunked => DecoderState::ChunkLine(Vec::new()),
+            BodyLength::UntilClose => DecoderState::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Returns whether the whole body was seen.
+    pub fn is_done(&self) -> bool {
+        self.state == DecoderState::Done
+    }
+
+    /// Returns whether the end of the connection completes the body.
+    pub fn ends_with_connection(&self) -> bool {
+        self.state == DecoderState::UntilClose
+    }
+
+    /// Decodes as much as it can, and returns the bytes of the input it used.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a chunk is malformed.
+    pub fn decode(&mut self, input: &[u8], out: &mut Vec<u8>) -> Result<usize, BodyError> {
+        let mut used = 0;
+        while used < input.len() && !self.is_done() {
+            used += self.step(&input[used..], out)?;
+        }
+        Ok(used)
+    }
+
+    fn step(&mut self, input: &[u8], out: &mut Vec<u8>) -> Result<usize, BodyError> {
+        match &mut self.state {
+            DecoderState::Done => Ok(0),
+            DecoderState::UntilClose => {
+                out.extend_from_slice(input);
+                Ok(input.len())
+            }
+            DecoderState::Exact(left) => {
+                let taken = take(left, input, out);
+                if *left == 0 {
+                    self.state = DecoderState::Done;
+                }
+                Ok(taken)
+            }
+            DecoderState::ChunkData(left) => {
+                let taken = take(left, input, out);
+                if *left == 0 {
+                    self.state = DecoderState::ChunkEnd(0);
+                }
+                Ok(taken)
+            }
+            DecoderState::ChunkEnd(seen) => {
+                let expected = if *seen == 0 { b'\r' } else { b'\n' };
+                if input[0] != expected {
+                    return Err(BodyError);
+                }
+                self.state = match *seen {
+                    0 => DecoderState::ChunkEnd(1),
+                    _ => DecoderState::ChunkLine(Vec::new()),
+                };
+                Ok(1)
+            }
+            DecoderState::ChunkLine(line) => {
+                line.push(input[0]);
+                if line.len() > MAX_CHUNK_LINE {
+                    return Err(BodyError);
+                }
+                if input[0] == b'\n' {
+                    self.state = match chunk_size(line)? {
+                        0 => DecoderState::Trailers(Vec::new(), 0),
+                        size => DecoderState::ChunkData(size),
+                    };
+                }
+                Ok(1)
+            }
+            DecoderState::Trailers(line, total) => {
+                line.push(input[0]);
+                *total += 1;
+                if *total > MAX_TRAILERS {
+                    return Err(BodyError);
+                }
+                if input[0] == b'\n' {
+                    if !line.ends_with(b"\r\n") {
+                        return Err(BodyError);
+                    }
+                    if line.len() == 2 {
+                        self.state = DecoderState::Done;
+                    } else {
+                        line.clear();
+                    }
+                }
+                Ok(1)
+            }
+        }
+    }
+}
+
+fn take(left: &mut u64, input: &[u8], out: &mut Vec<u8>) -> usize {
+    let count = usize::try_from(*left).map_or(input.len(), |left| left.min(input.len()));
+    out.extend_from_slice(&input[..count]);
+    *left -= count as u64;
+    count
+}
+
+/// Reads the size of a chunk; extensions are passed over.
+fn chunk_size(line: &[u8]) -> Result<u64, BodyError> {
+    let line = line.strip_suffix(b"\r\n").ok_or(BodyError)?;
+    if line.contains(&b'\r') {
+        return Err(BodyError);
+    }
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let digits = digits.trim_ascii_end();
+    if digits.is_empty() || digits.len() > 15 || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return Err(BodyError);
+    }
+    let text = std::str::from_utf8(digits).map_err(|_| BodyError)?;
+    u64::from_str_radix(text, 16).map_err(|_| BodyError)
+}
--- /dev/null
+++ b/crates/dewedge/src/http/head.rs
@@ -0,0 +1,288 @@
+//! Heads of requests and answers.
+
+use std::ops::Range;
+
+use thiserror::Error;
+
+use super::body::BodyLength;
+
+/// Most headers of one head; common servers allow about as many.
+const MAX_FIELDS: usize = 96;
+
+/// Why a head is refused.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum HeadError {
+    /// The head is longer than allowed.
+    #[error("the head is too long")]
+    TooLong,
+    /// The head isn't HTTP.
+    #[error("malformed head: {0}")]
+    Malformed(&'static str),
+    /// The version or the transfer coding isn't supported.
+    #[error("not supported: {0}")]
+    Unsupported(&'static str),
+}
+
+/// The header fields of a head.
+#[derive(Clone, Debug, Default)]
+pub struct HeadFields {
+    bytes: Vec<u8>,
+    fields: Vec<(Range<usize>, Range<usize>)>,
+}
+
+impl HeadFields {
+    fn new(bytes: &[u8], headers: &[httparse::Header<'_>]) -> Self {
+        let base = bytes.as_ptr() as usize;
+        let range = |part: &[u8]| {
+            let start = part.as_ptr() as usize - base;
+            start..start + part.len()
+        };
+        let fields = headers
+            .iter()
+            .map(|header| (range(header.name.as_bytes()), range(header.value)))
+            .collect();
+        Self {
+            bytes: bytes.to_vec(),
+            fields,
+        }
+    }
+
+    /// Returns all fields in order, names as they were sent.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.fields.iter().map(|(name, value)| {
+            let name = std::str::from_utf8(&self.bytes[name.clone()]).unwrap_or_default();
+            (name, &self.bytes[value.clone()])
+        })
+    }
+
+    /// Returns all values of a name.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        self.iter()
+            .filter(move |(other, _)| other.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value)
+    }
+
+    /// Returns the only value of a name as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there are several values or the value isn't text.
+    pub fn one<'a>(&'a self, name: &'a str) -> Result<Option<&'a str>, HeadError> {
+        let mut values = self.all(name);
+        let Some(value) = values.next() else {
+            return Ok(None);
+        };
+        if values.next().is_some() {
+            return Err(HeadError::Malformed("a header stands twice"));
+        }
+        match std::str::from_utf8(value) {
+            Ok(text) => Ok(Some(text)),
+            Err(_) => Err(HeadError::Malformed("a header isn't text")),
+        }
+    }
+
+    /// Returns whether a comma-separated header contains a word.
+    pub fn has_word(&self, name: &str, word: &str) -> bool {
+        self.words(name)
+            .any(|other| other.eq_ignore_ascii_case(word))
+    }
+
+    /// Returns the words of a comma-separated header.
+    pub fn words<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        self.all(name)
+            .filter_map(|value| std::str::from_utf8(value).ok())
+            .flat_map(|text| text.split(','))
+            .map(str::trim)
+            .filter(|word| !word.is_empty())
+    }
+}
+
+/// The head of a request.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// Method, as it was sent.
+    pub method: String,
+    /// Path and query, as they were sent.
+    pub target: String,
+    /// Header fields.
+    pub fields: HeadFields,
+    /// Where the body ends.
+    pub body: BodyLength,
+    /// Bytes of the head.
+    pub length: usize,
+}
+
+/// The head of an answer.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Header fields.
+    pub fields: HeadFields,
+    /// Where the body ends.
+    pub body: BodyLength,
+    /// Bytes of the head.
+    pub length: usize,
+}
+
+/// Finds the end of a head, and checks that every line ends with CR LF.
+fn head_end(bytes: &[u8], max: usize) -> Result<Option<usize>, HeadError> {
+    let window = &bytes[..bytes.len().min(max)];
+    let Some(end) = window.windows(4).position(|part| part == b"\r\n\r\n") else {
+        let bare = window
+            .iter()
+            .enumerate()
+            .any(|(at, byte)| *byte == b'\n' && (at == 0 || window[at - 1] != b'\r'));
+        if bare {
+            return Err(HeadError::Malformed("a line ends without CR"));
+        }
+        if bytes.len() >= max {
+            return Err(HeadError::TooLong);
+        }
+        return Ok(None);
+    };
+    let end = end + 4;
+    for (at, byte) in bytes[..end].iter().enumerate() {
+        let lone_feed = *byte == b'\n' && (at == 0 || bytes[at - 1] != b'\r');
+        let lone_return = *byte == b'\r' && bytes.get(at + 1) != Some(&b'\n');
+        if lone_feed || lone_return {
+            return Err(HeadError::Malformed("a line ends without CR LF"));
+        }
+    }
+    Ok(Some(end))
+}
+
+fn parse_error(error: httparse::Error) -> HeadError {
+    match error {
+        httparse::Error::TooManyHeaders => HeadError::TooLong,
+        httparse::Error::Version => HeadError::Unsupported("version"),
+        _ => HeadError::Malformed("syntax"),
+    }
+}
+
+/// Reads a declared length; more than one, or a sign, is refused.
+fn declared_length(fields: &HeadFields) -> Result<Option<u64>, HeadError> {
+    let Some(text) = fields.one("content-length")? else {
+        return Ok(None);
+    };
+    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(HeadError::Malformed("Content-Length"));
+    }
+    match text.parse() {
+        Ok(length) => Ok(Some(length)),
+        Err(_) => Ok(Some(u64::MAX)),
+    }
+}
+
+/// Reads whether the body is chunked; any other coding is refused.
+fn is_chunked(fields: &HeadFields) -> Result<bool, HeadError> {
+    match fields.one("transfer-encoding")? {
+        None => Ok(false),
+        Some(text) if text.trim().eq_ignore_ascii_case("chunked") => Ok(true),
+        Some(_) => Err(HeadError::Unsupported("Transfer-Encoding")),
+    }
+}
+
+/// Parses the head of a request.
+///
+/// Returns nothing while the head is incomplete.
+///
+/// # Errors
+///
+/// Returns why the head is refused.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::http::parse_request;
+///
+/// let head = parse_request(b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n", 1024).unwrap().unwrap();
+/// assert_eq!(head.target, "/a/");
+/// assert!(parse_request(b"GET / HTTP/1.1\nHost: h\n\n", 1024).is_err());
+/// ```
+pub fn parse_request(bytes: &[u8], max: usize) -> Result<Option<RequestHead>, HeadError> {
+    let Some(end) = head_end(bytes, max)? else {
+        return Ok(None);
+    };
+    let bytes = &bytes[..end];
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut request = httparse::Request::new(&mut headers);
+    let status = request.parse(bytes).map_err(parse_error)?;
+    if status.is_partial() {
+        return Err(HeadError::Malformed("syntax"));
+    }
+    if request.version != Some(1) {
+        return Err(HeadError::Unsupported("version"));
+    }
+    let method = request.method.unwrap_or_default().to_string();
+    let target = request.path.unwrap_or_default().to_string();
+    if !target.starts_with('/') {
+        return Err(HeadError::Malformed("the target isn't a path"));
+    }
+    let fields = HeadFields::new(bytes, request.headers);
+    let length = declared_length(&fields)?;
+    let body = match (length, is_chunked(&fields)?) {
+        (Some(_), true) => return Err(HeadError::Malformed("two lengths")),
+        (None, true) => BodyLength::Chunked,
+        (Some(length), false) => BodyLength::Exact(length),
+        (None, false) => BodyLength::Exact(0),
+    };
+    Ok(Some(RequestHead {
+        method,
+        target,
+        fields,
+        body,
+        length: end,
+    }))
+}
+
+/// Parses the head of an answer to a request with this method.
+///
+/// Returns nothing while the head is incomplete.
+///
+/// # Errors
+///
+/// Returns why the head is refused.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::http::{BodyLength, parse_answer};
+///
+/// let bytes = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+/// let head = parse_answer(bytes, "GET", 1024).unwrap().unwrap();
+/// assert_eq!((head.status, head.body), (200, BodyLength::Exact(2)));
+/// ```
+pub fn parse_answer(
+    bytes: &[u8],
+    method: &str,
+    max: usize,
+) -> Result<Option<AnswerHead>, HeadError> {
+    let Some(end) = head_end(bytes, max)? else {
+        return Ok(None);
+    };
+    let bytes = &bytes[..end];
+    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut answer = httparse::Response::new(&mut headers);
+    let parsed = answer.parse(bytes).map_err(parse_error)?;
+    if parsed.is_partial() {
+        return Err(HeadError::Malformed("syntax"));
+    }
+    let status = answer.code.unwrap_or_default();
+    let fields = HeadFields::new(bytes, answer.headers);
+    let bodiless = method == "HEAD" || status < 200 || status == 204 || status == 304;
+    let length = declared_length(&fields)?;
+    let body = match (length, is_chunked(&fields)?) {
+        _ if bodiless => BodyLength::Exact(0),
+        (Some(_), true) => return Err(HeadError::Malformed("two lengths")),
+        (None, true) => BodyLength::Chunked,
+        (Some(length), false) => BodyLength::Exact(length),
+        (None, false) => BodyLength::UntilClose,
+    };
+    Ok(Some(AnswerHead {
+        status,
+        fields,
+        body,
+        length: end,
+    }))
+}
--- /dev/null
+++ b/crates/dewedge/src/metrics.rs
@@ -0,0 +1,121 @@
+//! Counters and histograms of the entry.
+//!
+//! The main invariant: labels come from closed sets or from the tables, so the
+//! number of series is bounded.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct RouteOutcome {
+    pub(crate) service: String,
+    pub(crate) outcome: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ServiceLabel {
+    pub(crate) service: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct StoreLabel {
+    pub(crate) call: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
+/// All metrics of a process.
+#[derive(Debug)]
+pub(crate) struct EdgeMetrics {
+    registry: Registry,
+    pub(crate) requests: Family<RouteOutcome, Counter>,
+    pub(crate) attempts: Family<RouteOutcome, Counter>,
+    pub(crate) first_byte: Family<ServiceLabel, Histogram>,
+    pub(crate) queue_wait: Family<ServiceLabel, Histogram>,
+    pub(crate) store_calls: Family<StoreLabel, Counter>,
+    pub(crate) connects: Counter,
+    pub(crate) in_flight: Gauge,
+    pub(crate) table_version: Gauge,
+    pub(crate) key_age_ms: Gauge,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.002, 2.0, 13))
+}
+
+impl EdgeMetrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("dewspring");
+        let requests = Family::default();
+        registry.register("requests", "Requests by their outcome", requests.clone());
+        let attempts = Family::default();
+        registry.register(
+            "attempts",
+            "Sends to servers by their outcome",
+            attempts.clone(),
+        );
+        let first_byte = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
+        registry.register(
+            "first_byte_seconds",
+            "Time from the request to the first byte of its answer",
+            first_byte.clone(),
+        );
+        let queue_wait = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
+        registry.register(
+            "queue_wait_seconds",
+            "Time for which sent requests waited for a server",
+            queue_wait.clone(),
+        );
+        let store_calls = Family::default();
+        registry.register("store_calls", "Calls to the store", store_calls.clone());
+        let connects = Counter::default();
+        registry.register(
+            "server_connects",
+            "New connections to servers",
+            connects.clone(),
+        );
+        let in_flight = Gauge::default();
+        registry.register(
+            "requests_in_flight",
+            "Requests without an answer",
+            in_flight.clone(),
+        );
+        let table_version = Gauge::default();
+        registry.register(
+            "table_version",
+            "Version of the tables",
+            table_version.clone(),
+        );
+        let key_age_ms = Gauge::default();
+        registry.register(
+            "key_confirmation_age_ms",
+            "Age of the last confirmation of the keys",
+            key_age_ms.clone(),
+        );
+        Self {
+            registry,
+            requests,
+            attempts,
+            first_byte,
+            queue_wait,
+            store_calls,
+            connects,
+            in_flight,
+            table_version,
+            key_age_ms,
+        }
+    }
+
+    /// Writes all metrics as text.
+    pub(crate) fn render(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# metrics can't be written: {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewedge/src/net.rs
@@ -0,0 +1,142 @@
+//! A non-blocking connection with its buffers.
+//!
+//! The main invariant: bytes are written in the order in which they were
+//! queued, and a connection that closed or broke never delivers more bytes.
+
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mio::net::TcpStream;
+use socket2::{SockRef, TcpKeepalive};
+
+/// Bytes that one read takes at most.
+const READ_BYTES: usize = 32 * 1024;
+
+/// Time after which a peer that acknowledges nothing counts as gone.
+const PEER_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Idle time after which the kernel asks whether the peer lives.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+
+/// Time between two such questions.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Questions without an answer after which the peer counts as gone.
+const KEEPALIVE_PROBES: u32 = 3;
+
+/// What a read found at the end of its bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ReadEnd {
+    /// No more bytes yet.
+    Open,
+    /// The peer has closed its side.
+    Closed,
+    /// The connection broke.
+    Broken,
+}
+
+/// A connection with its buffers.
+#[derive(Debug)]
+pub(crate) struct WireChannel {
+    pub(crate) stream: TcpStream,
+    pub(crate) inbound: Vec<u8>,
+    outbound: Vec<u8>,
+    written: usize,
+    end: ReadEnd,
+}
+
+impl WireChannel {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            inbound: Vec::new(),
+            outbound: Vec::new(),
+            written: 0,
+            end: ReadEnd::Open,
+        }
+    }
+
+    /// Starts a connection to a server or to the store.
+    pub(crate) fn connect(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address)?;
+        tune(&stream)?;
+        Ok(Self::new(stream))
+    }
+
+    /// Queues bytes; [`Self::flush`] sends them.
+    pub(crate) fn queue(&mut self, bytes: &[u8]) {
+        self.outbound.extend_from_slice(bytes);
+    }
+
+    /// Returns the bytes that are queued and not yet sent.
+    pub(crate) fn unsent(&self) -> usize {
+        self.outbound.len() - self.written
+    }
+
+    /// Sends as much as the connection takes.
+    pub(crate) fn flush(&mut self) -> io::Result<()> {
+        while self.written < self.outbound.len() {
+            match self.stream.write(&self.outbound[self.written..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => self.written += count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        self.outbound.clear();
+        self.written = 0;
+        Ok(())
+    }
+
+    /// Reads what there is, up to `limit` bytes in the buffer.
+    ///
+    /// With `closing`, reads on after a short read, because the end of the
+    /// connection follows it.
+    pub(crate) fn fill(&mut self, limit: usize, closing: bool) -> ReadEnd {
+        while self.end == ReadEnd::Open && self.inbound.len() < limit {
+            let start = self.inbound.len();
+            self.inbound.resize(start + READ_BYTES, 0);
+            let result = self.stream.read(&mut self.inbound[start..]);
+            let count = *result.as_ref().unwrap_or(&0);
+            self.inbound.truncate(start + count);
+            match result {
+                Ok(0) => self.end = ReadEnd::Closed,
+                Ok(count) if count < READ_BYTES && !closing => break,
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => self.end = ReadEnd::Broken,
+            }
+        }
+        self.end
+    }
+
+    /// Takes the first bytes out of the buffer of what was read.
+    pub(crate) fn consume(&mut self, count: usize) {
+        self.inbound.drain(..count);
+    }
+
+    /// Gives back buffers that grew large, for a connection that idles.
+    pub(crate) fn shrink(&mut self) {
+        if self.inbound.is_empty() {
+            self.inbound = Vec::new();
+        }
+        if self.outbound.is_empty() {
+            self.outbound = Vec::new();
+        }
+    }
+}
+
+/// Makes the kernel notice a peer that fell silent.
+pub(crate) fn tune(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(PEER_TIMEOUT))?;
+    socket.set_tcp_nodelay(true)
+}
--- /dev/null
+++ b/crates/dewedge/src/peers.rs
@@ -0,0 +1,180 @@
+//! Digests of work that the VMs send each other.
+//!
+//! Each VM tells the others how much of its own work is at each server, in one
+//! datagram. A lost datagram costs little, because the next one holds all.
+//!
+//! The main invariant: what a VM said counts only while it is recent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::clock::Moment;
+use crate::directory::{ReplicaDirectory, stable_hash};
+use crate::policy::placement::WorkSum;
+
+/// First bytes of a digest; the last one is the version of the format.
+const MAGIC: [u8; 4] = *b"DWD1";
+
+/// Bytes before the entries: magic, sender, time.
+const HEAD_BYTES: usize = 20;
+
+/// Bytes of an entry: server, requests, backlog, tokens, urgent streams.
+const ENTRY_BYTES: usize = 18;
+
+/// Entries of one datagram, so that it fits in a packet.
+const MAX_ENTRIES: usize = 72;
+
+/// Age at which a digest no longer counts; several digests are lost by then.
+pub(crate) const DIGEST_LIFE: Duration = Duration::from_millis(900);
+
+/// Digests of VMs that are remembered.
+const MAX_SENDERS: usize = 1024;
+
+/// What another VM said last.
+#[derive(Clone, Debug, Default)]
+struct PeerDigest {
+    received: Moment,
+    sent_ms: u64,
+    work: Vec<(u64, WorkSum)>,
+}
+
+/// The other VMs and their digests.
+#[derive(Debug, Default)]
+pub(crate) struct PeerTable {
+    own: u64,
+    addresses: IndexMap<String, SocketAddr>,
+    digests: IndexMap<u64, PeerDigest>,
+    next: usize,
+}
+
+impl PeerTable {
+    pub(crate) fn new(vm: &str) -> Self {
+        Self {
+            own: stable_hash(vm.as_bytes()),
+            ..Self::default()
+        }
+    }
+
+    /// Notes the address of a VM.
+    pub(crate) fn set(&mut self, vm: String, address: SocketAddr) {
+        if stable_hash(vm.as_bytes()) != self.own {
+            self.addresses.insert(vm, address);
+        }
+    }
+
+    /// Forgets a VM.
+    pub(crate) fn remove(&mut self, vm: &str) {
+        self.addresses.swap_remove(vm);
+    }
+
+    /// Returns the addresses to which the next digest goes, `most` at a time.
+    pub(crate) fn targets(&mut self, most: usize) -> Vec<SocketAddr> {
+        let count = self.addresses.len();
+        let taken = count.min(most);
+        let start = self.next;
+        self.next = self.next.wrapping_add(taken);
+        (0..taken)
+            .filter_map(|offset| {
+                let at = start.wrapping_add(offset) % count;
+                self.addresses.get_index(at).map(|(_, address)| *address)
+            })
+            .collect()
+    }
+
+    /// Writes the digest of this VM's own work.
+    pub(crate) fn encode(&self, directory: &ReplicaDirectory, now: Moment) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(HEAD_BYTES + 16 * ENTRY_BYTES);
+        bytes.extend_from_slice(&MAGIC);
+        bytes.extend_from_slice(&self.own.to_be_bytes());
+        bytes.extend_from_slice(&millis(now).to_be_bytes());
+        let busy = directory.iter().filter(|replica| replica.own.requests > 0);
+        for replica in busy.take(MAX_ENTRIES) {
+            let work = &replica.own;
+            bytes.extend_from_slice(&replica.hash.to_be_bytes());
+            bytes.extend_from_slice(&short(f64::from(work.requests)).to_be_bytes());
+            bytes.extend_from_slice(&short(work.backlog_ms).to_be_bytes());
+            let tokens = u32::try_from(work.tokens).unwrap_or(u32::MAX);
+            bytes.extend_from_slice(&tokens.to_be_bytes());
+            bytes.extend_from_slice(&short(f64::from(work.urgent_streams)).to_be_bytes());
+        }
+        bytes
+    }
+
+    /// Takes a digest; returns whether it was one and new.
+    pub(crate) fn receive(&mut self, bytes: &[u8], now: Moment) -> bool {
+        let Some((sender, digest)) = decode(bytes, now) else {
+            return false;
+        };
+        let known = self.digests.get(&sender);
+        let old = known.is_some_and(|known| {
+            known.sent_ms >= digest.sent_ms && now.saturating_sub(known.received) < DIGEST_LIFE
+        });
+        if sender == self.own || old {
+            return false;
+        }
+        if self.digests.len() >= MAX_SENDERS && !self.digests.contains_key(&sender) {
+            return false;
+        }
+        self.digests.insert(sender, digest);
+        true
+    }
+
+    /// Sums up the recent digests into the servers' state.
+    pub(crate) fn apply(&mut self, directory: &mut ReplicaDirectory, now: Moment) {
+        self.digests
+            .retain(|_, digest| now.saturating_sub(digest.received) < DIGEST_LIFE);
+        for replica in directory.iter_mut() {
+            replica.others = WorkSum::default();
+        }
+        for digest in self.digests.values() {
+            for (hash, work) in &digest.work {
+                if let Some(index) = directory.by_hash(*hash) {
+                    directory.get_mut(index).others.add(work);
+                }
+            }
+        }
+    }
+}
+
+fn millis(time: Moment) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn short(value: f64) -> u16 {
+    value.clamp(0.0, f64::from(u16::MAX)) as u16
+}
+
+fn decode(bytes: &[u8], now: Moment) -> Option<(u64, PeerDigest)> {
+    let (head, entries) = bytes.split_at_checked(HEAD_BYTES)?;
+    let head = head.strip_prefix(&MAGIC)?;
+    let sender = u64::from_be_bytes(head[..8].try_into().ok()?);
+    let sent_ms = u64::from_be_bytes(head[8..].try_into().ok()?);
+    if !entries.len().is_multiple_of(ENTRY_BYTES) {
+        return None;
+    }
+    let work = entries
+        .chunks_exact(ENTRY_BYTES)
+        .map(decode_entry)
+        .collect::<Option<Vec<_>>>()?;
+    let digest = PeerDigest {
+        received: now,
+        sent_ms,
+        work,
+    };
+    Some((sender, digest))
+}
+
+fn decode_entry(entry: &[u8]) -> Option<(u64, WorkSum)> {
+    let hash = u64::from_be_bytes(entry[..8].try_into().ok()?);
+    let number = |at: usize| u16::from_be_bytes([entry[at], entry[at + 1]]);
+    let tokens = u32::from_be_bytes(entry[12..16].try_into().ok()?);
+    let work = WorkSum {
+        requests: u32::from(number(8)),
+        backlog_ms: f64::from(number(10)),
+        tokens: u64::from(tokens),
+        urgent_streams: u32::from(number(16)),
+    };
+    Some((hash, work))
+}
--- /dev/null
+++ b/crates/dewedge/src/policy/placement.rs
@@ -0,0 +1,309 @@
+//! Chooses a server for a request.
+//!
+//! For model engines the cost of a server is the time until the first event
+//! there: the prompts that it still has to read, plus the part of this prompt
+//! that isn't in its memory. Requests with the same shared parts have the same
+//! few homes on all VMs, so that a part is read on few engines; a home that is
+//! busy loses to an idle engine. Long prompts hold up the events of urgent
+//! streams that run beside them, which counts as a cost too.
+//!
+//! It answers bursts of long prompts beside running streams, and hot prompt
+//! parts. For plain services the share of busy slots decides.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::clock::Moment;
+use crate::format::PromptPart;
+
+/// Prompt tokens that an engine reads in a millisecond; from the users' sheets.
+pub const PREFILL_TOKENS_PER_MS: f64 = 56.6;
+
+/// Homes of a shared part; two keep a part alive when one home is lost.
+const HOMES: usize = 2;
+
+/// Engine time for each running request, in ms of delay to a new prompt; the
+/// growth of a step with the batch, over the steps of a prompt.
+const RUNNING_COST_MS: f64 = 0.4;
+
+/// Cost of holding up one urgent stream for a millisecond, against a
+/// millisecond of waiting.
+const STREAM_DELAY_WEIGHT: f64 = 0.15;
+
+/// Backlog of an engine, in ms, up to which requests are sent, for the most
+/// urgent rank; less urgent ranks get the shorter ones.
+const BACKLOG_LIMITS_MS: [f64; 3] = [700.0, 500.0, 380.0];
+
+/// Part of an engine's memory that requests may fill before others wait.
+const MEMORY_SHARE: f64 = 0.85;
+
+/// Requests at a plain server beyond its slots before others wait.
+const PLAIN_QUEUE: u32 = 2;
+
+/// Cost of a server in another data centre, in parts of a busy slot.
+const FAR_COST: f64 = 0.15;
+
+/// Prompt parts that are remembered for each server.
+const MAX_PARTS: usize = 4096;
+
+/// Work that one VM has at a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WorkSum {
+    /// Requests.
+    pub requests: u32,
+    /// Time of the prompts that aren't read yet, in ms.
+    pub backlog_ms: f64,
+    /// Tokens that the requests keep in memory.
+    pub tokens: u64,
+    /// Urgent streams that run.
+    pub urgent_streams: u32,
+}
+
+impl WorkSum {
+    /// Adds the work of another VM.
+    pub fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.backlog_ms += other.backlog_ms;
+        self.tokens += other.tokens;
+        self.urgent_streams += other.urgent_streams;
+    }
+}
+
+/// Prompt parts that a server has read, with the time of their last use.
+#[derive(Clone, Debug, Default)]
+pub struct PartMemory {
+    parts: IndexMap<u64, Moment>,
+}
+
+impl PartMemory {
+    /// Notes that a request with these parts was sent.
+    pub fn note(&mut self, parts: &[PromptPart], now: Moment) {
+        if self.parts.len() + parts.len() > MAX_PARTS {
+            let half = now.saturating_sub(PART_LIFE / 2);
+            self.parts.retain(|_, used| *used >= half);
+        }
+        for part in parts {
+            self.parts.insert(part.id, now);
+        }
+    }
+
+    /// Returns the tokens of a prompt that needn't be read.
+    ///
+    /// A part counts only if all parts before it count.
+    pub fn known_tokens(&self, parts: &[PromptPart], now: Moment) -> u32 {
+        parts
+            .iter()
+            .take_while(|part| {
+                let used = self.parts.get(&part.id);
+                used.is_some_and(|used| now.saturating_sub(*used) < PART_LIFE)
+            })
+            .map(|part| part.tokens)
+            .sum()
+    }
+
+    /// Forgets everything, because the server started anew.
+    pub fn clear(&mut self) {
+        self.parts.clear();
+    }
+}
+
+/// Time for which a part is taken to stay in the memory of an engine.
+const PART_LIFE: Duration = Duration::from_secs(10);
+
+/// One server, as the placement sees it.
+#[derive(Clone, Debug)]
+pub struct ReplicaView<'a> {
+    /// Hash of its id, the same on all VMs.
+    pub hash: u64,
+    /// Whether requests may be sent there.
+    pub usable: bool,
+    /// Whether it is in the data centre of this VM.
+    pub near: bool,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Tokens that fit in its memory; 0 for a plain server.
+    pub memory_tokens: u64,
+    /// Work of all VMs there.
+    pub work: WorkSum,
+    /// How much longer it takes than others; 1 is usual.
+    pub slowness: f64,
+    /// Share of its latest requests that failed.
+    pub failures: f64,
+    /// Prompt parts that it has read.
+    pub parts: &'a PartMemory,
+}
+
+/// A request, as the placement sees it.
+#[derive(Clone, Debug)]
+pub struct PlacementQuery<'a> {
+    /// Parts of its prompt.
+    pub parts: &'a [PromptPart],
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens of its answer.
+    pub output_tokens: u32,
+    /// Its rank.
+    pub priority: u8,
+    /// The time.
+    pub now: Moment,
+}
+
+/// What the placement found.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum PlacementChoice {
+    /// Send it to the server at this index.
+    Chosen {
+        /// Index among the servers that were given.
+        index: usize,
+        /// Time of the prompt there, in ms.
+        prefill_ms: f64,
+        /// Cost of the server, in ms or in busy slots.
+        cost: f64,
+    },
+    /// All servers are busy.
+    Busy,
+    /// No server may be used.
+    Unavailable,
+}
+
+/// Returns the key by which a prompt finds its homes.
+///
+/// It is the last part that other requests share.
+pub fn home_key(parts: &[PromptPart]) -> Option<u64> {
+    match parts {
+        [] => None,
+        [only] => Some(only.id),
+        [.., shared, _] => Some(shared.id),
+    }
+}
+
+fn home_weight(key: u64, replica: u64) -> u64 {
+    use std::hash::Hasher;
+    siphasher::sip::SipHasher13::new_with_keys(key, replica).finish()
+}
+
+/// Returns the indices of the homes of a key, the first one first.
+fn homes(key: u64, replicas: &[ReplicaView<'_>]) -> Vec<usize> {
+    let mut ranked: Vec<(u64, usize)> = replicas
+        .iter()
+        .enumerate()
+        .filter(|(_, replica)| replica.usable)
+        .map(|(index, replica)| (home_weight(key, replica.hash), index))
+        .collect();
+    ranked.sort_unstable_by(|left, right| right.cmp(left));
+    ranked.truncate(HOMES);
+    ranked.into_iter().map(|(_, index)| index).collect()
+}
+
+/// Chooses a model engine.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::policy::placement::{PlacementChoice, PlacementQuery, choose_engine};
+/// use std::time::Duration;
+///
+/// let query = PlacementQuery {
+///     parts: &[],
+///     prompt_tokens: 100,
+///     output_tokens: 10,
+///     priority: 0,
+///     now: Duration::ZERO,
+/// };
+/// assert_eq!(choose_engine(&query, &[]), PlacementChoice::Unavailable);
+/// ```
+pub fn choose_engine(query: &PlacementQuery<'_>, replicas: &[ReplicaView<'_>]) -> PlacementChoice {
+    let homes = home_key(query.parts)
+        .map(|key| homes(key, replicas))
+        .unwrap_or_default();
+    let limit = BACKLOG_LIMITS_MS[usize::from(query.priority).min(BACKLOG_LIMITS_MS.len() - 1)];
+    let mut best: Option<(f64, usize, f64)> = None;
+    let mut any_usable = false;
+    for (index, replica) in replicas.iter().enumerate() {
+        if !replica.usable {
+            continue;
+        }
+        any_usable = true;
+        if !has_room(query, replica, limit) {
+            continue;
+        }
+        let prefill_ms = prefill_ms(query, replica, homes.contains(&index));
+        let cost = engine_cost(query, replica, prefill_ms);
+        if best.is_none_or(|(least, _, _)| cost < least) {
+            best = Some((cost, index, prefill_ms));
+        }
+    }
+    match best {
+        Some((cost, index, prefill_ms)) => PlacementChoice::Chosen {
+            index,
+            prefill_ms,
+            cost,
+        },
+        None if any_usable => PlacementChoice::Busy,
+        None => PlacementChoice::Unavailable,
+    }
+}
+
+fn has_room(query: &PlacementQuery<'_>, replica: &ReplicaView<'_>, limit_ms: f64) -> bool {
+    let tokens = u64::from(query.prompt_tokens) + u64::from(query.output_tokens);
+    let memory = (replica.memory_tokens as f64 * MEMORY_SHARE) as u64;
+    let empty = replica.work.requests == 0;
+    let fits = empty || replica.work.tokens + tokens <= memory;
+    fits && replica.work.requests < replica.slots
+        && replica.work.backlog_ms * replica.slowness < limit_ms
+}
+
+fn prefill_ms(query: &PlacementQuery<'_>, replica: &ReplicaView<'_>, is_home: bool) -> f64 {
+    let known = replica.parts.known_tokens(query.parts, query.now);
+    let shared: u32 = match query.parts {
+        [shared @ .., _] => shared.iter().map(|part| part.tokens).sum(),
+        [] => 0,
+    };
+    let expected = if is_home { shared } else { 0 };
+    let unread = query.prompt_tokens.saturating_sub(known.max(expected));
+    f64::from(unread) / PREFILL_TOKENS_PER_MS
+}
+
+fn engine_cost(query: &PlacementQuery<'_>, replica: &ReplicaView<'_>, prefill_ms: f64) -> f64 {
+    let running = f64::from(replica.work.requests) * RUNNING_COST_MS;
+    let own = (replica.work.backlog_ms + prefill_ms + running) * replica.slowness;
+    let others = if query.priority == 0 {
+        // An urgent stream suffers from the prompts that are read beside it.
+        replica.work.backlog_ms
+    } else {
+        prefill_ms * f64::from(replica.work.urgent_streams) * STREAM_DELAY_WEIGHT
+    };
+    (own + others) * (1.0 + 2.0 * replica.failures)
+}
+
+/// Chooses a server of a plain service.
+pub fn choose_plain(replicas: &[ReplicaView<'_>], draw: u64) -> PlacementChoice {
+    let mut best: Option<(f64, u64, usize)> = None;
+    let mut any_usable = false;
+    for (index, replica) in replicas.iter().enumerate() {
+        if !replica.usable {
+            continue;
+        }
+        any_usable = true;
+        if replica.work.requests >= replica.slots + PLAIN_QUEUE {
+            continue;
+        }
+        let busy = f64::from(replica.work.requests) / f64::from(replica.slots.max(1));
+        let far = if replica.near { 0.0 } else { FAR_COST };
+        let cost = busy * replica.slowness + far + 2.0 * replica.failures;
+        let tie = replica.hash ^ draw;
+        if best.is_none_or(|(least, other, _)| cost < least || (cost == least && tie < other)) {
+            best = Some((cost, tie, index));
+        }
+    }
+    match best {
+        Some((cost, _, index)) => PlacementChoice::Chosen {
+            index,
+            prefill_ms: 0.0,
+            cost,
+        },
+        None if any_usable => PlacementChoice::Busy,
+        None => PlacementChoice::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/dewedge/src/policy/queue.rs
@@ -0,0 +1,117 @@
+//! The order of the requests that wait for a server of one service.
+//!
+//! More urgent requests go first. Among equally urgent ones the workspaces take
+//! turns by the work that each one's requests bring, so that one busy workspace
+//! doesn't hold up the others.
+//!
+//! It answers a workspace that sends many times its usual, beside bursts.
+
+use std::collections::BTreeMap;
+
+use indexmap::IndexMap;
+
+use crate::clock::Moment;
+
+/// Id of a request in flight on this VM.
+pub type ExchangeId = usize;
+
+/// Workspaces whose turn is remembered; idle ones are forgotten beyond it.
+const MAX_TURNS: usize = 4096;
+
+/// A request that waits.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WaitingRequest {
+    /// Which request.
+    pub exchange: ExchangeId,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Its workspace.
+    pub workspace: String,
+    /// Work it brings, in any unit that is the same for all.
+    pub work: u64,
+    /// When it came.
+    pub arrived: Moment,
+}
+
+/// Place of a request: rank, turn of its workspace, number.
+type QueuePlace = (u8, u64, u64);
+
+/// The requests that wait for one service.
+#[derive(Clone, Debug, Default)]
+pub struct WaitingQueue {
+    places: BTreeMap<QueuePlace, WaitingRequest>,
+    by_exchange: IndexMap<ExchangeId, QueuePlace>,
+    turns: IndexMap<(u8, String), u64>,
+    reached: [u64; 10],
+    number: u64,
+}
+
+impl WaitingQueue {
+    /// Adds a request.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewedge::policy::queue::{WaitingQueue, WaitingRequest};
+    /// use std::time::Duration;
+    ///
+    /// let mut queue = WaitingQueue::default();
+    /// for (exchange, priority) in [(1, 2), (2, 0)] {
+    ///     let workspace = "news".to_string();
+    ///     let arrived = Duration::ZERO;
+    ///     queue.push(WaitingRequest { exchange, priority, workspace, work: 1, arrived });
+    /// }
+    /// assert_eq!(queue.first().unwrap().exchange, 2);
+    /// ```
+    pub fn push(&mut self, mut request: WaitingRequest) {
+        request.priority = request.priority.min(9);
+        let reached = self.reached[usize::from(request.priority)];
+        let key = (request.priority, request.workspace.clone());
+        let turn = self.turns.get(&key).copied().unwrap_or(0).max(reached);
+        if self.turns.len() >= MAX_TURNS {
+            self.turns.clear();
+        }
+        self.turns.insert(key, turn + request.work.max(1));
+        self.number += 1;
+        let place = (request.priority, turn, self.number);
+        self.by_exchange.insert(request.exchange, place);
+        self.places.insert(place, request);
+    }
+
+    /// Returns the request that goes first.
+    pub fn first(&self) -> Option<&WaitingRequest> {
+        self.places.values().next()
+    }
+
+    /// Returns all requests in their order.
+    pub fn iter(&self) -> impl Iterator<Item = &WaitingRequest> {
+        self.places.values()
+    }
+
+    /// Takes a request out, because it is sent or given up.
+    pub fn remove(&mut self, exchange: ExchangeId) -> Option<WaitingRequest> {
+        let place = self.by_exchange.swap_remove(&exchange)?;
+        let reached = &mut self.reached[usize::from(place.0)];
+        *reached = (*reached).max(place.1);
+        self.places.remove(&place)
+    }
+
+    /// Returns the arrival of the oldest request that goes before a newcomer
+    /// with this rank.
+    pub fn oldest_before(&self, priority: u8) -> Option<Moment> {
+        self.places
+            .range(..(priority.saturating_add(1), 0, 0))
+            .map(|(_, request)| request.arrived)
+            .min()
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -0,0 +1,330 @@
+//! Sends waiting requests to servers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use mio::Interest;
+
+use crate::clock::Moment;
+use crate::directory::ReplicaIndex;
+use crate::format::{ForwardFacts, PlatformFormat};
+use crate::net::WireChannel;
+use crate::policy::placement::{
+    PlacementChoice, PlacementQuery, ReplicaView, choose_engine, choose_plain,
+};
+use crate::tables::{EngineSpec, RequestKind};
+
+use super::state::{
+    EdgeState, Exchange, ExchangePhase, SentWork, ServerConn, ServerId, TokenKind, token_of,
+};
+use super::timers::DueTime;
+
+/// Time for a new connection to a server; a way there and back takes a few ms.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time that must be left for a request to be worth sending.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
+
+/// Rank at which a stream counts as urgent.
+const URGENT_RANK: u8 = 0;
+
+/// Expected time of an engine beside the reading of prompts, in ms.
+const FIRST_EVENT_MS: f64 = 40.0;
+
+/// Part of a kept connection's idle time after which a request that may not
+/// be repeated is no longer written to it.
+const IDLE_SHARE_ONCE: f64 = 0.5;
+
+impl<F: PlatformFormat> EdgeState<F> {
+    /// Sends as many waiting requests of a service as its servers take.
+    pub(crate) fn dispatch(&mut self, service: &str) {
+        self.refresh_others();
+        loop {
+            let Some(queue) = self.queues.get(service) else {
+                return;
+            };
+            let Some(first) = queue.first() else {
+                return;
+            };
+            let exchange = first.exchange;
+            match self.place(exchange) {
+                PlacementChoice::Busy | PlacementChoice::Unavailable => return,
+                PlacementChoice::Chosen {
+                    index,
+                    prefill_ms,
+                    cost,
+                } => {
+                    if let Some(queue) = self.queues.get_mut(service) {
+                        queue.remove(exchange);
+                    }
+                    let replica = self.directory.of_service(service)[index];
+                    self.send(exchange, replica, prefill_ms, cost);
+                }
+            }
+        }
+    }
+
+    /// Sums up the digests of the other VMs, if new ones came.
+    fn refresh_others(&mut self) {
+        if std::mem::take(&mut self.others_stale) {
+            self.peers.apply(&mut self.directory, self.now);
+        }
+    }
+
+    fn engine_of(&self, service: &str) -> Option<EngineSpec> {
+        let table = self.table.as_ref()?;
+        table.service(service)?.engine.clone()
+    }
+
+    /// Chooses a server for a request.
+    fn place(&mut self, exchange: usize) -> PlacementChoice {
+        let draw = self.draw();
+        let Some(item) = self.exchanges.get(exchange) else {
+            return PlacementChoice::Unavailable;
+        };
+        let engine = self.engine_of(&item.service);
+        let members = self.directory.of_service(&item.service);
+        let views: Vec<ReplicaView<'_>> = members
+            .iter()
+            .map(|index| self.view(*index, item, engine.as_ref()))
+            .collect();
+        if engine.is_none() {
+            return choose_plain(&views, draw);
+        }
+        let query = PlacementQuery {
+            parts: &item.facts.prompt_parts,
+            prompt_tokens: item.facts.prompt_tokens,
+            output_tokens: item.facts.max_output_tokens,
+            priority: item.priority,
+            now: self.now,
+        };
+        choose_engine(&query, &views)
+    }
+
+    fn view<'a>(
+        &'a self,
+        index: ReplicaIndex,
+        item: &Exchange,
+        engine: Option<&EngineSpec>,
+    ) -> ReplicaView<'a> {
+        let replica = self.directory.get(index);
+        let mut work = replica.own;
+        work.add(&replica.others);
+        let usable = replica.is_listed()
+            && replica.health.is_usable(self.now)
+            && !item.tried.contains(&index);
+        ReplicaView {
+            hash: replica.hash,
+            usable,
+            near: replica.entry.data_centre == self.settings.data_centre,
+            slots: engine.map_or(replica.entry.slots, |engine| engine.slots),
+            memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+            work,
+            slowness: replica.slowness,
+            failures: replica.health.failure_share(),
+            parts: &replica.parts,
+        }
+    }
+
+    /// Sends a request to a server.
+    fn send(&mut self, exchange: usize, replica: ReplicaIndex, prefill_ms: f64, cost: f64) {
+        let now = self.now;
+        let Some(item) = self.exchanges.get(exchange) else {
+            return;
+        };
+        if item.deadline.saturating_sub(now) < MIN_TIME_LEFT {
+            self.expire(exchange);
+            return;
+        }
+        if item.sends > 0 && !self.take_repeat(exchange) {
+            self.give_up(exchange, "retry_budget");
+            return;
+        }
+        let repeatable = self.exchanges[exchange].route.is_repeatable();
+        let kept = self.take_idle(replica, repeatable);
+        let server = match kept {
+            Some(server) => server,
+            None => match self.connect(replica) {
+                Some(server) => server,
+                None => {
+                    self.exchanges[exchange].tried.push(replica);
+                    self.on_connect_failure(exchange, replica);
+                    return;
+                }
+            },
+        };
+        self.note_send(exchange, replica, server, prefill_ms);
+        let bytes = self.request_bytes(exchange, replica);
+        let body = Rc::clone(&self.exchanges[exchange].body);
+        let conn = &mut self.servers[server];
+        conn.exchange = Some(exchange);
+        conn.channel.queue(&bytes);
+        conn.channel.queue(&body);
+        if conn.connected {
+            // An error shows again when the connection is read.
+            let _ = conn.channel.flush();
+        } else {
+            self.arm_server(server, now + CONNECT_TIMEOUT);
+        }
+        self.log_send(exchange, replica, kept.is_some(), cost);
+        let due = self.watch_time(exchange);
+        self.arm_exchange(exchange, due);
+    }
+
+    fn take_repeat(&mut self, exchange: usize) -> bool {
+        let now = self.now;
+        let service = self.exchanges[exchange].service.clone();
+        match self.budgets.get_mut(&service) {
+            Some(budget) => budget.try_repeat(now),
+            None => false,
+        }
+    }
+
+    fn note_send(
+        &mut self,
+        exchange: usize,
+        replica: ReplicaIndex,
+        server: ServerId,
+        prefill: f64,
+    ) {
+        let now = self.now;
+        let item = &mut self.exchanges[exchange];
+        let is_stream = item.route.kind == RequestKind::Streaming;
+        let state = self.directory.get_mut(replica);
+        let backlog = state.own.backlog_ms + state.others.backlog_ms;
+        let tokens = u64::from(item.facts.prompt_tokens) + u64::from(item.facts.max_output_tokens);
+        item.phase = ExchangePhase::Sent(server);
+        item.sends += 1;
+        item.work = SentWork {
+            replica,
+            sent: now,
+            backlog_ms: prefill,
+            expected_ms: backlog + prefill + FIRST_EVENT_MS,
+            tokens,
+            urgent: is_stream && item.priority == URGENT_RANK,
+            unread: true,
+            counted: true,
+        };
+        state.own.requests += 1;
+        state.own.backlog_ms += prefill;
+        state.own.tokens += tokens;
+        state.own.urgent_streams += u32::from(item.work.urgent);
+        state.health.note_sent();
+        state.parts.note(&item.facts.prompt_parts, now);
+        self.digest_due = true;
+        let label = crate::metrics::ServiceLabel {
+            service: item.service.clone(),
+        };
+        let waited = now.saturating_sub(item.queued).as_secs_f64();
+        self.metrics
+            .queue_wait
+            .get_or_create(&label)
+            .observe(waited);
+    }
+
+    fn log_send(&mut self, exchange: usize, replica: ReplicaIndex, kept: bool, cost: f64) {
+        let item = &self.exchanges[exchange];
+        let state = self.directory.get(replica);
+        let version = self.table.as_ref().map_or(0, |table| table.version);
+        self.logs
+            .request("placement", "sent")
+            .text("request", &item.facts.attempt)
+            .text("route", &item.route.name)
+            .text("server", &state.id)
+            .number("send", item.sends)
+            .number("tables", version)
+            .number("cost", cost.max(0.0) as u64)
+            .number("own_requests", state.own.requests)
+            .number("other_requests", state.others.requests)
+            .number(
+                "backlog_ms",
+                (state.own.backlog_ms + state.others.backlog_ms) as u64,
+            )
+            .number("kept_connection", kept)
+            .ms("waited_ms", self.now.saturating_sub(item.queued))
+            .ms("left_ms", item.deadline.saturating_sub(self.now));
+    }
+
+    /// Writes the head of a request for a server.
+    fn request_bytes(&self, exchange: usize, replica: ReplicaIndex) -> Vec<u8> {
+        let item = &self.exchanges[exchange];
+        let state = self.directory.get(replica);
+        let is_engine = self.engine_of(&item.service).is_some();
+        let resumed = item
+            .stream
+            .as_ref()
+            .and_then(|stream| stream.cutter.last_id());
+        let facts = ForwardFacts {
+            time_left: item.deadline.saturating_sub(self.now),
+            replica: &state.id,
+            workspace: item.workspace.as_deref(),
+            priority: is_engine.then_some(item.priority.min(9)),
+            last_event: resumed.or(item.facts.last_event),
+        };
+        let mut bytes = Vec::with_capacity(item.head.len() + 256);
+        bytes.extend_from_slice(&item.head);
+        F::write_forward(&mut bytes, &facts);
+        if !item.body.is_empty() || item.method != "GET" {
+            let length = format!("Content-Length: {}\r\n", item.body.len());
+            bytes.extend_from_slice(length.as_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes
+    }
+
+    /// Takes a connection to a server that idles.
+    fn take_idle(&mut self, replica: ReplicaIndex, repeatable: bool) -> Option<ServerId> {
+        let now = self.now;
+        while let Some(server) = self.directory.get_mut(replica).idle.pop() {
+            let Some(conn) = self.servers.get(server) else {
+                continue;
+            };
+            let idle = conn.idle_until.saturating_sub(conn.idle_since);
+            let limit = match repeatable {
+                true => conn.idle_until,
+                false => conn.idle_since + idle.mul_f64(IDLE_SHARE_ONCE),
+            };
+            if limit > now {
+                self.servers[server].reused = true;
+                return Some(server);
+            }
+            if conn.idle_until <= now {
+                self.servers.remove(server);
+            } else {
+                // It still serves requests that may be repeated.
+                self.directory.get_mut(replica).idle.push(server);
+                return None;
+            }
+        }
+        None
+    }
+
+    /// Opens a connection to a server.
+    fn connect(&mut self, replica: ReplicaIndex) -> Option<ServerId> {
+        let address = self.directory.get(replica).entry.address;
+        let mut channel = WireChannel::connect(address).ok()?;
+        let entry = self.servers.vacant_entry();
+        let server = entry.key();
+        let token = token_of(TokenKind::Server, server);
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.registry
+            .register(&mut channel.stream, token, interest)
+            .ok()?;
+        entry.insert(ServerConn {
+            channel,
+            replica,
+            connected: false,
+            reused: false,
+            exchange: None,
+            head: None,
+            decoder: None,
+            body: Vec::new(),
+            is_stream: false,
+            idle_until: Moment::ZERO,
+            idle_since: Moment::ZERO,
+            timer: DueTime::default(),
+        });
+        self.metrics.connects.inc();
+        Some(server)
+    }
+}
--- /dev/null
+++ b/crates/dewedge/src/serve/timers.rs
@@ -0,0 +1,80 @@
+//! Timers of the loop.
+//!
+//! Each thing has one due time. A timer that fires too early, because the due
+//! time moved, is armed again; so moving a due time back costs nothing.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use crate::clock::Moment;
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum TimerKey {
+    Caller(usize),
+    Exchange(usize),
+    Server(usize),
+    Side(usize),
+    Store,
+    Digest,
+    Housekeeping,
+}
+
+/// All armed timers.
+#[derive(Debug, Default)]
+pub(crate) struct TimerHeap {
+    heap: BinaryHeap<Reverse<(Moment, TimerKey)>>,
+}
+
+impl TimerHeap {
+    pub(crate) fn arm(&mut self, at: Moment, key: TimerKey) {
+        self.heap.push(Reverse((at, key)));
+    }
+
+    /// Returns the time of the first timer.
+    pub(crate) fn next(&self) -> Option<Moment> {
+        self.heap.peek().map(|Reverse((at, _))| *at)
+    }
+
+    /// Takes the first timer that is due.
+    pub(crate) fn pop(&mut self, now: Moment) -> Option<TimerKey> {
+        if self.next()? > now {
+            return None;
+        }
+        self.heap.pop().map(|Reverse((_, key))| key)
+    }
+}
+
+/// The due time of a thing, and the earliest timer that is armed for it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DueTime {
+    due: Option<Moment>,
+    armed: Option<Moment>,
+}
+
+impl DueTime {
+    /// Sets the due time.
+    pub(crate) fn set(&mut self, due: Moment, key: TimerKey, timers: &mut TimerHeap) {
+        self.due = Some(due);
+        if self.armed.is_none_or(|armed| armed > due) {
+            self.armed = Some(due);
+            timers.arm(due, key);
+        }
+    }
+
+    /// Takes a timer that fired; returns whether the thing is due.
+    pub(crate) fn fire(&mut self, now: Moment, key: TimerKey, timers: &mut TimerHeap) -> bool {
+        self.armed = None;
+        match self.due {
+            None => false,
+            Some(due) if due <= now => {
+                self.due = None;
+                true
+            }
+            Some(due) => {
+                self.set(due, key, timers);
+                false
+            }
+        }
+    }
+}
--- a/crates/dewspring/examples/claim_rate.rs
+++ b/crates/dewspring/examples/claim_rate.rs
@@ -13,7 +13,7 @@
 use dewspring::claims::{
     ClaimHandle, ClaimKey, ClaimLedger, ClaimOutcome, ClaimRequest, LedgerSettings, RecordedOutcome,
 };
-use dewspring::platform::{
+use dewspring::store::{
     EmbeddedStore, ExpectedVersion, LeaseGrant, LeaseId, PlatformStore, StoreEntry, StoreError,
     StoreVersion, SwapOutcome,
 };
--- a/crates/dewspring/examples/peer_cost.rs
+++ b/crates/dewspring/examples/peer_cost.rs
@@ -18,8 +18,8 @@
     GrantService, HEARTBEAT_INTERVAL, Heartbeat, MembershipState, PeerCounts, PeerDuty, PeerHandle,
     PeerSettings, VmIdentity, VmPlace, rendezvous_owner,
 };
-use dewspring::platform::{DirectoryError, VmDirectory, VmEntry, VmState};
 use dewspring::settings::SharedSecret;
+use dewspring::store::{DirectoryError, VmDirectory, VmEntry, VmState};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::runtime::{Builder, Runtime};
--- a/crates/dewspring/src/claims/breaker.rs
+++ b/crates/dewspring/src/claims/breaker.rs
@@ -7,7 +7,7 @@
 
 use rand::{Rng, RngExt};
 
-use crate::platform::backoff_delay;
+use crate::store::backoff_delay;
 
 /// Time without calls after the first failure.
 const OPEN_BASE: Duration = Duration::from_millis(100);
--- a/crates/dewspring/src/claims/commit.rs
+++ b/crates/dewspring/src/claims/commit.rs
@@ -10,7 +10,7 @@
 
 use super::page::{LedgerPage, PageError};
 use super::plan::{ClaimTime, KnownPage, PageWork, PlanResult, WorkKind, plan_work};
-use crate::platform::{ExpectedVersion, StoreEntry, StoreError, StoreVersion, SwapOutcome};
+use crate::store::{ExpectedVersion, StoreEntry, StoreError, StoreVersion, SwapOutcome};
 
 /// Swaps of one group that may fail before its claims are refused.
 const MAX_ATTEMPTS: u32 = 24;
--- a/crates/dewspring/src/claims/ledger.rs
+++ b/crates/dewspring/src/claims/ledger.rs
@@ -14,7 +14,7 @@
 use super::messages::{ClaimOutcome, ClaimRequest, ClaimToken, LedgerOverloaded, RecordedOutcome};
 use super::writer::{ClaimWriter, NonceSource, WriterMessage};
 use crate::ids::{BootId, VmId};
-use crate::platform::PlatformStore;
+use crate::store::PlatformStore;
 
 /// Messages that wait for one writer.
 const WRITER_RING: usize = 1024;
@@ -99,7 +99,7 @@
     /// use dewspring::claims::{
     ///     ClaimKey, ClaimLedger, ClaimOutcome, ClaimRequest, LedgerSettings, RecordedOutcome,
     /// };
-    /// use dewspring::platform::EmbeddedStore;
+    /// use dewspring::store::EmbeddedStore;
     ///
     /// let settings = LedgerSettings::new("north", "vm-1", 7);
     /// let ledger = ClaimLedger::spawn(EmbeddedStore::open(), settings);
--- a/crates/dewspring/src/claims/messages.rs
+++ b/crates/dewspring/src/claims/messages.rs
@@ -6,7 +6,7 @@
 use thiserror::Error;
 
 use super::key::{ClaimKey, ClaimNonce};
-use crate::platform::EncodedBytes;
+use crate::store::EncodedBytes;
 
 /// Longest body that is recorded whole, in bytes.
 const MAX_RECORDED_BODY: usize = 512;
--- a/crates/dewspring/src/claims/page.rs
+++ b/crates/dewspring/src/claims/page.rs
@@ -10,7 +10,7 @@
 use super::key::{ClaimKey, ClaimNonce, ClaimOwner};
 use super::messages::RecordedOutcome;
 use crate::ids::{BootId, VmId};
-use crate::platform::{EncodedBytes, MAX_VALUE_BYTES, StoreVersion};
+use crate::store::{EncodedBytes, MAX_VALUE_BYTES, StoreVersion};
 
 /// Upper bound of one claim in a page, with an outcome but without its body,
 /// in bytes.
--- a/crates/dewspring/src/claims/plan.rs
+++ b/crates/dewspring/src/claims/plan.rs
@@ -8,7 +8,7 @@
 use super::key::{ClaimKey, ClaimNonce};
 use super::messages::{ClaimRequest, RecordedOutcome};
 use super::page::{ClaimState, LedgerClaim, LedgerPage};
-use crate::platform::ExpectedVersion;
+use crate::store::ExpectedVersion;
 
 /// Minutes by which the clocks of VMs and callers may differ.
 pub(super) const CLOCK_SKEW_MINUTES: u64 = 5;
--- a/crates/dewspring/src/claims/tests/commit.rs
+++ b/crates/dewspring/src/claims/tests/commit.rs
@@ -11,7 +11,7 @@
 use super::super::plan::{ClaimTime, KnownPage, PageWork, PlanResult, WorkKind};
 use super::super::settle::{SettleTerms, settle_work};
 use super::{key, nonce};
-use crate::platform::{ExpectedVersion, StoreEntry, StoreError, SwapOutcome};
+use crate::store::{ExpectedVersion, StoreEntry, StoreError, SwapOutcome};
 
 const HORIZON: u64 = 60;
 const MINUTE: u64 = 1000;
--- a/crates/dewspring/src/claims/tests/ledger.rs
+++ b/crates/dewspring/src/claims/tests/ledger.rs
@@ -7,9 +7,9 @@
 use super::super::ledger::{ClaimHandle, ClaimLedger, LedgerSettings};
 use super::super::messages::{ClaimOutcome, ClaimRequest, ClaimToken, RecordedOutcome};
 use super::key;
-use crate::platform::EmbeddedStore;
-use crate::platform::tests::faulty::FaultyStore;
-use crate::platform::tests::{PATIENCE, wait_for};
+use crate::store::EmbeddedStore;
+use crate::store::tests::faulty::FaultyStore;
+use crate::store::tests::{PATIENCE, wait_for};
 
 fn spawn(store: &FaultyStore, vm: &str) -> ClaimLedger {
     let settings = LedgerSettings {
--- a/crates/dewspring/src/claims/tests/page.rs
+++ b/crates/dewspring/src/claims/tests/page.rs
@@ -3,7 +3,7 @@
 use super::super::messages::{RecordedBody, RecordedOutcome};
 use super::super::page::{CLAIM_BYTES, ClaimState, LedgerClaim, LedgerPage};
 use super::{key, nonce};
-use crate::platform::MAX_VALUE_BYTES;
+use crate::store::MAX_VALUE_BYTES;
 
 fn claim(serial: u64, created_minute: u64) -> LedgerClaim {
     LedgerClaim {
--- a/crates/dewspring/src/claims/tests/sim_store.rs
+++ b/crates/dewspring/src/claims/tests/sim_store.rs
@@ -4,7 +4,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::platform::{
+use crate::store::{
     EmbeddedStore, ExpectedVersion, PlatformStore, StoreEntry, StoreError, SwapOutcome,
 };
 
--- a/crates/dewspring/src/claims/writer.rs
+++ b/crates/dewspring/src/claims/writer.rs
@@ -21,7 +21,7 @@
 use super::messages::{ClaimOutcome, ClaimRequest, ClaimToken, RecordedOutcome};
 use super::plan::{ClaimTime, PageWork, WorkId, WorkKind};
 use super::settle::{SettleTerms, settle_work};
-use crate::platform::PlatformStore;
+use crate::store::PlatformStore;
 
 /// Messages that are taken for one round.
 const MAX_BATCH: usize = 256;
--- a/crates/dewspring/src/configuration/keeper.rs
+++ b/crates/dewspring/src/configuration/keeper.rs
@@ -17,7 +17,7 @@
 use super::state::{KeeperEvent, KeeperState, ReadDocument};
 use super::watcher::StoreWatcher;
 use crate::ids::Revision;
-use crate::platform::PlatformStore;
+use crate::store::PlatformStore;
 use crate::tables::FleetConfig;
 
 /// Messages that wait for the deciding thread; an offer that finds the ring
@@ -98,7 +98,7 @@
     ///
     /// ```
     /// use dewspring::configuration::{ConfigKeeper, KeeperSettings};
-    /// use dewspring::platform::EmbeddedStore;
+    /// use dewspring::store::EmbeddedStore;
     ///
     /// let keeper = ConfigKeeper::spawn(EmbeddedStore::open(), KeeperSettings::new("north", 7));
     /// assert_eq!(keeper.current().revision, 0);
@@ -117,7 +117,7 @@
     ///
     /// ```
     /// use dewspring::configuration::{ConfigKeeper, KeeperSettings, ReadingError};
-    /// use dewspring::platform::EmbeddedStore;
+    /// use dewspring::store::EmbeddedStore;
     ///
     /// let reader = |_: &[u8]| Err(ReadingError::Unusable("no tables".to_owned()));
     /// let settings = KeeperSettings::new("north", 7);
--- a/crates/dewspring/src/configuration/publish.rs
+++ b/crates/dewspring/src/configuration/publish.rs
@@ -9,7 +9,7 @@
 use super::exchange::ConfigSnapshot;
 use super::state::{ConfigProblem, KeeperState};
 use crate::ids::Revision;
-use crate::platform::{ExpectedVersion, PlatformStore, StoreError, SwapOutcome};
+use crate::store::{ExpectedVersion, PlatformStore, StoreError, SwapOutcome};
 use crate::tables::{ConfigDocument, FleetConfig, config_key};
 
 /// Revisions that wait for one subscriber; a full ring loses nothing, since
@@ -117,7 +117,7 @@
 ///
 /// ```
 /// use dewspring::configuration::store_document;
-/// use dewspring::platform::{EmbeddedStore, SwapOutcome};
+/// use dewspring::store::{EmbeddedStore, SwapOutcome};
 /// use dewspring::tables::{ConfigDocument, DocumentChange, TableTexts};
 ///
 /// let document = ConfigDocument::first(DocumentChange {
@@ -128,7 +128,7 @@
 /// });
 /// let outcome = store_document(&EmbeddedStore::open(), "north", &document)?;
 /// assert!(matches!(outcome, SwapOutcome::Swapped(_)));
-/// # Ok::<(), dewspring::platform::StoreError>(())
+/// # Ok::<(), dewspring::store::StoreError>(())
 /// ```
 pub fn store_document(
     store: &impl PlatformStore,
--- a/crates/dewspring/src/configuration/reading.rs
+++ b/crates/dewspring/src/configuration/reading.rs
@@ -2,7 +2,7 @@
 
 use thiserror::Error;
 
-use crate::platform::MAX_VALUE_BYTES;
+use crate::store::MAX_VALUE_BYTES;
 use crate::tables::{ConfigDocument, FleetConfig};
 
 /// Why a document can't be put in force.
--- a/crates/dewspring/src/configuration/tests/keeper.rs
+++ b/crates/dewspring/src/configuration/tests/keeper.rs
@@ -9,9 +9,9 @@
 use super::super::state::ConfigProblem;
 use super::{document, read_plain};
 use crate::ids::Revision;
-use crate::platform::tests::faulty::FaultyStore;
-use crate::platform::tests::wait_for;
-use crate::platform::{EmbeddedStore, ExpectedVersion, PlatformStore, StoreError, SwapOutcome};
+use crate::store::tests::faulty::FaultyStore;
+use crate::store::tests::wait_for;
+use crate::store::{EmbeddedStore, ExpectedVersion, PlatformStore, StoreError, SwapOutcome};
 use crate::tables::{ConfigDocument, config_key};
 
 const FLEET: &str = "north";
--- a/crates/dewspring/src/configuration/tests/state.rs
+++ b/crates/dewspring/src/configuration/tests/state.rs
@@ -9,7 +9,7 @@
 };
 use super::{document, read_plain};
 use crate::ids::Revision;
-use crate::platform::MAX_VALUE_BYTES;
+use crate::store::MAX_VALUE_BYTES;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 fn read(bytes: Vec<u8>) -> ReadDocument {
--- a/crates/dewspring/src/configuration/watcher.rs
+++ b/crates/dewspring/src/configuration/watcher.rs
@@ -11,7 +11,7 @@
 use rand::rngs::StdRng;
 
 use super::keeper::{KeeperMessage, KeeperSettings};
-use crate::platform::{PlatformStore, StoreEntry, StoreError, StoreVersion, backoff_delay};
+use crate::store::{PlatformStore, StoreEntry, StoreError, StoreVersion, backoff_delay};
 use crate::tables::config_key;
 
 /// Shortest time from one watch to the next, if the store ends them early.
--- a/crates/dewspring/src/daemon/error.rs
+++ b/crates/dewspring/src/daemon/error.rs
@@ -7,7 +7,7 @@
 
 use crate::configuration::LoadError;
 use crate::peer::PeerStartError;
-use crate::platform::StoreError;
+use crate::store::StoreError;
 
 /// Why a daemon can't start.
 #[derive(Debug, Error)]
--- a/crates/dewspring/src/daemon/marker.rs
+++ b/crates/dewspring/src/daemon/marker.rs
@@ -12,7 +12,7 @@
 use crate::broker::{BrokerHandle, ServerMark};
 use crate::configuration::ConfigKeeper;
 use crate::ids::ServerName;
-use crate::platform::{SharedDirectory, VmDirectory, VmState};
+use crate::store::{SharedDirectory, VmDirectory, VmState};
 
 /// Time between two looks at the latest reading of the list.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -21,12 +21,12 @@
 use crate::ids::{BootId, PoolName};
 use crate::observe::{DecisionLog, FleetMetrics};
 use crate::peer::{PeerDuty, PeerHandle, PeerSettings};
-use crate::platform::{
+use crate::reports::{PollerSettings, ReportPoller};
+use crate::settings::{DaemonSettings, PlatformKind};
+use crate::store::{
     AnyDirectory, AnyStore, EmbeddedDirectory, EmbeddedStore, GatewayDirectory, GatewayStore,
     SharedDirectory,
 };
-use crate::reports::{PollerSettings, ReportPoller};
-use crate::settings::{DaemonSettings, PlatformKind};
 
 /// A running daemon.
 pub struct Daemon {
--- a/crates/dewspring/src/entry/tests/leaving.rs
+++ b/crates/dewspring/src/entry/tests/leaving.rs
@@ -13,7 +13,7 @@
 use crate::entry::{ConfigSource, EntryContext, EntryServer, EntrySettings, GrantSource};
 use crate::ids::ServerName;
 use crate::observe::{DecisionLog, FleetMetrics};
-use crate::platform::EmbeddedStore;
+use crate::store::EmbeddedStore;
 use crate::tables::{FleetConfig, TableTexts};
 
 const WAIT: Duration = Duration::from_secs(5);
--- a/crates/dewspring/src/lib.rs
+++ b/crates/dewspring/src/lib.rs
@@ -4,7 +4,7 @@
 //! the tests of one duty:
 //!
 //! - [`tables`]: the operators' routes and pools, checked as one document.
-//! - [`platform`]: the platform's key-value service and its list of VMs.
+//! - [`store`]: the platform's key-value service and its list of VMs.
 //! - [`configuration`]: the revision in force on this VM.
 //! - [`entry`]: callers' requests, from the first byte to the last.
 //! - [`grants`]: which broker an entry asks.
@@ -29,8 +29,8 @@
 pub mod ids;
 pub mod observe;
 pub mod peer;
-pub mod platform;
 mod rendezvous;
 pub mod reports;
 pub mod settings;
+pub mod store;
 pub mod tables;
--- a/crates/dewspring/src/peer/duty.rs
+++ b/crates/dewspring/src/peer/duty.rs
@@ -26,7 +26,7 @@
 use super::targets::HEARTBEAT_INTERVAL;
 use crate::configuration::ConfigExchange;
 use crate::ids::Revision;
-use crate::platform::{VmDirectory, VmEntry};
+use crate::store::{VmDirectory, VmEntry};
 
 /// Time between two looks at the revision in force and at new lists.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/dewspring/src/peer/member.rs
+++ b/crates/dewspring/src/peer/member.rs
@@ -4,7 +4,7 @@
 
 use super::messages::{Incarnation, LivenessNews, VmPlace};
 use crate::ids::{BootId, VmId};
-use crate::platform::VmState;
+use crate::store::VmState;
 
 /// Number of former boots that are remembered of a VM.
 const FORMER_BOOTS: usize = 4;
--- a/crates/dewspring/src/peer/membership.rs
+++ b/crates/dewspring/src/peer/membership.rs
@@ -20,8 +20,8 @@
 use super::news::NewsQueue;
 use super::targets::{TargetChoice, random_alive};
 use crate::ids::{PoolName, Revision, VmId};
-use crate::platform::{VmEntry, VmState};
 use crate::rendezvous::{rendezvous_owner, ring_position};
+use crate::store::{VmEntry, VmState};
 
 /// Time for which a VM that the list dropped and that is silent is kept.
 pub const FORGET_AFTER: Duration = Duration::from_secs(60);
--- a/crates/dewspring/src/peer/mod.rs
+++ b/crates/dewspring/src/peer/mod.rs
@@ -10,7 +10,7 @@
 //! no grant behind.
 //!
 //! [`ConfigExchange`]: crate::configuration::ConfigExchange
-//! [`VmDirectory`]: crate::platform::VmDirectory
+//! [`VmDirectory`]: crate::store::VmDirectory
 
 mod asks;
 mod choices;
--- a/crates/dewspring/src/peer/tests/fakes.rs
+++ b/crates/dewspring/src/peer/tests/fakes.rs
@@ -11,8 +11,8 @@
 use crate::configuration::{ConfigExchange, ConfigSnapshot};
 use crate::ids::{BootId, RequestId, Revision, VmId};
 use crate::peer::{GrantService, MemberState, PeerDuty, PeerHandle, PeerSettings};
-use crate::platform::{DirectoryError, VmDirectory, VmEntry, VmState};
 use crate::settings::SharedSecret;
+use crate::store::{DirectoryError, VmDirectory, VmEntry, VmState};
 
 const SECRET: &str = "a secret of the whole test fleet";
 
--- a/crates/dewspring/src/peer/tests/fleet.rs
+++ b/crates/dewspring/src/peer/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use crate::ids::{BootId, VmId};
 use crate::peer::{VmIdentity, VmPlace};
-use crate::platform::{VmEntry, VmState};
+use crate::store::{VmEntry, VmState};
 
 /// Number of data centres over which VMs are spread.
 const DATA_CENTRES: usize = 3;
--- a/crates/dewspring/src/peer/tests/membership.rs
+++ b/crates/dewspring/src/peer/tests/membership.rs
@@ -12,7 +12,7 @@
     FORGET_AFTER, HEARTBEAT_INTERVAL, Heartbeat, HeartbeatVerdict, LivenessNews, MemberEvent,
     MemberState, MemberStatus, MembershipState,
 };
-use crate::platform::VmState;
+use crate::store::VmState;
 
 const SEED: u64 = 20_261_203;
 
--- a/crates/dewspring/src/peer/tests/port.rs
+++ b/crates/dewspring/src/peer/tests/port.rs
@@ -17,7 +17,7 @@
 use crate::peer::preface::{ProofKey, accept_preface, offer_preface};
 use crate::peer::service::{PeerServiceRequest, PeerServiceResponse};
 use crate::peer::wire::{FRAME_LIMIT, call_context, caller_transport};
-use crate::platform::{VmEntry, VmState};
+use crate::store::{VmEntry, VmState};
 
 const SEED: u64 = 20_261_203;
 
--- a/crates/dewspring/src/peer/tests/scale.rs
+++ b/crates/dewspring/src/peer/tests/scale.rs
@@ -11,7 +11,7 @@
 
 use super::fleet::{identity, list_entry, vm_index, vm_name};
 use crate::peer::{HEARTBEAT_INTERVAL, Heartbeat, MemberState, MembershipState};
-use crate::platform::{VmEntry, VmState};
+use crate::store::{VmEntry, VmState};
 
 const FULL_SIZE: usize = 800;
 const SEED: u64 = 20_261_203;
--- a/crates/dewspring/src/platform/choice.rs
+++ b/crates/dewspring/src/store/choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::store::{
+use super::service::{
     DirectoryError, ExpectedVersion, LeaseGrant, LeaseId, PlatformStore, StoreEntry, StoreError,
     StoreVersion, SwapOutcome, VmDirectory, VmEntry,
 };
@@ -13,7 +13,7 @@
 /// # Examples
 ///
 /// ```
-/// use dewspring::platform::{AnyStore, EmbeddedStore, PlatformStore};
+/// use dewspring::store::{AnyStore, EmbeddedStore, PlatformStore};
 ///
 /// let store = AnyStore::Embedded(EmbeddedStore::open());
 /// assert_eq!(store.get("/key"), Ok(None));
--- a/crates/dewspring/src/platform/embedded.rs
+++ b/crates/dewspring/src/store/embedded.rs
@@ -9,7 +9,7 @@
 
 use indexmap::IndexMap;
 
-use super::store::{
+use super::service::{
     DirectoryError, ExpectedVersion, LeaseGrant, LeaseId, MAX_VALUE_BYTES, PlatformStore,
     StoreEntry, StoreError, StoreVersion, SwapOutcome, VmDirectory, VmEntry,
 };
@@ -81,12 +81,12 @@
 /// # Examples
 ///
 /// ```
-/// use dewspring::platform::{EmbeddedStore, ExpectedVersion, PlatformStore};
+/// use dewspring::store::{EmbeddedStore, ExpectedVersion, PlatformStore};
 ///
 /// let store = EmbeddedStore::open();
 /// store.compare_and_swap("/key", ExpectedVersion::Absent, b"value", None)?;
 /// assert_eq!(store.get("/key")?.expect("the key is set").value, b"value");
-/// # Ok::<(), dewspring::platform::StoreError>(())
+/// # Ok::<(), dewspring::store::StoreError>(())
 /// ```
 #[derive(Clone, Debug)]
 pub struct EmbeddedStore {
@@ -204,7 +204,7 @@
 /// # Examples
 ///
 /// ```
-/// use dewspring::platform::{EmbeddedDirectory, VmDirectory};
+/// use dewspring::store::{EmbeddedDirectory, VmDirectory};
 ///
 /// let directory = EmbeddedDirectory::open(Vec::new());
 /// assert_eq!(directory.list(), Ok(Vec::new()));
--- a/crates/dewspring/src/platform/gateway.rs
+++ b/crates/dewspring/src/store/gateway.rs
@@ -14,7 +14,7 @@
     RangeRequest, RangeResponse, StreamLine, TxnRequest, TxnResponse, WatchRequest, WatchResponse,
     positive,
 };
-use super::store::{
+use super::service::{
     ExpectedVersion, LeaseGrant, LeaseId, PlatformStore, StoreEntry, StoreError, StoreVersion,
     SwapOutcome,
 };
@@ -28,7 +28,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use dewspring::platform::{GatewayStore, PlatformStore, StoreError};
+/// use dewspring::store::{GatewayStore, PlatformStore, StoreError};
 ///
 /// let address = "127.0.0.1:9".parse().expect("an address");
 /// let store = GatewayStore::open(address, Duration::from_millis(100));
--- a/crates/dewspring/src/platform/gateway_call.rs
+++ b/crates/dewspring/src/store/gateway_call.rs
@@ -15,7 +15,7 @@
 use serde::de::DeserializeOwned;
 
 use super::gateway_messages::ErrorResponse;
-use super::store::{MAX_VALUE_BYTES, StoreError};
+use super::service::{MAX_VALUE_BYTES, StoreError};
 
 /// Largest answer that is read: a value in base64 and what stands around it.
 pub(super) const MAX_ANSWER_BYTES: usize = MAX_VALUE_BYTES / 3 * 4 + 64 * 1024;
--- a/crates/dewspring/src/platform/gateway_directory.rs
+++ b/crates/dewspring/src/store/gateway_directory.rs
@@ -7,7 +7,7 @@
 use oxhttp::model::{Body, Request, StatusCode};
 
 use super::gateway_call::{CallTarget, MAX_ANSWER_BYTES, read_bounded};
-use super::store::{DirectoryError, VmDirectory, VmEntry};
+use super::service::{DirectoryError, VmDirectory, VmEntry};
 
 /// The platform's list of VMs, reached over HTTP.
 ///
@@ -16,7 +16,7 @@
 /// ```
 /// use std::time::Duration;
 ///
-/// use dewspring::platform::{GatewayDirectory, VmDirectory};
+/// use dewspring::store::{GatewayDirectory, VmDirectory};
 ///
 /// let address = "127.0.0.1:9".parse().expect("an address");
 /// let directory = GatewayDirectory::open(address, Duration::from_millis(100));
--- a/crates/dewspring/src/platform/gateway_messages.rs
+++ b/crates/dewspring/src/store/gateway_messages.rs
@@ -8,7 +8,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
-use super::store::{ExpectedVersion, LeaseId, StoreEntry, StoreVersion};
+use super::service::{ExpectedVersion, LeaseId, StoreEntry, StoreVersion};
 
 /// Bytes that are base64 in JSON.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
--- a/crates/dewspring/src/platform/mod.rs
+++ b/crates/dewspring/src/store/mod.rs
@@ -13,8 +13,8 @@
 mod gateway_call;
 mod gateway_directory;
 mod gateway_messages;
+mod service;
 mod shared;
-mod store;
 
 #[cfg(test)]
 pub(crate) mod tests;
@@ -25,8 +25,8 @@
 pub use gateway::GatewayStore;
 pub use gateway_directory::GatewayDirectory;
 pub(crate) use gateway_messages::EncodedBytes;
-pub use shared::SharedDirectory;
-pub use store::{
+pub use service::{
     DirectoryError, ExpectedVersion, LeaseGrant, LeaseId, MAX_VALUE_BYTES, PlatformStore,
     StoreEntry, StoreError, StoreVersion, SwapOutcome, VmDirectory, VmEntry, VmState,
 };
+pub use shared::SharedDirectory;
--- a/crates/dewspring/src/platform/shared.rs
+++ b/crates/dewspring/src/store/shared.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwapOption;
 
-use super::store::{DirectoryError, VmDirectory, VmEntry};
+use super::service::{DirectoryError, VmDirectory, VmEntry};
 
 /// A list of VMs that keeps what it read last.
 ///
@@ -14,13 +14,13 @@
 /// # Examples
 ///
 /// ```
-/// use dewspring::platform::{EmbeddedDirectory, SharedDirectory, VmDirectory};
+/// use dewspring::store::{EmbeddedDirectory, SharedDirectory, VmDirectory};
 ///
 /// let directory = SharedDirectory::new(EmbeddedDirectory::open(Vec::new()));
 /// assert!(directory.latest().is_none());
 /// directory.list()?;
 /// assert!(directory.latest().is_some());
-/// # Ok::<(), dewspring::platform::DirectoryError>(())
+/// # Ok::<(), dewspring::store::DirectoryError>(())
 /// ```
 #[derive(Clone, Debug)]
 pub struct SharedDirectory<D> {
--- a/crates/dewspring/src/platform/tests/backoff.rs
+++ b/crates/dewspring/src/store/tests/backoff.rs
@@ -5,7 +5,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::platform::backoff_delay;
+use crate::store::backoff_delay;
 
 #[test]
 fn backoff_grows_to_its_limit() {
--- a/crates/dewspring/src/platform/tests/embedded.rs
+++ b/crates/dewspring/src/store/tests/embedded.rs
@@ -3,7 +3,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::platform::{
+use crate::store::{
     EmbeddedStore, ExpectedVersion, MAX_VALUE_BYTES, PlatformStore, StoreError, SwapOutcome,
 };
 
--- a/crates/dewspring/src/platform/tests/faulty.rs
+++ b/crates/dewspring/src/store/tests/faulty.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::platform::{
+use crate::store::{
     EmbeddedStore, ExpectedVersion, LeaseGrant, LeaseId, PlatformStore, StoreEntry, StoreError,
     StoreVersion, SwapOutcome,
 };
--- a/crates/dewspring/src/platform/tests/gateway.rs
+++ b/crates/dewspring/src/store/tests/gateway.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 use super::servers::{ScriptedServer, free_address, serve_raw};
-use crate::platform::{
+use crate::store::{
     ExpectedVersion, GatewayDirectory, GatewayStore, MAX_VALUE_BYTES, PlatformStore, StoreEntry,
     StoreError, SwapOutcome, VmDirectory, VmState,
 };
--- a/crates/dewspring/src/tables/document.rs
+++ b/crates/dewspring/src/tables/document.rs
@@ -12,7 +12,7 @@
 use super::model::FleetConfig;
 use super::verify::{CheckedTables, check_tables};
 use crate::ids::Revision;
-use crate::platform::MAX_VALUE_BYTES;
+use crate::store::MAX_VALUE_BYTES;
 
 /// Largest document that the platform's store holds, in bytes.
 pub const MAX_DOCUMENT_BYTES: usize = MAX_VALUE_BYTES;
