Stop taking requests that can't end, and trust single removals

Ruled out: a watch that hung on a dead connection; it was renewed within 0.1 s of the cut's end. It is restarted after failed calls all the same.

Change: past the time in which the balancer sends connections, requests that could outlast the process are refused as not run and the listener is closed; missing entries are used only while half of a service is missing.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -18,7 +18,7 @@
 
 /// Time for which an entry that the store lost in an outage is still used;
 /// live servers are back in the list within about two seconds of its return.
-pub const LAPSE_GRACE: Duration = Duration::from_millis(2000);
+pub const LAPSE_GRACE: Duration = Duration::from_millis(1800);
 
 /// Dense id of a server in this process.
 pub type ReplicaIndex = usize;
@@ -211,6 +211,21 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether a service's servers that are missing may still be used.
+    ///
+    /// An outage of the store loses the entries of many servers at once; while
+    /// only a few are missing, they are taken as gone.
+    pub fn may_use_missing(&self, service: &str) -> bool {
+        let present = self
+            .of_service(service)
+            .iter()
+            .map(|index| &self.replicas[*index]);
+        let present = present.filter(|replica| replica.is_listed());
+        let (missing, listed): (Vec<_>, Vec<_>) =
+            present.partition(|replica| replica.missing_until.is_some());
+        missing.len() >= listed.len()
+    }
+
     /// Returns a server.
     pub fn get(&self, index: ReplicaIndex) -> &ReplicaState {
         &self.replicas[index]
--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -152,10 +152,10 @@
 /// What the placement found.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum PlacementChoice {
-    /// Send it to the server at this index.
+    /// Send it to this server.
     Chosen {
-        /// Index among the servers that were given.
-        index: usize,
+        /// Hash of its id.
+        hash: u64,
         /// Time of the prompt there, in ms.
         prefill_ms: f64,
         /// Cost of the server, in ms or in busy slots.
@@ -236,7 +236,7 @@
     }
     match best {
         Some((cost, index, prefill_ms)) => PlacementChoice::Chosen {
-            index,
+            hash: replicas[index].hash,
             prefill_ms,
             cost,
         },
@@ -299,7 +299,7 @@
     }
     match best {
         Some((cost, _, index)) => PlacementChoice::Chosen {
-            index,
+            hash: replicas[index].hash,
             prefill_ms: 0.0,
             cost,
         },
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -50,14 +50,16 @@
             match self.place(exchange) {
                 PlacementChoice::Busy | PlacementChoice::Unavailable => return,
                 PlacementChoice::Chosen {
-                    index,
+                    hash,
                     prefill_ms,
                     cost,
                 } => {
                     if let Some(queue) = self.queues.get_mut(service) {
                         queue.remove(exchange);
                     }
-                    let replica = self.directory.of_service(service)[index];
+                    let Some(replica) = self.directory.by_hash(hash) else {
+                        return;
+                    };
                     self.send(exchange, replica, prefill_ms, cost);
                 }
             }
@@ -84,8 +86,10 @@
         };
         let engine = self.engine_of(&item.service);
         let members = self.directory.of_service(&item.service);
+        let use_missing = self.directory.may_use_missing(&item.service);
         let views: Vec<ReplicaView<'_>> = members
             .iter()
+            .filter(|index| use_missing || self.directory.get(**index).missing_until.is_none())
             .map(|index| self.view(*index, item, engine.as_ref()))
             .collect();
         if engine.is_none() {
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -104,7 +104,11 @@
                 rejection(503, "tables_unconfirmed")
             });
         };
-        let (workspace, tenant_priority) = if table.needs_key() && !route.public {
+        let ends = self.now + route.timeout;
+        if self.has_left() && self.cut_off().is_some_and(|cut| cut < ends) {
+            return Err(rejection(503, "stopping"));
+        }
+        let (workspace, workspace_priority) = if table.needs_key() && !route.public {
             if !known {
                 return Err(rejection(503, "keys_unconfirmed"));
             }
@@ -128,7 +132,7 @@
             route: Arc::clone(route),
             service: share.service.clone(),
             workspace,
-            priority: tenant_priority.unwrap_or(route.priority),
+            priority: workspace_priority.unwrap_or(route.priority),
         })
     }
 
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -39,13 +39,6 @@
 /// Events that are taken in one turn.
 const MAX_EVENTS: usize = 256;
 
-/// Time for which new connections are expected after the request to stop: the
-/// balancer asks every second and takes a VM out after two misses.
-const LEAVE_TIME: Duration = Duration::from_millis(2500);
-
-/// Part of the grace after which requests are cut off.
-const GRACE_SHARE: f64 = 0.95;
-
 /// Time between two looks at the file of the settings.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -91,7 +84,7 @@
     state: EdgeState<F>,
     source: S,
     settings_due: Moment,
-    entry: TcpListener,
+    entry: Option<TcpListener>,
     ready: TcpListener,
     metrics: Option<TcpListener>,
     stop: UnixStream,
@@ -205,7 +198,7 @@
             state,
             source,
             settings_due: now + SETTINGS_INTERVAL,
-            entry,
+            entry: Some(entry),
             ready,
             metrics,
             stop,
@@ -254,7 +247,7 @@
             (TokenKind::Server, server) => self.state.on_server(server, closing),
             (TokenKind::Side, side) => self.state.on_side(side, closing),
             (TokenKind::Fixed, ENTRY_TOKEN) => {
-                while let Ok((stream, _)) = self.entry.accept() {
+                while let Some(Ok((stream, _))) = self.entry.as_ref().map(TcpListener::accept) {
                     self.state.accept_caller(stream);
                 }
             }
@@ -364,9 +357,9 @@
         if state.logs.is_full() {
             state.logs.hand_over();
         }
-        if let Some(since) = state.stopping
-            && state.now >= since + LEAVE_TIME
-        {
+        if state.has_left() {
+            // The balancer sends no more connections here.
+            self.entry = None;
             close_idle_callers(state);
         }
     }
@@ -384,12 +377,11 @@
     }
 
     fn is_finished(&self) -> bool {
-        let Some(since) = self.state.stopping else {
-            return false;
-        };
-        let spent = self.state.now.saturating_sub(since);
-        let left = spent >= LEAVE_TIME && self.state.callers.is_empty();
-        left || spent >= self.state.settings.stop_grace.mul_f64(GRACE_SHARE)
+        let idle = self.state.has_left() && self.state.callers.is_empty();
+        idle || self
+            .state
+            .cut_off()
+            .is_some_and(|cut| cut <= self.state.now)
     }
 
     fn reload_settings(&mut self, asked: bool) {
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -43,6 +43,13 @@
     idle_timeout: Duration::from_secs(15),
 };
 
+/// Time for which new connections are expected after the request to stop: the
+/// balancer asks every second and takes a VM out after two misses.
+const LEAVE_TIME: Duration = Duration::from_millis(2500);
+
+/// Part of the grace after which requests are cut off.
+const GRACE_SHARE: f64 = 0.95;
+
 /// How far the reading of a caller's request has come.
 #[derive(Debug)]
 pub(crate) enum CallerPhase {
@@ -242,6 +249,18 @@
             && self.keys_fresh()
     }
 
+    /// Returns whether the balancer has surely seen that the process stops.
+    pub(crate) fn has_left(&self) -> bool {
+        self.stopping
+            .is_some_and(|since| self.now >= since + LEAVE_TIME)
+    }
+
+    /// Returns when requests are cut off, if the process stops.
+    pub(crate) fn cut_off(&self) -> Option<Moment> {
+        let since = self.stopping?;
+        Some(since + self.settings.stop_grace.mul_f64(GRACE_SHARE))
+    }
+
     pub(crate) fn arm_caller(&mut self, caller: CallerId, due: Moment) {
         if let Some(conn) = self.callers.get_mut(caller) {
             conn.timer
--- a/crates/dewedge/src/storage.rs
+++ b/crates/dewedge/src/storage.rs
@@ -263,6 +263,8 @@
     lease: Option<u64>,
     renew_at: Moment,
     trouble: Option<Moment>,
+    /// Whether a call failed since the last one that was answered.
+    calls_failed: bool,
     draw: u64,
     events: Vec<StoreEvent>,
     format: PhantomData<F>,
@@ -290,6 +292,7 @@
             lease: None,
             renew_at: Moment::ZERO,
             trouble: None,
+            calls_failed: false,
             draw: crate::directory::stable_hash(vm.as_bytes()),
             events: Vec::new(),
             format: PhantomData,
@@ -399,6 +402,14 @@
         }
     }
 
+    /// Sends the watch anew, because its connection may have gone silent in the
+    /// trouble that the calls had.
+    fn restart_watch(&mut self, now: Moment) {
+        if matches!(self.watch.fail("restarted"), CallEnd::Failed(..)) {
+            self.watch.retry_at = now;
+        }
+    }
+
     /// Reads the tables and all lists again.
     fn reload(&mut self) {
         self.watched = None;
@@ -423,6 +434,9 @@
                     }
                     Ok(answer) => {
                         self.note_call(&call, "ok", sent, now);
+                        if !is_watch && std::mem::take(&mut self.calls_failed) {
+                            self.restart_watch(now);
+                        }
                         self.take_answer(call, answer, sent, now);
                     }
                     Err(_) => {
@@ -455,6 +469,7 @@
             &mut self.calls
         };
         link.pause(now, draw);
+        self.calls_failed |= !is_watch;
         match call {
             StoreCall::Watch { .. } => {}
             StoreCall::ConfirmTables(_) => self.confirm_at = now,
