Keep streams with short pauses on engines of their own

Ruled out: slots and preemption (0 requests preempted, 64 slots never full).

Change: paced streams go to as few engines as they need, chosen alike by all VMs; other prompts stay off those. A shared part has one home, and reading it again weighs three times a wait.

--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -20,7 +20,7 @@
 /// Bytes before the entries: magic, sender, time.
 const HEAD_BYTES: usize = 20;
 
-/// Bytes of an entry: server, requests, backlog, tokens, urgent streams.
+/// Bytes of an entry: server, requests, backlog, tokens, paced streams.
 const ENTRY_BYTES: usize = 18;
 
 /// Entries of one datagram, so that it fits in a packet.
@@ -97,7 +97,7 @@
             bytes.extend_from_slice(&short(work.backlog_ms).to_be_bytes());
             let tokens = u32::try_from(work.tokens).unwrap_or(u32::MAX);
             bytes.extend_from_slice(&tokens.to_be_bytes());
-            bytes.extend_from_slice(&short(f64::from(work.urgent_streams)).to_be_bytes());
+            bytes.extend_from_slice(&short(f64::from(work.paced_streams)).to_be_bytes());
         }
         bytes
     }
@@ -174,7 +174,7 @@
         requests: u32::from(number(8)),
         backlog_ms: f64::from(number(10)),
         tokens: u64::from(tokens),
-        urgent_streams: u32::from(number(16)),
+        paced_streams: u32::from(number(16)),
     };
     Some((hash, work))
 }
--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -3,9 +3,14 @@
 //! For model engines the cost of a server is the time until the first event
 //! there: the prompts that it still has to read, plus the part of this prompt
 //! that isn't in its memory. Requests with the same shared parts have the same
-//! few homes on all VMs, so that a part is read on few engines; a home that is
-//! busy loses to an idle engine. Long prompts hold up the events of urgent
-//! streams that run beside them, which counts as a cost too.
+//! home on all VMs, so that a part is read on one engine; a home that is busy
+//! loses to an idle engine.
+//!
+//! An engine reads prompts between the tokens of the streams that run there, so
+//! prompts hold up the events beside them. Streams whose events may not pause
+//! for long are therefore kept together on as few engines as they need, and
+//! other prompts go elsewhere. All VMs choose the same engines, by the hashes
+//! of their ids.
 //!
 //! It answers bursts of long prompts beside running streams, and hot prompt
 //! parts. For plain services the share of busy slots decides.
@@ -20,17 +25,21 @@
 /// Prompt tokens that an engine reads in a millisecond; from the users' sheets.
 pub const PREFILL_TOKENS_PER_MS: f64 = 56.6;
 
-/// Homes of a shared part; two keep a part alive when one home is lost.
-const HOMES: usize = 2;
+/// Cost of reading a part again, against a millisecond of waiting; the engine's
+/// time is lost to all who wait there.
+const REREAD_WEIGHT: f64 = 3.0;
+
+/// Paced streams for each engine that is set apart for them; with them a step
+/// stays far below the permitted pauses, and slots are left for bursts.
+const PACED_PER_ENGINE: u32 = 40;
+
+/// Part of the engines that may be set apart.
+const PACED_SHARE: f64 = 0.5;
 
 /// Engine time for each running request, in ms of delay to a new prompt; the
 /// growth of a step with the batch, over the steps of a prompt.
 const RUNNING_COST_MS: f64 = 0.4;
 
-/// Cost of holding up one urgent stream for a millisecond, against a
-/// millisecond of waiting.
-const STREAM_DELAY_WEIGHT: f64 = 0.15;
-
 /// Backlog of an engine, in ms, up to which requests are sent, for the most
 /// urgent rank; less urgent ranks get the shorter ones.
 const BACKLOG_LIMITS_MS: [f64; 3] = [700.0, 500.0, 380.0];
@@ -56,8 +65,8 @@
     pub backlog_ms: f64,
     /// Tokens that the requests keep in memory.
     pub tokens: u64,
-    /// Urgent streams that run.
-    pub urgent_streams: u32,
+    /// Streams whose events may not pause for long.
+    pub paced_streams: u32,
 }
 
 impl WorkSum {
@@ -66,7 +75,7 @@
         self.requests += other.requests;
         self.backlog_ms += other.backlog_ms;
         self.tokens += other.tokens;
-        self.urgent_streams += other.urgent_streams;
+        self.paced_streams += other.paced_streams;
     }
 }
 
@@ -145,6 +154,8 @@
     pub output_tokens: u32,
     /// Its rank.
     pub priority: u8,
+    /// Whether its events may not pause for long.
+    pub paced: bool,
     /// The time.
     pub now: Moment,
 }
@@ -183,17 +194,36 @@
     siphasher::sip::SipHasher13::new_with_keys(key, replica).finish()
 }
 
-/// Returns the indices of the homes of a key, the first one first.
-fn homes(key: u64, replicas: &[ReplicaView<'_>]) -> Vec<usize> {
-    let mut ranked: Vec<(u64, usize)> = replicas
+/// Returns the index of the home of a key among the engines that may be used.
+fn home(key: u64, replicas: &[ReplicaView<'_>], group: &[bool], paced: bool) -> Option<usize> {
+    replicas
+        .iter()
+        .enumerate()
+        .filter(|(index, replica)| replica.usable && group[*index] == paced)
+        .max_by_key(|(_, replica)| home_weight(key, replica.hash))
+        .map(|(index, _)| index)
+}
+
+/// Returns which engines are set apart for paced streams.
+fn paced_group(replicas: &[ReplicaView<'_>]) -> Vec<bool> {
+    let mut usable: Vec<(u64, usize)> = replicas
         .iter()
         .enumerate()
         .filter(|(_, replica)| replica.usable)
-        .map(|(index, replica)| (home_weight(key, replica.hash), index))
+        .map(|(index, replica)| (replica.hash, index))
         .collect();
-    ranked.sort_unstable_by(|left, right| right.cmp(left));
-    ranked.truncate(HOMES);
-    ranked.into_iter().map(|(_, index)| index).collect()
+    usable.sort_unstable();
+    let streams: u32 = replicas
+        .iter()
+        .map(|replica| replica.work.paced_streams)
+        .sum();
+    let most = (usable.len() as f64 * PACED_SHARE) as usize;
+    let count = (streams.div_ceil(PACED_PER_ENGINE) as usize).min(most);
+    let mut group = vec![false; replicas.len()];
+    for (_, index) in usable.into_iter().take(count) {
+        group[index] = true;
+    }
+    group
 }
 
 /// Chooses a model engine.
@@ -209,26 +239,42 @@
 ///     prompt_tokens: 100,
 ///     output_tokens: 10,
 ///     priority: 0,
+///     paced: false,
 ///     now: Duration::ZERO,
 /// };
 /// assert_eq!(choose_engine(&query, &[]), PlacementChoice::Unavailable);
 /// ```
 pub fn choose_engine(query: &PlacementQuery<'_>, replicas: &[ReplicaView<'_>]) -> PlacementChoice {
-    let homes = home_key(query.parts)
-        .map(|key| homes(key, replicas))
-        .unwrap_or_default();
+    let group = paced_group(replicas);
+    let choice = choose_in_group(query, replicas, &group, query.paced);
+    match choice {
+        PlacementChoice::Chosen { .. } => choice,
+        // Paced streams may go anywhere; other prompts wait, unless there is no
+        // engine but those that are set apart.
+        PlacementChoice::Busy if !query.paced => choice,
+        _ => choose_in_group(query, replicas, &group, !query.paced),
+    }
+}
+
+fn choose_in_group(
+    query: &PlacementQuery<'_>,
+    replicas: &[ReplicaView<'_>],
+    group: &[bool],
+    paced: bool,
+) -> PlacementChoice {
+    let home = home_key(query.parts).and_then(|key| home(key, replicas, group, paced));
     let limit = BACKLOG_LIMITS_MS[usize::from(query.priority).min(BACKLOG_LIMITS_MS.len() - 1)];
     let mut best: Option<(f64, usize, f64)> = None;
     let mut any_usable = false;
     for (index, replica) in replicas.iter().enumerate() {
-        if !replica.usable {
+        if !replica.usable || group[index] != paced {
             continue;
         }
         any_usable = true;
         if !has_room(query, replica, limit) {
             continue;
         }
-        let prefill_ms = prefill_ms(query, replica, homes.contains(&index));
+        let prefill_ms = prefill_ms(query, replica, home == Some(index));
         let cost = engine_cost(query, replica, prefill_ms);
         if best.is_none_or(|(least, _, _)| cost < least) {
             best = Some((cost, index, prefill_ms));
@@ -267,14 +313,15 @@
 
 fn engine_cost(query: &PlacementQuery<'_>, replica: &ReplicaView<'_>, prefill_ms: f64) -> f64 {
     let running = f64::from(replica.work.requests) * RUNNING_COST_MS;
-    let own = (replica.work.backlog_ms + prefill_ms + running) * replica.slowness;
-    let others = if query.priority == 0 {
-        // An urgent stream suffers from the prompts that are read beside it.
+    // Events of a paced stream suffer from prompts that are read beside it.
+    let beside = if query.paced {
         replica.work.backlog_ms
     } else {
-        prefill_ms * f64::from(replica.work.urgent_streams) * STREAM_DELAY_WEIGHT
+        0.0
     };
-    (own + others) * (1.0 + 2.0 * replica.failures)
+    let waiting = (replica.work.backlog_ms + running + beside) * replica.slowness;
+    let reading = prefill_ms * REREAD_WEIGHT * replica.slowness;
+    (waiting + reading) * (1.0 + 2.0 * replica.failures)
 }
 
 /// Chooses a server of a plain service.
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::policy::placement::{
     PlacementChoice, PlacementQuery, ReplicaView, choose_engine, choose_plain,
 };
-use crate::tables::{EngineSpec, RequestKind};
+use crate::tables::{EngineSpec, RequestKind, RouteSpec};
 
 use super::state::{
     EdgeState, Exchange, ExchangePhase, SentWork, ServerConn, ServerId, TokenKind, token_of,
@@ -25,8 +25,9 @@
 /// Time that must be left for a request to be worth sending.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
-/// Rank at which a stream counts as urgent.
-const URGENT_RANK: u8 = 0;
+/// Longest permitted pause of a paced stream. An event takes about five steps
+/// of an engine, and a step with a full chunk of a prompt takes 75 ms.
+const PACED_PAUSE: Duration = Duration::from_millis(400);
 
 /// Expected time of an engine beside the reading of prompts, in ms.
 const FIRST_EVENT_MS: f64 = 40.0;
@@ -100,6 +101,7 @@
             prompt_tokens: item.facts.prompt_tokens,
             output_tokens: item.facts.max_output_tokens,
             priority: item.priority,
+            paced: is_paced(&item.route),
             now: self.now,
         };
         choose_engine(&query, &views)
@@ -193,7 +195,6 @@
     ) {
         let now = self.now;
         let item = &mut self.exchanges[exchange];
-        let is_stream = item.route.kind == RequestKind::Streaming;
         let state = self.directory.get_mut(replica);
         let backlog = state.own.backlog_ms + state.others.backlog_ms;
         let tokens = u64::from(item.facts.prompt_tokens) + u64::from(item.facts.max_output_tokens);
@@ -205,14 +206,14 @@
             backlog_ms: prefill,
             expected_ms: backlog + prefill + FIRST_EVENT_MS,
             tokens,
-            urgent: is_stream && item.priority == URGENT_RANK,
+            paced: is_paced(&item.route),
             unread: true,
             counted: true,
         };
         state.own.requests += 1;
         state.own.backlog_ms += prefill;
         state.own.tokens += tokens;
-        state.own.urgent_streams += u32::from(item.work.urgent);
+        state.own.paced_streams += u32::from(item.work.paced);
         state.health.note_sent();
         state.parts.note(&item.facts.prompt_parts, now);
         self.digest_due = true;
@@ -332,3 +333,8 @@
         Some(server)
     }
 }
+
+/// Returns whether the events of a route's streams may not pause for long.
+fn is_paced(route: &RouteSpec) -> bool {
+    route.kind == RequestKind::Streaming && route.pause_target <= PACED_PAUSE
+}
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -341,7 +341,7 @@
         let own = &mut self.directory.get_mut(work.replica).own;
         own.requests = own.requests.saturating_sub(1);
         own.tokens = own.tokens.saturating_sub(work.tokens);
-        own.urgent_streams = own.urgent_streams.saturating_sub(u32::from(work.urgent));
+        own.paced_streams = own.paced_streams.saturating_sub(u32::from(work.paced));
         if work.unread {
             own.backlog_ms = (own.backlog_ms - work.backlog_ms).max(0.0);
         }
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -145,7 +145,7 @@
     /// Time to the first event that was expected, in ms.
     pub(crate) expected_ms: f64,
     pub(crate) tokens: u64,
-    pub(crate) urgent: bool,
+    pub(crate) paced: bool,
     /// Whether the prompt is still unread.
     pub(crate) unread: bool,
     /// Whether it counts at the server.
