Gather changes of the store and notice a VM that is cut off

Change: a VM that hears no server for 0.7 s while 3 requests wait isn't ready, uses new connections only and ends requests that may be repeated; watches pause 200 ms; confirmations every 1.5 s; the fleet's retry slack is shared by the VMs that are known.

--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -69,6 +69,11 @@
         self.addresses.swap_remove(vm);
     }
 
+    /// Returns how many VMs are known, this one included.
+    pub(crate) fn vm_count(&self) -> usize {
+        self.addresses.len() + 1
+    }
+
     /// Returns the addresses to which the next digest goes, `most` at a time.
     pub(crate) fn targets(&mut self, most: usize) -> Vec<SocketAddr> {
         let count = self.addresses.len();
--- a/crates/dewedge/src/policy/retries.rs
+++ b/crates/dewedge/src/policy/retries.rs
@@ -16,8 +16,22 @@
 /// through its own stays under the bound.
 const SHARE_USED: f64 = 0.8;
 
-/// Repeated sends of a VM in a window that its own requests don't pay for.
-const SPARE_SENDS: f64 = 1.0;
+/// Part of the number besides that the VMs which are known use together, so
+/// that VMs which join or start anew within a window have theirs too.
+const SLACK_USED: f64 = 0.4;
+
+/// Returns the repeated sends of one VM that its requests don't pay for.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::policy::retries::own_slack;
+///
+/// assert_eq!(own_slack(50.0, 10), 2.0);
+/// ```
+pub fn own_slack(fleet_slack: f64, vms: usize) -> f64 {
+    fleet_slack * SLACK_USED / vms.max(1) as f64
+}
 
 /// Counts requests and repeated sends of one service.
 #[derive(Clone, Debug)]
@@ -39,8 +53,8 @@
     ///
     /// let mut budget = RetryBudget::new(0.2, Duration::from_secs(10));
     /// let now = Duration::from_secs(50);
-    /// assert!(budget.try_repeat(now));
-    /// assert!(!budget.try_repeat(now));
+    /// assert!(budget.try_repeat(1.0, now));
+    /// assert!(!budget.try_repeat(1.0, now));
     /// ```
     pub fn new(ratio: f64, window: Duration) -> Self {
         Self {
@@ -58,9 +72,11 @@
     }
 
     /// Takes one repeated send, if there is room for it.
-    pub fn try_repeat(&mut self, now: Moment) -> bool {
+    ///
+    /// `slack` is the part of this VM in the number besides.
+    pub fn try_repeat(&mut self, slack: f64, now: Moment) -> bool {
         self.forget(now);
-        let allowed = self.ratio * self.requests.len() as f64 + SPARE_SENDS;
+        let allowed = self.ratio * self.requests.len() as f64 + slack;
         if (self.repeats.len() as f64) + 1.0 > allowed {
             return false;
         }
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::policy::placement::{
     PlacementChoice, PlacementQuery, ReplicaView, choose_engine, choose_plain,
 };
+use crate::policy::retries::own_slack;
 use crate::tables::{EngineSpec, RequestKind, RouteSpec};
 
 use super::state::{
@@ -147,7 +148,11 @@
             return;
         }
         let repeatable = self.exchanges[exchange].route.is_repeatable();
-        let kept = self.take_idle(replica, repeatable);
+        // A new connection shows whether there is a way to the server.
+        let kept = match self.is_isolated() {
+            true => None,
+            false => self.take_idle(replica, repeatable),
+        };
         let server = match kept {
             Some(server) => server,
             None => match self.connect(replica) {
@@ -180,8 +185,9 @@
     fn take_repeat(&mut self, exchange: usize) -> bool {
         let now = self.now;
         let service = self.exchanges[exchange].service.clone();
+        let slack = own_slack(self.settings.retry_slack, self.peers.vm_count());
         match self.budgets.get_mut(&service) {
-            Some(budget) => budget.try_repeat(now),
+            Some(budget) => budget.try_repeat(slack, now),
             None => false,
         }
     }
@@ -194,6 +200,10 @@
         prefill: f64,
     ) {
         let now = self.now;
+        if self.unheard == 0 {
+            self.first_unheard = now;
+        }
+        self.unheard += 1;
         let item = &mut self.exchanges[exchange];
         let state = self.directory.get_mut(replica);
         let backlog = state.own.backlog_ms + state.others.backlog_ms;
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -415,7 +415,9 @@
         let heard = self.directory.get(item.work.replica).heard;
         let quiet = heard
             .is_none_or(|heard| now.saturating_sub(heard) >= MIN_SILENCE || heard < item.work.sent);
-        if quiet && self.may_repeat(exchange) {
+        // A caller whose request can't be sent again from here can come back
+        // through another VM, if it may be repeated.
+        if quiet && (self.may_repeat(exchange) || self.is_isolated()) {
             self.break_off(server, "silent");
         } else {
             self.arm_exchange(exchange, now + SILENCE_LOOK);
@@ -467,7 +469,7 @@
 
 /// Returns the silence after which a request goes on elsewhere, if it may.
 fn silence_limit(item: &Exchange) -> Option<Duration> {
-    if !item.route.is_repeatable() || item.sends >= item.route.max_attempts {
+    if !item.route.is_repeatable() {
         return None;
     }
     let begun = item.stream.as_ref().is_some_and(|stream| stream.head_sent);
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -62,6 +62,8 @@
         let replica = conn.replica;
         if !conn.channel.inbound.is_empty() {
             self.directory.get_mut(replica).heard = Some(self.now);
+            self.last_heard = self.now;
+            self.unheard = 0;
         }
         let end = if flushed.is_err() && end == ReadEnd::Open {
             ReadEnd::Broken
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -47,6 +47,13 @@
 /// balancer asks every second and takes a VM out after two misses.
 const LEAVE_TIME: Duration = Duration::from_millis(2500);
 
+/// Requests that were sent since a server was last heard, from which on a VM
+/// may be cut off.
+const ISOLATED_SENDS: u32 = 3;
+
+/// Time without a byte from any server after which a VM counts as cut off.
+const ISOLATED_TIME: Duration = Duration::from_millis(700);
+
 /// Part of the grace after which requests are cut off.
 const GRACE_SHARE: f64 = 0.95;
 
@@ -208,6 +215,11 @@
     pub(crate) freed_callers: VecDeque<CallerId>,
     pub(crate) timers: TimerHeap,
     pub(crate) random: u64,
+    /// When a server was last heard.
+    pub(crate) last_heard: Moment,
+    /// Requests that were sent since then, and when the first of them was.
+    pub(crate) unheard: u32,
+    pub(crate) first_unheard: Moment,
     /// When the process was asked to stop.
     pub(crate) stopping: Option<Moment>,
     /// Bytes of bodies in memory.
@@ -241,9 +253,17 @@
         !self.settings.keys_fail_closed || self.keys.is_fresh(self.now)
     }
 
+    /// Returns whether no server answers any more, so that the VM seems to be cut
+    /// off from all of them.
+    pub(crate) fn is_isolated(&self) -> bool {
+        let last = self.last_heard.max(self.first_unheard);
+        self.unheard >= ISOLATED_SENDS && self.now.saturating_sub(last) >= ISOLATED_TIME
+    }
+
     /// Returns whether callers are served now.
     pub(crate) fn is_ready(&self) -> bool {
         self.stopping.is_none()
+            && !self.is_isolated()
             && self.table.is_some()
             && self.store.is_loaded()
             && self.keys_fresh()
--- a/crates/dewedge/src/settings.rs
+++ b/crates/dewedge/src/settings.rs
@@ -35,6 +35,8 @@
     pub keys_fail_closed: bool,
     /// Repeated sends allowed for each request.
     pub retry_ratio: f64,
+    /// Repeated sends of the whole fleet that no request pays for.
+    pub retry_slack: f64,
     /// Span over which repeated sends are counted.
     pub retry_window: Duration,
 }
--- a/crates/dewedge/src/storage.rs
+++ b/crates/dewedge/src/storage.rs
@@ -27,9 +27,13 @@
 /// usual few milliseconds, and a third of the smallest key bound in use.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Time between two confirmations of the tables; half of the smallest bound for
-/// a change of the tables in use.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time between two confirmations of the tables; three quarters of the smallest
+/// bound for a change of the tables in use.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// Pause between two watches, in which changes gather; a tenth of the smallest
+/// bound for a change in use. A call costs as much with one change as with many.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
 
 /// Time for which a watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -518,6 +522,7 @@
                 if self.watched.is_some_and(|watched| watched < as_of) {
                     self.watched = Some(as_of);
                 }
+                self.watch.retry_at = now + WATCH_PAUSE;
             }
             (StoreCall::Watch { .. }, StoreAnswer::HistoryGone) => self.reload(),
             (StoreCall::ConfirmTables(revision), StoreAnswer::Held) => {
