Rank by workspace and route, and keep engines from reading without pause

Change: rank is that of the workspace, then of the route; a busy class holds up only those that need the same engines; at most 8 requests run at an engine that reads prompts.

--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -44,6 +44,12 @@
 /// urgent rank; less urgent ranks get the shorter ones.
 const BACKLOG_LIMITS_MS: [f64; 3] = [700.0, 500.0, 380.0];
 
+/// Requests at an engine that reads prompts. Each step of the engine reads a
+/// chunk of a prompt and makes one token of every running request, so requests
+/// pile up when prompts never pause, and answers miss their deadline. With few
+/// at a time the engine alternates between reading and answering.
+const PROMPT_RUNS: u32 = 8;
+
 /// Part of an engine's memory that requests may fill before others wait.
 const MEMORY_SHARE: f64 = 0.85;
 
@@ -152,7 +158,7 @@
     pub prompt_tokens: u32,
     /// Most tokens of its answer.
     pub output_tokens: u32,
-    /// Its rank.
+    /// Rank of its route.
     pub priority: u8,
     /// Whether its events may not pause for long.
     pub paced: bool,
@@ -296,8 +302,12 @@
     let memory = (replica.memory_tokens as f64 * MEMORY_SHARE) as u64;
     let empty = replica.work.requests == 0;
     let fits = empty || replica.work.tokens + tokens <= memory;
-    fits && replica.work.requests < replica.slots
-        && replica.work.backlog_ms * replica.slowness < limit_ms
+    let runs = if query.paced {
+        replica.slots
+    } else {
+        replica.slots.min(PROMPT_RUNS)
+    };
+    fits && replica.work.requests < runs && replica.work.backlog_ms * replica.slowness < limit_ms
 }
 
 fn prefill_ms(query: &PlacementQuery<'_>, replica: &ReplicaView<'_>, is_home: bool) -> f64 {
--- a/crates/dewedge/src/policy/queue.rs
+++ b/crates/dewedge/src/policy/queue.rs
@@ -15,6 +15,31 @@
 /// Id of a request in flight on this VM.
 pub type ExchangeId = usize;
 
+/// Ranks of a route within one rank of the workspaces.
+const ROUTE_RANKS: u8 = 4;
+
+/// Most urgent and least urgent ranks are 0 and this.
+pub const LAST_RANK: u8 = 9;
+
+/// Returns the rank of a request, 0 for the most urgent.
+///
+/// The rank of the workspace goes first, and the rank of the route decides
+/// among workspaces of the same rank.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::policy::queue::request_rank;
+///
+/// assert!(request_rank(Some(0), 2) < request_rank(Some(1), 0));
+/// assert!(request_rank(Some(1), 0) < request_rank(Some(1), 2));
+/// ```
+pub fn request_rank(workspace: Option<u8>, route: u8) -> u8 {
+    let within = route.min(ROUTE_RANKS - 1);
+    let before = workspace.unwrap_or(0).saturating_mul(ROUTE_RANKS);
+    before.saturating_add(within).min(LAST_RANK)
+}
+
 /// Workspaces whose turn is remembered; idle ones are forgotten beyond it.
 const MAX_TURNS: usize = 4096;
 
@@ -42,7 +67,7 @@
     places: BTreeMap<QueuePlace, WaitingRequest>,
     by_exchange: IndexMap<ExchangeId, QueuePlace>,
     turns: IndexMap<(u8, String), u64>,
-    reached: [u64; 10],
+    reached: [u64; LAST_RANK as usize + 1],
     number: u64,
 }
 
@@ -64,7 +89,7 @@
     /// assert_eq!(queue.first().unwrap().exchange, 2);
     /// ```
     pub fn push(&mut self, mut request: WaitingRequest) {
-        request.priority = request.priority.min(9);
+        request.priority = request.priority.min(LAST_RANK);
         let reached = self.reached[usize::from(request.priority)];
         let key = (request.priority, request.workspace.clone());
         let turn = self.turns.get(&key).copied().unwrap_or(0).max(reached);
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -37,20 +37,57 @@
 /// be repeated is no longer written to it.
 const IDLE_SHARE_ONCE: f64 = 0.5;
 
+/// Needs that may be busy before the rest of a queue isn't looked at.
+const MAX_NEEDS: usize = 4;
+
+/// What decides which servers take a request while they are busy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct ServerNeed {
+    paced: bool,
+    class: u8,
+}
+
+impl ServerNeed {
+    fn of(route: &RouteSpec) -> Self {
+        Self {
+            paced: is_paced(route),
+            class: route.priority,
+        }
+    }
+
+    /// Returns whether servers that are busy for this need are busy for the
+    /// other one too.
+    fn holds_up(&self, other: &Self) -> bool {
+        self.paced == other.paced && self.class <= other.class
+    }
+}
+
 impl<F: PlatformFormat> EdgeState<F> {
     /// Sends as many waiting requests of a service as its servers take.
+    ///
+    /// A request that finds all servers busy holds up those after it that need
+    /// the same servers.
     pub(crate) fn dispatch(&mut self, service: &str) {
         self.refresh_others();
-        loop {
-            let Some(queue) = self.queues.get(service) else {
-                return;
-            };
-            let Some(first) = queue.first() else {
-                return;
+        let Some(queue) = self.queues.get(service) else {
+            return;
+        };
+        let waiting: Vec<usize> = queue.iter().map(|request| request.exchange).collect();
+        let mut busy: Vec<ServerNeed> = Vec::new();
+        for exchange in waiting {
+            let Some(item) = self.exchanges.get(exchange) else {
+                continue;
             };
-            let exchange = first.exchange;
+            if item.phase != ExchangePhase::Waiting {
+                continue;
+            }
+            let need = ServerNeed::of(&item.route);
+            if busy.iter().any(|other| other.holds_up(&need)) {
+                continue;
+            }
             match self.place(exchange) {
-                PlacementChoice::Busy | PlacementChoice::Unavailable => return,
+                PlacementChoice::Unavailable => return,
+                PlacementChoice::Busy => busy.push(need),
                 PlacementChoice::Chosen {
                     hash,
                     prefill_ms,
@@ -59,12 +96,14 @@
                     if let Some(queue) = self.queues.get_mut(service) {
                         queue.remove(exchange);
                     }
-                    let Some(replica) = self.directory.by_hash(hash) else {
-                        return;
-                    };
-                    self.send(exchange, replica, prefill_ms, cost);
+                    if let Some(replica) = self.directory.by_hash(hash) {
+                        self.send(exchange, replica, prefill_ms, cost);
+                    }
                 }
             }
+            if busy.len() >= MAX_NEEDS {
+                return;
+            }
         }
     }
 
@@ -101,7 +140,7 @@
             parts: &item.facts.prompt_parts,
             prompt_tokens: item.facts.prompt_tokens,
             output_tokens: item.facts.max_output_tokens,
-            priority: item.priority,
+            priority: item.route.priority,
             paced: is_paced(&item.route),
             now: self.now,
         };
@@ -273,7 +312,7 @@
             time_left: item.deadline.saturating_sub(self.now),
             replica: &state.id,
             workspace: item.workspace.as_deref(),
-            priority: is_engine.then_some(item.priority.min(9)),
+            priority: is_engine.then_some(item.priority),
             last_event: resumed.or(item.facts.last_event),
         };
         let mut bytes = Vec::with_capacity(item.head.len() + 256);
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -10,7 +10,7 @@
 use crate::clock;
 use crate::format::{HeaderClass, PlatformFormat, RequestFacts};
 use crate::http::RequestHead;
-use crate::policy::queue::WaitingRequest;
+use crate::policy::queue::{WaitingRequest, request_rank};
 use crate::policy::refusal::{is_blocked, longest_wait, return_after};
 use crate::policy::retries::RetryBudget;
 use crate::tables::{RouteSpec, pick_share};
@@ -132,7 +132,7 @@
             route: Arc::clone(route),
             service: share.service.clone(),
             workspace,
-            priority: workspace_priority.unwrap_or(route.priority),
+            priority: request_rank(workspace_priority, route.priority),
         })
     }
 
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -118,6 +118,7 @@
     pub(crate) route: Arc<RouteSpec>,
     pub(crate) service: String,
     pub(crate) workspace: Option<String>,
+    /// Rank among all requests; 0 is the most urgent.
     pub(crate) priority: u8,
     pub(crate) method: String,
     /// Request line and the caller's headers that are passed on.
