Judge silence by the kernel first

Digests reached each VM every 0.6 s.

Change: the kernel's time-out (1.5 s) notices servers without power; a stream counts as silent after 1.2 latency targets or 3 permitted pauses, at least 1 s; a digest goes to 24 VMs at a time.

--- a/crates/dewedge/src/net.rs
+++ b/crates/dewedge/src/net.rs
@@ -13,13 +13,15 @@
 /// Bytes that one read takes at most.
 const READ_BYTES: usize = 32 * 1024;
 
-/// Time after which a peer that acknowledges nothing counts as gone.
-const PEER_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after which a caller that acknowledges nothing counts as gone.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Idle time after which the kernel asks whether the peer lives.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// Time after which a server that acknowledges nothing counts as gone; lost
+/// packets are sent again several times by then.
+const SERVER_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Time between two such questions.
+/// Idle time after which the kernel asks whether the peer lives, and the time
+/// between two such questions.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Questions without an answer after which the peer counts as gone.
@@ -60,7 +62,7 @@
     /// Starts a connection to a server or to the store.
     pub(crate) fn connect(address: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(address)?;
-        tune(&stream)?;
+        tune(&stream, SERVER_TIMEOUT)?;
         Ok(Self::new(stream))
     }
 
@@ -129,14 +131,18 @@
     }
 }
 
-/// Makes the kernel notice a peer that fell silent.
-pub(crate) fn tune(stream: &TcpStream) -> io::Result<()> {
+/// Makes the kernel notice a caller that fell silent.
+pub(crate) fn tune_caller(stream: &TcpStream) -> io::Result<()> {
+    tune(stream, CALLER_TIMEOUT)
+}
+
+fn tune(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
+        .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(PEER_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(timeout))?;
     socket.set_tcp_nodelay(true)
 }
--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -8,7 +8,7 @@
 
 use crate::format::PlatformFormat;
 use crate::http::{BodyDecoder, BodyLength, HeadError, RequestHead, parse_request};
-use crate::net::{ReadEnd, WireChannel, tune};
+use crate::net::{ReadEnd, WireChannel, tune_caller};
 
 use super::answers::MAX_UNREAD;
 use super::state::{CallerConn, CallerId, CallerPhase, EdgeState, TokenKind, token_of};
@@ -34,7 +34,7 @@
     /// Takes a new connection of a caller.
     pub(crate) fn accept_caller(&mut self, stream: TcpStream) {
         // A connection without the options works, and is noticed later if it dies.
-        let _ = tune(&stream);
+        let _ = tune_caller(&stream);
         let entry = self.callers.vacant_entry();
         let caller = entry.key();
         let mut channel = WireChannel::new(stream);
--- a/crates/dewedge/src/serve/news.rs
+++ b/crates/dewedge/src/serve/news.rs
@@ -19,7 +19,7 @@
 const DIGEST_REFRESH: Duration = Duration::from_millis(300);
 
 /// VMs to which one digest goes; a larger fleet takes turns.
-const DIGEST_TARGETS: usize = 12;
+const DIGEST_TARGETS: usize = 24;
 
 /// Bytes of a datagram at most.
 const MAX_DATAGRAM: usize = 2048;
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -45,14 +45,21 @@
 /// Time after the deadline in which the server's own answer may still come.
 const ANSWER_SLACK: Duration = Duration::from_millis(80);
 
-/// Shortest silence of a server that counts as one.
-const MIN_SILENCE: Duration = Duration::from_millis(500);
+/// Shortest silence of a stream that counts as one. A server without power is
+/// noticed by the kernel; this is for servers that take requests and do nothing.
+const MIN_SILENCE: Duration = Duration::from_millis(1000);
 
 /// Silence of a stream against its permitted pause that counts as one.
-const PAUSE_FACTOR: f64 = 1.5;
+const PAUSE_FACTOR: f64 = 3.0;
 
 /// Silence before the first event against the latency target that counts.
-const FIRST_EVENT_FACTOR: f64 = 0.6;
+const FIRST_EVENT_FACTOR: f64 = 1.2;
+
+/// Silence of a plain server against the latency target that counts.
+const PLAIN_FACTOR: f64 = 2.0;
+
+/// Shortest silence of a plain server that counts as one.
+const PLAIN_MIN_SILENCE: Duration = Duration::from_millis(300);
 
 /// Time between two looks at a server that is silent for one request only.
 const SILENCE_LOOK: Duration = Duration::from_millis(200);
@@ -476,10 +483,10 @@
     let limit = match item.route.kind {
         RequestKind::Streaming if begun => item.route.pause_target.mul_f64(PAUSE_FACTOR),
         RequestKind::Streaming => item.route.latency_target.mul_f64(FIRST_EVENT_FACTOR),
-        _ => item.route.latency_target.mul_f64(2.0),
+        _ => item.route.latency_target.mul_f64(PLAIN_FACTOR),
     };
     Some(match item.route.kind {
         RequestKind::Streaming => limit.max(MIN_SILENCE),
-        _ => limit.max(MIN_SILENCE / 2),
+        _ => limit.max(PLAIN_MIN_SILENCE),
     })
 }
