Let more requests wait at the home of their prompt's shared part

Change: 12 requests at the home, 4 elsewhere; confirmations every 2.2 s and watches with a pause of 500 ms, for fewer calls.

--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -48,7 +48,10 @@
 /// chunk of a prompt and makes one token of every running request, so requests
 /// pile up when prompts never pause, and answers miss their deadline. With few
 /// at a time the engine alternates between reading and answering.
-const PROMPT_RUNS: u32 = 8;
+const PROMPT_RUNS: u32 = 4;
+
+/// The same at the home of the prompt's shared part, where less is read.
+const HOME_RUNS: u32 = 12;
 
 /// Part of an engine's memory that requests may fill before others wait.
 const MEMORY_SHARE: f64 = 0.85;
@@ -277,10 +280,11 @@
             continue;
         }
         any_usable = true;
-        if !has_room(query, replica, limit) {
+        let is_home = home == Some(index);
+        if !has_room(query, replica, limit, is_home) {
             continue;
         }
-        let prefill_ms = prefill_ms(query, replica, home == Some(index));
+        let prefill_ms = prefill_ms(query, replica, is_home);
         let cost = engine_cost(query, replica, prefill_ms);
         if best.is_none_or(|(least, _, _)| cost < least) {
             best = Some((cost, index, prefill_ms));
@@ -297,15 +301,20 @@
     }
 }
 
-fn has_room(query: &PlacementQuery<'_>, replica: &ReplicaView<'_>, limit_ms: f64) -> bool {
+fn has_room(
+    query: &PlacementQuery<'_>,
+    replica: &ReplicaView<'_>,
+    limit_ms: f64,
+    is_home: bool,
+) -> bool {
     let tokens = u64::from(query.prompt_tokens) + u64::from(query.output_tokens);
     let memory = (replica.memory_tokens as f64 * MEMORY_SHARE) as u64;
     let empty = replica.work.requests == 0;
     let fits = empty || replica.work.tokens + tokens <= memory;
-    let runs = if query.paced {
-        replica.slots
-    } else {
-        replica.slots.min(PROMPT_RUNS)
+    let runs = match (query.paced, is_home) {
+        (true, _) => replica.slots,
+        (false, true) => replica.slots.min(HOME_RUNS),
+        (false, false) => replica.slots.min(PROMPT_RUNS),
     };
     fits && replica.work.requests < runs && replica.work.backlog_ms * replica.slowness < limit_ms
 }
--- a/crates/dewedge/src/storage.rs
+++ b/crates/dewedge/src/storage.rs
@@ -27,13 +27,13 @@
 /// usual few milliseconds, and a third of the smallest key bound in use.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Time between two confirmations of the tables; three quarters of the smallest
-/// bound for a change of the tables in use.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(1500);
+/// Time between two confirmations of the tables. With [`CALL_TIMEOUT`] it stays
+/// under the smallest key bound in use, so that one lost call takes no key away.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(2200);
 
-/// Pause between two watches, in which changes gather; a tenth of the smallest
+/// Pause between two watches, in which changes gather; a quarter of the smallest
 /// bound for a change in use. A call costs as much with one change as with many.
-const WATCH_PAUSE: Duration = Duration::from_millis(200);
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
 
 /// Time for which a watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
