--- a/crates/dewedge/src/policy/queue.rs
+++ b/crates/dewedge/src/policy/queue.rs
@@ -15,11 +15,14 @@
 /// Id of a request in flight on this VM.
 pub type ExchangeId = usize;
 
-/// Ranks of a route within one rank of the workspaces.
-const ROUTE_RANKS: u8 = 4;
+/// Ranks of routes that are told apart within one rank of the workspaces.
+const ROUTE_RANKS: u8 = 16;
 
-/// Most urgent and least urgent ranks are 0 and this.
-pub const LAST_RANK: u8 = 9;
+/// Ranks of routes that an engine is told apart, of the ten that it knows.
+const ENGINE_ROUTE_RANKS: u8 = 3;
+
+/// Least urgent rank that an engine knows.
+const LAST_ENGINE_RANK: u8 = 9;
 
 /// Returns the rank of a request, 0 for the most urgent.
 ///
@@ -35,9 +38,23 @@
 /// assert!(request_rank(Some(1), 0) < request_rank(Some(1), 2));
 /// ```
 pub fn request_rank(workspace: Option<u8>, route: u8) -> u8 {
-    let within = route.min(ROUTE_RANKS - 1);
-    let before = workspace.unwrap_or(0).saturating_mul(ROUTE_RANKS);
-    before.saturating_add(within).min(LAST_RANK)
+    let before = workspace.unwrap_or(0).min(ROUTE_RANKS - 1);
+    before * ROUTE_RANKS + route.min(ROUTE_RANKS - 1)
+}
+
+/// Returns the rank that an engine is told, from 0 to 9, in the same order.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::policy::queue::{engine_rank, request_rank};
+///
+/// assert_eq!(engine_rank(request_rank(Some(1), 2)), 5);
+/// ```
+pub fn engine_rank(rank: u8) -> u8 {
+    let (workspace, route) = (rank / ROUTE_RANKS, rank % ROUTE_RANKS);
+    let within = route.min(ENGINE_ROUTE_RANKS - 1);
+    (workspace * ENGINE_ROUTE_RANKS + within).min(LAST_ENGINE_RANK)
 }
 
 /// Workspaces whose turn is remembered; idle ones are forgotten beyond it.
@@ -67,7 +84,7 @@
     places: BTreeMap<QueuePlace, WaitingRequest>,
     by_exchange: IndexMap<ExchangeId, QueuePlace>,
     turns: IndexMap<(u8, String), u64>,
-    reached: [u64; LAST_RANK as usize + 1],
+    reached: IndexMap<u8, u64>,
     number: u64,
 }
 
@@ -88,9 +105,8 @@
     /// }
     /// assert_eq!(queue.first().unwrap().exchange, 2);
     /// ```
-    pub fn push(&mut self, mut request: WaitingRequest) {
-        request.priority = request.priority.min(LAST_RANK);
-        let reached = self.reached[usize::from(request.priority)];
+    pub fn push(&mut self, request: WaitingRequest) {
+        let reached = self.reached.get(&request.priority).copied().unwrap_or(0);
         let key = (request.priority, request.workspace.clone());
         let turn = self.turns.get(&key).copied().unwrap_or(0).max(reached);
         if self.turns.len() >= MAX_TURNS {
@@ -116,7 +132,7 @@
     /// Takes a request out, because it is sent or given up.
     pub fn remove(&mut self, exchange: ExchangeId) -> Option<WaitingRequest> {
         let place = self.by_exchange.swap_remove(&exchange)?;
-        let reached = &mut self.reached[usize::from(place.0)];
+        let reached = self.reached.entry(place.0).or_insert(0);
         *reached = (*reached).max(place.1);
         self.places.remove(&place)
     }
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::policy::placement::{
     PlacementChoice, PlacementQuery, ReplicaView, choose_engine, choose_plain,
 };
+use crate::policy::queue::engine_rank;
 use crate::policy::retries::own_slack;
 use crate::tables::{EngineSpec, RequestKind, RouteSpec};
 
@@ -312,7 +313,7 @@
             time_left: item.deadline.saturating_sub(self.now),
             replica: &state.id,
             workspace: item.workspace.as_deref(),
-            priority: is_engine.then_some(item.priority),
+            priority: is_engine.then_some(engine_rank(item.priority)),
             last_event: resumed.or(item.facts.last_event),
         };
         let mut bytes = Vec::with_capacity(item.head.len() + 256);
--- /dev/null
+++ b/crates/dewedge/tests/directory.rs
@@ -0,0 +1,132 @@
+//! The list of servers, through outages of the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dewedge::directory::{DirectoryChange, LAPSE_GRACE, ReplicaDirectory};
+use dewedge::format::{ReplicaEntry, ReplicaStage};
+use indexmap::IndexSet;
+
+const NOW: Duration = Duration::from_secs(50);
+
+fn entry(port: u16, stage: ReplicaStage, started_ms: u64) -> ReplicaEntry {
+    ReplicaEntry {
+        service: "draft".to_string(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        data_centre: "dc-1".to_string(),
+        slots: 8,
+        stage,
+        started_ms,
+    }
+}
+
+fn directory(servers: u16) -> ReplicaDirectory {
+    let mut directory = ReplicaDirectory::default();
+    for server in 0..servers {
+        directory.apply(
+            format!("i-{server}"),
+            entry(server, ReplicaStage::Ready, 1),
+            1,
+        );
+    }
+    directory
+}
+
+#[test]
+fn a_leaving_mark_binds_until_the_server_starts_anew() {
+    let mut directory = directory(1);
+    let id = || "i-0".to_string();
+    let leaving = directory.apply(id(), entry(0, ReplicaStage::Leaving, 1), 2);
+    assert_eq!(leaving, DirectoryChange::Leaving(0));
+    directory.apply(id(), entry(0, ReplicaStage::Ready, 1), 3);
+    assert!(!directory.get(0).is_listed(), "the mark was seen");
+    directory.apply(id(), entry(0, ReplicaStage::Ready, 2), 4);
+    assert!(directory.get(0).is_listed(), "it is another start");
+}
+
+#[test]
+fn an_older_change_undoes_nothing() {
+    let mut directory = directory(1);
+    directory.remove("i-0", 9, false, NOW);
+    let late = directory.apply("i-0".to_string(), entry(0, ReplicaStage::Ready, 1), 5);
+    assert_eq!(late, DirectoryChange::Unchanged);
+    assert!(!directory.get(0).is_listed());
+}
+
+#[test]
+fn a_restart_forgets_what_was_known_of_the_server() {
+    let mut directory = directory(1);
+    directory.get_mut(0).slowness = 5.0;
+    let change = directory.apply("i-0".to_string(), entry(0, ReplicaStage::Ready, 2), 2);
+    assert_eq!(change, DirectoryChange::Started(0));
+    assert_eq!(directory.get(0).slowness, 1.0);
+}
+
+struct LapseCase {
+    name: &'static str,
+    lost: u16,
+    usable: bool,
+}
+
+#[test]
+fn servers_count_as_lapsed_only_where_many_are_lost_at_once() {
+    let cases = [
+        LapseCase {
+            name: "one of ten",
+            lost: 1,
+            usable: false,
+        },
+        LapseCase {
+            name: "half",
+            lost: 5,
+            usable: true,
+        },
+        LapseCase {
+            name: "all",
+            lost: 10,
+            usable: true,
+        },
+    ];
+    for case in cases {
+        let mut directory = directory(10);
+        let listed: IndexSet<String> = (case.lost..10)
+            .map(|server| format!("i-{server}"))
+            .collect();
+        let changes = directory.relist(&listed, true, NOW);
+        assert_eq!(changes.len(), usize::from(case.lost), "{}", case.name);
+        assert_eq!(
+            directory.may_use_missing("draft"),
+            case.usable,
+            "{}",
+            case.name
+        );
+        assert!(directory.expire(NOW).is_empty());
+        let expired = directory.expire(NOW + LAPSE_GRACE);
+        assert_eq!(expired.len(), usize::from(case.lost), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_removal_without_an_outage_is_final_at_once() {
+    let mut directory = directory(2);
+    assert_eq!(
+        directory.remove("i-1", 7, false, NOW),
+        DirectoryChange::Gone(1)
+    );
+    assert_eq!(directory.listed_count(), 1);
+}
+
+#[test]
+fn a_lapsed_entry_that_returns_is_used_as_before() {
+    let mut directory = directory(4);
+    directory.relist(&IndexSet::new(), true, NOW);
+    for server in 0..4 {
+        directory.apply(
+            format!("i-{server}"),
+            entry(server, ReplicaStage::Ready, 1),
+            8,
+        );
+    }
+    assert!(directory.expire(NOW + LAPSE_GRACE).is_empty());
+    assert_eq!(directory.listed_count(), 4);
+}
--- /dev/null
+++ b/crates/dewedge/tests/http.rs
@@ -0,0 +1,209 @@
+//! Heads and bodies of HTTP messages.
+
+use dewedge::http::{BodyDecoder, BodyLength, HeadError, parse_answer, parse_request};
+use quickcheck::quickcheck;
+
+struct RequestCase {
+    name: &'static str,
+    bytes: &'static str,
+    expected: Result<BodyLength, HeadError>,
+}
+
+const REQUEST_CASES: [RequestCase; 16] = [
+    RequestCase {
+        name: "no body",
+        bytes: "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n",
+        expected: Ok(BodyLength::Exact(0)),
+    },
+    RequestCase {
+        name: "length",
+        bytes: "POST /a/ HTTP/1.1\r\nContent-Length: 12\r\n\r\n",
+        expected: Ok(BodyLength::Exact(12)),
+    },
+    RequestCase {
+        name: "chunks",
+        bytes: "POST /a/ HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n",
+        expected: Ok(BodyLength::Chunked),
+    },
+    RequestCase {
+        name: "a length beyond all numbers",
+        bytes: "POST /a/ HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n",
+        expected: Ok(BodyLength::Exact(u64::MAX)),
+    },
+    RequestCase {
+        name: "length and chunks",
+        bytes: "POST /a/ HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+        expected: Err(HeadError::Malformed("two lengths")),
+    },
+    RequestCase {
+        name: "two lengths",
+        bytes: "POST /a/ HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n",
+        expected: Err(HeadError::Malformed("a header stands twice")),
+    },
+    RequestCase {
+        name: "a list of lengths",
+        bytes: "POST /a/ HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\n",
+        expected: Err(HeadError::Malformed("Content-Length")),
+    },
+    RequestCase {
+        name: "a signed length",
+        bytes: "POST /a/ HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
+        expected: Err(HeadError::Malformed("Content-Length")),
+    },
+    RequestCase {
+        name: "a coding that isn't known",
+        bytes: "POST /a/ HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        expected: Err(HeadError::Unsupported("Transfer-Encoding")),
+    },
+    RequestCase {
+        name: "a bare LF",
+        bytes: "GET /a/ HTTP/1.1\nHost: h\r\n\r\n",
+        expected: Err(HeadError::Malformed("a line ends without CR LF")),
+    },
+    RequestCase {
+        name: "a bare CR",
+        bytes: "GET /a/ HTTP/1.1\r\nHost: a\rb\r\n\r\n",
+        expected: Err(HeadError::Malformed("a line ends without CR LF")),
+    },
+    RequestCase {
+        name: "a folded header",
+        bytes: "GET /a/ HTTP/1.1\r\nHost: h\r\n more\r\n\r\n",
+        expected: Err(HeadError::Malformed("syntax")),
+    },
+    RequestCase {
+        name: "a space before the colon",
+        bytes: "POST /a/ HTTP/1.1\r\nContent-Length : 3\r\n\r\n",
+        expected: Err(HeadError::Malformed("syntax")),
+    },
+    RequestCase {
+        name: "an absolute target",
+        bytes: "GET http://other/ HTTP/1.1\r\nHost: h\r\n\r\n",
+        expected: Err(HeadError::Malformed("the target isn't a path")),
+    },
+    RequestCase {
+        name: "an old version",
+        bytes: "GET /a/ HTTP/1.0\r\n\r\n",
+        expected: Err(HeadError::Unsupported("version")),
+    },
+    RequestCase {
+        name: "too long",
+        bytes: "GET /a/ HTTP/1.1\r\nX: 0123456789012345678901234567890123456789012345678901234567890\
+                12345678901234567890123456789012345678901234567890\r\n\r\n",
+        expected: Err(HeadError::TooLong),
+    },
+];
+
+#[test]
+fn each_head_is_read_in_one_way_or_refused() {
+    for case in REQUEST_CASES {
+        let head = parse_request(case.bytes.as_bytes(), 120);
+        let found = head.map(|head| head.expect("the head is complete").body);
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_incomplete_head_waits() {
+    let bytes = REQUEST_CASES[0].bytes.as_bytes();
+    for end in 0..bytes.len() {
+        let head = parse_request(&bytes[..end], 120);
+        assert!(matches!(head, Ok(None)), "cut at {end}");
+    }
+}
+
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection() {
+    let head = parse_answer(b"HTTP/1.1 200 OK\r\n\r\n", "GET", 1024);
+    let head = head.expect("a head").expect("a whole head");
+    assert_eq!(head.body, BodyLength::UntilClose);
+    let mut decoder = BodyDecoder::new(head.body);
+    let mut body = Vec::new();
+    assert_eq!(decoder.decode(b"all", &mut body), Ok(3));
+    assert!(!decoder.is_done());
+    assert!(decoder.ends_with_connection());
+}
+
+struct ChunkCase {
+    name: &'static str,
+    bytes: &'static str,
+}
+
+const BAD_CHUNKS: [ChunkCase; 6] = [
+    ChunkCase {
+        name: "no size",
+        bytes: "\r\n",
+    },
+    ChunkCase {
+        name: "a bare LF after the size",
+        bytes: "3\nabc\r\n0\r\n\r\n",
+    },
+    ChunkCase {
+        name: "a signed size",
+        bytes: "-3\r\nabc\r\n",
+    },
+    ChunkCase {
+        name: "a size beyond all numbers",
+        bytes: "fffffffffffffffff\r\n",
+    },
+    ChunkCase {
+        name: "bytes after the chunk",
+        bytes: "3\r\nabcd\r\n0\r\n\r\n",
+    },
+    ChunkCase {
+        name: "a bare LF in the trailers",
+        bytes: "0\r\nA: b\n\r\n",
+    },
+];
+
+#[test]
+fn malformed_chunks_are_refused() {
+    for case in BAD_CHUNKS {
+        let mut decoder = BodyDecoder::new(BodyLength::Chunked);
+        let found = decoder.decode(case.bytes.as_bytes(), &mut Vec::new());
+        assert!(found.is_err(), "{}", case.name);
+    }
+}
+
+fn chunked(parts: &[Vec<u8>]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for part in parts.iter().filter(|part| !part.is_empty()) {
+        bytes.extend_from_slice(format!("{:X};x=y\r\n", part.len()).as_bytes());
+        bytes.extend_from_slice(part);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\nTrailer: t\r\n\r\n");
+    bytes
+}
+
+quickcheck! {
+    fn any_cut_of_chunks_gives_the_same_body(parts: Vec<Vec<u8>>, cuts: Vec<u8>) -> bool {
+        let bytes = chunked(&parts);
+        let mut decoder = BodyDecoder::new(BodyLength::Chunked);
+        let mut body = Vec::new();
+        let mut rest = bytes.as_slice();
+        for cut in cuts {
+            let (now, later) = rest.split_at(usize::from(cut).min(rest.len()));
+            if decoder.decode(now, &mut body) != Ok(now.len()) {
+                return false;
+            }
+            rest = later;
+        }
+        let used = decoder.decode(rest, &mut body);
+        used == Ok(rest.len()) && decoder.is_done() && body == parts.concat()
+    }
+
+    fn bytes_after_the_body_are_left(parts: Vec<Vec<u8>>, after: Vec<u8>) -> bool {
+        let mut bytes = chunked(&parts);
+        let length = bytes.len();
+        bytes.extend_from_slice(&after);
+        let mut decoder = BodyDecoder::new(BodyLength::Chunked);
+        decoder.decode(&bytes, &mut Vec::new()) == Ok(length)
+    }
+
+    fn no_bytes_upset_the_readers(bytes: Vec<u8>) -> bool {
+        let _ = parse_request(&bytes, 64);
+        let _ = parse_answer(&bytes, "GET", 64);
+        let _ = BodyDecoder::new(BodyLength::Chunked).decode(&bytes, &mut Vec::new());
+        true
+    }
+}
--- /dev/null
+++ b/crates/dewedge/tests/policy.rs
@@ -0,0 +1,349 @@
+//! The decisions, one by one.
+
+use std::time::Duration;
+
+use dewedge::format::PromptPart;
+use dewedge::keys::KeyClock;
+use dewedge::policy::health::{AttemptVerdict, ReplicaHealth};
+use dewedge::policy::placement::{
+    PartMemory, PlacementChoice, PlacementQuery, ReplicaView, WorkSum, choose_engine, choose_plain,
+};
+use dewedge::policy::queue::{WaitingQueue, WaitingRequest, engine_rank, request_rank};
+use dewedge::policy::refusal::{is_blocked, longest_wait, return_after};
+use dewedge::policy::retries::{RetryBudget, own_slack};
+use quickcheck::quickcheck;
+
+const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn request(exchange: usize, priority: u8, workspace: &str, work: u64) -> WaitingRequest {
+    WaitingRequest {
+        exchange,
+        priority,
+        workspace: workspace.to_string(),
+        work,
+        arrived: ms(exchange as u64),
+    }
+}
+
+fn drain(queue: &mut WaitingQueue) -> Vec<usize> {
+    let mut order = Vec::new();
+    while let Some(first) = queue.first().map(|first| first.exchange) {
+        queue.remove(first);
+        order.push(first);
+    }
+    order
+}
+
+#[test]
+fn more_urgent_requests_go_first_and_equal_ones_in_turn() {
+    let mut queue = WaitingQueue::default();
+    for (exchange, priority) in [(1, 6), (2, 4), (3, 6), (4, 0)] {
+        queue.push(request(exchange, priority, "news", 1));
+    }
+    assert_eq!(drain(&mut queue), [4, 2, 1, 3]);
+}
+
+#[test]
+fn a_busy_workspace_does_not_hold_up_another() {
+    let mut queue = WaitingQueue::default();
+    for exchange in 0..50 {
+        queue.push(request(exchange, 4, "busy", 10));
+    }
+    queue.push(request(100, 4, "calm", 10));
+    queue.push(request(101, 4, "calm", 10));
+    let order = drain(&mut queue);
+    let place = order.iter().position(|exchange| *exchange == 101);
+    assert!(place.expect("it is in the queue") < 6, "{order:?}");
+}
+
+#[test]
+fn ranks_are_those_of_the_workspace_then_of_the_route() {
+    let mut ranks = Vec::new();
+    for workspace in [None, Some(1), Some(2)] {
+        for route in 0..3 {
+            ranks.push(request_rank(workspace, route));
+        }
+    }
+    let mut sorted = ranks.clone();
+    sorted.sort_unstable();
+    sorted.dedup();
+    assert_eq!(ranks, sorted, "each pair has its own rank, in order");
+    let told: Vec<u8> = ranks.into_iter().map(engine_rank).collect();
+    assert_eq!(told, [0, 1, 2, 3, 4, 5, 6, 7, 8]);
+}
+
+quickcheck! {
+    fn no_request_of_a_queue_is_lost_or_passed_by_a_less_urgent_one(items: Vec<(u8, u8, u8)>) -> bool {
+        let mut queue = WaitingQueue::default();
+        for (exchange, (priority, workspace, work)) in items.iter().enumerate() {
+            let name = format!("w{}", workspace % 4);
+            queue.push(request(exchange, priority % 10, &name, u64::from(*work)));
+        }
+        let order = drain(&mut queue);
+        let ranks: Vec<u8> = order.iter().map(|exchange| items[*exchange].0 % 10).collect();
+        order.len() == items.len() && ranks.is_sorted()
+    }
+
+    fn repeated_sends_stay_under_the_bound(steps: Vec<(bool, u8)>) -> bool {
+        let window = Duration::from_secs(10);
+        let mut budget = RetryBudget::new(0.2, window);
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let mut now = Duration::from_secs(100);
+        for (is_request, wait) in steps {
+            now += ms(u64::from(wait) * 8);
+            if is_request {
+                budget.note_request(now);
+                requests.push(now);
+            } else if budget.try_repeat(1.0, now) {
+                repeats.push(now);
+            }
+            // Requests count in the window of the repeats, in the one before
+            // it or in the one half a window before it.
+            let within = |times: &[Duration], end: Duration| {
+                let start = end.saturating_sub(window);
+                times.iter().filter(|time| **time >= start && **time <= end).count() as f64
+            };
+            let ends = [now, now - window / 2, now - window];
+            let most = ends.map(|end| within(&requests, end)).into_iter().fold(0.0, f64::max);
+            if within(&repeats, now) > 0.2 * most + 1.0 {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn a_caller_is_told_to_come_back_while_it_has_time(left: u16, draw: u8) -> bool {
+        let left = ms(u64::from(left));
+        let after = return_after(left, f64::from(draw) / 255.0);
+        after >= ms(300) && (after <= left / 3 || after == ms(300))
+    }
+}
+
+#[test]
+fn the_slack_of_all_vms_stays_under_the_fleets() {
+    for vms in 1..200 {
+        let total = own_slack(52.0, vms) * vms as f64 * 2.0;
+        assert!(total <= 52.0, "{vms} VMs that all start anew use {total}");
+    }
+}
+
+#[test]
+fn newcomers_are_refused_once_those_before_them_have_waited_long() {
+    let wait = longest_wait(ms(1500), ms(5000));
+    assert_eq!(wait, ms(525));
+    assert!(!is_blocked(None, wait, ms(1000)));
+    assert!(!is_blocked(Some(ms(900)), wait, ms(1000)));
+    assert!(is_blocked(Some(ms(600)), wait, ms(1000)));
+}
+
+#[test]
+fn keys_count_from_the_sending_of_the_call_that_confirmed_them() {
+    let mut clock = KeyClock::new(ms(5000));
+    clock.confirm(ms(10_000));
+    clock.confirm(ms(9_000));
+    assert_eq!(clock.age(ms(12_000)), Some(ms(2_000)));
+    assert!(clock.is_fresh(ms(14_499)));
+    assert!(!clock.is_fresh(ms(14_500)));
+}
+
+#[test]
+fn a_server_that_fails_is_let_back_in_by_one_request() {
+    let mut health = ReplicaHealth::default();
+    let mut now = ms(1000);
+    for _ in 0..8 {
+        health.note(AttemptVerdict::Failed, now);
+    }
+    assert!(!health.is_usable(now));
+    now += ms(5000);
+    assert!(health.is_usable(now));
+    health.note_sent();
+    assert!(!health.is_usable(now), "one request at a time");
+    health.note(AttemptVerdict::Good, now);
+    assert!(health.is_usable(now));
+}
+
+#[test]
+fn a_server_that_fails_now_and_then_stays_in_use() {
+    let mut health = ReplicaHealth::default();
+    for turn in 0..200 {
+        let verdict = match turn % 7 {
+            0 => AttemptVerdict::Failed,
+            _ => AttemptVerdict::Good,
+        };
+        health.note(verdict, ms(turn));
+        assert!(health.is_usable(ms(turn)), "turn {turn}");
+    }
+}
+
+fn engine(hash: u64, parts: &PartMemory, work: WorkSum) -> ReplicaView<'_> {
+    ReplicaView {
+        hash,
+        usable: true,
+        near: true,
+        slots: 64,
+        memory_tokens: 300_000,
+        work,
+        slowness: 1.0,
+        failures: 0.0,
+        parts,
+    }
+}
+
+fn parts(shared: u64, own: u64) -> Vec<PromptPart> {
+    [(1, 2500), (shared, 3800), (own, 2900)]
+        .map(|(id, tokens)| PromptPart { id, tokens })
+        .to_vec()
+}
+
+fn query(parts: &[PromptPart], paced: bool) -> PlacementQuery<'_> {
+    PlacementQuery {
+        parts,
+        prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+        output_tokens: 50,
+        priority: 2,
+        paced,
+        now: ms(1000),
+    }
+}
+
+fn chosen(choice: PlacementChoice) -> u64 {
+    match choice {
+        PlacementChoice::Chosen { hash, .. } => hash,
+        other => panic!("no server was chosen: {other:?}"),
+    }
+}
+
+#[test]
+fn requests_with_the_same_shared_part_meet_on_one_engine() {
+    let memory = PartMemory::default();
+    for shared in 10..40 {
+        let views: Vec<_> = (0..12)
+            .map(|hash| engine(hash, &memory, WorkSum::default()))
+            .collect();
+        let mut reversed = views.clone();
+        reversed.reverse();
+        let first = chosen(choose_engine(&query(&parts(shared, 100), false), &views));
+        let second = chosen(choose_engine(&query(&parts(shared, 200), false), &reversed));
+        assert_eq!(first, second, "shared part {shared}");
+    }
+}
+
+#[test]
+fn a_full_home_loses_to_an_idle_engine() {
+    let memory = PartMemory::default();
+    let prompt = parts(10, 100);
+    let idle: Vec<_> = (0..12)
+        .map(|hash| engine(hash, &memory, WorkSum::default()))
+        .collect();
+    let home = chosen(choose_engine(&query(&prompt, false), &idle));
+    let full = WorkSum {
+        requests: 12,
+        ..WorkSum::default()
+    };
+    let views: Vec<_> = (0..12)
+        .map(|hash| {
+            engine(
+                hash,
+                &memory,
+                if hash == home {
+                    full
+                } else {
+                    WorkSum::default()
+                },
+            )
+        })
+        .collect();
+    assert_ne!(chosen(choose_engine(&query(&prompt, false), &views)), home);
+}
+
+#[test]
+fn long_prompts_stay_off_the_engines_of_paced_streams() {
+    let memory = PartMemory::default();
+    let paced = WorkSum {
+        requests: 30,
+        paced_streams: 30,
+        ..WorkSum::default()
+    };
+    let views: Vec<_> = (0..12)
+        .map(|hash| {
+            engine(
+                hash,
+                &memory,
+                if hash < 2 { paced } else { WorkSum::default() },
+            )
+        })
+        .collect();
+    for shared in 10..60 {
+        let prompt = parts(shared, 100);
+        assert!(chosen(choose_engine(&query(&prompt, false), &views)) >= 2);
+        assert!(chosen(choose_engine(&query(&prompt, true), &views)) < 2);
+    }
+}
+
+struct BusyCase {
+    name: &'static str,
+    work: WorkSum,
+    expected: PlacementChoice,
+}
+
+#[test]
+fn busy_engines_and_missing_ones_differ() {
+    let cases = [
+        BusyCase {
+            name: "the prompts before it take too long",
+            work: WorkSum {
+                requests: 2,
+                backlog_ms: 900.0,
+                ..WorkSum::default()
+            },
+            expected: PlacementChoice::Busy,
+        },
+        BusyCase {
+            name: "the memory is full",
+            work: WorkSum {
+                requests: 2,
+                tokens: 250_000,
+                ..WorkSum::default()
+            },
+            expected: PlacementChoice::Busy,
+        },
+    ];
+    let memory = PartMemory::default();
+    let prompt = parts(10, 100);
+    for case in cases {
+        let mut views = vec![engine(1, &memory, case.work)];
+        assert_eq!(
+            choose_engine(&query(&prompt, false), &views),
+            case.expected,
+            "{}",
+            case.name
+        );
+        views[0].usable = false;
+        let gone = choose_engine(&query(&prompt, false), &views);
+        assert_eq!(gone, PlacementChoice::Unavailable, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_plain_request_goes_to_the_server_with_most_room() {
+    let memory = PartMemory::default();
+    let mut views: Vec<_> = (0..3)
+        .map(|hash| {
+            let requests = [5, 2, 6][hash as usize];
+            let work = WorkSum {
+                requests,
+                ..WorkSum::default()
+            };
+            ReplicaView {
+                slots: 6,
+                memory_tokens: 0,
+                ..engine(hash, &memory, work)
+            }
+        })
+        .collect();
+    assert_eq!(chosen(choose_plain(&views, 7)), 1);
+    views[1].failures = 0.9;
+    assert_eq!(chosen(choose_plain(&views, 7)), 0);
+}
--- /dev/null
+++ b/crates/dewedge/tests/stream.rs
@@ -0,0 +1,105 @@
+//! Cutting streams into whole events.
+
+use dewedge::stream::{EventCutter, EventFault};
+use quickcheck::quickcheck;
+
+fn stream(first: u64, count: u64) -> Vec<u8> {
+    (first..first + count)
+        .flat_map(|id| format!("id: {id}\ndata: word {id}\n\n").into_bytes())
+        .collect()
+}
+
+quickcheck! {
+    fn any_cut_of_a_stream_passes_the_same_events(count: u8, cuts: Vec<u8>) -> bool {
+        let bytes = stream(1, u64::from(count));
+        let mut cutter = EventCutter::new(None);
+        let mut passed = Vec::new();
+        let mut rest = bytes.as_slice();
+        for cut in cuts.into_iter().chain(std::iter::repeat(255)) {
+            let (now, later) = rest.split_at(usize::from(cut).min(rest.len()));
+            cutter.push(now);
+            let Ok(events) = cutter.take_events() else { return false };
+            let whole = events.is_empty() || events.ends_with(b"\n\n");
+            if !whole {
+                return false;
+            }
+            passed.extend(events);
+            rest = later;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        passed == bytes && cutter.events() == u64::from(count) && !cutter.has_partial()
+    }
+
+    fn a_resumed_stream_joins_without_gap_or_repeat(before: u8, after: u8, cut: u8) -> bool {
+        let (before, after) = (u64::from(before) + 1, u64::from(after) + 1);
+        let mut cutter = EventCutter::new(None);
+        let mut bytes = stream(1, before);
+        let partial = b"id: 999\ndata: cut";
+        bytes.extend_from_slice(&partial[..usize::from(cut) % partial.len()]);
+        cutter.push(&bytes);
+        let mut passed = cutter.take_events().unwrap_or_default();
+        cutter.drop_partial();
+        let next = cutter.last_id().unwrap_or(0) + 1;
+        cutter.push(&stream(next, after));
+        passed.extend(cutter.take_events().unwrap_or_default());
+        passed == stream(1, before + after)
+    }
+}
+
+struct OrderCase {
+    name: &'static str,
+    had: Option<u64>,
+    bytes: &'static str,
+    expected: Result<Option<u64>, EventFault>,
+}
+
+const ORDER_CASES: [OrderCase; 6] = [
+    OrderCase {
+        name: "the next event",
+        had: Some(4),
+        bytes: "id: 5\ndata\n\n",
+        expected: Ok(Some(5)),
+    },
+    OrderCase {
+        name: "an event again",
+        had: Some(4),
+        bytes: "id: 4\ndata\n\n",
+        expected: Err(EventFault::OutOfOrder { after: 4, found: 4 }),
+    },
+    OrderCase {
+        name: "a gap",
+        had: Some(4),
+        bytes: "id: 6\ndata\n\n",
+        expected: Err(EventFault::OutOfOrder { after: 4, found: 6 }),
+    },
+    OrderCase {
+        name: "a field before the id",
+        had: None,
+        bytes: "x-version: 3\nid:1\ndata\n\n",
+        expected: Ok(Some(1)),
+    },
+    OrderCase {
+        name: "lines that end with CR LF",
+        had: None,
+        bytes: "id: 1\r\ndata\r\n\r\n",
+        expected: Ok(Some(1)),
+    },
+    OrderCase {
+        name: "no id",
+        had: Some(2),
+        bytes: "data\n\n",
+        expected: Ok(Some(2)),
+    },
+];
+
+#[test]
+fn events_follow_each_other() {
+    for case in ORDER_CASES {
+        let mut cutter = EventCutter::new(case.had);
+        cutter.push(case.bytes.as_bytes());
+        let found = cutter.take_events().map(|_| cutter.last_id());
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
