Keep room for more urgent classes and let returning callers go first

Change: engines take 3 requests more for each rank; a newcomer is placed before it may be refused, and held up only by requests that need the same servers; a caller that has come back goes first in its rank, waits longer and isn't refused for others.

--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -53,6 +53,13 @@
 /// The same at the home of the prompt's shared part, where less is read.
 const HOME_RUNS: u32 = 12;
 
+/// Requests more at an engine for each rank of a route before the least urgent
+/// one, so that a less urgent class can't fill the engines for a more urgent one.
+const RANK_ROOM: u32 = 3;
+
+/// Ranks of routes that differ in their room.
+const LEAST_URGENT: u8 = 2;
+
 /// Part of an engine's memory that requests may fill before others wait.
 const MEMORY_SHARE: f64 = 0.85;
 
@@ -311,10 +318,11 @@
     let memory = (replica.memory_tokens as f64 * MEMORY_SHARE) as u64;
     let empty = replica.work.requests == 0;
     let fits = empty || replica.work.tokens + tokens <= memory;
+    let room = RANK_ROOM * u32::from(LEAST_URGENT.saturating_sub(query.priority));
     let runs = match (query.paced, is_home) {
         (true, _) => replica.slots,
-        (false, true) => replica.slots.min(HOME_RUNS),
-        (false, false) => replica.slots.min(PROMPT_RUNS),
+        (false, true) => replica.slots.min(HOME_RUNS + room),
+        (false, false) => replica.slots.min(PROMPT_RUNS + room),
     };
     fits && replica.work.requests < runs && replica.work.backlog_ms * replica.slowness < limit_ms
 }
--- a/crates/dewedge/src/policy/queue.rs
+++ b/crates/dewedge/src/policy/queue.rs
@@ -4,6 +4,9 @@
 //! turns by the work that each one's requests bring, so that one busy workspace
 //! doesn't hold up the others.
 //!
+//! A caller that was refused before and has come back goes before the other
+//! requests of its rank, because it can't come back once more.
+//!
 //! It answers a workspace that sends many times its usual, beside bursts.
 
 use std::collections::BTreeMap;
@@ -60,6 +63,23 @@
 /// Workspaces whose turn is remembered; idle ones are forgotten beyond it.
 const MAX_TURNS: usize = 4096;
 
+/// What decides which servers take a request while they are busy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServerNeed {
+    /// Whether the events of its stream may not pause for long.
+    pub paced: bool,
+    /// Rank of its route; servers keep room for the more urgent ones.
+    pub class: u8,
+}
+
+impl ServerNeed {
+    /// Returns whether servers that are busy for this need are busy for the
+    /// other one too.
+    pub fn holds_up(&self, other: &Self) -> bool {
+        self.paced == other.paced && self.class <= other.class
+    }
+}
+
 /// A request that waits.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WaitingRequest {
@@ -67,6 +87,10 @@
     pub exchange: ExchangeId,
     /// Its rank; 0 is the most urgent.
     pub priority: u8,
+    /// Which servers it needs.
+    pub need: ServerNeed,
+    /// Whether its caller was refused before and has come back.
+    pub returned: bool,
     /// Its workspace.
     pub workspace: String,
     /// Work it brings, in any unit that is the same for all.
@@ -94,25 +118,33 @@
     /// # Examples
     ///
     /// ```
-    /// use dewedge::policy::queue::{WaitingQueue, WaitingRequest};
+    /// use dewedge::policy::queue::{ServerNeed, WaitingQueue, WaitingRequest};
     /// use std::time::Duration;
     ///
     /// let mut queue = WaitingQueue::default();
     /// for (exchange, priority) in [(1, 2), (2, 0)] {
     ///     let workspace = "news".to_string();
     ///     let arrived = Duration::ZERO;
-    ///     queue.push(WaitingRequest { exchange, priority, workspace, work: 1, arrived });
+    ///     let need = ServerNeed { paced: false, class: priority };
+    ///     let returned = false;
+    ///     queue.push(WaitingRequest {
+    ///         exchange, priority, need, returned, workspace, work: 1, arrived,
+    ///     });
     /// }
     /// assert_eq!(queue.first().unwrap().exchange, 2);
     /// ```
     pub fn push(&mut self, request: WaitingRequest) {
         let reached = self.reached.get(&request.priority).copied().unwrap_or(0);
         let key = (request.priority, request.workspace.clone());
-        let turn = self.turns.get(&key).copied().unwrap_or(0).max(reached);
+        let turn = match request.returned {
+            true => reached,
+            false => self.turns.get(&key).copied().unwrap_or(0).max(reached),
+        };
         if self.turns.len() >= MAX_TURNS {
             self.turns.clear();
         }
-        self.turns.insert(key, turn + request.work.max(1));
+        let next = self.turns.entry(key).or_insert(0);
+        *next = (*next).max(turn) + request.work.max(1);
         self.number += 1;
         let place = (request.priority, turn, self.number);
         self.by_exchange.insert(request.exchange, place);
@@ -138,10 +170,11 @@
     }
 
     /// Returns the arrival of the oldest request that goes before a newcomer
-    /// with this rank.
-    pub fn oldest_before(&self, priority: u8) -> Option<Moment> {
+    /// with this rank and holds it up.
+    pub fn oldest_before(&self, priority: u8, need: &ServerNeed) -> Option<Moment> {
         self.places
             .range(..(priority.saturating_add(1), 0, 0))
+            .filter(|(_, request)| request.need.holds_up(need))
             .map(|(_, request)| request.arrived)
             .min()
     }
--- a/crates/dewedge/src/policy/refusal.rs
+++ b/crates/dewedge/src/policy/refusal.rs
@@ -3,7 +3,8 @@
 //! A request is held only while it is likely to be sent in time; past that it
 //! is refused at once, so that its caller can come back while time is left. The
 //! time to come back is spread, so that those refused together don't return
-//! together.
+//! together. A caller that has come back is held longer and isn't refused for
+//! others that wait, because it can't come back once more.
 //!
 //! It answers bursts of one class beyond the capacity of the servers.
 
@@ -14,6 +15,14 @@
 /// Part of the latency target for which a request may wait for a server.
 const WAIT_SHARE: f64 = 0.35;
 
+/// Part of the latency target for which a caller may wait that was refused
+/// before and has come back.
+const RETURNED_WAIT_SHARE: f64 = 0.6;
+
+/// Part of a route's timeout below which a caller's time shows that it was
+/// refused before; a first request has nearly all of it.
+const RETURNED_SHARE: f64 = 0.94;
+
 /// Part of the longest wait at which a queue counts as blocked for newcomers.
 const BLOCKED_SHARE: f64 = 0.6;
 
@@ -27,6 +36,21 @@
 /// honour up to a third.
 const RETURN_SHARE: f64 = 0.3;
 
+/// Returns whether a caller seems to have come back after a refusal.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::policy::refusal::has_returned;
+/// use std::time::Duration;
+///
+/// assert!(has_returned(Duration::from_secs(4), Duration::from_secs(5)));
+/// assert!(!has_returned(Duration::from_secs(5), Duration::from_secs(5)));
+/// ```
+pub fn has_returned(time_allowed: Duration, timeout: Duration) -> bool {
+    time_allowed < timeout.mul_f64(RETURNED_SHARE)
+}
+
 /// Returns how long a request may wait for a server.
 ///
 /// # Examples
@@ -35,13 +59,16 @@
 /// use dewedge::policy::refusal::longest_wait;
 /// use std::time::Duration;
 ///
-/// let wait = longest_wait(Duration::from_secs(1), Duration::from_secs(3));
+/// let wait = longest_wait(Duration::from_secs(1), Duration::from_secs(3), false);
 /// assert_eq!(wait, Duration::from_millis(350));
 /// ```
-pub fn longest_wait(latency_target: Duration, time_left: Duration) -> Duration {
-    latency_target
-        .mul_f64(WAIT_SHARE)
-        .min(time_left.mul_f64(WAIT_SHARE))
+pub fn longest_wait(latency_target: Duration, time_left: Duration, returned: bool) -> Duration {
+    let share = if returned {
+        RETURNED_WAIT_SHARE
+    } else {
+        WAIT_SHARE
+    };
+    latency_target.min(time_left).mul_f64(share)
 }
 
 /// Returns whether a newcomer is refused because requests that go before it
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::policy::placement::{
     PlacementChoice, PlacementQuery, ReplicaView, choose_engine, choose_plain,
 };
-use crate::policy::queue::engine_rank;
+use crate::policy::queue::{ServerNeed, engine_rank};
 use crate::policy::retries::own_slack;
 use crate::tables::{EngineSpec, RequestKind, RouteSpec};
 
@@ -41,28 +41,6 @@
 /// Needs that may be busy before the rest of a queue isn't looked at.
 const MAX_NEEDS: usize = 4;
 
-/// What decides which servers take a request while they are busy.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct ServerNeed {
-    paced: bool,
-    class: u8,
-}
-
-impl ServerNeed {
-    fn of(route: &RouteSpec) -> Self {
-        Self {
-            paced: is_paced(route),
-            class: route.priority,
-        }
-    }
-
-    /// Returns whether servers that are busy for this need are busy for the
-    /// other one too.
-    fn holds_up(&self, other: &Self) -> bool {
-        self.paced == other.paced && self.class <= other.class
-    }
-}
-
 impl<F: PlatformFormat> EdgeState<F> {
     /// Sends as many waiting requests of a service as its servers take.
     ///
@@ -82,7 +60,7 @@
             if item.phase != ExchangePhase::Waiting {
                 continue;
             }
-            let need = ServerNeed::of(&item.route);
+            let need = server_need(&item.route);
             if busy.iter().any(|other| other.holds_up(&need)) {
                 continue;
             }
@@ -384,6 +362,14 @@
     }
 }
 
+/// Returns what decides which servers take a request of a route.
+pub(crate) fn server_need(route: &RouteSpec) -> ServerNeed {
+    ServerNeed {
+        paced: is_paced(route),
+        class: route.priority,
+    }
+}
+
 /// Returns whether the events of a route's streams may not pause for long.
 fn is_paced(route: &RouteSpec) -> bool {
     route.kind == RequestKind::Streaming && route.pause_target <= PACED_PAUSE
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -11,11 +11,12 @@
 use crate::format::{HeaderClass, PlatformFormat, RequestFacts};
 use crate::http::RequestHead;
 use crate::policy::queue::{WaitingRequest, request_rank};
-use crate::policy::refusal::{is_blocked, longest_wait, return_after};
+use crate::policy::refusal::{has_returned, is_blocked, longest_wait, return_after};
 use crate::policy::retries::RetryBudget;
 use crate::tables::{RouteSpec, pick_share};
 
 use super::answers::is_connection_header;
+use super::dispatch::server_need;
 use super::state::{CallerId, CallerPhase, EdgeState, Exchange, ExchangePhase, SentWork};
 use super::timers::DueTime;
 
@@ -146,12 +147,14 @@
         let now = self.now;
         let timeout = allowed.route.timeout;
         let allowed_time = allowed.facts.time_allowed.unwrap_or(timeout).min(timeout);
-        let wait = longest_wait(allowed.route.latency_target, allowed_time);
+        let returned = has_returned(allowed_time, timeout);
+        let wait = longest_wait(allowed.route.latency_target, allowed_time, returned);
         let body: Rc<[u8]> = body.into();
         let service = allowed.service.clone();
         let blocked = self.queues.get(&service).and_then(|queue| {
-            let oldest = queue.oldest_before(allowed.priority);
-            is_blocked(oldest, wait, now).then_some(queue.len())
+            let need = server_need(&allowed.route);
+            let oldest = queue.oldest_before(allowed.priority, &need);
+            (!returned && is_blocked(oldest, wait, now)).then_some(queue.len())
         });
         let (ratio, window) = (self.settings.retry_ratio, self.settings.retry_window);
         self.budgets
@@ -175,6 +178,7 @@
             queued: now,
             wait_until: now + wait,
             phase: ExchangePhase::Waiting,
+            returned,
             sends: 0,
             connect_failures: 0,
             tried: Vec::new(),
@@ -188,11 +192,13 @@
         if let Some(conn) = self.callers.get_mut(caller) {
             conn.phase = CallerPhase::Busy(exchange);
         }
-        if let Some(waiting) = blocked {
+        self.enqueue(exchange);
+        let waits = |item: &Exchange| item.phase == ExchangePhase::Waiting;
+        if let Some(waiting) = blocked
+            && self.exchanges.get(exchange).is_some_and(waits)
+        {
             self.refuse(exchange, "queue_blocked", waiting);
-            return;
         }
-        self.enqueue(exchange);
     }
 
     /// Puts a request into the queue of its service.
@@ -206,6 +212,8 @@
         let request = WaitingRequest {
             exchange,
             priority: item.priority,
+            need: server_need(&item.route),
+            returned: item.returned,
             workspace: item.workspace.clone().unwrap_or_default(),
             work: u64::from(item.facts.prompt_tokens / TOKENS_PER_WORK + 1),
             arrived: item.queued,
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -131,6 +131,8 @@
     pub(crate) queued: Moment,
     pub(crate) wait_until: Moment,
     pub(crate) phase: ExchangePhase,
+    /// Whether its caller was refused before and has come back.
+    pub(crate) returned: bool,
     /// Sends so far.
     pub(crate) sends: u32,
     /// Connections that couldn't be made so far.
--- a/crates/dewedge/tests/policy.rs
+++ b/crates/dewedge/tests/policy.rs
@@ -8,7 +8,7 @@
 use dewedge::policy::placement::{
     PartMemory, PlacementChoice, PlacementQuery, ReplicaView, WorkSum, choose_engine, choose_plain,
 };
-use dewedge::policy::queue::{WaitingQueue, WaitingRequest, engine_rank, request_rank};
+use dewedge::policy::queue::{ServerNeed, WaitingQueue, WaitingRequest, engine_rank, request_rank};
 use dewedge::policy::refusal::{is_blocked, longest_wait, return_after};
 use dewedge::policy::retries::{RetryBudget, own_slack};
 use quickcheck::quickcheck;
@@ -21,6 +21,11 @@
     WaitingRequest {
         exchange,
         priority,
+        need: ServerNeed {
+            paced: false,
+            class: priority,
+        },
+        returned: false,
         workspace: workspace.to_string(),
         work,
         arrived: ms(exchange as u64),
@@ -58,6 +63,61 @@
     assert!(place.expect("it is in the queue") < 6, "{order:?}");
 }
 
+#[test]
+fn a_caller_that_has_come_back_goes_before_others_of_its_rank() {
+    let mut queue = WaitingQueue::default();
+    for exchange in 0..20 {
+        queue.push(request(exchange, 4, "busy", 10));
+    }
+    let back = WaitingRequest {
+        returned: true,
+        ..request(100, 4, "busy", 10)
+    };
+    queue.push(back);
+    queue.push(request(101, 3, "busy", 10));
+    let order = drain(&mut queue);
+    assert_eq!(order[0], 101, "a more urgent one still goes first");
+    assert!(order[..3].contains(&100), "{order:?}");
+}
+
+#[test]
+fn a_class_is_held_up_only_by_those_that_need_its_servers() {
+    let mut queue = WaitingQueue::default();
+    queue.push(request(1, 2, "news", 1));
+    let class = |class| ServerNeed {
+        paced: false,
+        class,
+    };
+    assert_eq!(
+        queue.oldest_before(4, &class(1)),
+        None,
+        "more urgent servers have room"
+    );
+    assert_eq!(queue.oldest_before(4, &class(2)), Some(ms(1)));
+    assert_eq!(queue.oldest_before(1, &class(2)), None, "it goes before");
+}
+
+#[test]
+fn a_less_urgent_class_leaves_room_for_a_more_urgent_one() {
+    let memory = PartMemory::default();
+    let prompt = parts(10, 100);
+    let full = WorkSum {
+        requests: 12,
+        ..WorkSum::default()
+    };
+    let views: Vec<_> = (0..12).map(|hash| engine(hash, &memory, full)).collect();
+    let less = query(&prompt, false);
+    assert_eq!(choose_engine(&less, &views), PlacementChoice::Busy);
+    let more = PlacementQuery {
+        priority: 1,
+        ..less
+    };
+    assert!(matches!(
+        choose_engine(&more, &views),
+        PlacementChoice::Chosen { .. }
+    ));
+}
+
 #[test]
 fn ranks_are_those_of_the_workspace_then_of_the_route() {
     let mut ranks = Vec::new();
@@ -131,7 +191,7 @@
 
 #[test]
 fn newcomers_are_refused_once_those_before_them_have_waited_long() {
-    let wait = longest_wait(ms(1500), ms(5000));
+    let wait = longest_wait(ms(1500), ms(5000), false);
     assert_eq!(wait, ms(525));
     assert!(!is_blocked(None, wait, ms(1000)));
     assert!(!is_blocked(Some(ms(900)), wait, ms(1000)));
