Set engines apart by their slots, and let changes gather for 900 ms

Change: paced streams take five eighths of an engine's slots; watches pause 900 ms, under half of the 2 s within which a change must be in force.

--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -29,9 +29,10 @@
 /// time is lost to all who wait there.
 const REREAD_WEIGHT: f64 = 3.0;
 
-/// Paced streams for each engine that is set apart for them; with them a step
-/// stays far below the permitted pauses, and slots are left for bursts.
-const PACED_PER_ENGINE: u32 = 40;
+/// Paced streams for each engine that is set apart for them, in parts of its
+/// slots; a step stays far below the permitted pauses, and slots are left for
+/// bursts.
+const PACED_SLOT_SHARE: f64 = 0.625;
 
 /// Part of the engines that may be set apart.
 const PACED_SHARE: f64 = 0.5;
@@ -234,7 +235,13 @@
         .map(|replica| replica.work.paced_streams)
         .sum();
     let most = (usable.len() as f64 * PACED_SHARE) as usize;
-    let count = (streams.div_ceil(PACED_PER_ENGINE) as usize).min(most);
+    let slots = replicas
+        .iter()
+        .map(|replica| replica.slots)
+        .max()
+        .unwrap_or(0);
+    let each = ((f64::from(slots) * PACED_SLOT_SHARE) as u32).max(1);
+    let count = (streams.div_ceil(each) as usize).min(most);
     let mut group = vec![false; replicas.len()];
     for (_, index) in usable.into_iter().take(count) {
         group[index] = true;
--- a/crates/dewedge/src/storage.rs
+++ b/crates/dewedge/src/storage.rs
@@ -31,9 +31,9 @@
 /// under the smallest key bound in use, so that one lost call takes no key away.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(2200);
 
-/// Pause between two watches, in which changes gather; a quarter of the smallest
+/// Pause between two watches, in which changes gather; under half of the smallest
 /// bound for a change in use. A call costs as much with one change as with many.
-const WATCH_PAUSE: Duration = Duration::from_millis(500);
+const WATCH_PAUSE: Duration = Duration::from_millis(900);
 
 /// Time for which a watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
--- a/crates/dewedge/tests/policy.rs
+++ b/crates/dewedge/tests/policy.rs
@@ -342,6 +342,30 @@
     }
 }
 
+#[test]
+fn engines_with_few_slots_are_set_apart_in_larger_numbers() {
+    let memory = PartMemory::default();
+    let paced = WorkSum {
+        requests: 10,
+        paced_streams: 10,
+        ..WorkSum::default()
+    };
+    let views: Vec<_> = (0..12)
+        .map(|hash| ReplicaView {
+            slots: 16,
+            ..engine(
+                hash,
+                &memory,
+                if hash < 4 { paced } else { WorkSum::default() },
+            )
+        })
+        .collect();
+    for shared in 10..60 {
+        let prompt = parts(shared, 100);
+        assert!(chosen(choose_engine(&query(&prompt, false), &views)) >= 4);
+    }
+}
+
 struct BusyCase {
     name: &'static str,
     work: WorkSum,
