Keep the fleet's connections under a server's bound

Cause: max-conns of a service was read and not used; a server resets what goes beyond it, and a request on such a connection may have run.

Change: each VM has its part of four fifths of a server's connections, by the VMs it knows, 4 at least; a server without a free one counts as busy.

Ruled out: a bound on kept connections alone; requests in work hold most.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -54,6 +54,8 @@
     pub heard: Option<Moment>,
     /// Connections that idle, the latest used last.
     pub idle: Vec<usize>,
+    /// Connections of this VM, idle or not.
+    pub open_connections: u32,
     revision: u64,
 }
 
@@ -284,6 +286,7 @@
             slowness: 1.0,
             heard: None,
             idle: Vec::new(),
+            open_connections: 0,
             revision,
         });
         if leaving {
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -24,6 +24,13 @@
 /// Time for a new connection to a server; a way there and back takes a few ms.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Part of the connections of a server that the VMs which are known use, so
+/// that some are left for VMs that join.
+const CONNECTION_SHARE: f64 = 0.8;
+
+/// Connections to a server that each VM may have in any case.
+const MIN_CONNECTIONS: u32 = 4;
+
 /// Time that must be left for a request to be worth sending.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -126,6 +133,15 @@
         choose_engine(&query, &views)
     }
 
+    /// Returns how many connections this VM may have to a server of a service:
+    /// its part of those that the server takes from all callers.
+    fn connection_limit(&self, service: &str) -> u32 {
+        let spec = self.table.as_ref().and_then(|table| table.service(service));
+        let all = spec.map_or(u32::MAX, |spec| spec.max_connections);
+        let share = f64::from(all) * CONNECTION_SHARE / self.peers.vm_count() as f64;
+        (share as u32).max(MIN_CONNECTIONS)
+    }
+
     fn view<'a>(
         &'a self,
         index: ReplicaIndex,
@@ -135,7 +151,10 @@
         let replica = self.directory.get(index);
         let mut work = replica.own;
         work.add(&replica.others);
+        let has_connection = !replica.idle.is_empty()
+            || replica.open_connections < self.connection_limit(&item.service);
         let usable = replica.is_listed()
+            && has_connection
             && replica.health.is_usable(self.now)
             && !item.tried.contains(&index);
         ReplicaView {
@@ -322,7 +341,7 @@
                 return Some(server);
             }
             if conn.idle_until <= now {
-                self.servers.remove(server);
+                self.drop_server(server);
             } else {
                 // It still serves requests that may be repeated.
                 self.directory.get_mut(replica).idle.push(server);
@@ -358,6 +377,7 @@
             timer: DueTime::default(),
         });
         self.metrics.connects.inc();
+        self.directory.get_mut(replica).open_connections += 1;
         Some(server)
     }
 }
--- a/crates/dewedge/src/serve/news.rs
+++ b/crates/dewedge/src/serve/news.rs
@@ -174,7 +174,7 @@
             // Kept connections belong to the start of the server that is over.
             let idle = std::mem::take(&mut self.directory.get_mut(index).idle);
             for server in idle {
-                self.servers.try_remove(server);
+                self.drop_server(server);
             }
         }
         let replica = self.directory.get(index);
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -310,8 +310,9 @@
     /// Closes a connection to a server.
     pub(crate) fn drop_server(&mut self, server: ServerId) {
         if let Some(conn) = self.servers.try_remove(server) {
-            let idle = &mut self.directory.get_mut(conn.replica).idle;
-            idle.retain(|other| *other != server);
+            let replica = self.directory.get_mut(conn.replica);
+            replica.open_connections = replica.open_connections.saturating_sub(1);
+            replica.idle.retain(|other| *other != server);
         }
     }
 
