End the stand-in's waiting watches at each outage, however short

A fault of the stand-in, not of the product.

Ruled out: a daemon with a dead watch; the watches were alive and told nothing because nothing had changed.

Change: an outage counts as a break of the watches that wait, as a restored state does. The test and its bound are as they were.

--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -72,8 +72,8 @@
     delay: Duration,
     lose_answers: u64,
     kv: KvState,
-    /// Counts how often a remembered state was put back.
-    restores: u64,
+    /// Counts what ends waiting watches: outages, and remembered states put back.
+    breaks: u64,
     snapshot: Option<KvState>,
     vms: LaggedValue<Vec<ListedVm>>,
     counts: CallCounts,
@@ -115,7 +115,7 @@
             delay: Duration::ZERO,
             lose_answers: 0,
             kv: KvState::new(),
-            restores: 0,
+            breaks: 0,
             snapshot: None,
             vms: LaggedValue::new(settings.vms, settings.list_lag, Instant::now()),
             counts: CallCounts::default(),
@@ -146,6 +146,10 @@
         };
         let mut state = self.lock();
         state.mode = control.mode.unwrap_or(state.mode);
+        if state.mode == PlatformMode::Down {
+            // An outage ends the watches that wait, however short it is.
+            state.breaks += 1;
+        }
         state.lose_answers = control.lose_answers.unwrap_or(state.lose_answers);
         if let Some(delay) = control.delay_ms {
             state.delay = Duration::from_millis(delay);
@@ -161,7 +165,7 @@
         }
         if let Some(snapshot) = state.snapshot.as_ref().filter(|_| control.restore) {
             state.kv = snapshot.clone();
-            state.restores += 1;
+            state.breaks += 1;
         }
         drop(state);
         self.notify();
@@ -211,14 +215,14 @@
 
     fn watch(&self, request: WatchRequest) -> WebAnswer {
         let (sender, receiver) = mpsc::unbounded_channel();
-        let (created, restores) = {
+        let (created, breaks) = {
             let state = self.lock();
             let created = WatchResponse {
                 header: state.kv.header(),
                 created: true,
                 events: Vec::new(),
             };
-            (created, state.restores)
+            (created, state.breaks)
         };
         let watch = request.create_request;
         let next = match watch.start_revision.0 {
@@ -229,7 +233,7 @@
             platform: self.clone(),
             watch,
             next,
-            restores,
+            breaks,
             sender,
         };
         tokio::spawn(watcher.run(self.changes.subscribe()));
@@ -288,8 +292,8 @@
     watch: WatchCreate,
     /// First revision that was not looked at yet.
     next: u64,
-    /// Restores when the watch began; a later one ends it.
-    restores: u64,
+    /// Breaks when the watch began; a later one ends it.
+    breaks: u64,
     sender: ChunkSender,
 }
 
@@ -312,7 +316,7 @@
 
     fn send_new_events(&mut self) -> Result<(), DroppedConnection> {
         let state = self.platform.lock();
-        if state.mode == PlatformMode::Down || state.restores != self.restores {
+        if state.mode == PlatformMode::Down || state.breaks != self.breaks {
             // A caller that left already needs no dropped connection.
             let _ = self.sender.send(Err(DroppedConnection));
             return Err(DroppedConnection);
