Derive the pace of calls to the store from the bounds

Watches paused 900 ms where a change may take 3 s, confirmations came each 2.2 s, and leases were renewed each 4 s; the constants were those of the smaller sites. With a bound of 2.5 s for keys the old figures let one lost call take the keys away.

Ruled out: fewer VMs that watch (others would learn changes from them): a VM that is cut from those would break the bounds.

Change: confirmations after 0.64 of the time for which one holds, given up after 0.22 of it, so that a lost one is asked again in time; watches pause 0.45 of the smallest bound of a change; leases of 24 s, renewed each 8 s. A VM is ready once all lists were read, not the tables alone.

--- a/crates/dewedge/src/keys.rs
+++ b/crates/dewedge/src/keys.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Returns for how long a confirmation holds.
+    pub fn bound(&self) -> Duration {
+        self.bound
+    }
+
     /// Notes that the store confirmed the tables by an answer to a call that
     /// was sent at `sent`.
     pub fn confirm(&mut self, sent: Moment) {
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -160,12 +160,7 @@
             digest_timer: DueTime::default(),
             digest_sent: Moment::ZERO,
             others_stale: false,
-            store: StoreDuty::new(
-                &settings.vm,
-                settings.store_address,
-                settings.peer_address,
-                (fixed(CALLS_TOKEN), fixed(WATCH_TOKEN)),
-            ),
+            store: StoreDuty::new(&settings, (fixed(CALLS_TOKEN), fixed(WATCH_TOKEN))),
             store_timer: DueTime::default(),
             store_lost: false,
             callers: Slab::new(),
@@ -419,6 +414,7 @@
         {
             self.budgets.clear();
         }
+        self.store.set_pace(&settings);
         self.settings = settings;
     }
 }
--- a/crates/dewedge/src/storage.rs
+++ b/crates/dewedge/src/storage.rs
@@ -21,19 +21,30 @@
     CallBytes, PlatformFormat, RecordKey, ReplicaId, StoreAnswer, StoreCall, StoreRecord,
 };
 use crate::http::{AnswerHead, BodyDecoder, parse_answer};
+use crate::keys::KeyClock;
 use crate::net::{ReadEnd, WireChannel};
+use crate::settings::EdgeSettings;
 
 /// Time after which a call without an answer is given up; far above the store's
 /// usual few milliseconds, and a third of the smallest key bound in use.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Time between two confirmations of the tables. With [`CALL_TIMEOUT`] it stays
-/// under the smallest key bound in use, so that one lost call takes no key away.
-const CONFIRM_INTERVAL: Duration = Duration::from_millis(2200);
+/// Part of the time for which a confirmation holds after which the tables are
+/// confirmed again.
+const CONFIRM_SHARE: f64 = 0.64;
 
-/// Pause between two watches, in which changes gather; under half of the smallest
-/// bound for a change in use. A call costs as much with one change as with many.
-const WATCH_PAUSE: Duration = Duration::from_millis(900);
+/// Part of that time after which a confirmation without an answer is given up.
+/// With [`CONFIRM_SHARE`] a seventh is left to ask once more, so that one lost
+/// call takes no key away.
+const CONFIRM_TIMEOUT_SHARE: f64 = 0.22;
+
+/// Shortest of these times, for bounds that are very short or not in force.
+const MIN_CONFIRM_TIME: Duration = Duration::from_millis(300);
+
+/// Pause between two watches, in which changes gather, in parts of the smallest
+/// bound of a change; a call costs as much with one change as with many. More
+/// than half of the bound is left for a store that answers slowly.
+const WATCH_PAUSE_SHARE: f64 = 0.45;
 
 /// Time for which a watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -50,11 +61,12 @@
 /// Time after trouble with the store in which removed entries may come back.
 const LAPSE_SPAN: Duration = Duration::from_secs(4);
 
-/// Time for which the entry of this VM outlives it.
-const LEASE_TIME: Duration = Duration::from_secs(12);
+/// Time for which the entry of this VM outlives it; the other VMs send digests
+/// to its address for so long.
+const LEASE_TIME: Duration = Duration::from_secs(24);
 
 /// Time between two renewals; three are lost before the lease ends.
-const RENEW_INTERVAL: Duration = Duration::from_secs(4);
+const RENEW_INTERVAL: Duration = Duration::from_secs(8);
 
 /// Bytes of an answer's head at most.
 const MAX_HEAD: usize = 16 * 1024;
@@ -62,6 +74,30 @@
 /// Bytes of an answer that are read at most.
 const MAX_ANSWER: usize = 16 << 20;
 
+/// How often the store is called.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct StorePace {
+    /// Time between two confirmations of the tables.
+    confirm_interval: Duration,
+    /// Time after which a confirmation without an answer is given up.
+    confirm_timeout: Duration,
+    /// Pause between two watches.
+    watch_pause: Duration,
+}
+
+impl StorePace {
+    /// Derives the pace from the bounds of the settings.
+    pub(crate) fn new(settings: &EdgeSettings) -> Self {
+        let held = KeyClock::new(settings.key_bound).bound();
+        let change = settings.tables_bound.min(settings.leaving_bound);
+        Self {
+            confirm_interval: held.mul_f64(CONFIRM_SHARE).max(MIN_CONFIRM_TIME),
+            confirm_timeout: held.mul_f64(CONFIRM_TIMEOUT_SHARE).max(MIN_CONFIRM_TIME),
+            watch_pause: change.mul_f64(WATCH_PAUSE_SHARE),
+        }
+    }
+}
+
 /// What the storage duty learned.
 #[derive(Debug)]
 pub(crate) enum StoreEvent {
@@ -254,6 +290,7 @@
     address: SocketAddr,
     vm: String,
     peer_address: SocketAddr,
+    pace: StorePace,
     calls: StoreLink,
     watch: StoreLink,
     queue: VecDeque<StoreCall>,
@@ -262,6 +299,8 @@
     /// Revision of the store when the lists began to be read.
     list_start: u64,
     listed: IndexSet<ReplicaId>,
+    /// Whether all lists were read once in this process.
+    listed_once: bool,
     tables_revision: Option<u64>,
     confirm_at: Moment,
     lease: Option<u64>,
@@ -275,29 +314,26 @@
 }
 
 impl<F: PlatformFormat> StoreDuty<F> {
-    pub(crate) fn new(
-        vm: &str,
-        address: SocketAddr,
-        peer_address: SocketAddr,
-        tokens: (Token, Token),
-    ) -> Self {
+    pub(crate) fn new(settings: &EdgeSettings, tokens: (Token, Token)) -> Self {
         let mut duty = Self {
-            address,
-            vm: vm.to_string(),
-            peer_address,
+            address: settings.store_address,
+            vm: settings.vm.clone(),
+            peer_address: settings.peer_address,
+            pace: StorePace::new(settings),
             calls: StoreLink::new(tokens.0),
             watch: StoreLink::new(tokens.1),
             queue: VecDeque::new(),
             watched: None,
             list_start: 0,
             listed: IndexSet::new(),
+            listed_once: false,
             tables_revision: None,
             confirm_at: Moment::ZERO,
             lease: None,
             renew_at: Moment::ZERO,
             trouble: None,
             calls_failed: false,
-            draw: crate::directory::stable_hash(vm.as_bytes()),
+            draw: crate::directory::stable_hash(settings.vm.as_bytes()),
             events: Vec::new(),
             format: PhantomData,
         };
@@ -312,7 +348,12 @@
 
     /// Returns whether the tables and the lists were read once.
     pub(crate) fn is_loaded(&self) -> bool {
-        self.watched.is_some() || self.list_start > 0 && self.tables_revision.is_some()
+        self.listed_once
+    }
+
+    /// Takes changed settings; the addresses stay.
+    pub(crate) fn set_pace(&mut self, settings: &EdgeSettings) {
+        self.pace = StorePace::new(settings);
     }
 
     /// Sets the revision of the tables in force.
@@ -355,7 +396,11 @@
             && let Some(call) = self.queue.pop_front()
         {
             let bytes = F::write_call(&call);
-            let times = (now, now + CALL_TIMEOUT);
+            let timeout = match call {
+                StoreCall::ConfirmTables(_) => self.pace.confirm_timeout,
+                _ => CALL_TIMEOUT,
+            };
+            let times = (now, now + timeout);
             self.calls.send(registry, self.address, call, &bytes, times);
         }
         if self.watch.is_free(now)
@@ -371,7 +416,7 @@
     }
 
     fn next_due(&self, now: Moment) -> Moment {
-        let mut due = now + CONFIRM_INTERVAL;
+        let mut due = now + self.pace.confirm_interval;
         for link in [&self.calls, &self.watch] {
             match &link.pending {
                 Some(pending) => due = due.min(pending.until),
@@ -393,7 +438,7 @@
                 .iter()
                 .any(|call| matches!(call, StoreCall::ConfirmTables(_)))
         {
-            self.confirm_at = now + CONFIRM_INTERVAL;
+            self.confirm_at = now + self.pace.confirm_interval;
             self.queue.push_front(StoreCall::ConfirmTables(revision));
         }
         if self.watched.is_some() && self.renew_at <= now {
@@ -502,7 +547,7 @@
                 let revision = record.revision;
                 self.tell(record, now);
                 self.events.push(StoreEvent::Confirmed { revision, sent });
-                self.confirm_at = sent + CONFIRM_INTERVAL;
+                self.confirm_at = sent + self.pace.confirm_interval;
             }
             (StoreCall::ReadTables, StoreAnswer::Record(None, _)) => {
                 // The operators haven't written them yet.
@@ -522,7 +567,7 @@
                 if self.watched.is_some_and(|watched| watched < as_of) {
                     self.watched = Some(as_of);
                 }
-                self.watch.retry_at = now + WATCH_PAUSE;
+                self.watch.retry_at = now + self.pace.watch_pause;
             }
             (StoreCall::Watch { .. }, StoreAnswer::HistoryGone) => self.reload(),
             (StoreCall::ConfirmTables(revision), StoreAnswer::Held) => {
@@ -578,6 +623,7 @@
             return;
         }
         self.watched = Some(self.list_start);
+        self.listed_once = true;
     }
 }
 
