Let the VMs of a fleet begin with a server one after another

All 67 VMs learned of it within 30 ms, none saw what the others sent before digests had gone round (300 ms), and each sent what it had waiting: 42 to 197 requests on an engine that takes 12. 707 long prompts met silence there and 437 found no server in time after it; 7 servers that went down and up by turns got the same each time.

Change: two VMs begin, by the hash of server and VM, twice as many after each round of digests, and each with two requests at first. A server that has fallen within 15 s waits 0.8 s longer for each fall. Where fewer than half of a service's servers were there before, nothing waits.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -15,6 +15,7 @@
 use crate::format::{ReplicaEntry, ReplicaId, ReplicaLoad, ReplicaStage};
 use crate::policy::health::ReplicaHealth;
 use crate::policy::placement::{PartMemory, WorkSum};
+use crate::policy::warmup::WarmUp;
 
 /// Time for which an entry that the store lost in an outage is still used;
 /// live servers are back in the list within about two seconds of its return.
@@ -40,6 +41,8 @@
     pub missing_until: Option<Moment>,
     /// Health from the outcomes of this VM's requests.
     pub health: ReplicaHealth,
+    /// How far this VM may use it after its latest start.
+    pub warmup: WarmUp,
     /// Prompt parts that it has read for this VM.
     pub parts: PartMemory,
     /// Work of this VM there.
@@ -80,8 +83,10 @@
 /// How an entry changed what is known of a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DirectoryChange {
-    /// A server that wasn't known, or that started anew.
+    /// A server that wasn't known.
     Started(ReplicaIndex),
+    /// A server that started anew.
+    Restarted(ReplicaIndex),
     /// A server began to leave.
     Leaving(ReplicaIndex),
     /// A server's entry is gone.
@@ -150,7 +155,7 @@
         }
         match (newly_leaving, restarted) {
             (true, _) => DirectoryChange::Leaving(index),
-            (false, true) => DirectoryChange::Started(index),
+            (false, true) => DirectoryChange::Restarted(index),
             (false, false) => DirectoryChange::Unchanged,
         }
     }
@@ -224,6 +229,20 @@
         missing.len() >= listed.len()
     }
 
+    /// Returns whether at least half of a service's servers were there before;
+    /// if not, there is nothing to which requests could go instead.
+    pub fn has_warm_majority(&self, service: &str, now: Moment) -> bool {
+        let members = self.of_service(service).iter();
+        let listed: Vec<_> = members
+            .map(|index| &self.replicas[*index])
+            .filter(|replica| replica.is_listed())
+            .collect();
+        let warm = listed
+            .iter()
+            .filter(|replica| replica.warmup.most_requests(now).is_none());
+        warm.count() * 2 >= listed.len()
+    }
+
     /// Returns a server.
     pub fn get(&self, index: ReplicaIndex) -> &ReplicaState {
         &self.replicas[index]
@@ -275,6 +294,7 @@
             gone: false,
             missing_until: None,
             health: ReplicaHealth::default(),
+            warmup: WarmUp::default(),
             parts: PartMemory::default(),
             own: WorkSum::default(),
             others: WorkSum::default(),
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -74,6 +74,18 @@
         self.addresses.len() + 1
     }
 
+    /// Returns how many VMs begin with a server before this one; the order differs
+    /// from server to server and is the same on all VMs.
+    pub(crate) fn rank_for(&self, replica: u64) -> u32 {
+        let place = |vm: u64| stable_hash(&(vm ^ replica).to_be_bytes());
+        let own = place(self.own);
+        let before = self
+            .addresses
+            .keys()
+            .filter(|vm| place(stable_hash(vm.as_bytes())) < own);
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the addresses to which the next digest goes, `most` at a time.
     pub(crate) fn targets(&mut self, most: usize) -> Vec<SocketAddr> {
         let count = self.addresses.len();
--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -146,6 +146,10 @@
     pub usable: bool,
     /// Whether it is in the data centre of this VM.
     pub near: bool,
+    /// Requests that this VM may have there, if the server has just started.
+    pub most_own: Option<u32>,
+    /// Requests of this VM there.
+    pub own_requests: u32,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Tokens that fit in its memory; 0 for a plain server.
@@ -160,6 +164,13 @@
     pub parts: &'a PartMemory,
 }
 
+impl ReplicaView<'_> {
+    /// Returns whether it has started so lately that this VM must wait.
+    fn is_warming_up(&self) -> bool {
+        self.most_own.is_some_and(|most| self.own_requests >= most)
+    }
+}
+
 /// A request, as the placement sees it.
 #[derive(Clone, Debug)]
 pub struct PlacementQuery<'a> {
@@ -295,7 +306,7 @@
         }
         any_usable = true;
         let is_home = home == Some(index);
-        if !has_room(query, replica, limit, is_home) {
+        if replica.is_warming_up() || !has_room(query, replica, limit, is_home) {
             continue;
         }
         let prefill_ms = prefill_ms(query, replica, is_home);
@@ -367,7 +378,7 @@
             continue;
         }
         any_usable = true;
-        if replica.work.requests >= replica.slots + PLAIN_QUEUE {
+        if replica.is_warming_up() || replica.work.requests >= replica.slots + PLAIN_QUEUE {
             continue;
         }
         let busy = f64::from(replica.work.requests) / f64::from(replica.slots.max(1));
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -114,10 +114,15 @@
         let engine = self.engine_of(&item.service);
         let members = self.directory.of_service(&item.service);
         let use_missing = self.directory.may_use_missing();
+        let phased = self.directory.has_warm_majority(&item.service, self.now);
         let views: Vec<ReplicaView<'_>> = members
             .iter()
             .filter(|index| use_missing || self.directory.get(**index).missing_until.is_none())
-            .map(|index| self.view(*index, item, engine.as_ref()))
+            .map(|index| {
+                let mut view = self.view(*index, item, engine.as_ref());
+                view.most_own = view.most_own.filter(|_| phased);
+                view
+            })
             .collect();
         if engine.is_none() {
             return choose_plain(&views, draw);
@@ -161,6 +166,8 @@
             hash: replica.hash,
             usable,
             near: replica.entry.data_centre == self.settings.data_centre,
+            most_own: replica.warmup.most_requests(self.now),
+            own_requests: replica.own.requests,
             slots: engine.map_or(replica.entry.slots, |engine| engine.slots),
             memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
             work,
--- a/crates/dewedge/src/serve/news.rs
+++ b/crates/dewedge/src/serve/news.rs
@@ -166,6 +166,7 @@
         let (index, event) = match change {
             DirectoryChange::Unchanged => return,
             DirectoryChange::Started(index) => (index, "started"),
+            DirectoryChange::Restarted(index) => (index, "restarted"),
             DirectoryChange::Leaving(index) => (index, "leaving"),
             DirectoryChange::Gone(index) => (index, "gone"),
             DirectoryChange::Missing(index) => (index, "missing"),
@@ -177,6 +178,7 @@
                 self.drop_server(server);
             }
         }
+        self.begin_warmup(change);
         let replica = self.directory.get(index);
         self.logs
             .system("directory", event)
@@ -187,6 +189,24 @@
         self.wakes.push_back(service);
     }
 
+    /// Lets this VM begin with a server in its turn.
+    ///
+    /// Servers of the first list were there before this process.
+    fn begin_warmup(&mut self, change: DirectoryChange) {
+        let (index, known) = match change {
+            DirectoryChange::Started(index) => (index, false),
+            DirectoryChange::Restarted(index) => (index, true),
+            _ => return,
+        };
+        if !self.store.is_loaded() {
+            return;
+        }
+        let hash = self.directory.get(index).hash;
+        let rank = self.peers.rank_for(hash);
+        let warmup = &mut self.directory.get_mut(index).warmup;
+        warmup.begin(rank, known, self.now);
+    }
+
     /// Looks after what changes with time alone.
     pub(crate) fn keep_house(&mut self) {
         for index in self.directory.expire(self.now) {
--- a/crates/dewedge/tests/directory.rs
+++ b/crates/dewedge/tests/directory.rs
@@ -58,7 +58,7 @@
     let mut directory = directory(1);
     directory.get_mut(0).slowness = 5.0;
     let change = directory.apply("i-0".to_string(), entry(0, ReplicaStage::Ready, 2), 2);
-    assert_eq!(change, DirectoryChange::Started(0));
+    assert_eq!(change, DirectoryChange::Restarted(0));
     assert_eq!(directory.get(0).slowness, 1.0);
 }
 
--- a/crates/dewedge/tests/load_model.rs
+++ b/crates/dewedge/tests/load_model.rs
@@ -282,6 +282,8 @@
                     hash: engine as u64 * 7919 + 13,
                     usable: true,
                     near: true,
+                    most_own: None,
+                    own_requests: 0,
                     slots: 64,
                     memory_tokens: 500_000,
                     work,
--- a/crates/dewedge/tests/policy.rs
+++ b/crates/dewedge/tests/policy.rs
@@ -11,6 +11,7 @@
 use dewedge::policy::queue::{ServerNeed, WaitingQueue, WaitingRequest, engine_rank, request_rank};
 use dewedge::policy::refusal::{is_blocked, longest_wait, return_after};
 use dewedge::policy::retries::{RetryBudget, own_slack};
+use dewedge::policy::warmup::WarmUp;
 use quickcheck::quickcheck;
 
 const fn ms(count: u64) -> Duration {
@@ -242,6 +243,8 @@
         hash,
         usable: true,
         near: true,
+        most_own: None,
+        own_requests: 0,
         slots: 64,
         memory_tokens: 300_000,
         work,
@@ -431,3 +434,85 @@
     views[1].failures = 0.9;
     assert_eq!(chosen(choose_plain(&views, 7)), 0);
 }
+
+struct StartCase {
+    name: &'static str,
+    vms: u32,
+    falls: u32,
+    /// Time after the start, and the most requests by then.
+    by: [(u64, u32); 4],
+    /// Time after which every VM may use the server.
+    all_ms: u64,
+}
+
+/// Plays requests that wait on all VMs of a fleet when a server starts and no
+/// digest has come yet; returns how many were sent there by a time.
+fn sent_by(case: &StartCase, at: u64) -> u32 {
+    let start = ms(60_000);
+    let memory = PartMemory::default();
+    let mut sent = 0;
+    for rank in 0..case.vms {
+        let mut warmup = WarmUp::default();
+        for fall in 1..case.falls {
+            warmup.begin(rank, true, start - ms(1000) * (case.falls - fall));
+        }
+        warmup.begin(rank, case.falls > 0, start);
+        let mut own = 0;
+        for _ in 0..5 {
+            let now = start + ms(at);
+            let view = ReplicaView {
+                most_own: warmup.most_requests(now),
+                own_requests: own,
+                ..engine(1, &memory, WorkSum::default())
+            };
+            let prompt = parts(10, u64::from(rank));
+            if choose_engine(&query(&prompt, false), &[view]) == PlacementChoice::Busy {
+                break;
+            }
+            own += 1;
+        }
+        sent += own;
+    }
+    sent
+}
+
+#[test]
+fn the_vms_begin_with_a_server_that_starts_one_after_another() {
+    let cases = [
+        StartCase {
+            name: "a small fleet",
+            vms: 8,
+            falls: 0,
+            by: [(0, 4), (399, 4), (400, 18), (800, 40)],
+            all_ms: 1200,
+        },
+        StartCase {
+            name: "a large fleet",
+            vms: 67,
+            falls: 0,
+            by: [(0, 4), (399, 4), (400, 18), (800, 46)],
+            all_ms: 2800,
+        },
+        StartCase {
+            name: "it has fallen once",
+            vms: 67,
+            falls: 1,
+            by: [(0, 0), (799, 0), (800, 4), (1200, 18)],
+            all_ms: 3600,
+        },
+        StartCase {
+            name: "it goes down and up by turns",
+            vms: 67,
+            falls: 3,
+            by: [(0, 0), (800, 0), (2399, 0), (2400, 4)],
+            all_ms: 5200,
+        },
+    ];
+    for case in cases {
+        for (at, most) in case.by {
+            let sent = sent_by(&case, at);
+            assert!(sent <= most, "{}: {sent} after {at} ms", case.name);
+        }
+        assert_eq!(sent_by(&case, case.all_ms), case.vms * 5, "{}", case.name);
+    }
+}
