Drop the load that answers state, and tell the store's connections apart

Cause: no decision reads the load of a server's answer, though each answer was parsed for it; 'store lost' and 'regained' came from two connections and undid each other in the log of one VM (found in the last read of the diff).

Ruled out: using it in the placement; own work and digests tell the same sooner.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -12,7 +12,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::clock::Moment;
-use crate::format::{ReplicaEntry, ReplicaId, ReplicaLoad, ReplicaStage};
+use crate::format::{ReplicaEntry, ReplicaId, ReplicaStage};
 use crate::policy::health::ReplicaHealth;
 use crate::policy::placement::{PartMemory, WorkSum};
 use crate::policy::warmup::WarmUp;
@@ -49,8 +49,6 @@
     pub own: WorkSum,
     /// Work of the other VMs there.
     pub others: WorkSum,
-    /// Load that it stated last, and when.
-    pub load: Option<(ReplicaLoad, Moment)>,
     /// Time to the first event against what was expected; 1 is usual.
     pub slowness: f64,
     /// When bytes of it came last.
@@ -74,7 +72,6 @@
         self.missing_until = None;
         self.health = ReplicaHealth::default();
         self.parts.clear();
-        self.load = None;
         self.slowness = 1.0;
         self.heard = None;
     }
@@ -298,7 +295,6 @@
             parts: PartMemory::default(),
             own: WorkSum::default(),
             others: WorkSum::default(),
-            load: None,
             slowness: 1.0,
             heard: None,
             idle: Vec::new(),
--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -71,17 +71,6 @@
     Reserved,
 }
 
-/// Load that a server states in an answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ReplicaLoad {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that can run at once.
-    pub slots: u32,
-}
-
 /// What an answer says of itself.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct AnswerFacts {
@@ -89,8 +78,6 @@
     pub attempt: Option<AttemptId>,
     /// Whether the server states that it did not run the request.
     pub not_run: bool,
-    /// Load of the server.
-    pub load: Option<ReplicaLoad>,
 }
 
 /// State of a server in the platform's list.
--- a/crates/dewedge/src/serve/news.rs
+++ b/crates/dewedge/src/serve/news.rs
@@ -5,7 +5,7 @@
 
 use crate::directory::DirectoryChange;
 use crate::format::{PlatformFormat, RecordKey, StoreRecord};
-use crate::storage::StoreEvent;
+use crate::storage::{StoreEvent, WATCH_CALL};
 use crate::tables::RouteTable;
 
 use super::state::EdgeState;
@@ -71,8 +71,9 @@
         let label = crate::metrics::StoreLabel { call, outcome };
         self.metrics.store_calls.get_or_create(&label).inc();
         let lost = outcome != "ok";
-        if lost != self.store_lost {
-            self.store_lost = lost;
+        let connection = usize::from(call == WATCH_CALL);
+        if lost != self.store_lost[connection] {
+            self.store_lost[connection] = lost;
             let event = if lost { "lost" } else { "regained" };
             self.logs
                 .system("store", event)
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -162,7 +162,7 @@
             others_stale: false,
             store: StoreDuty::new(&settings, (fixed(CALLS_TOKEN), fixed(WATCH_TOKEN))),
             store_timer: DueTime::default(),
-            store_lost: false,
+            store_lost: [false; 2],
             callers: Slab::new(),
             servers: Slab::new(),
             sides: Slab::new(),
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use crate::format::{AnswerFacts, PlatformFormat};
+use crate::format::PlatformFormat;
 use crate::http::{AnswerHead, BodyDecoder, parse_answer};
 use crate::net::ReadEnd;
 use crate::policy::health::AttemptVerdict;
@@ -163,7 +163,6 @@
                     last_event: self.now,
                 });
             }
-            note_load(&facts, self.directory.get_mut(conn.replica), self.now);
         }
         conn.channel.consume(head.length);
         conn.decoder = Some(BodyDecoder::new(head.body));
@@ -351,13 +350,3 @@
         }
     }
 }
-
-fn note_load(
-    facts: &AnswerFacts,
-    replica: &mut crate::directory::ReplicaState,
-    now: crate::clock::Moment,
-) {
-    if let Some(load) = facts.load {
-        replica.load = Some((load, now));
-    }
-}
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -205,7 +205,9 @@
     pub(crate) others_stale: bool,
     pub(crate) store: StoreDuty<F>,
     pub(crate) store_timer: DueTime,
-    pub(crate) store_lost: bool,
+    /// Whether the last call failed on each connection to the store: the one for
+    /// calls, and the one for the watch.
+    pub(crate) store_lost: [bool; 2],
     pub(crate) callers: Slab<CallerConn>,
     pub(crate) servers: Slab<ServerConn>,
     pub(crate) sides: Slab<SideConn>,
--- a/crates/dewedge/src/storage.rs
+++ b/crates/dewedge/src/storage.rs
@@ -627,12 +627,15 @@
     }
 }
 
+/// Name of the call that has a connection of its own.
+pub(crate) const WATCH_CALL: &str = "watch";
+
 fn call_name(call: &StoreCall) -> &'static str {
     match call {
         StoreCall::ReadTables => "read_tables",
         StoreCall::ListReplicas(_) => "list_replicas",
         StoreCall::ListPeers(_) => "list_peers",
-        StoreCall::Watch { .. } => "watch",
+        StoreCall::Watch { .. } => WATCH_CALL,
         StoreCall::ConfirmTables(_) => "confirm_tables",
         StoreCall::OpenLease(_) => "open_lease",
         StoreCall::RenewLease(_) => "renew_lease",
