Read long shared parts at their home, and let other homes' requests go on

Change: a prompt whose shared parts take 20 ms or more goes elsewhere only if an engine has nothing to do; prompts with short ones go anywhere; a request whose home is busy holds up only those with the same home, and less urgent ones.

--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -49,10 +49,16 @@
 /// chunk of a prompt and makes one token of every running request, so requests
 /// pile up when prompts never pause, and answers miss their deadline. With few
 /// at a time the engine alternates between reading and answering.
-const PROMPT_RUNS: u32 = 4;
+const PROMPT_RUNS: u32 = 12;
 
-/// The same at the home of the prompt's shared part, where less is read.
-const HOME_RUNS: u32 = 12;
+/// The same away from the home of a prompt with long shared parts. They are read
+/// again there, which takes several times as long as at the home; were they read
+/// wherever an engine is a little less busy, the engines would have no time left,
+/// and homes would be busy because prompts come that were sent away from others.
+const AWAY_RUNS: u32 = 1;
+
+/// Time to read the shared parts of a prompt from which on they are long.
+const LONG_SHARED_MS: f64 = 20.0;
 
 /// Requests more at an engine for each rank of a route before the least urgent
 /// one, so that a less urgent class can't fill the engines for a more urgent one.
@@ -217,6 +223,16 @@
     }
 }
 
+/// Returns the key by which a prompt with long shared parts finds its home.
+pub fn long_home(parts: &[PromptPart]) -> Option<u64> {
+    home_key(parts).filter(|_| has_long_shared(parts))
+}
+
+/// Returns whether what other requests share takes long to read.
+fn has_long_shared(parts: &[PromptPart]) -> bool {
+    f64::from(shared_tokens(parts)) / PREFILL_TOKENS_PER_MS >= LONG_SHARED_MS
+}
+
 fn home_weight(key: u64, replica: u64) -> u64 {
     use std::hash::Hasher;
     siphasher::sip::SipHasher13::new_with_keys(key, replica).finish()
@@ -337,21 +353,29 @@
     let empty = replica.work.requests == 0;
     let fits = empty || replica.work.tokens + tokens <= memory;
     let room = RANK_ROOM * u32::from(LEAST_URGENT.saturating_sub(query.priority));
-    let runs = match (query.paced, is_home) {
+    let runs = match (query.paced, is_home || !has_long_shared(query.parts)) {
         (true, _) => replica.slots,
-        (false, true) => replica.slots.min(HOME_RUNS + room),
-        (false, false) => replica.slots.min(PROMPT_RUNS + room),
+        (false, true) => replica.slots.min(PROMPT_RUNS + room),
+        (false, false) => AWAY_RUNS,
     };
     fits && replica.work.requests < runs && replica.work.backlog_ms * replica.slowness < limit_ms
 }
 
-fn prefill_ms(query: &PlacementQuery<'_>, replica: &ReplicaView<'_>, is_home: bool) -> f64 {
-    let known = replica.parts.known_tokens(query.parts, query.now);
-    let shared: u32 = match query.parts {
+/// Returns the tokens of a prompt that other requests share.
+fn shared_tokens(parts: &[PromptPart]) -> u32 {
+    match parts {
         [shared @ .., _] => shared.iter().map(|part| part.tokens).sum(),
         [] => 0,
+    }
+}
+
+fn prefill_ms(query: &PlacementQuery<'_>, replica: &ReplicaView<'_>, is_home: bool) -> f64 {
+    let known = replica.parts.known_tokens(query.parts, query.now);
+    let expected = if is_home {
+        shared_tokens(query.parts)
+    } else {
+        0
     };
-    let expected = if is_home { shared } else { 0 };
     let unread = query.prompt_tokens.saturating_sub(known.max(expected));
     f64::from(unread) / PREFILL_TOKENS_PER_MS
 }
--- a/crates/dewedge/src/policy/queue.rs
+++ b/crates/dewedge/src/policy/queue.rs
@@ -70,13 +70,18 @@
     pub paced: bool,
     /// Rank of its route; servers keep room for the more urgent ones.
     pub class: u8,
+    /// Key of its home, if its prompt has long shared parts.
+    pub home: Option<u64>,
 }
 
 impl ServerNeed {
-    /// Returns whether servers that are busy for this need are busy for the
-    /// other one too.
+    /// Returns whether a request with this need, for which no server has room,
+    /// goes before those with the other one. A more urgent one does; among
+    /// equals, one home may have room while another has none.
     pub fn holds_up(&self, other: &Self) -> bool {
-        self.paced == other.paced && self.class <= other.class
+        let first =
+            self.class < other.class || self.class == other.class && self.home == other.home;
+        self.paced == other.paced && first
     }
 }
 
@@ -125,7 +130,7 @@
     /// for (exchange, priority) in [(1, 2), (2, 0)] {
     ///     let workspace = "news".to_string();
     ///     let arrived = Duration::ZERO;
-    ///     let need = ServerNeed { paced: false, class: priority };
+    ///     let need = ServerNeed { paced: false, class: priority, home: None };
     ///     let returned = false;
     ///     queue.push(WaitingRequest {
     ///         exchange, priority, need, returned, workspace, work: 1, arrived,
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -7,10 +7,10 @@
 
 use crate::clock::Moment;
 use crate::directory::ReplicaIndex;
-use crate::format::{ForwardFacts, PlatformFormat};
+use crate::format::{ForwardFacts, PlatformFormat, PromptPart};
 use crate::net::WireChannel;
 use crate::policy::placement::{
-    PlacementChoice, PlacementQuery, ReplicaView, choose_engine, choose_plain,
+    PlacementChoice, PlacementQuery, ReplicaView, choose_engine, choose_plain, long_home,
 };
 use crate::policy::queue::{ServerNeed, engine_rank};
 use crate::policy::retries::own_slack;
@@ -45,8 +45,9 @@
 /// be repeated is no longer written to it.
 const IDLE_SHARE_ONCE: f64 = 0.5;
 
-/// Needs that may be busy before the rest of a queue isn't looked at.
-const MAX_NEEDS: usize = 4;
+/// Needs that may be busy before the rest of a queue isn't looked at; each costs
+/// a look at all servers of the service.
+const MAX_NEEDS: usize = 12;
 
 impl<F: PlatformFormat> EdgeState<F> {
     /// Sends as many waiting requests of a service as its servers take.
@@ -67,7 +68,7 @@
             if item.phase != ExchangePhase::Waiting {
                 continue;
             }
-            let need = server_need(&item.route);
+            let need = server_need(&item.route, &item.facts.prompt_parts);
             if busy.iter().any(|other| other.holds_up(&need)) {
                 continue;
             }
@@ -390,10 +391,11 @@
 }
 
 /// Returns what decides which servers take a request of a route.
-pub(crate) fn server_need(route: &RouteSpec) -> ServerNeed {
+pub(crate) fn server_need(route: &RouteSpec, parts: &[PromptPart]) -> ServerNeed {
     ServerNeed {
         paced: is_paced(route),
         class: route.priority,
+        home: long_home(parts),
     }
 }
 
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -152,7 +152,7 @@
         let body: Rc<[u8]> = body.into();
         let service = allowed.service.clone();
         let blocked = self.queues.get(&service).and_then(|queue| {
-            let need = server_need(&allowed.route);
+            let need = server_need(&allowed.route, &allowed.facts.prompt_parts);
             let oldest = queue.oldest_before(allowed.priority, &need);
             (!returned && is_blocked(oldest, wait, now)).then_some(queue.len())
         });
@@ -212,7 +212,7 @@
         let request = WaitingRequest {
             exchange,
             priority: item.priority,
-            need: server_need(&item.route),
+            need: server_need(&item.route, &item.facts.prompt_parts),
             returned: item.returned,
             workspace: item.workspace.clone().unwrap_or_default(),
             work: u64::from(item.facts.prompt_tokens / TOKENS_PER_WORK + 1),
--- a/crates/dewedge/tests/load_model.rs
+++ b/crates/dewedge/tests/load_model.rs
@@ -11,7 +11,7 @@
 
 use dewedge::format::PromptPart;
 use dewedge::policy::placement::{
-    PartMemory, PlacementChoice, PlacementQuery, ReplicaView, WorkSum, choose_engine,
+    PartMemory, PlacementChoice, PlacementQuery, ReplicaView, WorkSum, choose_engine, long_home,
 };
 use dewedge::policy::queue::{ServerNeed, WaitingQueue, WaitingRequest, request_rank};
 use dewedge::policy::refusal::longest_wait;
@@ -26,6 +26,12 @@
 const DIGEST_MS: u64 = 100;
 const END_MS: u64 = 20_000;
 
+/// Time from which the burst is long over.
+const CALM_MS: u64 = 14_000;
+
+/// Requests that come until this time have ended at the end.
+const CALM_END_MS: u64 = 17_000;
+
 /// A class of requests, as the sheets describe it.
 #[derive(Clone, Copy)]
 struct ClassSheet {
@@ -114,8 +120,38 @@
     asked: u32,
     in_time: u32,
     refused: u32,
+    /// Requests of the last seconds, which are calm, and those of them in time.
+    calm_asked: u32,
+    calm_in_time: u32,
+    /// Tokens of shared parts that were read though another engine had them, in
+    /// the last seconds, which are calm.
+    read_again: u64,
+}
+
+/// How the load of the least urgent class goes, in parts of its sheet's rate.
+#[derive(Clone, Copy)]
+struct BurstPlan {
+    calm: f64,
+    burst: f64,
+    /// Start and end of the burst, in ms.
+    span: (u64, u64),
 }
 
+/// A long burst up to the rate of the sheet.
+const LONG_BURST: BurstPlan = BurstPlan {
+    calm: 0.45,
+    burst: 1.0,
+    span: (2000, 11_000),
+};
+
+/// A short burst to more than the engines can read, from a load that takes two
+/// thirds of them if no shared part is read again.
+const STEEP_BURST: BurstPlan = BurstPlan {
+    calm: 1.0,
+    burst: 2.6,
+    span: (2000, 6000),
+};
+
 /// Which policy the VMs follow.
 #[derive(Clone, Copy, PartialEq)]
 enum Policy {
@@ -125,6 +161,7 @@
 
 struct Model {
     policy: Policy,
+    plan: BurstPlan,
     random: u64,
     requests: Vec<ModelRequest>,
     engines: Vec<ModelEngine>,
@@ -134,12 +171,15 @@
     own: Vec<Vec<WorkSum>>,
     results: [ClassResult; 3],
     next: usize,
+    /// Session parts that some engine has read.
+    read_once: BTreeSet<u64>,
 }
 
 impl Model {
-    fn new(policy: Policy, seed: u64) -> Self {
+    fn new(policy: Policy, plan: BurstPlan, seed: u64) -> Self {
         Self {
             policy,
+            plan,
             random: seed * 2 + 1,
             requests: Vec::new(),
             engines: (0..ENGINES).map(|_| ModelEngine::default()).collect(),
@@ -151,6 +191,7 @@
             own: vec![vec![WorkSum::default(); ENGINES]; VMS],
             results: [ClassResult::default(); 3],
             next: 0,
+            read_once: BTreeSet::new(),
         }
     }
 
@@ -167,9 +208,13 @@
                 self.digests.clone_from(&self.own);
             }
             for (class, sheet) in CLASSES.iter().enumerate() {
-                // The least urgent class comes in a burst.
-                let quiet = sheet.priority == 2 && !(2000..11_000).contains(&now);
-                let rate = sheet.per_second * if quiet { 0.45 } else { 1.0 };
+                let (start, end) = self.plan.span;
+                let factor = match (sheet.priority, (start..end).contains(&now)) {
+                    (2, true) => self.plan.burst,
+                    (2, false) => self.plan.calm,
+                    _ => 1.0,
+                };
+                let rate = sheet.per_second * factor;
                 if self.draw() < rate / 1000.0 {
                     self.arrive(class, now);
                 }
@@ -205,6 +250,7 @@
         let vm = (self.draw() * VMS as f64) as usize;
         let exchange = self.requests.len();
         self.results[class].asked += 1;
+        self.results[class].calm_asked += u32::from((CALM_MS..CALM_END_MS).contains(&now));
         self.requests.push(ModelRequest {
             class,
             vm,
@@ -219,13 +265,11 @@
             longest_pause: 0,
             ended: false,
         });
+        let need = server_need(&self.requests[exchange]);
         self.queues[vm].push(WaitingRequest {
             exchange,
             priority: request_rank(Some(1), sheet.priority),
-            need: ServerNeed {
-                paced: sheet.pause_ms <= 400,
-                class: sheet.priority,
-            },
+            need,
             returned: false,
             workspace: format!("w{}", session % 10),
             work: u64::from(sheet.own_part),
@@ -248,10 +292,7 @@
                 self.results[self.requests[exchange].class].refused += 1;
                 continue;
             }
-            let need = ServerNeed {
-                paced: sheet.pause_ms <= 400,
-                class: sheet.priority,
-            };
+            let need = server_need(&self.requests[exchange]);
             if busy.iter().any(|other| other.holds_up(&need)) {
                 continue;
             }
@@ -320,6 +361,14 @@
             .map(|part| part.tokens)
             .sum();
         let tokens: u32 = request.parts.iter().map(|part| part.tokens).sum();
+        let [shared @ .., _] = request.parts.as_slice() else {
+            return;
+        };
+        let shared: u32 = shared.iter().map(|part| part.tokens).sum();
+        if now >= CALM_MS && self.read_once.contains(&request.parts[1].id) {
+            self.results[request.class].read_again += u64::from(shared.saturating_sub(known));
+        }
+        self.read_once.insert(request.parts[1].id);
         cached.extend(request.parts.iter().map(|part| part.id));
         request.engine = Some(engine);
         request.prefill_ms = prefill_ms;
@@ -390,6 +439,17 @@
         let first = request.first.unwrap_or(now) - request.arrived;
         let in_time = !late && first <= sheet.target_ms && request.longest_pause <= sheet.pause_ms;
         self.results[request.class].in_time += u32::from(in_time);
+        let calm = (CALM_MS..CALM_END_MS).contains(&request.arrived);
+        self.results[request.class].calm_in_time += u32::from(in_time && calm);
+    }
+}
+
+fn server_need(request: &ModelRequest) -> ServerNeed {
+    let sheet = CLASSES[request.class];
+    ServerNeed {
+        paced: sheet.pause_ms <= 400,
+        class: sheet.priority,
+        home: long_home(&request.parts),
     }
 }
 
@@ -401,7 +461,7 @@
 #[test]
 fn a_burst_of_long_prompts_leaves_the_more_urgent_classes_in_time() {
     for seed in [11, 12, 13] {
-        let [paced, urgent, burst] = Model::new(Policy::Product, seed).run();
+        let [paced, urgent, burst] = Model::new(Policy::Product, LONG_BURST, seed).run();
         let told = format!("seed {seed}: {paced:?} {urgent:?} {burst:?}");
         assert!(share(paced) >= 0.85, "{told}");
         assert!(share(urgent) >= 0.85, "{told}");
@@ -415,8 +475,8 @@
 #[test]
 fn engines_in_turn_make_more_urgent_streams_late_and_serve_fewer_callers() {
     for seed in [11, 12, 13, 21, 22, 23] {
-        let ours = Model::new(Policy::Product, seed).run();
-        let in_turn = Model::new(Policy::RoundRobin, seed).run();
+        let ours = Model::new(Policy::Product, LONG_BURST, seed).run();
+        let in_turn = Model::new(Policy::RoundRobin, LONG_BURST, seed).run();
         let told = format!("seed {seed}: {ours:?} against {in_turn:?}");
         assert!(share(in_turn[0]) < 0.85, "{told}");
         assert!(share(ours[0]) > share(in_turn[0]), "{told}");
@@ -426,3 +486,20 @@
         assert!(total(ours) > total(in_turn), "{told}");
     }
 }
+
+/// A part that is sent to another engine than its home is read again there. Once
+/// engines have no time for anything else, homes look busy for that very reason.
+#[test]
+fn shared_parts_are_read_where_they_were_read_once_a_burst_is_over() {
+    let (mut asked, mut in_time, mut reads) = (0, 0, 0);
+    let session_part = u64::from(CLASSES[2].session_part);
+    for seed in [11, 12, 13, 21, 22, 23] {
+        let [_, _, burst] = Model::new(Policy::Product, STEEP_BURST, seed).run();
+        asked += burst.calm_asked;
+        in_time += burst.calm_in_time;
+        reads += burst.read_again / session_part;
+    }
+    let told = format!("{in_time} of {asked} in time, {reads} parts read again");
+    assert!(f64::from(in_time) >= 0.85 * f64::from(asked), "{told}");
+    assert!(reads * 20 <= u64::from(asked), "{told}");
+}
--- a/crates/dewedge/tests/policy.rs
+++ b/crates/dewedge/tests/policy.rs
@@ -25,6 +25,7 @@
         need: ServerNeed {
             paced: false,
             class: priority,
+            home: None,
         },
         returned: false,
         workspace: workspace.to_string(),
@@ -85,17 +86,32 @@
 fn a_class_is_held_up_only_by_those_that_need_its_servers() {
     let mut queue = WaitingQueue::default();
     queue.push(request(1, 2, "news", 1));
-    let class = |class| ServerNeed {
+    let need = |class, home| ServerNeed {
         paced: false,
         class,
+        home,
     };
     assert_eq!(
-        queue.oldest_before(4, &class(1)),
+        queue.oldest_before(4, &need(1, None)),
         None,
         "more urgent servers have room"
     );
-    assert_eq!(queue.oldest_before(4, &class(2)), Some(ms(1)));
-    assert_eq!(queue.oldest_before(1, &class(2)), None, "it goes before");
+    assert_eq!(queue.oldest_before(4, &need(2, None)), Some(ms(1)));
+    assert_eq!(
+        queue.oldest_before(4, &need(2, Some(7))),
+        None,
+        "its home may have room"
+    );
+    assert_eq!(
+        queue.oldest_before(4, &need(3, Some(7))),
+        Some(ms(1)),
+        "a less urgent one leaves the room"
+    );
+    assert_eq!(
+        queue.oldest_before(1, &need(2, None)),
+        None,
+        "it goes before"
+    );
 }
 
 #[test]
