Refuse a declared length above the limit at once, and read out large bodies

Cause (findings from a fresh clone): the entry compared a body with its limit while it came, so a head that declares 99,999,999,999,999 bytes and sends none waited for the time-out; and a closed connection was read on for 16 MiB only, so a caller that sends 40 MiB met a reset before it could read its 413.

Ruled out: answering 100-continue; neither caller asks for it.

Change: the declared size is compared before the first byte; a closed connection is read on for up to 256 MiB, the largest body that a table may allow, and for a second as before.

--- a/crates/dewspring/src/entry/linger.rs
+++ b/crates/dewspring/src/entry/linger.rs
@@ -20,8 +20,9 @@
 /// Longest time for which a closed connection is still read.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
-/// Most that is read from a closed connection, in bytes.
-const LINGER_BYTES: usize = 16 << 20;
+/// Most that is read from a closed connection, in bytes: the largest body that
+/// a table may allow.
+const LINGER_BYTES: usize = 256 << 20;
 
 /// Most that is read at once, in bytes.
 const PIECE_BYTES: usize = 8 << 10;
--- a/crates/dewspring/src/entry/request.rs
+++ b/crates/dewspring/src/entry/request.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Request;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
@@ -130,6 +131,10 @@
     limit: u64,
     timeout: Duration,
 ) -> Result<Bytes, Problem> {
+    // The size that the caller declared decides before the first byte comes.
+    if body.size_hint().lower() > limit {
+        return Err(Problem::BodyTooLarge(limit));
+    }
     let limited = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX));
     let collected = tokio::time::timeout(timeout, limited.collect())
         .await
--- a/crates/dewspringd/tests/hostile/limits.rs
+++ b/crates/dewspringd/tests/hostile/limits.rs
@@ -261,24 +261,30 @@
 struct EarlyCase {
     name: &'static str,
     path: &'static str,
+    bytes: usize,
     status: u16,
 }
 
 #[test]
 fn an_early_refusal_reaches_a_caller_that_still_sends() {
-    const BODY_BYTES: usize = 8 << 20;
     const TRIES: usize = 5;
-    let case = |name, path, status| EarlyCase { name, path, status };
+    let case = |name, path, bytes, status| EarlyCase {
+        name,
+        path,
+        bytes,
+        status,
+    };
     let cases = [
-        case("unknown path", "/v2/nothing", 404),
-        case("body above the limit", CHAT_PATH, 413),
+        case("unknown path", "/v2/nothing", 8 << 20, 404),
+        case("body above the limit", CHAT_PATH, 8 << 20, 413),
+        case("body far above the limit", CHAT_PATH, 40 << 20, 413),
     ];
     let fleet = hostile_fleet(Duration::from_secs(2), MAX_CONNECTIONS);
     let entry = fleet.daemons[0].entry;
     for case in cases {
         for _ in 0..TRIES {
             let request = Request::post(format!("http://{entry}{}", case.path))
-                .body(Body::from(vec![b' '; BODY_BYTES]))
+                .body(Body::from(vec![b' '; case.bytes]))
                 .expect("a valid request");
             let answer = send(request).expect(case.name);
             assert_eq!(answer.status, case.status, "{}", case.name);
@@ -286,3 +292,19 @@
         }
     }
 }
+
+/// The body is never sent; its declared length alone decides.
+#[test]
+fn a_declared_length_above_the_limit_is_refused_at_once() {
+    const AT_ONCE: Duration = Duration::from_millis(500);
+    let fleet = hostile_fleet(Duration::from_secs(5), MAX_CONNECTIONS);
+    let entry = fleet.daemons[0].entry;
+    for length in [MAX_BODY_BYTES + 1, 99_999_999_999_999] {
+        let head =
+            format!("POST {CHAT_PATH} HTTP/1.1\r\nhost: entry\r\ncontent-length: {length}\r\n\r\n");
+        let transcript = send_raw(entry, head.as_bytes(), SendEnd::Silence, AT_ONCE);
+        let answers = read_answers(&transcript.bytes, false).expect("HTTP");
+        let status = answers.first().map(|answer| answer.status);
+        assert_eq!(status, Some(413), "length {length}");
+    }
+}
