--- a/crates/dewspring/src/grants/local.rs
+++ b/crates/dewspring/src/grants/local.rs
@@ -7,7 +7,8 @@
     ServerMark,
 };
 use crate::entry::GrantSource;
-use crate::ids::{BootId, RequestId, ServerName, VmId};
+use crate::ids::ServerName;
+use crate::peer::WithdrawGuard;
 
 /// Time after which a caller may come back when the broker has ended.
 const ENDED_RETRY: std::time::Duration = std::time::Duration::from_millis(500);
@@ -27,7 +28,7 @@
 
 impl GrantSource for LocalGrants {
     async fn ask(&self, request: GrantRequest) -> GrantDecision {
-        let guard = WithdrawGuard::new(&self.broker, &request);
+        let guard = WithdrawGuard::new(self.broker.clone(), &request);
         let (reply, decision) = oneshot::channel();
         let asked = self.broker.ask(request, reply);
         let decision = match asked {
@@ -53,38 +54,3 @@
         retry_after: ENDED_RETRY,
     })
 }
-
-/// Withdraws a question whose asker is dropped before the decision.
-struct WithdrawGuard {
-    broker: BrokerHandle,
-    request: RequestId,
-    entry: VmId,
-    boot: BootId,
-    armed: bool,
-}
-
-impl WithdrawGuard {
-    fn new(broker: &BrokerHandle, request: &GrantRequest) -> Self {
-        Self {
-            broker: broker.clone(),
-            request: request.request.clone(),
-            entry: request.entry.clone(),
-            boot: request.entry_boot,
-            armed: true,
-        }
-    }
-
-    fn disarm(mut self) {
-        self.armed = false;
-    }
-}
-
-impl Drop for WithdrawGuard {
-    fn drop(&mut self) {
-        if self.armed {
-            let request = std::mem::take(&mut self.request);
-            let entry = std::mem::take(&mut self.entry);
-            self.broker.withdraw(request, entry, self.boot);
-        }
-    }
-}
--- a/crates/dewspring/src/peer/grants.rs
+++ b/crates/dewspring/src/peer/grants.rs
@@ -31,8 +31,9 @@
     fn forget_entry(&self, entry: VmId, boot: BootId);
 }
 
-/// Withdraws a request when it is dropped before its decision was returned.
-pub(super) struct WithdrawGuard<Grants: GrantService> {
+/// Withdraws a request when it is dropped before its decision was returned; the
+/// broker logs the withdrawal.
+pub(crate) struct WithdrawGuard<Grants: GrantService> {
     grants: Grants,
     request: RequestId,
     entry: VmId,
@@ -41,7 +42,7 @@
 }
 
 impl<Grants: GrantService> WithdrawGuard<Grants> {
-    pub(super) fn new(grants: Grants, request: &GrantRequest) -> Self {
+    pub(crate) fn new(grants: Grants, request: &GrantRequest) -> Self {
         WithdrawGuard {
             grants,
             request: request.request.clone(),
@@ -52,7 +53,7 @@
     }
 
     /// Ends the guard without a withdrawal.
-    pub(super) fn disarm(mut self) {
+    pub(crate) fn disarm(mut self) {
         self.is_armed = false;
     }
 }
@@ -62,7 +63,6 @@
         if self.is_armed {
             let request = std::mem::take(&mut self.request);
             let entry = std::mem::take(&mut self.entry);
-            log::info!("peer: withdrew {request} of {entry}, its entry waits no more.");
             self.grants.withdraw(request, entry, self.boot);
         }
     }
--- a/crates/dewspring/src/peer/mod.rs
+++ b/crates/dewspring/src/peer/mod.rs
@@ -48,6 +48,7 @@
 pub use errors::{PeerError, PeerStartError};
 pub use events::{HeartbeatVerdict, MemberEvent};
 pub use grants::GrantService;
+pub(crate) use grants::WithdrawGuard;
 pub use handle::{BrokerPlace, PeerHandle};
 pub use member::{HeartbeatTarget, MemberState, MemberStatus, VmIdentity};
 pub use membership::{FORGET_AFTER, MembershipState};
