Give the connection to the store and the pace of calls their own modules

Ruled out: splitting the duty itself; its calls share one queue.

Change: storage/link.rs is one connection with one call at a time, pace.rs how often calls are made; a move without a change of what is done.

--- a/crates/dewedge/src/storage.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -8,56 +8,33 @@
 //! The main invariant: a change that was told is never undone by an older one,
 //! because each consumer compares revisions.
 
+mod link;
+mod pace;
+
 use std::collections::VecDeque;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use mio::{Interest, Registry, Token};
+use mio::{Registry, Token};
 
 use crate::clock::Moment;
-use crate::format::{
-    CallBytes, PlatformFormat, RecordKey, ReplicaId, StoreAnswer, StoreCall, StoreRecord,
-};
-use crate::http::{AnswerHead, BodyDecoder, parse_answer};
-use crate::keys::KeyClock;
-use crate::net::{ReadEnd, WireChannel};
+use crate::format::{PlatformFormat, RecordKey, ReplicaId, StoreAnswer, StoreCall, StoreRecord};
 use crate::settings::EdgeSettings;
+use link::{CallEnd, RETRY_MIN, StoreLink};
+use pace::StorePace;
 
 /// Time after which a call without an answer is given up; far above the store's
 /// usual few milliseconds, and a third of the smallest key bound in use.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Part of the time for which a confirmation holds after which the tables are
-/// confirmed again.
-const CONFIRM_SHARE: f64 = 0.64;
-
-/// Part of that time after which a confirmation without an answer is given up.
-/// With [`CONFIRM_SHARE`] a seventh is left to ask once more, so that one lost
-/// call takes no key away.
-const CONFIRM_TIMEOUT_SHARE: f64 = 0.22;
-
-/// Shortest of these times, for bounds that are very short or not in force.
-const MIN_CONFIRM_TIME: Duration = Duration::from_millis(300);
-
-/// Pause between two watches, in which changes gather, in parts of the smallest
-/// bound of a change; a call costs as much with one change as with many. More
-/// than half of the bound is left for a store that answers slowly.
-const WATCH_PAUSE_SHARE: f64 = 0.45;
-
 /// Time for which a watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
 /// Time beyond the wait of a watch after which it is given up.
 const WATCH_SLACK: Duration = Duration::from_millis(1500);
 
-/// Shortest pause after a failed call.
-const RETRY_MIN: Duration = Duration::from_millis(150);
-
-/// Longest pause after a failed call.
-const RETRY_MAX: Duration = Duration::from_millis(600);
-
 /// Time after trouble with the store in which removed entries may come back.
 const LAPSE_SPAN: Duration = Duration::from_secs(4);
 
@@ -68,36 +45,6 @@
 /// Time between two renewals; three are lost before the lease ends.
 const RENEW_INTERVAL: Duration = Duration::from_secs(8);
 
-/// Bytes of an answer's head at most.
-const MAX_HEAD: usize = 16 * 1024;
-
-/// Bytes of an answer that are read at most.
-const MAX_ANSWER: usize = 16 << 20;
-
-/// How often the store is called.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct StorePace {
-    /// Time between two confirmations of the tables.
-    confirm_interval: Duration,
-    /// Time after which a confirmation without an answer is given up.
-    confirm_timeout: Duration,
-    /// Pause between two watches.
-    watch_pause: Duration,
-}
-
-impl StorePace {
-    /// Derives the pace from the bounds of the settings.
-    pub(crate) fn new(settings: &EdgeSettings) -> Self {
-        let held = KeyClock::new(settings.key_bound).bound();
-        let change = settings.tables_bound.min(settings.leaving_bound);
-        Self {
-            confirm_interval: held.mul_f64(CONFIRM_SHARE).max(MIN_CONFIRM_TIME),
-            confirm_timeout: held.mul_f64(CONFIRM_TIMEOUT_SHARE).max(MIN_CONFIRM_TIME),
-            watch_pause: change.mul_f64(WATCH_PAUSE_SHARE),
-        }
-    }
-}
-
 /// What the storage duty learned.
 #[derive(Debug)]
 pub(crate) enum StoreEvent {
@@ -123,167 +70,6 @@
     },
 }
 
-/// A call in progress.
-#[derive(Debug)]
-struct PendingCall {
-    call: StoreCall,
-    sent: Moment,
-    until: Moment,
-    head: Option<(AnswerHead, BodyDecoder)>,
-    body: Vec<u8>,
-}
-
-/// One connection to the store.
-#[derive(Debug)]
-struct StoreLink {
-    token: Token,
-    channel: Option<WireChannel>,
-    pending: Option<PendingCall>,
-    retry_at: Moment,
-    failures: u32,
-}
-
-/// How a call ended.
-enum CallEnd {
-    Waiting,
-    Answered(StoreCall, Moment, u16, Vec<u8>),
-    Failed(StoreCall, &'static str),
-}
-
-impl StoreLink {
-    fn new(token: Token) -> Self {
-        Self {
-            token,
-            channel: None,
-            pending: None,
-            retry_at: Moment::ZERO,
-            failures: 0,
-        }
-    }
-
-    fn is_free(&self, now: Moment) -> bool {
-        self.pending.is_none() && self.retry_at <= now
-    }
-
-    fn send(
-        &mut self,
-        registry: &Registry,
-        address: SocketAddr,
-        call: StoreCall,
-        bytes: &CallBytes,
-        times: (Moment, Moment),
-    ) {
-        let (sent, until) = times;
-        self.pending = Some(PendingCall {
-            call,
-            sent,
-            until,
-            head: None,
-            body: Vec::new(),
-        });
-        if self.channel.is_none() {
-            let opened = WireChannel::connect(address).and_then(|mut channel| {
-                let interest = Interest::READABLE | Interest::WRITABLE;
-                registry.register(&mut channel.stream, self.token, interest)?;
-                Ok(channel)
-            });
-            // A failed attempt is given up when the call's time is over.
-            self.channel = opened.ok();
-        }
-        if let Some(channel) = &mut self.channel {
-            let head = format!(
-                "{} {} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
-                 Content-Length: {}\r\n\r\n",
-                bytes.method,
-                bytes.target,
-                bytes.body.len()
-            );
-            channel.queue(head.as_bytes());
-            channel.queue(&bytes.body);
-            // An error shows again when the connection is read.
-            let _ = channel.flush();
-        }
-    }
-
-    fn advance(&mut self, closing: bool) -> CallEnd {
-        let Some(channel) = &mut self.channel else {
-            return CallEnd::Waiting;
-        };
-        let flushed = channel.flush();
-        let end = channel.fill(MAX_ANSWER, closing);
-        let Some(pending) = &mut self.pending else {
-            if end != ReadEnd::Open || !channel.inbound.is_empty() {
-                self.channel = None;
-            }
-            return CallEnd::Waiting;
-        };
-        match read_answer(pending, channel) {
-            Err(reason) => return self.fail(reason),
-            Ok(true) => {}
-            Ok(false) if end != ReadEnd::Open => return self.fail("closed"),
-            Ok(false) => {
-                if flushed.is_err() && channel.stream.peer_addr().is_ok() {
-                    return self.fail("broken");
-                }
-                return CallEnd::Waiting;
-            }
-        }
-        let Some(pending) = self.pending.take() else {
-            return CallEnd::Waiting;
-        };
-        let Some((head, _)) = pending.head else {
-            return CallEnd::Waiting;
-        };
-        let reusable = end == ReadEnd::Open
-            && channel.inbound.is_empty()
-            && !head.fields.has_word("connection", "close");
-        if !reusable {
-            self.channel = None;
-        }
-        self.failures = 0;
-        CallEnd::Answered(pending.call, pending.sent, head.status, pending.body)
-    }
-
-    fn fail(&mut self, reason: &'static str) -> CallEnd {
-        self.channel = None;
-        match self.pending.take() {
-            Some(pending) => CallEnd::Failed(pending.call, reason),
-            None => CallEnd::Waiting,
-        }
-    }
-
-    fn pause(&mut self, now: Moment, draw: f64) {
-        let most = RETRY_MIN
-            .saturating_mul(1 << self.failures.min(4))
-            .min(RETRY_MAX);
-        self.failures += 1;
-        self.retry_at = now + RETRY_MIN + (most - RETRY_MIN).mul_f64(draw);
-    }
-}
-
-/// Reads on in an answer; returns whether it is whole.
-fn read_answer(pending: &mut PendingCall, channel: &mut WireChannel) -> Result<bool, &'static str> {
-    if pending.head.is_none() {
-        match parse_answer(&channel.inbound, "GET", MAX_HEAD) {
-            Err(_) => return Err("malformed"),
-            Ok(None) => return Ok(false),
-            Ok(Some(head)) => {
-                channel.consume(head.length);
-                let decoder = BodyDecoder::new(head.body);
-                pending.head = Some((head, decoder));
-            }
-        }
-    }
-    let Some((_, decoder)) = &mut pending.head else {
-        return Ok(false);
-    };
-    let used = decoder
-        .decode(&channel.inbound, &mut pending.body)
-        .map_err(|_| "malformed")?;
-    channel.consume(used);
-    Ok(decoder.is_done())
-}
-
 /// The storage duty of one VM.
 #[derive(Debug)]
 pub(crate) struct StoreDuty<F> {
