Let the next engine be the home while the first one warms up

Cause (read of the diff): a prompt with long shared parts goes elsewhere only if an engine has nothing to do. A home that warms up takes nothing, so its prompts waited for up to 2.4 s, or 5.6 s after falls, and were refused in a burst.

Ruled out: taking such a server as unusable; the engines set apart for paced streams would change with it.

Change: a server that warms up is no home; the next engine is.

Measured: the new test fails before (Busy) and passes.

--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -238,12 +238,14 @@
     siphasher::sip::SipHasher13::new_with_keys(key, replica).finish()
 }
 
-/// Returns the index of the home of a key among the engines that may be used.
+/// Returns the index of the home of a key among the engines that may be used; one
+/// that warms up gives its prompts to the next.
 fn home(key: u64, replicas: &[ReplicaView<'_>], group: &[bool], paced: bool) -> Option<usize> {
     replicas
         .iter()
         .enumerate()
         .filter(|(index, replica)| replica.usable && group[*index] == paced)
+        .filter(|(_, replica)| !replica.is_warming_up())
         .max_by_key(|(_, replica)| home_weight(key, replica.hash))
         .map(|(index, _)| index)
 }
--- a/crates/dewedge/tests/policy.rs
+++ b/crates/dewedge/tests/policy.rs
@@ -451,6 +451,24 @@
     assert_eq!(chosen(choose_plain(&views, 7)), 0);
 }
 
+#[test]
+fn a_home_that_warms_up_gives_its_prompts_to_another_engine() {
+    let memory = PartMemory::default();
+    let busy = WorkSum {
+        requests: 3,
+        ..WorkSum::default()
+    };
+    let mut views: Vec<_> = (0..12).map(|hash| engine(hash, &memory, busy)).collect();
+    for shared in 10..30 {
+        let prompt = parts(shared, 100);
+        let home = chosen(choose_engine(&query(&prompt, false), &views));
+        views[home as usize].most_own = Some(0);
+        let other = chosen(choose_engine(&query(&prompt, false), &views));
+        assert_ne!(home, other, "part {shared}");
+        views[home as usize].most_own = None;
+    }
+}
+
 struct StartCase {
     name: &'static str,
     vms: u32,
