Look up once what holds for all servers, and drop state that is derived

Ruled out: one rendezvous hash for homes and for the order of VMs at a start, and one stable_hash for dewspring and dewedge; both would change choices or join two crates, so they are left for the issue.

No bound, check or assertion changed.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -230,14 +230,14 @@
     /// if not, there is nothing to which requests could go instead.
     pub fn has_warm_majority(&self, service: &str, now: Moment) -> bool {
         let members = self.of_service(service).iter();
-        let listed: Vec<_> = members
-            .map(|index| &self.replicas[*index])
-            .filter(|replica| replica.is_listed())
-            .collect();
-        let warm = listed
-            .iter()
-            .filter(|replica| replica.warmup.most_requests(now).is_none());
-        warm.count() * 2 >= listed.len()
+        let (mut listed, mut warm) = (0, 0);
+        for replica in members.map(|index| &self.replicas[*index]) {
+            if replica.is_listed() {
+                listed += 1;
+                warm += usize::from(replica.warmup.is_over(now));
+            }
+        }
+        warm * 2 >= listed
     }
 
     /// Returns a server.
--- a/crates/dewedge/src/net.rs
+++ b/crates/dewedge/src/net.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
 use socket2::{SockRef, TcpKeepalive};
 
 /// Bytes that one read takes at most.
@@ -66,6 +67,12 @@
         Ok(Self::new(stream))
     }
 
+    /// Lets the loop hear of the connection under a token.
+    pub(crate) fn register(&mut self, registry: &Registry, token: Token) -> io::Result<()> {
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        registry.register(&mut self.stream, token, interest)
+    }
+
     /// Queues bytes; [`Self::flush`] sends them.
     pub(crate) fn queue(&mut self, bytes: &[u8]) {
         self.outbound.extend_from_slice(bytes);
--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -152,10 +152,8 @@
     pub usable: bool,
     /// Whether it is in the data centre of this VM.
     pub near: bool,
-    /// Requests that this VM may have there, if the server has just started.
-    pub most_own: Option<u32>,
-    /// Requests of this VM there.
-    pub own_requests: u32,
+    /// Whether it has started so lately that this VM must wait.
+    pub warms_up: bool,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Tokens that fit in its memory; 0 for a plain server.
@@ -170,13 +168,6 @@
     pub parts: &'a PartMemory,
 }
 
-impl ReplicaView<'_> {
-    /// Returns whether it has started so lately that this VM must wait.
-    fn is_warming_up(&self) -> bool {
-        self.most_own.is_some_and(|most| self.own_requests >= most)
-    }
-}
-
 /// A request, as the placement sees it.
 #[derive(Clone, Debug)]
 pub struct PlacementQuery<'a> {
@@ -245,7 +236,7 @@
         .iter()
         .enumerate()
         .filter(|(index, replica)| replica.usable && group[*index] == paced)
-        .filter(|(_, replica)| !replica.is_warming_up())
+        .filter(|(_, replica)| !replica.warms_up)
         .max_by_key(|(_, replica)| home_weight(key, replica.hash))
         .map(|(index, _)| index)
 }
@@ -324,7 +315,7 @@
         }
         any_usable = true;
         let is_home = home == Some(index);
-        if replica.is_warming_up() || !has_room(query, replica, limit, is_home) {
+        if replica.warms_up || !has_room(query, replica, limit, is_home) {
             continue;
         }
         let prefill_ms = prefill_ms(query, replica, is_home);
@@ -404,7 +395,7 @@
             continue;
         }
         any_usable = true;
-        if replica.is_warming_up() || replica.work.requests >= replica.slots + PLAIN_QUEUE {
+        if replica.warms_up || replica.work.requests >= replica.slots + PLAIN_QUEUE {
             continue;
         }
         let busy = f64::from(replica.work.requests) / f64::from(replica.slots.max(1));
--- a/crates/dewedge/src/policy/warmup.rs
+++ b/crates/dewedge/src/policy/warmup.rs
@@ -58,9 +58,9 @@
     ///
     /// let now = Duration::from_secs(5);
     /// let mut warmup = WarmUp::default();
-    /// assert_eq!(warmup.most_requests(now), None);
+    /// assert!(warmup.is_over(now));
     /// warmup.begin(7, false, now);
-    /// assert_eq!(warmup.most_requests(now), Some(0));
+    /// assert!(warmup.must_wait(0, now));
     /// ```
     pub fn begin(&mut self, rank: u32, known: bool, now: Moment) {
         let recent = self
@@ -75,16 +75,15 @@
         self.opens = now + FALL_WAIT * self.falls + STEP * step_of(rank);
     }
 
-    /// Returns how many requests this VM may have there, or `None` if the
-    /// server's own limits alone decide.
-    pub fn most_requests(&self, now: Moment) -> Option<u32> {
-        if self.started.is_none() || now >= self.opens + STEP {
-            return None;
-        }
-        if now < self.opens {
-            return Some(0);
-        }
-        Some(FIRST_REQUESTS)
+    /// Returns whether the server's own limits alone decide.
+    pub fn is_over(&self, now: Moment) -> bool {
+        self.started.is_none() || now >= self.opens + STEP
+    }
+
+    /// Returns whether this VM, which has `own` requests there, may send no more
+    /// yet.
+    pub fn must_wait(&self, own: u32, now: Moment) -> bool {
+        !self.is_over(now) && (now < self.opens || own >= FIRST_REQUESTS)
     }
 }
 
--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -3,7 +3,6 @@
 //! The main invariant: a caller's connection holds at most one request in work,
 //! and what a caller sends ahead never hides that it left.
 
-use mio::Interest;
 use mio::net::TcpStream;
 
 use crate::format::PlatformFormat;
@@ -38,13 +37,8 @@
         let entry = self.callers.vacant_entry();
         let caller = entry.key();
         let mut channel = WireChannel::new(stream);
-        let interest = Interest::READABLE | Interest::WRITABLE;
         let token = token_of(TokenKind::Caller, caller);
-        if self
-            .registry
-            .register(&mut channel.stream, token, interest)
-            .is_err()
-        {
+        if channel.register(&self.registry, token).is_err() {
             return;
         }
         entry.insert(CallerConn {
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -3,8 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mio::Interest;
-
 use crate::clock::Moment;
 use crate::directory::ReplicaIndex;
 use crate::format::{ForwardFacts, PlatformFormat, PromptPart};
@@ -49,6 +47,16 @@
 /// a look at all servers of the service.
 const MAX_NEEDS: usize = 12;
 
+/// What holds for all servers of a service while one of them is chosen.
+struct ServiceView<'a> {
+    /// The engine, if the service is one.
+    engine: Option<&'a EngineSpec>,
+    /// Connections of this VM to each server.
+    most_connections: u32,
+    /// Whether the VMs begin one after another with servers that start.
+    phases_starts: bool,
+}
+
 impl<F: PlatformFormat> EdgeState<F> {
     /// Sends as many waiting requests of a service as its servers take.
     ///
@@ -59,16 +67,18 @@
         let Some(queue) = self.queues.get(service) else {
             return;
         };
-        let waiting: Vec<usize> = queue.iter().map(|request| request.exchange).collect();
+        let waiting: Vec<(usize, ServerNeed)> = queue
+            .iter()
+            .map(|request| (request.exchange, request.need))
+            .collect();
         let mut busy: Vec<ServerNeed> = Vec::new();
-        for exchange in waiting {
+        for (exchange, need) in waiting {
             let Some(item) = self.exchanges.get(exchange) else {
                 continue;
             };
             if item.phase != ExchangePhase::Waiting {
                 continue;
             }
-            let need = server_need(&item.route, &item.facts.prompt_parts);
             if busy.iter().any(|other| other.holds_up(&need)) {
                 continue;
             }
@@ -115,15 +125,15 @@
         let engine = self.engine_of(&item.service);
         let members = self.directory.of_service(&item.service);
         let use_missing = self.directory.may_use_missing();
-        let phased = self.directory.has_warm_majority(&item.service, self.now);
+        let service = ServiceView {
+            engine: engine.as_ref(),
+            most_connections: self.connection_limit(&item.service),
+            phases_starts: self.directory.has_warm_majority(&item.service, self.now),
+        };
         let views: Vec<ReplicaView<'_>> = members
             .iter()
             .filter(|index| use_missing || self.directory.get(**index).missing_until.is_none())
-            .map(|index| {
-                let mut view = self.view(*index, item, engine.as_ref());
-                view.most_own = view.most_own.filter(|_| phased);
-                view
-            })
+            .map(|index| self.view(*index, item, &service))
             .collect();
         if engine.is_none() {
             return choose_plain(&views, draw);
@@ -152,25 +162,28 @@
         &'a self,
         index: ReplicaIndex,
         item: &Exchange,
-        engine: Option<&EngineSpec>,
+        service: &ServiceView<'_>,
     ) -> ReplicaView<'a> {
         let replica = self.directory.get(index);
         let mut work = replica.own;
         work.add(&replica.others);
-        let has_connection = !replica.idle.is_empty()
-            || replica.open_connections < self.connection_limit(&item.service);
+        let has_connection =
+            !replica.idle.is_empty() || replica.open_connections < service.most_connections;
         let usable = replica.is_listed()
             && has_connection
             && replica.health.is_usable(self.now)
             && !item.tried.contains(&index);
+        let warms_up =
+            service.phases_starts && replica.warmup.must_wait(replica.own.requests, self.now);
         ReplicaView {
             hash: replica.hash,
             usable,
             near: replica.entry.data_centre == self.settings.data_centre,
-            most_own: replica.warmup.most_requests(self.now),
-            own_requests: replica.own.requests,
-            slots: engine.map_or(replica.entry.slots, |engine| engine.slots),
-            memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+            warms_up,
+            slots: service
+                .engine
+                .map_or(replica.entry.slots, |engine| engine.slots),
+            memory_tokens: service.engine.map_or(0, |engine| engine.memory_tokens),
             work,
             slowness: replica.slowness,
             failures: replica.health.failure_share(),
@@ -366,10 +379,7 @@
         let entry = self.servers.vacant_entry();
         let server = entry.key();
         let token = token_of(TokenKind::Server, server);
-        let interest = Interest::READABLE | Interest::WRITABLE;
-        self.registry
-            .register(&mut channel.stream, token, interest)
-            .ok()?;
+        channel.register(&self.registry, token).ok()?;
         entry.insert(ServerConn {
             channel,
             replica,
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -300,38 +300,29 @@
                     }
                 }
                 TimerKey::Caller(caller) => {
-                    let due = state
-                        .callers
-                        .get_mut(caller)
-                        .is_some_and(|conn| conn.timer.fire(now, key, &mut state.timers));
-                    if due {
+                    let timer = state.callers.get_mut(caller).map(|conn| &mut conn.timer);
+                    if is_due(timer, now, key, &mut state.timers) {
                         state.on_caller_timer(caller);
                     }
                 }
                 TimerKey::Exchange(exchange) => {
-                    let due = state
+                    let timer = state
                         .exchanges
                         .get_mut(exchange)
-                        .is_some_and(|item| item.timer.fire(now, key, &mut state.timers));
-                    if due {
+                        .map(|item| &mut item.timer);
+                    if is_due(timer, now, key, &mut state.timers) {
                         state.on_exchange_timer(exchange);
                     }
                 }
                 TimerKey::Server(server) => {
-                    let due = state
-                        .servers
-                        .get_mut(server)
-                        .is_some_and(|conn| conn.timer.fire(now, key, &mut state.timers));
-                    if due {
+                    let timer = state.servers.get_mut(server).map(|conn| &mut conn.timer);
+                    if is_due(timer, now, key, &mut state.timers) {
                         state.on_server_timer(server);
                     }
                 }
                 TimerKey::Side(side) => {
-                    let due = state
-                        .sides
-                        .get_mut(side)
-                        .is_some_and(|conn| conn.timer.fire(now, key, &mut state.timers));
-                    if due {
+                    let timer = state.sides.get_mut(side).map(|conn| &mut conn.timer);
+                    if is_due(timer, now, key, &mut state.timers) {
                         state.sides.remove(side);
                     }
                 }
@@ -419,6 +410,11 @@
     }
 }
 
+/// Takes a timer that fired; returns whether the thing still exists and is due.
+fn is_due(timer: Option<&mut DueTime>, now: Moment, key: TimerKey, timers: &mut TimerHeap) -> bool {
+    timer.is_some_and(|timer| timer.fire(now, key, timers))
+}
+
 fn close_idle_callers<F: PlatformFormat>(state: &mut EdgeState<F>) {
     let idle: Vec<usize> = state
         .callers
--- a/crates/dewedge/src/serve/side.rs
+++ b/crates/dewedge/src/serve/side.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use mio::Interest;
 use mio::net::TcpStream;
 
 use crate::format::PlatformFormat;
@@ -33,13 +32,8 @@
         let entry = self.sides.vacant_entry();
         let side = entry.key();
         let mut channel = WireChannel::new(stream);
-        let interest = Interest::READABLE | Interest::WRITABLE;
         let token = token_of(TokenKind::Side, side);
-        if self
-            .registry
-            .register(&mut channel.stream, token, interest)
-            .is_err()
-        {
+        if channel.register(&self.registry, token).is_err() {
             return;
         }
         let conn = entry.insert(SideConn {
--- a/crates/dewedge/src/storage/link.rs
+++ b/crates/dewedge/src/storage/link.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use mio::{Interest, Registry, Token};
+use mio::{Registry, Token};
 
 use crate::clock::Moment;
 use crate::format::{CallBytes, StoreCall};
@@ -82,8 +82,7 @@
         });
         if self.channel.is_none() {
             let opened = WireChannel::connect(address).and_then(|mut channel| {
-                let interest = Interest::READABLE | Interest::WRITABLE;
-                registry.register(&mut channel.stream, self.token, interest)?;
+                channel.register(registry, self.token)?;
                 Ok(channel)
             });
             // A failed attempt is given up when the call's time is over.
--- a/crates/dewedge/tests/policy.rs
+++ b/crates/dewedge/tests/policy.rs
@@ -122,7 +122,7 @@
         requests: 12,
         ..WorkSum::default()
     };
-    let views: Vec<_> = (0..12).map(|hash| engine(hash, &memory, full)).collect();
+    let views = dozen(&memory, |_| full);
     let less = query(&prompt, false);
     assert_eq!(choose_engine(&less, &views), PlacementChoice::Busy);
     let more = PlacementQuery {
@@ -259,8 +259,7 @@
         hash,
         usable: true,
         near: true,
-        most_own: None,
-        own_requests: 0,
+        warms_up: false,
         slots: 64,
         memory_tokens: 300_000,
         work,
@@ -270,6 +269,18 @@
     }
 }
 
+/// Returns a dozen engines with the work that each has by its hash.
+fn dozen(parts: &PartMemory, work: impl Fn(u64) -> WorkSum) -> Vec<ReplicaView<'_>> {
+    (0..12)
+        .map(|hash| engine(hash, parts, work(hash)))
+        .collect()
+}
+
+/// Gives some engines work and leaves the others idle.
+fn only(busy: impl Fn(u64) -> bool, work: WorkSum) -> impl Fn(u64) -> WorkSum {
+    move |hash| if busy(hash) { work } else { WorkSum::default() }
+}
+
 fn parts(shared: u64, own: u64) -> Vec<PromptPart> {
     [(1, 2500), (shared, 3800), (own, 2900)]
         .map(|(id, tokens)| PromptPart { id, tokens })
@@ -298,9 +309,7 @@
 fn requests_with_the_same_shared_part_meet_on_one_engine() {
     let memory = PartMemory::default();
     for shared in 10..40 {
-        let views: Vec<_> = (0..12)
-            .map(|hash| engine(hash, &memory, WorkSum::default()))
-            .collect();
+        let views = dozen(&memory, |_| WorkSum::default());
         let mut reversed = views.clone();
         reversed.reverse();
         let first = chosen(choose_engine(&query(&parts(shared, 100), false), &views));
@@ -313,27 +322,13 @@
 fn a_full_home_loses_to_an_idle_engine() {
     let memory = PartMemory::default();
     let prompt = parts(10, 100);
-    let idle: Vec<_> = (0..12)
-        .map(|hash| engine(hash, &memory, WorkSum::default()))
-        .collect();
+    let idle = dozen(&memory, |_| WorkSum::default());
     let home = chosen(choose_engine(&query(&prompt, false), &idle));
     let full = WorkSum {
         requests: 12,
         ..WorkSum::default()
     };
-    let views: Vec<_> = (0..12)
-        .map(|hash| {
-            engine(
-                hash,
-                &memory,
-                if hash == home {
-                    full
-                } else {
-                    WorkSum::default()
-                },
-            )
-        })
-        .collect();
+    let views = dozen(&memory, only(|hash| hash == home, full));
     assert_ne!(chosen(choose_engine(&query(&prompt, false), &views)), home);
 }
 
@@ -345,15 +340,7 @@
         paced_streams: 30,
         ..WorkSum::default()
     };
-    let views: Vec<_> = (0..12)
-        .map(|hash| {
-            engine(
-                hash,
-                &memory,
-                if hash < 2 { paced } else { WorkSum::default() },
-            )
-        })
-        .collect();
+    let views = dozen(&memory, only(|hash| hash < 2, paced));
     for shared in 10..60 {
         let prompt = parts(shared, 100);
         assert!(chosen(choose_engine(&query(&prompt, false), &views)) >= 2);
@@ -369,16 +356,8 @@
         paced_streams: 10,
         ..WorkSum::default()
     };
-    let views: Vec<_> = (0..12)
-        .map(|hash| ReplicaView {
-            slots: 16,
-            ..engine(
-                hash,
-                &memory,
-                if hash < 4 { paced } else { WorkSum::default() },
-            )
-        })
-        .collect();
+    let mut views = dozen(&memory, only(|hash| hash < 4, paced));
+    views.iter_mut().for_each(|view| view.slots = 16);
     for shared in 10..60 {
         let prompt = parts(shared, 100);
         assert!(chosen(choose_engine(&query(&prompt, false), &views)) >= 4);
@@ -458,14 +437,14 @@
         requests: 3,
         ..WorkSum::default()
     };
-    let mut views: Vec<_> = (0..12).map(|hash| engine(hash, &memory, busy)).collect();
+    let mut views = dozen(&memory, |_| busy);
     for shared in 10..30 {
         let prompt = parts(shared, 100);
         let home = chosen(choose_engine(&query(&prompt, false), &views));
-        views[home as usize].most_own = Some(0);
+        views[home as usize].warms_up = true;
         let other = chosen(choose_engine(&query(&prompt, false), &views));
         assert_ne!(home, other, "part {shared}");
-        views[home as usize].most_own = None;
+        views[home as usize].warms_up = false;
     }
 }
 
@@ -495,8 +474,7 @@
         for _ in 0..5 {
             let now = start + ms(at);
             let view = ReplicaView {
-                most_own: warmup.most_requests(now),
-                own_requests: own,
+                warms_up: warmup.must_wait(own, now),
                 ..engine(1, &memory, WorkSum::default())
             };
             let prompt = parts(10, u64::from(rank));
