Keep the retries of all VMs within every window of the budget

Cause: a retry was permitted by the requests of the window that ended with it. The rule counts a window that ends later together with the one before it, so that requests of both could permit a retry which neither permits alone.

Change: a VM permits a retry if every later window that contains it stays within the ratio of the mean of the requests in that window and in the one before it. The sum of these means over the VMs never exceeds the larger of the two sums, so the limit also holds for the fleet without coordination. The ratio that is used rises from 0.8 to 0.9.

--- a/crates/dewedge/src/policy/retries.rs
+++ b/crates/dewedge/src/policy/retries.rs
@@ -1,9 +1,11 @@
 //! Limits the retries that servers receive.
 //!
-//! The limit is fleet-wide: within a window, the retries of a service may reach
-//! a ratio of its requests, plus a fixed slack. Each VM applies the ratio to
-//! its own requests, which needs no coordination, and uses an equal part of the
-//! slack, so that the limit holds for any number of VMs.
+//! The limit is fleet-wide: within any window, the retries of a service may
+//! reach a ratio of its requests in that window or in the one before it,
+//! whichever has more, plus a fixed slack. Each VM applies the ratio to the mean
+//! of its own requests in both, which needs no coordination: the sum of the
+//! means over all VMs never exceeds the larger of the two sums. Each VM also
+//! uses an equal part of the slack.
 //!
 //! This bounds the extra load when servers fail or reject many requests at
 //! once.
@@ -13,9 +15,9 @@
 
 use crate::clock::Moment;
 
-/// Share of the permitted ratio that a VM uses, so that any window that
-/// overlaps two of its own stays within the limit.
-const RATIO_USED: f64 = 0.8;
+/// Share of the permitted ratio that a VM uses; the rest is left for requests
+/// and retries that arrive in another window than they were sent in.
+const RATIO_USED: f64 = 0.9;
 
 /// Share of the slack that the known VMs use together; the rest is left for VMs
 /// that join or restart within a window.
@@ -77,20 +79,45 @@
     /// `slack` is this VM's part of the fleet's slack.
     pub fn try_acquire(&mut self, slack: f64, now: Moment) -> bool {
         self.discard_old(now);
-        let allowed = self.ratio * self.requests.len() as f64 + slack;
-        if (self.retries.len() as f64) + 1.0 > allowed {
-            return false;
-        }
         self.retries.push_back(now);
-        true
+        let permitted = self.holds_in_all_windows(slack);
+        if !permitted {
+            self.retries.pop_back();
+        }
+        permitted
+    }
+
+    /// Returns whether every window that contains the newest retry stays within
+    /// the limit, even if no further request arrives.
+    ///
+    /// The windows that matter start at a retry; a later start has fewer
+    /// retries until the next one.
+    fn holds_in_all_windows(&self, slack: f64) -> bool {
+        let mut earlier_requests = 0;
+        self.retries.iter().enumerate().all(|(index, start)| {
+            let previous_start = start.saturating_sub(self.window);
+            while self
+                .requests
+                .get(earlier_requests)
+                .is_some_and(|time| *time < previous_start)
+            {
+                earlier_requests += 1;
+            }
+            let mean_requests = (self.requests.len() - earlier_requests) as f64 / 2.0;
+            let retries = (self.retries.len() - index) as f64;
+            retries <= self.ratio * mean_requests + slack
+        })
     }
 
     fn discard_old(&mut self, now: Moment) {
-        let start = now.saturating_sub(self.window);
-        for times in [&mut self.requests, &mut self.retries] {
+        let retries_start = now.saturating_sub(self.window);
+        let requests_start = retries_start.saturating_sub(self.window);
+        let discard = |times: &mut VecDeque<Moment>, start: Moment| {
             while times.front().is_some_and(|time| *time < start) {
                 times.pop_front();
             }
-        }
+        };
+        discard(&mut self.retries, retries_start);
+        discard(&mut self.requests, requests_start);
     }
 }
--- a/crates/dewedge/tests/policy.rs
+++ b/crates/dewedge/tests/policy.rs
@@ -154,6 +154,89 @@
     assert_eq!(engine_ranks, [0, 1, 2, 3, 4, 5, 6, 7, 8]);
 }
 
+/// Applies requests (`true`) and attempted retries (`false`) on several VMs,
+/// each after a wait in units of 8 ms, and returns whether every window that
+/// ends at one of them stays within the budget of the fleet.
+fn retries_fit_the_fleets_budget(steps: &[(u8, bool, u8)], vms: usize) -> bool {
+    let (ratio, slack) = (0.2, 1.0);
+    let window = Duration::from_secs(10);
+    let mut budgets = vec![RetryBudget::new(ratio, window); vms];
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    let mut now = Duration::from_secs(100);
+    for (vm, is_request, wait) in steps {
+        now += ms(u64::from(*wait) * 8);
+        let budget = &mut budgets[usize::from(*vm) % vms];
+        if *is_request {
+            budget.record_request(now);
+            requests.push(now);
+        } else if budget.try_acquire(slack, now) {
+            retries.push(now);
+        }
+        // The requests that permit a retry lie in the current window, in
+        // the previous one, or in one that starts half a window earlier.
+        let within = |times: &[Duration], end: Duration| {
+            let start = end.saturating_sub(window);
+            times
+                .iter()
+                .filter(|time| **time >= start && **time <= end)
+                .count() as f64
+        };
+        let ends = [now, now - window / 2, now - window];
+        let most = ends
+            .map(|end| within(&requests, end))
+            .into_iter()
+            .fold(0.0, f64::max);
+        if within(&retries, now) > ratio * most + slack * vms as f64 {
+            return false;
+        }
+    }
+    true
+}
+
+/// Guards against a retry that is permitted by requests that lie in no window
+/// of the rule.
+#[test]
+fn requests_of_a_window_that_the_rule_does_not_count_permit_no_retry() {
+    struct Case {
+        steps: &'static [(bool, u8)],
+    }
+    let cases = [Case {
+        steps: &[
+            (true, 0),
+            (true, 0),
+            (true, 0),
+            (false, 114),
+            (true, 177),
+            (false, 213),
+            (false, 201),
+            (true, 62),
+            (true, 55),
+            (true, 59),
+            (false, 165),
+            (false, 205),
+        ],
+    }];
+    for Case { steps } in cases {
+        let steps: Vec<(u8, bool, u8)> =
+            steps.iter().map(|(kind, wait)| (0, *kind, *wait)).collect();
+        assert!(retries_fit_the_fleets_budget(&steps, 1), "{steps:?}");
+    }
+}
+
+/// A budget that is always sound could permit too little.
+#[test]
+fn steady_traffic_gets_nearly_the_whole_ratio_of_retries() {
+    let mut budget = RetryBudget::new(0.2, Duration::from_secs(10));
+    let mut permitted = 0;
+    for step in 0..6000 {
+        let now = Duration::from_secs(100) + ms(step * 10);
+        budget.record_request(now);
+        let in_steady_state = step >= 4000;
+        permitted += u32::from(budget.try_acquire(1.0, now) && in_steady_state);
+    }
+    assert!(permitted >= 340, "{permitted} retries of 2000 requests");
+}
+
 quickcheck! {
     fn a_queue_loses_no_request_and_keeps_the_order_of_ranks(items: Vec<(u8, u8, u8)>) -> bool {
         let mut queue = WaitingQueue::default();
@@ -167,31 +250,12 @@
     }
 
     fn retries_stay_within_the_budget(steps: Vec<(bool, u8)>) -> bool {
-        let window = Duration::from_secs(10);
-        let mut budget = RetryBudget::new(0.2, window);
-        let (mut requests, mut retries) = (Vec::new(), Vec::new());
-        let mut now = Duration::from_secs(100);
-        for (is_request, wait) in steps {
-            now += ms(u64::from(wait) * 8);
-            if is_request {
-                budget.record_request(now);
-                requests.push(now);
-            } else if budget.try_acquire(1.0, now) {
-                retries.push(now);
-            }
-            // The requests that permit a retry lie in the current window, in
-            // the previous one, or in one that starts half a window earlier.
-            let within = |times: &[Duration], end: Duration| {
-                let start = end.saturating_sub(window);
-                times.iter().filter(|time| **time >= start && **time <= end).count() as f64
-            };
-            let ends = [now, now - window / 2, now - window];
-            let most = ends.map(|end| within(&requests, end)).into_iter().fold(0.0, f64::max);
-            if within(&retries, now) > 0.2 * most + 1.0 {
-                return false;
-            }
-        }
-        true
+        let steps: Vec<(u8, bool, u8)> = steps.into_iter().map(|(kind, wait)| (0, kind, wait)).collect();
+        retries_fit_the_fleets_budget(&steps, 1)
+    }
+
+    fn retries_of_several_vms_stay_within_the_fleets_budget(steps: Vec<(u8, bool, u8)>) -> bool {
+        retries_fit_the_fleets_budget(&steps, 3)
     }
 
     fn the_retry_delay_fits_the_callers_remaining_time(left: u16, jitter: u8) -> bool {
