Return a grant whose decision was sent but never read

Cause: the broker returns a grant if sending its decision fails. A receiver that is dropped, or whose task is cancelled, after the decision was sent lost the grant until it expired, so that it counted as in flight. Seen once as a failure of no_grant_leaks_between_many_entries beside other load.

Change: BrokerHandle::request_grant returns a PendingDecision. When it is dropped it closes the channel and returns a grant that it finds there through the mailbox, which loses nothing when the channel is full.

Result: two tests that force the order fail without the drop handler and pass with it.

--- a/crates/dewspring/benches/broker.rs
+++ b/crates/dewspring/benches/broker.rs
@@ -19,7 +19,6 @@
 };
 use dewspring::ids::GrantId;
 use dewspring::tables::{FleetConfig, PoolKind, PoolRow, PoolTable, RouteTable, ServerRow};
-use tokio::sync::oneshot;
 
 /// Numbers of servers (replicas) in the pool.
 const REPLICAS: [u32; 4] = [6, 60, 600, 4_800];
@@ -231,11 +230,9 @@
         bencher.iter(|| {
             let replies = (0..HANDLE_BATCH).map(|_| {
                 requested += 1;
-                let (reply, receiver) = oneshot::channel();
                 handle
-                    .request_grant(request(requested), reply)
-                    .expect("the channel has capacity");
-                receiver
+                    .request_grant(request(requested))
+                    .expect("the channel has capacity")
             });
             for reply in replies.collect::<Vec<_>>() {
                 let decision = reply.blocking_recv().expect("the broker runs");
--- a/crates/dewspring/examples/peer_cost.rs
+++ b/crates/dewspring/examples/peer_cost.rs
@@ -7,6 +7,7 @@
 
 use std::collections::VecDeque;
 use std::fs;
+use std::future::{self, Future};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
@@ -24,7 +25,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::oneshot;
+use tokio::sync::oneshot::error::RecvError;
 
 /// Numbers of VMs in the measured fleets.
 const FLEET_SIZES: [usize; 3] = [8, 32, 64];
@@ -89,8 +90,7 @@
     fn request_grant(
         &self,
         _request: GrantRequest,
-        reply: oneshot::Sender<GrantDecision>,
-    ) -> Result<(), Refusal> {
+    ) -> Result<impl Future<Output = Result<GrantDecision, RecvError>> + Send, Refusal> {
         let granted = GrantDecision::Granted(Grant {
             id: 77,
             broker: self.vm.clone(),
@@ -100,8 +100,7 @@
             valid_for: Duration::from_secs(2),
             reason: "lowest estimate 1.2 s".into(),
         });
-        let _ = reply.send(granted);
-        Ok(())
+        Ok(future::ready(Ok(granted)))
     }
 
     fn withdraw(&self, _request: RequestId, _entry: VmId, _boot: BootId) {}
--- a/crates/dewspring/src/broker/handle.rs
+++ b/crates/dewspring/src/broker/handle.rs
@@ -17,7 +17,8 @@
 
 use super::control::{BrokerSettings, ServerMark, ServerReport, ShareDivisor};
 use super::mailbox::ControlMailbox;
-use super::messages::{GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason};
+use super::messages::{GrantRelease, GrantRequest, Refusal, RefusalReason};
+use super::pending::PendingDecision;
 use super::state::BrokerState;
 use super::status::BrokerStatus;
 use super::thread::{BrokerMessage, BrokerThread};
@@ -79,12 +80,12 @@
         }
     }
 
-    /// Requests a grant for a request; the decision is sent to `reply`.
+    /// Requests a grant for a request.
     ///
     /// # Errors
     ///
-    /// Returns a [`Refusal`] and drops `reply` if too many messages are queued
-    /// or the broker has stopped.
+    /// Returns a [`Refusal`] if too many messages are queued or the broker has
+    /// stopped.
     ///
     /// # Examples
     ///
@@ -112,26 +113,26 @@
     ///     prefix: None,
     ///     excluded: Vec::new(),
     /// };
-    /// let (reply, decision) = tokio::sync::oneshot::channel();
-    /// handle.request_grant(request, reply).expect("the channel has capacity");
+    /// let decision = handle.request_grant(request).expect("the channel has capacity");
     /// // No configuration names the pool yet.
     /// let decision = decision.blocking_recv().expect("the broker runs");
     /// assert!(matches!(decision, GrantDecision::Refused(_)));
     /// # handle.shut_down();
     /// # handle.join();
     /// ```
-    pub fn request_grant(
-        &self,
-        request: GrantRequest,
-        reply: oneshot::Sender<GrantDecision>,
-    ) -> Result<(), Refusal> {
+    pub fn request_grant(&self, request: GrantRequest) -> Result<PendingDecision, Refusal> {
         let request_limit = self.sender.capacity().unwrap_or(usize::MAX) / 2;
         if self.sender.len() >= request_limit {
             return Err(self.channel_refusal(RefusalReason::Overloaded));
         }
+        let (reply, decision) = oneshot::channel();
         let message = BrokerMessage::RequestGrant(Box::new(request), reply);
         match self.sender.try_send(message) {
-            Ok(()) => Ok(()),
+            Ok(()) => Ok(PendingDecision::new(
+                decision,
+                Arc::clone(&self.mailbox),
+                self.sender.clone(),
+            )),
             Err(TrySendError::Full(_)) => Err(self.channel_refusal(RefusalReason::Overloaded)),
             Err(TrySendError::Disconnected(_)) => {
                 Err(self.channel_refusal(RefusalReason::ShuttingDown))
--- a/crates/dewspring/src/broker/mailbox.rs
+++ b/crates/dewspring/src/broker/mailbox.rs
@@ -2,7 +2,7 @@
 //!
 //! A value stays in the mailbox until it is read or replaced by a newer one,
 //! even when the channel to the thread is full. The size is bounded by the
-//! number of servers and VMs.
+//! number of servers, VMs and outstanding grants.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -10,7 +10,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::control::{ServerMark, ServerReport, ShareDivisor};
-use crate::ids::{BootId, ServerName, VmId};
+use crate::ids::{BootId, GrantId, ServerName, VmId};
 use crate::tables::FleetConfig;
 
 /// Content of the mailbox when it was read.
@@ -26,6 +26,8 @@
     pub(super) reports: IndexMap<ServerName, ServerReport>,
     /// Boots of entries that died or were restarted.
     pub(super) lost_entries: IndexSet<(VmId, BootId)>,
+    /// Grants whose receivers were dropped before they read the decision.
+    pub(super) unused_grants: Vec<GrantId>,
     /// Whether the broker must stop.
     pub(super) is_shut_down: bool,
 }
@@ -74,6 +76,11 @@
         });
     }
 
+    /// Records that a grant was delivered and not read.
+    pub(super) fn put_unused_grant(&self, grant: GrantId) {
+        self.put(|content| content.unused_grants.push(grant));
+    }
+
     /// Requests the shutdown of the broker.
     pub(super) fn put_shut_down(&self) {
         self.put(|content| content.is_shut_down = true);
--- a/crates/dewspring/src/broker/mod.rs
+++ b/crates/dewspring/src/broker/mod.rs
@@ -20,6 +20,7 @@
 mod load;
 mod mailbox;
 mod messages;
+mod pending;
 mod pool;
 mod prefix;
 mod queue;
@@ -43,6 +44,7 @@
 pub use messages::{
     AttemptOutcome, Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason,
 };
+pub use pending::PendingDecision;
 pub use queue::ServiceTurn;
 pub use state::BrokerState;
 pub use status::{
--- a/crates/dewspring/src/broker/tests/handle.rs
+++ b/crates/dewspring/src/broker/tests/handle.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use tokio::sync::oneshot;
-
 use super::{BOOT, config, release, request, servers};
 use crate::broker::{
-    BrokerHandle, BrokerSettings, GrantDecision, RefusalReason, ServerMark, ShareDivisor,
+    BrokerHandle, BrokerSettings, GrantDecision, PendingDecision, RefusalReason, ServerMark,
+    ShareDivisor,
 };
 
 /// Longest time that a test waits for the broker.
@@ -19,12 +18,10 @@
     handle
 }
 
-fn request_grant(handle: &BrokerHandle, id: &str) -> oneshot::Receiver<GrantDecision> {
-    let (reply, receiver) = oneshot::channel();
+fn request_grant(handle: &BrokerHandle, id: &str) -> PendingDecision {
     handle
-        .request_grant(request(id), reply)
-        .expect("the channel has capacity");
-    receiver
+        .request_grant(request(id))
+        .expect("the channel has capacity")
 }
 
 fn wait_until(handle: &BrokerHandle, queued: usize, in_flight: u32) {
@@ -75,6 +72,34 @@
     stop(&handle);
 }
 
+/// Guards against a leak when the receiver is dropped after the decision was
+/// sent and before it was read.
+#[test]
+fn a_grant_that_was_delivered_and_not_read_is_returned_unused() {
+    let handle = spawn(&[1]);
+    let delivered = request_grant(&handle, "first");
+    wait_until(&handle, 0, 1);
+    drop(delivered);
+    wait_until(&handle, 0, 0);
+    stop(&handle);
+}
+
+/// Guards against a leak when the reader is cancelled in the same situation.
+#[test]
+fn a_grant_whose_reader_is_cancelled_is_returned_unused() {
+    let handle = spawn(&[1]);
+    let delivered = request_grant(&handle, "first");
+    wait_until(&handle, 0, 1);
+    let runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = { runtime }.build().expect("the runtime starts");
+    let reader = runtime.spawn(delivered);
+    reader.abort();
+    let result = runtime.block_on(reader);
+    assert!(result.is_err_and(|error| error.is_cancelled()));
+    wait_until(&handle, 0, 0);
+    stop(&handle);
+}
+
 #[test]
 fn a_withdrawn_request_gets_no_decision() {
     let handle = spawn(&[1]);
@@ -102,9 +127,8 @@
         panic!("not refused");
     };
     assert_eq!(refusal.reason, RefusalReason::ShuttingDown);
-    let (reply, _receiver) = oneshot::channel();
     let refusal = handle
-        .request_grant(request("late"), reply)
+        .request_grant(request("late"))
         .expect_err("the broker has ended");
     assert_eq!(refusal.reason, RefusalReason::ShuttingDown);
 }
@@ -117,8 +141,7 @@
     let mut refusals = Vec::new();
     let start = Instant::now();
     while refusals.len() < 2 {
-        let (reply, _receiver) = oneshot::channel();
-        refusals.extend(handle.request_grant(request("r"), reply).err());
+        refusals.extend(handle.request_grant(request("r")).err());
         assert!(start.elapsed() < TIMEOUT, "the channel was never full");
     }
     assert_eq!(refusals[0].reason, RefusalReason::Overloaded);
--- a/crates/dewspring/src/broker/thread.rs
+++ b/crates/dewspring/src/broker/thread.rs
@@ -117,6 +117,7 @@
             marks,
             reports,
             lost_entries,
+            unused_grants,
             is_shut_down,
         } = content;
         // Marks come first, so that no grant goes to a leaving server.
@@ -145,6 +146,9 @@
             let tickets = self.state.forget_entry(&entry, boot, now);
             self.drop_replies(tickets);
         }
+        for grant in unused_grants {
+            self.state.cancel(grant, now);
+        }
         self.is_shut_down |= is_shut_down;
     }
 
--- a/crates/dewspring/src/grants/local.rs
+++ b/crates/dewspring/src/grants/local.rs
@@ -1,7 +1,5 @@
 //! Grants from a broker in this process.
 
-use tokio::sync::oneshot;
-
 use crate::broker::{
     BrokerHandle, Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason,
     ServerMark,
@@ -29,10 +27,8 @@
 impl GrantSource for LocalGrants {
     async fn request_grant(&self, request: GrantRequest) -> GrantDecision {
         let guard = WithdrawGuard::new(self.broker.clone(), &request);
-        let (reply, decision) = oneshot::channel();
-        let queued = self.broker.request_grant(request, reply);
-        let decision = match queued {
-            Ok(()) => decision.await.unwrap_or_else(|_| broker_stopped()),
+        let decision = match self.broker.request_grant(request) {
+            Ok(pending) => pending.await.unwrap_or_else(|_| broker_stopped()),
             Err(refusal) => GrantDecision::Refused(refusal),
         };
         guard.disarm();
--- a/crates/dewspring/src/grants/peers.rs
+++ b/crates/dewspring/src/grants/peers.rs
@@ -1,7 +1,9 @@
 //! Connects the peer module, which exchanges messages between VMs, with the
 //! broker and with the entry's grant source.
 
-use tokio::sync::oneshot;
+use std::future::Future;
+
+use tokio::sync::oneshot::error::RecvError;
 
 use super::remote::{BrokerLocation, RemoteBrokerError, RemoteBrokers};
 use crate::broker::{BrokerHandle, GrantDecision, GrantRelease, GrantRequest, Refusal};
@@ -12,9 +14,8 @@
     fn request_grant(
         &self,
         request: GrantRequest,
-        reply: oneshot::Sender<GrantDecision>,
-    ) -> Result<(), Refusal> {
-        BrokerHandle::request_grant(self, request, reply)
+    ) -> Result<impl Future<Output = Result<GrantDecision, RecvError>> + Send, Refusal> {
+        BrokerHandle::request_grant(self, request)
     }
 
     fn withdraw(&self, request: RequestId, entry: VmId, boot: BootId) {
--- a/crates/dewspring/src/peer/grants.rs
+++ b/crates/dewspring/src/peer/grants.rs
@@ -1,6 +1,8 @@
 //! Interface between the peer worker and the local broker.
 
-use tokio::sync::oneshot;
+use std::future::Future;
+
+use tokio::sync::oneshot::error::RecvError;
 
 use crate::broker::{GrantDecision, GrantRelease, GrantRequest, Refusal};
 use crate::ids::{BootId, RequestId, VmId};
@@ -11,17 +13,17 @@
 /// blocks. All methods except [`request_grant`](Self::request_grant) are
 /// idempotent.
 pub trait GrantService: Clone + Send + Sync + 'static {
-    /// Requests a grant to run a request; the decision is sent to `reply`.
+    /// Requests a grant to run a request, and returns a future of the decision.
+    ///
+    /// The future fails if the request was withdrawn or the broker has stopped.
     ///
     /// # Errors
     ///
-    /// A [`Refusal`] if the broker accepts no more requests; `reply` is then
-    /// dropped.
+    /// A [`Refusal`] if the broker accepts no more requests.
     fn request_grant(
         &self,
         request: GrantRequest,
-        reply: oneshot::Sender<GrantDecision>,
-    ) -> Result<(), Refusal>;
+    ) -> Result<impl Future<Output = Result<GrantDecision, RecvError>> + Send, Refusal>;
 
     /// Cancels a grant request; a grant that was made meanwhile is returned.
     fn withdraw(&self, request: RequestId, entry: VmId, boot: BootId);
--- a/crates/dewspring/src/peer/service.rs
+++ b/crates/dewspring/src/peer/service.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tarpc::context::Context;
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::Semaphore;
 
 use super::documents::SnapshotFrame;
 use super::grants::{GrantService, WithdrawGuard};
@@ -84,12 +84,13 @@
     async fn request_grant(self, _: Context, request: GrantRequest) -> GrantDecision {
         let entry = request.entry.clone();
         let guard = WithdrawGuard::new(self.core.grants.clone(), &request);
-        let (reply, decision) = oneshot::channel();
-        if let Err(refusal) = self.core.grants.request_grant(request, reply) {
-            guard.disarm();
-            return GrantDecision::Refused(refusal);
-        }
-        let decision = decision.await;
+        let decision = match self.core.grants.request_grant(request) {
+            Ok(pending) => pending.await,
+            Err(refusal) => {
+                guard.disarm();
+                return GrantDecision::Refused(refusal);
+            }
+        };
         guard.disarm();
         let decision = decision.unwrap_or(GrantDecision::Refused(Refusal {
             reason: RefusalReason::ShuttingDown,
--- a/crates/dewspring/src/peer/tests/fakes.rs
+++ b/crates/dewspring/src/peer/tests/fakes.rs
@@ -1,10 +1,12 @@
 //! Fakes of the modules that the peer worker uses, and a test fleet on loopback.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use tokio::sync::oneshot;
+use tokio::sync::oneshot::error::RecvError;
 
 use super::fleet::vm_name;
 use crate::broker::{Grant, GrantDecision, GrantRelease, GrantRequest, Refusal};
@@ -86,13 +88,13 @@
     fn request_grant(
         &self,
         request: GrantRequest,
-        reply: oneshot::Sender<GrantDecision>,
-    ) -> Result<(), Refusal> {
+    ) -> Result<impl Future<Output = Result<GrantDecision, RecvError>> + Send, Refusal> {
+        let (reply, decision) = oneshot::channel();
         let mut state = self.state.lock().unwrap();
         state.request_count += 1;
         if state.holds_requests {
             state.waiting.push((request.request, reply));
-            return Ok(());
+            return Ok(decision);
         }
         let id = state.request_count as u64;
         state.granted.push((id, request.request));
@@ -105,7 +107,7 @@
             valid_for: Duration::from_secs(2),
             reason: "only one".into(),
         }));
-        Ok(())
+        Ok(decision)
     }
 
     fn withdraw(&self, request: RequestId, _entry: VmId, _boot: BootId) {
