Serve the drills of the platform, and read on after a full watch

An entry that was written again also cleared what the VM had seen of a leaving server.

Change 1: a response of a later era discards calls of the earlier one, reads everything again and publishes the VM's entry anew; tables in force stay unless newer ones come, and keys are confirmed again by the era's own revision. A server that says it leaves, or wants no request for a time, gets none until a new instance starts or the time has passed, whatever its entry says.

Change 2: after a large response, and for 4 s after a failed call, the next watch follows at once. Otherwise the pause shrinks by the time of recent calls, so that pause and two calls stay within three quarters of the bound.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -35,6 +35,8 @@
     pub entry: ReplicaEntry,
     /// Whether it was seen leaving.
     pub leaving: bool,
+    /// Until when it wants no request from this VM.
+    pub quiet_until: Moment,
     /// Whether its entry was removed.
     pub gone: bool,
     /// When its entry counts as removed, if it was lost in an outage of the
@@ -67,10 +69,14 @@
         !self.gone && !self.leaving
     }
 
+    /// Records that it wants no request from this VM for some time.
+    pub fn keep_quiet(&mut self, until: Moment) {
+        self.quiet_until = self.quiet_until.max(until);
+    }
+
     fn reset(&mut self) {
         self.leaving = false;
-        self.gone = false;
-        self.missing_until = None;
+        self.quiet_until = Moment::ZERO;
         self.health = ReplicaHealth::default();
         self.cached_parts.clear();
         self.slowness = 1.0;
@@ -136,9 +142,10 @@
         }
         replica.revision = revision;
         replica.missing_until = None;
-        let restarted = replica.entry.started_ms != entry.started_ms
-            || replica.entry.address != entry.address
-            || replica.gone;
+        let restarted =
+            replica.entry.started_ms != entry.started_ms || replica.entry.address != entry.address;
+        // An entry that is written again doesn't show that the server restarted.
+        let returned = std::mem::take(&mut replica.gone);
         let moved = replica.entry.service != entry.service;
         let is_leaving = entry.stage == ReplicaStage::Leaving;
         let old_service = std::mem::replace(&mut replica.entry, entry).service;
@@ -151,13 +158,30 @@
             let service = replica.entry.service.clone();
             self.move_to_service(index, &old_service, service);
         }
-        match (newly_leaving, restarted) {
+        match (newly_leaving, restarted || returned) {
             (true, _) => DirectoryChange::Leaving(index),
             (false, true) => DirectoryChange::Restarted(index),
             (false, false) => DirectoryChange::Unchanged,
         }
     }
 
+    /// Records that a server said itself that it is leaving.
+    pub fn mark_leaving(&mut self, index: ReplicaIndex) -> DirectoryChange {
+        let replica = &mut self.replicas[index];
+        match std::mem::replace(&mut replica.leaving, true) {
+            true => DirectoryChange::Unchanged,
+            false => DirectoryChange::Leaving(index),
+        }
+    }
+
+    /// Accepts entries of any revision, because the store has a new era, in
+    /// which it gives out revisions again.
+    pub fn forget_revisions(&mut self) {
+        for replica in &mut self.replicas {
+            replica.revision = 0;
+        }
+    }
+
     /// Applies the removal of an entry.
     ///
     /// With `outage_suspected`, the store may have lost the entry in an outage,
@@ -297,6 +321,7 @@
             hash,
             entry,
             leaving,
+            quiet_until: Moment::ZERO,
             gone: false,
             missing_until: None,
             health: ReplicaHealth::default(),
--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -17,6 +17,10 @@
 /// Id of a server.
 pub type ReplicaId = String;
 
+/// Number of the store's era; it rises each time the store returns from an older
+/// copy of its data.
+pub type StoreEra = u64;
+
 /// One part of a prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PromptPart {
@@ -78,6 +82,10 @@
     pub attempt: Option<AttemptId>,
     /// Whether the server reports that it didn't run the request.
     pub not_run: bool,
+    /// Whether the server reports that it is leaving.
+    pub leaving: bool,
+    /// Time for which the server wants no further request from this VM.
+    pub retry_after: Option<Duration>,
 }
 
 /// Lifecycle stage of a server.
@@ -237,6 +245,10 @@
     /// Reads the metadata of a response.
     fn response_metadata(fields: &HeaderFields) -> ResponseMetadata;
 
+    /// Reads the era of the store from the headers of its response. The era
+    /// rises each time the store returns from an older copy of its data.
+    fn store_era(fields: &HeaderFields) -> Option<StoreEra>;
+
     /// Parses the tables.
     ///
     /// # Errors
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::format::PlatformFormat;
+use crate::format::{PlatformFormat, ResponseMetadata};
 use crate::http::{BodyDecoder, ResponseHead, parse_response};
 use crate::net::ReadState;
 use crate::policy::health::AttemptResult;
@@ -152,8 +152,9 @@
             Ok(None) => return Ok(false),
             Ok(Some(head)) => head,
         };
+        let mut metadata = ResponseMetadata::default();
         if head.status >= 200 {
-            let metadata = F::response_metadata(&head.fields);
+            metadata = F::response_metadata(&head.fields);
             if metadata.attempt.as_deref() != Some(exchange.metadata.attempt.as_str()) {
                 return Err("answer to another request");
             }
@@ -169,12 +170,35 @@
                 });
             }
         }
+        let (replica, status) = (conn.replica, head.status);
         conn.channel.consume(head.length);
         conn.decoder = Some(BodyDecoder::new(head.body));
         conn.head = Some(head);
+        self.apply_server_wishes(replica, status, &metadata);
         Ok(true)
     }
 
+    /// Applies what a server says in a response about further requests.
+    ///
+    /// A response with status 421 comes from another server at the address.
+    fn apply_server_wishes(&mut self, replica: usize, status: u16, metadata: &ResponseMetadata) {
+        if status == 421 {
+            return;
+        }
+        if metadata.leaving {
+            let change = self.directory.mark_leaving(replica);
+            self.apply_directory_change(change);
+        }
+        if let (503, Some(delay)) = (status, metadata.retry_after) {
+            let replica_state = self.directory.get_mut(replica);
+            replica_state.keep_quiet(self.now + delay);
+            self.logs
+                .system("directory", "quiet")
+                .text("server", &replica_state.id)
+                .ms("retry_after_ms", delay);
+        }
+    }
+
     fn read_response_body(&mut self, conn_id: ServerConnId, read_state: ReadState) -> ResponseStep {
         let conn = &mut self.server_conns[conn_id];
         let Some(decoder) = &mut conn.decoder else {
@@ -291,7 +315,7 @@
         conn.channel.shrink();
         let replica = conn.replica;
         let until = conn.idle_until;
-        if self.directory.get(replica).gone {
+        if !self.directory.get(replica).is_listed() {
             self.close_server_conn(conn_id);
             return;
         }
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -4,13 +4,17 @@
 use std::time::Duration;
 
 use crate::directory::DirectoryChange;
-use crate::format::{PlatformFormat, RecordKey, StoreRecord};
+use crate::format::{PlatformFormat, RecordKey, StoreEra, StoreRecord};
 use crate::storage::{StoreEvent, WATCH_CALL};
 use crate::tables::RouteTable;
 
 use super::state::EdgeState;
 use super::timers::TimerKey;
 
+/// Revision of tables that were read in an earlier era of the store; the store's
+/// own revisions are above it.
+const UNKNOWN_REVISION: u64 = 0;
+
 /// Minimum interval between two digests.
 pub(crate) const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -58,6 +62,7 @@
                         self.apply_directory_change(change);
                     }
                 }
+                StoreEvent::EraChanged { era } => self.begin_store_era(era),
                 StoreEvent::Confirmed { revision, sent } => {
                     let tables_current = self
                         .table
@@ -76,6 +81,16 @@
         }
     }
 
+    /// Forgets the revisions of the earlier era; what was learned there stays in
+    /// force until the store or the operators say otherwise.
+    fn begin_store_era(&mut self, era: StoreEra) {
+        self.logs.system("store", "new_era").number("era", era);
+        self.directory.forget_revisions();
+        if let Some(table) = &mut self.table {
+            Arc::make_mut(table).revision = UNKNOWN_REVISION;
+        }
+    }
+
     fn record_store_call(&mut self, call: &'static str, outcome: &'static str, elapsed: Duration) {
         let label = crate::metrics::StoreCallLabels { call, outcome };
         self.metrics.store_calls.get_or_create(&label).inc();
@@ -151,15 +166,19 @@
                 return;
             }
         };
-        if self
-            .table
-            .as_ref()
-            .is_some_and(|table| table.version > set.version)
+        if let Some(table) = &mut self.table
+            && table.version > set.version
         {
             self.logs
                 .system("tables", "older_version")
                 .number("revision", revision)
                 .number("version", set.version);
+            if table.revision == UNKNOWN_REVISION {
+                // In its new era, the store holds nothing newer than the tables
+                // in force.
+                Arc::make_mut(table).revision = revision;
+                self.store.set_tables_revision(revision);
+            }
             return;
         }
         let table = RouteTable::index(set, revision);
@@ -177,7 +196,7 @@
         self.pending_dispatches.extend(services);
     }
 
-    fn apply_directory_change(&mut self, change: DirectoryChange) {
+    pub(crate) fn apply_directory_change(&mut self, change: DirectoryChange) {
         let (index, event) = match change {
             DirectoryChange::Unchanged => return,
             DirectoryChange::Started(index) => (index, "started"),
--- a/crates/dewedge/src/storage/connection.rs
+++ b/crates/dewedge/src/storage/connection.rs
@@ -45,8 +45,8 @@
 /// State of a call after an event.
 pub(super) enum CallOutcome {
     Pending,
-    /// The call, when it was sent, and the status and body of its response.
-    Completed(StoreCall, Moment, u16, Vec<u8>),
+    /// The call, when it was sent, and the head and body of its response.
+    Completed(StoreCall, Moment, ResponseHead, Vec<u8>),
     /// The call and why it failed.
     Failed(StoreCall, &'static str),
 }
@@ -141,7 +141,7 @@
             self.channel = None;
         }
         self.failures = 0;
-        CallOutcome::Completed(pending.call, pending.sent, head.status, pending.body)
+        CallOutcome::Completed(pending.call, pending.sent, head, pending.body)
     }
 
     pub(super) fn fail(&mut self, reason: &'static str) -> CallOutcome {
--- a/crates/dewedge/src/storage/intervals.rs
+++ b/crates/dewedge/src/storage/intervals.rs
@@ -25,6 +25,21 @@
 /// many. More than half of the bound is left for a slow store.
 const WATCH_DELAY_SHARE: f64 = 0.45;
 
+/// Share of the smallest update bound within which a change is read; the rest is
+/// left for requests on their way to a server.
+const READ_SHARE: f64 = 0.75;
+
+/// Calls that a change may need after the delay: a watch whose response doesn't
+/// contain it because it is full, and the next one.
+const CALLS_PER_CHANGE: u32 = 2;
+
+/// Share of the longest recent call that the next, shorter one leaves.
+const CALL_TIME_DECAY: f64 = 0.7;
+
+/// Size of a response from which it may be full, in bytes, so that more changes
+/// are waiting.
+const LARGE_RESPONSE: usize = 64 * 1024;
+
 /// Intervals of the calls to the store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct CallIntervals {
@@ -32,8 +47,12 @@
     pub(super) confirm_interval: Duration,
     /// Timeout of a confirmation.
     pub(super) confirm_timeout: Duration,
-    /// Delay between two watches.
-    pub(super) watch_delay: Duration,
+    /// Longest delay between two watches.
+    watch_delay: Duration,
+    /// Time within which a change must be read.
+    read_time: Duration,
+    /// Duration of recent calls.
+    call_time: Duration,
 }
 
 impl CallIntervals {
@@ -47,6 +66,25 @@
                 .mul_f64(CONFIRM_TIMEOUT_SHARE)
                 .max(MIN_CONFIRM_TIME),
             watch_delay: update_bound.mul_f64(WATCH_DELAY_SHARE),
+            read_time: update_bound.mul_f64(READ_SHARE),
+            call_time: Duration::ZERO,
+        }
+    }
+
+    /// Records the duration of a call that the store answers at once.
+    pub(super) fn record_call(&mut self, took: Duration) {
+        self.call_time = took.max(self.call_time.mul_f64(CALL_TIME_DECAY));
+    }
+
+    /// Returns the delay before the next watch.
+    ///
+    /// While the VM may lag behind the store, because calls failed recently or
+    /// the last response was large, it reads on at once.
+    pub(super) fn delay_after_watch(&self, response_bytes: usize, recovering: bool) -> Duration {
+        if recovering || response_bytes >= LARGE_RESPONSE {
+            return Duration::ZERO;
         }
+        let reading = self.call_time * CALLS_PER_CHANGE;
+        self.watch_delay.min(self.read_time.saturating_sub(reading))
     }
 }
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -6,8 +6,11 @@
 //! tables are still the latest. Keys are confirmed only by responses to calls
 //! that read or confirm the tables, not by the watch.
 //!
+//! In a drill, the store may return from an older copy of its data. Its era then
+//! rises, and revisions are given out again.
+//!
 //! The main invariant: a reported change is never undone by an older one,
-//! because each consumer compares revisions.
+//! because each consumer compares revisions within one era.
 
 mod connection;
 mod intervals;
@@ -21,7 +24,9 @@
 use mio::{Registry, Token};
 
 use crate::clock::Moment;
-use crate::format::{PlatformFormat, RecordKey, ReplicaId, StoreCall, StoreRecord, StoreResponse};
+use crate::format::{
+    PlatformFormat, RecordKey, ReplicaId, StoreCall, StoreEra, StoreRecord, StoreResponse,
+};
 use crate::settings::EdgeSettings;
 use connection::{CallOutcome, MIN_RETRY_DELAY, StoreConnection};
 use intervals::CallIntervals;
@@ -64,6 +69,8 @@
     /// The store confirmed that the tables of this revision, or newer ones
     /// reported before, are the latest; the call was sent at this time.
     Confirmed { revision: u64, sent: Moment },
+    /// The store has returned from an older copy of its data.
+    EraChanged { era: StoreEra },
     /// A call ended.
     CallEnded {
         call: &'static str,
@@ -82,6 +89,7 @@
     call_connection: StoreConnection,
     watch_connection: StoreConnection,
     queue: VecDeque<StoreCall>,
+    era: Option<StoreEra>,
     /// Revision up to which changes are known; `None` while lists are read.
     watch_revision: Option<u64>,
     /// Revision of the store when reading the lists began.
@@ -111,6 +119,7 @@
             call_connection: StoreConnection::new(tokens.0),
             watch_connection: StoreConnection::new(tokens.1),
             queue: VecDeque::new(),
+            era: None,
             watch_revision: None,
             list_revision: 0,
             listed_replicas: IndexSet::new(),
@@ -267,8 +276,14 @@
                 self.record_call(&call, reason, now, now);
                 self.handle_failure(is_watch, call, now);
             }
-            CallOutcome::Completed(call, sent, status, body) => {
-                match F::read_response(&call, status, &body) {
+            CallOutcome::Completed(call, sent, head, body) => {
+                if self.begins_era(F::store_era(&head.fields)) {
+                    // Revisions of the earlier era mean nothing in this response.
+                    self.record_call(&call, "new_era", sent, now);
+                    self.begin_era(now);
+                    return;
+                }
+                match F::read_response(&call, head.status, &body) {
                     Ok(StoreResponse::Refused(_)) => {
                         self.record_call(&call, "refused", sent, now);
                         self.handle_failure(is_watch, call, now);
@@ -278,7 +293,10 @@
                         if !is_watch && std::mem::take(&mut self.calls_failed) {
                             self.restart_watch(now);
                         }
-                        self.handle_response(call, response, sent, now);
+                        if !is_watch {
+                            self.intervals.record_call(now.saturating_sub(sent));
+                        }
+                        self.handle_response(call, response, body.len(), (sent, now));
                     }
                     Err(_) => {
                         self.record_call(&call, "malformed", sent, now);
@@ -289,6 +307,37 @@
         }
     }
 
+    /// Notes the era of a response, and returns whether it is a later one than
+    /// before.
+    fn begins_era(&mut self, era: Option<StoreEra>) -> bool {
+        let Some(era) = era else {
+            return false;
+        };
+        let known = self.era.replace(era);
+        let begins = known.is_some_and(|known| known < era);
+        if begins {
+            self.events.push(StoreEvent::EraChanged { era });
+        } else {
+            // A response of an earlier era arrived late.
+            self.era = known.max(Some(era));
+        }
+        begins
+    }
+
+    /// Reads everything again and writes what is this VM's own, because the
+    /// store has returned from an older copy of its data.
+    fn begin_era(&mut self, now: Moment) {
+        // Servers whose entries were lost write them again shortly.
+        self.last_failure = Some(now);
+        self.tables_revision = None;
+        self.lease = None;
+        self.renew_at = now;
+        self.restart_watch(now);
+        // A call that was sent in the earlier era confirms nothing.
+        self.call_connection.fail("new_era");
+        self.reload();
+    }
+
     fn record_call(&mut self, call: &StoreCall, outcome: &'static str, sent: Moment, now: Moment) {
         self.events.push(StoreEvent::CallEnded {
             call: call_name(call),
@@ -339,9 +388,10 @@
         &mut self,
         call: StoreCall,
         response: StoreResponse,
-        sent: Moment,
-        now: Moment,
+        bytes: usize,
+        times: (Moment, Moment),
     ) {
+        let (sent, now) = times;
         match (call, response) {
             (StoreCall::ReadTables, StoreResponse::Record(Some(record), as_of)) => {
                 self.list_revision = as_of;
@@ -371,7 +421,9 @@
                 {
                     self.watch_revision = Some(as_of);
                 }
-                self.watch_connection.retry_at = now + self.intervals.watch_delay;
+                let recovering = self.is_outage_suspected(now);
+                let delay = self.intervals.delay_after_watch(bytes, recovering);
+                self.watch_connection.retry_at = now + delay;
             }
             (StoreCall::Watch { .. }, StoreResponse::Compacted) => self.reload(),
             (StoreCall::ConfirmTables(revision), StoreResponse::Succeeded) => {
