Keep the backlogs that a less urgent class fills below a more urgent one's limit

With targets of 800 and 2,500 ms the less urgent class accepted backlogs of up to 626 ms and so kept the engines above the 355 ms of the more urgent one, which was refused.

Change: the limit of a class stays below 0.75 of that of each more urgent class that shares its engines. The classes come from the operators' tables.

Result: a policy test that fails without the change.

--- a/crates/dewedge/src/policy/engine_model.rs
+++ b/crates/dewedge/src/policy/engine_model.rs
@@ -203,11 +203,22 @@
     pub running: u32,
 }
 
+/// Targets of a class of streams, from its route.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct StreamClass {
+    /// Rank of the route; 0 is the most urgent.
+    pub priority: u8,
+    /// Target for the time to the first event.
+    pub latency_target: Duration,
+    /// Target for the gap between two events.
+    pub event_gap_target: Duration,
+}
+
 /// Estimates for the engines of one service.
 ///
 /// Engines of one service may differ in speed; placement multiplies these
 /// estimates by the slowness of each engine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct EngineModel {
     first_event: LineFit,
     event_gap: LineFit,
@@ -217,6 +228,7 @@
     classified_gap_ms: f64,
     /// Tightest target for the gap between two events, in ms.
     tightest_target_ms: f64,
+    classes: Vec<StreamClass>,
     stream_prefill: RunningMean,
     stream_duration: RunningMean,
 }
@@ -241,6 +253,7 @@
             saturation: PRIOR_SATURATION,
             classified_gap_ms: 0.0,
             tightest_target_ms: f64::INFINITY,
+            classes: Vec::new(),
             stream_prefill: RunningMean::default(),
             stream_duration: RunningMean::default(),
         };
@@ -318,10 +331,21 @@
             && self.prefill_ms(prompt_tokens) <= tightest_ms * MAX_PREFILL_SHARE
     }
 
-    /// Sets the tightest target for the gap between two events among the streams
-    /// of the service, from the operators' tables.
-    pub fn set_tightest_target(&mut self, event_gap_target: Duration) {
-        self.tightest_target_ms = event_gap_target.as_secs_f64() * 1000.0;
+    /// Sets the classes of streams that the service serves, from the operators'
+    /// tables.
+    pub fn set_classes(&mut self, classes: Vec<StreamClass>) {
+        let targets = classes.iter().map(|class| class.event_gap_target);
+        let tightest = targets.min().map(|target| target.as_secs_f64() * 1000.0);
+        self.tightest_target_ms = tightest.unwrap_or(f64::INFINITY);
+        self.classes = classes;
+    }
+
+    /// Returns the classes that are more urgent than a rank and share their
+    /// engines with it, because they aren't gap-sensitive.
+    pub fn more_urgent_classes(&self, priority: u8) -> impl Iterator<Item = &StreamClass> {
+        self.classes.iter().filter(move |class| {
+            class.priority < priority && !self.is_gap_sensitive(class.event_gap_target, 0)
+        })
     }
 
     /// Returns the share of an engine's time that the prefill of one
--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -75,6 +75,14 @@
 /// Requests at a plain server beyond its slots before others wait.
 const MAX_PLAIN_QUEUED: u32 = 2;
 
+/// Largest backlog limit of a class, as a share of the limit of a more urgent
+/// one.
+const LESS_URGENT_SHARE: f64 = 0.75;
+
+/// Share of its own backlog limit that a class keeps, however short the targets
+/// of more urgent classes are.
+const MIN_LIMIT_SHARE: f64 = 0.4;
+
 /// Cost of a server in another data centre, as a share of a busy slot.
 const REMOTE_COST: f64 = 0.15;
 
@@ -360,9 +368,22 @@
 
 /// Returns the prefill backlog, in ms, up to which the request is sent to an
 /// engine.
+///
+/// It stays below that of the more urgent classes, even if their targets are
+/// shorter; otherwise a less urgent class would keep the backlogs above their
+/// limits.
 fn backlog_limit_ms(query: &PlacementQuery<'_>, model: &EngineModel) -> f64 {
-    let share = BACKLOG_SHARES[usize::from(query.priority).min(BACKLOG_SHARES.len() - 1)];
-    let target_ms = query.latency_target.as_secs_f64() * 1000.0;
+    let own = class_limit_ms(query.priority, query.latency_target, model);
+    let more_urgent = model
+        .more_urgent_classes(query.priority)
+        .map(|class| class_limit_ms(class.priority, class.latency_target, model))
+        .fold(f64::INFINITY, f64::min);
+    own.min((more_urgent * LESS_URGENT_SHARE).max(own * MIN_LIMIT_SHARE))
+}
+
+fn class_limit_ms(priority: u8, latency_target: Duration, model: &EngineModel) -> f64 {
+    let share = BACKLOG_SHARES[usize::from(priority).min(BACKLOG_SHARES.len() - 1)];
+    let target_ms = latency_target.as_secs_f64() * 1000.0;
     share * (target_ms - model.first_event_ms()).max(0.0)
 }
 
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -187,8 +187,9 @@
             .number("version", table.version)
             .number("revision", revision)
             .number("routes", table.route_count() as u64);
-        for (service, target) in table.tightest_gap_targets() {
-            self.models.get_mut(service).set_tightest_target(target);
+        for (service, classes) in table.stream_classes() {
+            let classes = classes.into_iter().collect();
+            self.models.get_mut(service).set_classes(classes);
         }
         self.store.set_tables_revision(revision);
         self.table = Some(Arc::new(table));
--- a/crates/dewedge/src/tables.rs
+++ b/crates/dewedge/src/tables.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
+
+use crate::policy::engine_model::StreamClass;
 
 /// Kind of a route's requests, which decides whether they may be repeated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -232,20 +234,21 @@
         self.services.get(name)
     }
 
-    /// Returns the tightest target for the gap between two events among the
-    /// streaming routes of each service.
-    pub fn tightest_gap_targets(&self) -> IndexMap<&str, Duration> {
-        let mut targets: IndexMap<&str, Duration> = IndexMap::new();
+    /// Returns the distinct classes of the streaming routes of each service.
+    pub fn stream_classes(&self) -> IndexMap<&str, IndexSet<StreamClass>> {
+        let mut classes: IndexMap<&str, IndexSet<StreamClass>> = IndexMap::new();
         let routes = self.hosts.values().flat_map(IndexMap::values);
         for route in routes.filter(|route| route.kind == RequestKind::Streaming) {
             for share in &route.shares {
-                let target = targets
-                    .entry(share.service.as_str())
-                    .or_insert(route.event_gap_target);
-                *target = route.event_gap_target.min(*target);
+                let members = classes.entry(share.service.as_str()).or_default();
+                members.insert(StreamClass {
+                    priority: route.priority,
+                    latency_target: route.latency_target,
+                    event_gap_target: route.event_gap_target,
+                });
             }
         }
-        targets
+        classes
     }
 
     /// Returns the number of routes.
--- a/crates/dewedge/tests/engine_model.rs
+++ b/crates/dewedge/tests/engine_model.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dewedge::policy::engine_model::{EngineModel, FirstEventSample, GapSample};
+use dewedge::policy::engine_model::{EngineModel, FirstEventSample, GapSample, StreamClass};
 use quickcheck::quickcheck;
 
 /// An engine that produces samples.
@@ -130,7 +130,11 @@
     let mut model = EngineModel::default();
     let (tight, wide) = (Duration::from_millis(150), Duration::from_millis(280));
     assert!(model.is_gap_sensitive(wide, 3000));
-    model.set_tightest_target(tight);
+    model.set_classes(vec![StreamClass {
+        priority: 0,
+        latency_target: Duration::from_secs(1),
+        event_gap_target: tight,
+    }]);
     assert!(!model.is_gap_sensitive(tight, 3000));
     assert!(model.is_gap_sensitive(tight, 300));
     assert!(!model.is_gap_sensitive(wide, 300), "it can bear more");
--- a/crates/dewedge/tests/load_model.rs
+++ b/crates/dewedge/tests/load_model.rs
@@ -13,7 +13,7 @@
 
 use dewedge::format::PromptPart;
 use dewedge::policy::admission::max_wait;
-use dewedge::policy::engine_model::{EngineModel, FirstEventSample, GapSample};
+use dewedge::policy::engine_model::{EngineModel, FirstEventSample, GapSample, StreamClass};
 use dewedge::policy::placement::{
     PartCache, PlacementChoice, PlacementQuery, ReplicaView, ServerLoad, choose_engine,
     long_prefix_key, shared_prefix_tokens,
@@ -382,7 +382,7 @@
                 .collect(),
             digests: vec![vec![ServerLoad::default(); ENGINES]; VMS],
             own: vec![vec![ServerLoad::default(); ENGINES]; VMS],
-            engine_models: vec![EngineModel::default(); VMS],
+            engine_models: vec![learning_model(&deployment); VMS],
             results: [ClassResult::default(); 3],
             next_engine: 0,
             read_parts: BTreeSet::new(),
@@ -709,6 +709,18 @@
     }
 }
 
+/// Returns the model of a VM that has only read the tables.
+fn learning_model(deployment: &Deployment) -> EngineModel {
+    let mut model = EngineModel::default();
+    let classes = deployment.classes.iter().map(|spec| StreamClass {
+        priority: spec.priority,
+        latency_target: Duration::from_millis(spec.target_ms),
+        event_gap_target: Duration::from_millis(spec.event_gap_ms),
+    });
+    model.set_classes(classes.collect());
+    model
+}
+
 fn in_time_share(result: ClassResult) -> f64 {
     f64::from(result.in_time) / f64::from(result.requests)
 }
--- a/crates/dewedge/tests/policy.rs
+++ b/crates/dewedge/tests/policy.rs
@@ -5,7 +5,7 @@
 use dewedge::format::PromptPart;
 use dewedge::keys::KeyConfirmation;
 use dewedge::policy::admission::{is_queue_blocked, max_wait, retry_after};
-use dewedge::policy::engine_model::EngineModel;
+use dewedge::policy::engine_model::{EngineModel, StreamClass};
 use dewedge::policy::health::{AttemptResult, ReplicaHealth};
 use dewedge::policy::placement::{
     PartCache, PlacementChoice, PlacementQuery, ReplicaView, ServerLoad, choose_engine,
@@ -142,6 +142,38 @@
     ));
 }
 
+/// Guards against a less urgent class with a long target that keeps the backlogs
+/// of all engines above the limit of a more urgent one with a short target.
+#[test]
+fn a_more_urgent_class_accepts_the_backlogs_that_a_less_urgent_one_leaves() {
+    let cache = PartCache::default();
+    let prompt = parts(10, 100);
+    let class = |priority: u8, target: u64| StreamClass {
+        priority,
+        latency_target: ms(target),
+        event_gap_target: ms(2000),
+    };
+    let mut model = EngineModel::default();
+    model.set_classes(vec![class(1, 800), class(2, 2500)]);
+    for backlog_ms in (0..1000).map(f64::from) {
+        let load = ServerLoad {
+            requests: 1,
+            backlog_ms,
+            ..ServerLoad::default()
+        };
+        let views = twelve_engines(&cache, |_| load);
+        let is_busy = |priority, target| {
+            let query = PlacementQuery {
+                priority,
+                latency_target: ms(target),
+                ..query(&prompt, false)
+            };
+            choose_engine(&query, &views, &model) == PlacementChoice::Busy
+        };
+        assert!(is_busy(2, 2500) || !is_busy(1, 800), "{backlog_ms} ms");
+    }
+}
+
 #[test]
 fn ranks_are_those_of_the_workspace_then_of_the_route() {
     let mut ranks = Vec::new();
