Count only gaps that reading explains towards the saturated gap

Change: a longer gap counts if the unread prompts cover all of it, and a shorter one beside twice the saturated gap.

--- a/crates/dewedge/src/policy/engine_model.rs
+++ b/crates/dewedge/src/policy/engine_model.rs
@@ -65,12 +65,12 @@
 
 /// Least ratio of an engine's unread prompts to a gap for which reading them
 /// explains the gap.
-const EXPLAINING_BACKLOG_RATIO: f64 = 0.5;
+const EXPLAINING_BACKLOG_RATIO: f64 = 1.0;
 
 /// Least ratio of an engine's unread prompts to the saturated gap for which a
 /// shorter gap shows that the saturated gap is shorter, too. It is high because
 /// prompts count as unread until their first events arrive.
-const SATURATED_BACKLOG_RATIO: f64 = 4.0;
+const SATURATED_BACKLOG_RATIO: f64 = 2.0;
 
 /// Ratio to the gap without prefill, from which a gap is long. Shorter ones show
 /// that the engine had already read the prompts whose first events are awaited.
