Wait for a prompt's home as long as reading its prefix again takes

A home that was full for a moment sent the next prompt at once to any empty engine, which took 280 ms there instead of 90, so that engines filled with reading, and more homes were full.

Change: a prompt with a long shared prefix goes to an engine that has to read it again only after it has waited as long as that takes. An engine whose cache this VM knows to hold the prefix counts like the home.

The test that sent a request away from a full home at once now checks that it waits first and goes then.

--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -194,6 +194,8 @@
     pub gap_sensitive: bool,
     /// Target for the time to its first event.
     pub latency_target: Duration,
+    /// Time for which it has waited for a server.
+    pub waited: Duration,
     /// Current time.
     pub now: Moment,
 }
@@ -306,6 +308,7 @@
 ///     priority: 0,
 ///     gap_sensitive: false,
 ///     latency_target: Duration::from_secs(1),
+///     waited: Duration::ZERO,
 ///     now: Duration::ZERO,
 /// };
 /// let model = EngineModel::default();
@@ -337,7 +340,7 @@
     let home =
         home_key(query.parts).and_then(|key| home_engine(key, replicas, reserved, from_reserved));
     let limit = backlog_limit_ms(query, model);
-    let long_prefix = has_long_prefix(query.parts, model);
+    let prefix = SharedPrefix::of(query, model);
     let mut best: Option<(f64, usize, f64)> = None;
     let mut any_usable = false;
     for (index, replica) in replicas.iter().enumerate() {
@@ -346,7 +349,8 @@
         }
         any_usable = true;
         let is_home = home == Some(index);
-        if replica.warming_up || !has_capacity(query, replica, limit, is_home || !long_prefix) {
+        let max_requests = max_requests(query, replica, &prefix, is_home);
+        if replica.warming_up || !has_capacity(query, replica, limit, max_requests) {
             continue;
         }
         let prefill_ms = prefill_ms(query, replica, model, is_home);
@@ -387,22 +391,72 @@
     share * (target_ms - model.first_event_ms()).max(0.0)
 }
 
+/// The shared prefix of a prompt, which its home has read.
+struct SharedPrefix {
+    tokens: u32,
+    /// Whether reading it takes long.
+    is_long: bool,
+    /// Whether an engine may be chosen that has to read it again.
+    may_be_read_again: bool,
+}
+
+impl SharedPrefix {
+    /// A prompt waits for its home as long as reading the prefix again would
+    /// take. So the time that it loses is at most twice that of the better
+    /// choice in hindsight.
+    fn of(query: &PlacementQuery<'_>, model: &EngineModel) -> Self {
+        let tokens = shared_prefix_tokens(query.parts);
+        let prefix_ms = model.prefill_ms(tokens);
+        Self {
+            tokens,
+            is_long: prefix_ms >= LONG_PREFIX_MS,
+            may_be_read_again: query.waited.as_secs_f64() * 1000.0 >= prefix_ms,
+        }
+    }
+
+    /// Returns whether a VM may expect the prefix in the KV cache of an engine.
+    fn is_expected_at(
+        &self,
+        replica: &ReplicaView<'_>,
+        query: &PlacementQuery<'_>,
+        is_home: bool,
+    ) -> bool {
+        is_home || replica.cached_parts.cached_tokens(query.parts, query.now) >= self.tokens
+    }
+}
+
+/// Returns how many requests an engine may have when the request is sent to it.
+fn max_requests(
+    query: &PlacementQuery<'_>,
+    replica: &ReplicaView<'_>,
+    prefix: &SharedPrefix,
+    is_home: bool,
+) -> u32 {
+    if query.gap_sensitive {
+        return replica.slots;
+    }
+    if !prefix.is_long || prefix.is_expected_at(replica, query, is_home) {
+        let ranks_below = u32::from(LEAST_URGENT_RANK.saturating_sub(query.priority));
+        return replica
+            .slots
+            .min(MAX_ENGINE_REQUESTS + RANK_HEADROOM * ranks_below);
+    }
+    match prefix.may_be_read_again {
+        true => MAX_AWAY_REQUESTS,
+        false => 0,
+    }
+}
+
 fn has_capacity(
     query: &PlacementQuery<'_>,
     replica: &ReplicaView<'_>,
     limit_ms: f64,
-    keeps_prefix: bool,
+    max_requests: u32,
 ) -> bool {
     let tokens = u64::from(query.prompt_tokens) + u64::from(query.output_tokens);
     let capacity = (replica.kv_cache_tokens as f64 * KV_CACHE_SHARE) as u64;
     let empty = replica.load.requests == 0;
     let fits = empty || replica.load.tokens + tokens <= capacity;
-    let headroom = RANK_HEADROOM * u32::from(LEAST_URGENT_RANK.saturating_sub(query.priority));
-    let max_requests = match (query.gap_sensitive, keeps_prefix) {
-        (true, _) => replica.slots,
-        (false, true) => replica.slots.min(MAX_ENGINE_REQUESTS + headroom),
-        (false, false) => MAX_AWAY_REQUESTS,
-    };
     fits && replica.load.requests < max_requests
         && replica.load.backlog_ms * replica.slowness < limit_ms
 }
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -145,6 +145,7 @@
             priority: exchange.route.priority,
             gap_sensitive: is_gap_sensitive(&exchange.route, &exchange.metadata, model),
             latency_target: exchange.route.latency_target,
+            waited: self.now.saturating_sub(exchange.queued),
             now: self.now,
         };
         choose_engine(&query, &views, model)
--- a/crates/dewedge/tests/load_model.rs
+++ b/crates/dewedge/tests/load_model.rs
@@ -532,6 +532,7 @@
             priority: spec.priority,
             gap_sensitive: self.is_gap_sensitive(exchange_id),
             latency_target: Duration::from_millis(spec.target_ms),
+            waited: Duration::from_millis(now - request.arrived),
             now: Duration::from_millis(now),
         };
         match choose_engine(&query, &views, &self.engine_models[vm]) {
--- a/crates/dewedge/tests/policy.rs
+++ b/crates/dewedge/tests/policy.rs
@@ -9,7 +9,7 @@
 use dewedge::policy::health::{AttemptResult, ReplicaHealth};
 use dewedge::policy::placement::{
     PartCache, PlacementChoice, PlacementQuery, ReplicaView, ServerLoad, choose_engine,
-    choose_plain_server,
+    choose_plain_server, shared_prefix_tokens,
 };
 use dewedge::policy::queue::{
     ServerRequirements, WaitingQueue, WaitingRequest, engine_rank, request_rank,
@@ -404,6 +404,7 @@
         priority: 2,
         gap_sensitive,
         latency_target: ms(1500),
+        waited: Duration::ZERO,
         now: ms(1000),
     }
 }
@@ -451,14 +452,46 @@
         ..ServerLoad::default()
     };
     let views = twelve_engines(&cache, load_on(|hash| hash == home, full));
-    assert_ne!(
-        chosen(choose_engine(
-            &query(&prompt, false),
-            &views,
-            &EngineModel::default()
-        )),
-        home
+    let model = EngineModel::default();
+    let prefix_ms = model.prefill_ms(shared_prefix_tokens(&prompt)) as u64;
+    let waiting = |waited| PlacementQuery {
+        waited,
+        ..query(&prompt, false)
+    };
+    assert_eq!(
+        choose_engine(&waiting(ms(prefix_ms / 2)), &views, &model),
+        PlacementChoice::Busy,
+        "its home may have capacity before another engine has read the prefix"
     );
+    let other = chosen(choose_engine(&waiting(ms(prefix_ms + 1)), &views, &model));
+    assert_ne!(other, home);
+}
+
+/// Guards against a hot prefix that has one engine only, although others have
+/// read it.
+#[test]
+fn an_engine_that_has_read_the_prefix_is_as_good_as_a_full_home() {
+    let (empty, mut holding) = (PartCache::default(), PartCache::default());
+    let prompt = parts(10, 100);
+    holding.record_use(&prompt, ms(900));
+    let idle = twelve_engines(&empty, |_| ServerLoad::default());
+    let model = EngineModel::default();
+    let home = chosen(choose_engine(&query(&prompt, false), &idle, &model));
+    let full = ServerLoad {
+        requests: 12,
+        ..ServerLoad::default()
+    };
+    let holder = idle
+        .iter()
+        .map(|view| view.hash)
+        .find(|hash| *hash != home)
+        .expect("there are twelve");
+    let mut views = twelve_engines(&empty, load_on(|hash| hash == home, full));
+    for view in views.iter_mut().filter(|view| view.hash == holder) {
+        view.cached_parts = &holding;
+    }
+    let choice = choose_engine(&query(&prompt, false), &views, &model);
+    assert_eq!(chosen(choice), holder);
 }
 
 #[test]
