Share the free slots of an engine among the urgent ranks in steps

Under load the engines were full for both, and the class with the shorter target waited 280 ms while the other waited 875 ms for the same slots.

Change: the slots above the limit of the least urgent rank are shared in steps, so that rank 1 has half of them and rank 0 all.

--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -62,11 +62,9 @@
 /// Prefill time from which a shared prefix counts as long, in ms.
 const LONG_PREFIX_MS: f64 = 20.0;
 
-/// Extra requests at an engine for each rank above the least urgent one, so
-/// that a less urgent class can't fill the engines.
-const RANK_HEADROOM: u32 = 3;
-
-/// Least urgent route rank that is distinguished here; it gets no headroom.
+/// Least urgent route rank that is distinguished here. It gets no headroom; the
+/// others share the slots above [`MAX_ENGINE_REQUESTS`] in steps, so that a less
+/// urgent class can't fill the engines.
 const LEAST_URGENT_RANK: u8 = 2;
 
 /// Share of an engine's KV cache that requests may fill before others wait.
@@ -436,10 +434,10 @@
         return replica.slots;
     }
     if !prefix.is_long || prefix.is_expected_at(replica, query, is_home) {
+        let base = replica.slots.min(MAX_ENGINE_REQUESTS);
         let ranks_below = u32::from(LEAST_URGENT_RANK.saturating_sub(query.priority));
-        return replica
-            .slots
-            .min(MAX_ENGINE_REQUESTS + RANK_HEADROOM * ranks_below);
+        let headroom = (replica.slots - base) * ranks_below / u32::from(LEAST_URGENT_RANK);
+        return base + headroom;
     }
     match prefix.may_be_read_again {
         true => MAX_AWAY_REQUESTS,
