Look up the cached tokens of an engine once for each placement

Cause: the wait for a home looked up the cached parts of each engine a second time, and processor time is priced. Change: one look-up serves both uses.

--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -347,11 +347,17 @@
         }
         any_usable = true;
         let is_home = home == Some(index);
-        let max_requests = max_requests(query, replica, &prefix, is_home);
+        let cached_tokens = replica.cached_parts.cached_tokens(query.parts, query.now);
+        let expects_prefix = is_home || cached_tokens >= prefix.tokens;
+        let max_requests = max_requests(query, replica, &prefix, expects_prefix);
         if replica.warming_up || !has_capacity(query, replica, limit, max_requests) {
             continue;
         }
-        let prefill_ms = prefill_ms(query, replica, model, is_home);
+        let expected_tokens = match is_home {
+            true => cached_tokens.max(prefix.tokens),
+            false => cached_tokens,
+        };
+        let prefill_ms = model.prefill_ms(query.prompt_tokens.saturating_sub(expected_tokens));
         let cost = engine_cost(query, replica, model, prefill_ms);
         if best.is_none_or(|(lowest_cost, _, _)| cost < lowest_cost) {
             best = Some((cost, index, prefill_ms));
@@ -411,16 +417,6 @@
             may_be_read_again: query.waited.as_secs_f64() * 1000.0 >= prefix_ms,
         }
     }
-
-    /// Returns whether a VM may expect the prefix in the KV cache of an engine.
-    fn is_expected_at(
-        &self,
-        replica: &ReplicaView<'_>,
-        query: &PlacementQuery<'_>,
-        is_home: bool,
-    ) -> bool {
-        is_home || replica.cached_parts.cached_tokens(query.parts, query.now) >= self.tokens
-    }
 }
 
 /// Returns how many requests an engine may have when the request is sent to it.
@@ -428,12 +424,12 @@
     query: &PlacementQuery<'_>,
     replica: &ReplicaView<'_>,
     prefix: &SharedPrefix,
-    is_home: bool,
+    expects_prefix: bool,
 ) -> u32 {
     if query.gap_sensitive {
         return replica.slots;
     }
-    if !prefix.is_long || prefix.is_expected_at(replica, query, is_home) {
+    if !prefix.is_long || expects_prefix {
         let base = replica.slots.min(MAX_ENGINE_REQUESTS);
         let ranks_below = u32::from(LEAST_URGENT_RANK.saturating_sub(query.priority));
         let headroom = (replica.slots - base) * ranks_below / u32::from(LEAST_URGENT_RANK);
@@ -467,22 +463,6 @@
     }
 }
 
-fn prefill_ms(
-    query: &PlacementQuery<'_>,
-    replica: &ReplicaView<'_>,
-    model: &EngineModel,
-    is_home: bool,
-) -> f64 {
-    let cached = replica.cached_parts.cached_tokens(query.parts, query.now);
-    let expected = if is_home {
-        shared_prefix_tokens(query.parts)
-    } else {
-        0
-    };
-    let unread = query.prompt_tokens.saturating_sub(cached.max(expected));
-    model.prefill_ms(unread)
-}
-
 fn engine_cost(
     query: &PlacementQuery<'_>,
     replica: &ReplicaView<'_>,
