Name the back-off of servers and the engine model's constants in usual terms

Cause: "quiet", "wishes" and "surprise" are not the terms of the field, and four constants stood between the types.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -35,8 +35,8 @@
     pub entry: ReplicaEntry,
     /// Whether it was seen leaving.
     pub leaving: bool,
-    /// Until when it wants no request from this VM.
-    pub quiet_until: Moment,
+    /// Until when it accepts no request from this VM.
+    pub backoff_until: Moment,
     /// Whether its entry was removed.
     pub gone: bool,
     /// When its entry counts as removed, if it was lost in an outage of the
@@ -69,14 +69,14 @@
         !self.gone && !self.leaving
     }
 
-    /// Records that it wants no request from this VM for some time.
-    pub fn keep_quiet(&mut self, until: Moment) {
-        self.quiet_until = self.quiet_until.max(until);
+    /// Records that it accepts no request from this VM for some time.
+    pub fn back_off(&mut self, until: Moment) {
+        self.backoff_until = self.backoff_until.max(until);
     }
 
     fn reset(&mut self) {
         self.leaving = false;
-        self.quiet_until = Moment::ZERO;
+        self.backoff_until = Moment::ZERO;
         self.health = ReplicaHealth::default();
         self.cached_parts.clear();
         self.slowness = 1.0;
@@ -165,7 +165,7 @@
         }
     }
 
-    /// Records that a server said itself that it is leaving.
+    /// Records that a server announced in a response that it is leaving.
     pub fn mark_leaving(&mut self, index: ReplicaIndex) -> DirectoryChange {
         let replica = &mut self.replicas[index];
         match std::mem::replace(&mut replica.leaving, true) {
@@ -321,7 +321,7 @@
             hash,
             entry,
             leaving,
-            quiet_until: Moment::ZERO,
+            backoff_until: Moment::ZERO,
             gone: false,
             missing_until: None,
             health: ReplicaHealth::default(),
--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -84,7 +84,7 @@
     pub not_run: bool,
     /// Whether the server reports that it is leaving.
     pub leaving: bool,
-    /// Time for which the server wants no further request from this VM.
+    /// Time for which the server accepts no further request from this VM.
     pub retry_after: Option<Duration>,
 }
 
--- a/crates/dewedge/src/policy/engine_model.rs
+++ b/crates/dewedge/src/policy/engine_model.rs
@@ -51,17 +51,17 @@
 const SATURATION_STEP: f64 = 0.08;
 
 /// Number of samples that a prior counts as.
-const PRIOR_WEIGHT: f64 = 8.0;
+const PRIOR_SAMPLES: f64 = 8.0;
 
 /// Number of samples after which old ones are forgotten.
-const MEMORY: f64 = 400.0;
+const MEMORY_SAMPLES: f64 = 400.0;
 
 /// Largest factor between an estimate and its prior.
 const MAX_DEVIATION: f64 = 10.0;
 
-/// Largest factor between a sample and its prediction; samples beyond it are
+/// Largest ratio between a sample and its prediction; samples beyond it are
 /// clipped, so that single outliers have little effect.
-const MAX_SURPRISE: f64 = 2.0;
+const MAX_RESIDUAL_RATIO: f64 = 2.0;
 
 /// Least ratio of an engine's unread prompts to a gap for which reading them
 /// explains the gap.
@@ -89,14 +89,26 @@
 const TIGHTEST_TARGETS_RANGE: f64 = 1.25;
 
 /// Ratio of a gap target to the saturated gap up to which a stream is
-/// gap-sensitive even if there are tighter ones, because it would be late
+/// gap-sensitive even if other targets are tighter, because it would be late
 /// whenever prompts are read beside it.
-const SEVERE_SENSITIVITY: f64 = 0.6;
+const SEVERE_TARGET_RATIO: f64 = 0.6;
 
 /// Largest prefill time of a gap-sensitive stream, as a share of the tightest
 /// gap target.
 const MAX_PREFILL_SHARE: f64 = 0.25;
 
+/// Prompt tokens at which the prior of the prefill rate has full weight.
+const PROMPT_SCALE: f64 = 6000.0;
+
+/// Running requests at which the prior of the gap growth has full weight.
+const RUNNING_SCALE: f64 = 30.0;
+
+/// Prior of the prefill time of a gap-sensitive stream, in ms.
+const PRIOR_STREAM_PREFILL_MS: f64 = 15.0;
+
+/// Prior of the duration of a gap-sensitive stream, in ms.
+const PRIOR_STREAM_DURATION_MS: f64 = 1500.0;
+
 /// Straight line fitted by weighted least squares with exponential forgetting.
 #[derive(Clone, Copy, Debug)]
 struct LineFit {
@@ -126,8 +138,11 @@
     fn record(&mut self, x: f64, y: f64) {
         let (intercept, slope) = self.line();
         let predicted = intercept + slope * x;
-        let y = y.clamp(predicted / MAX_SURPRISE, predicted * MAX_SURPRISE);
-        let kept = 1.0 - 1.0 / MEMORY;
+        let y = y.clamp(
+            predicted / MAX_RESIDUAL_RATIO,
+            predicted * MAX_RESIDUAL_RATIO,
+        );
+        let kept = 1.0 - 1.0 / MEMORY_SAMPLES;
         self.weight = self.weight * kept + 1.0;
         self.sum_x = self.sum_x * kept + x;
         self.sum_y = self.sum_y * kept + y;
@@ -141,8 +156,8 @@
     /// that the fit is defined for any samples.
     fn line(&self) -> (f64, f64) {
         let (intercept, slope) = self.prior;
-        let half = PRIOR_WEIGHT / 2.0;
-        let weight = self.weight + PRIOR_WEIGHT;
+        let half = PRIOR_SAMPLES / 2.0;
+        let weight = self.weight + PRIOR_SAMPLES;
         let sum_x = self.sum_x + half * self.scale;
         let sum_y = self.sum_y + half * (2.0 * intercept + slope * self.scale);
         let sum_xx = self.sum_xx + half * self.scale * self.scale;
@@ -168,13 +183,13 @@
 
 impl RunningMean {
     fn record(&mut self, value: f64) {
-        let kept = 1.0 - 1.0 / MEMORY;
+        let kept = 1.0 - 1.0 / MEMORY_SAMPLES;
         self.weight = self.weight * kept + 1.0;
         self.sum = self.sum * kept + value;
     }
 
     fn mean(&self, prior: f64) -> f64 {
-        (self.sum + PRIOR_WEIGHT * prior) / (self.weight + PRIOR_WEIGHT)
+        (self.sum + PRIOR_SAMPLES * prior) / (self.weight + PRIOR_SAMPLES)
     }
 }
 
@@ -233,18 +248,6 @@
     stream_duration: RunningMean,
 }
 
-/// Prompt tokens at which the prior of the prefill rate has full weight.
-const PROMPT_SCALE: f64 = 6000.0;
-
-/// Running requests at which the prior of the gap growth has full weight.
-const RUNNING_SCALE: f64 = 30.0;
-
-/// Prior of the prefill time of a gap-sensitive stream, in ms.
-const PRIOR_STREAM_PREFILL_MS: f64 = 15.0;
-
-/// Prior of the duration of a gap-sensitive stream, in ms.
-const PRIOR_STREAM_DURATION_MS: f64 = 1500.0;
-
 impl Default for EngineModel {
     fn default() -> Self {
         let mut model = Self {
@@ -325,7 +328,7 @@
         let target_ms = event_gap_target.as_secs_f64() * 1000.0;
         let tightest_ms = target_ms.min(self.tightest_target_ms);
         let is_tight = target_ms <= tightest_ms * TIGHTEST_TARGETS_RANGE
-            || target_ms <= self.classified_gap_ms * SEVERE_SENSITIVITY;
+            || target_ms <= self.classified_gap_ms * SEVERE_TARGET_RATIO;
         is_tight
             && target_ms < self.classified_gap_ms * SENSITIVITY_MARGIN
             && self.prefill_ms(prompt_tokens) <= tightest_ms * MAX_PREFILL_SHARE
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -173,7 +173,7 @@
             !replica.idle_conns.is_empty() || replica.open_connections < service.connection_limit;
         let usable = replica.is_listed()
             && has_connection
-            && replica.quiet_until <= self.now
+            && replica.backoff_until <= self.now
             && replica.health.is_usable(self.now)
             && !exchange.tried_replicas.contains(&index);
         let warming_up = service.staggers_starts
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -174,14 +174,14 @@
         conn.channel.consume(head.length);
         conn.decoder = Some(BodyDecoder::new(head.body));
         conn.head = Some(head);
-        self.apply_server_wishes(replica, status, &metadata);
+        self.apply_server_notices(replica, status, &metadata);
         Ok(true)
     }
 
-    /// Applies what a server says in a response about further requests.
+    /// Applies what a response announces about further requests to its server.
     ///
     /// A response with status 421 comes from another server at the address.
-    fn apply_server_wishes(&mut self, replica: usize, status: u16, metadata: &ResponseMetadata) {
+    fn apply_server_notices(&mut self, replica: usize, status: u16, metadata: &ResponseMetadata) {
         if status == 421 {
             return;
         }
@@ -191,9 +191,9 @@
         }
         if let (503, Some(delay)) = (status, metadata.retry_after) {
             let replica_state = self.directory.get_mut(replica);
-            replica_state.keep_quiet(self.now + delay);
+            replica_state.back_off(self.now + delay);
             self.logs
-                .system("directory", "quiet")
+                .system("directory", "backing_off")
                 .text("server", &replica_state.id)
                 .ms("retry_after_ms", delay);
         }
--- a/crates/dewedge/tests/directory.rs
+++ b/crates/dewedge/tests/directory.rs
@@ -45,20 +45,20 @@
 }
 
 /// Guards against an entry that expires in an outage of the store and is written
-/// again by a server that said in a response that it leaves or wants no request.
+/// again by a server that announced that it leaves, or a retry delay.
 #[test]
 fn what_a_server_said_outlives_an_entry_that_is_written_again() {
     let mut directory = directory(1);
     let id = || "i-0".to_string();
     assert_eq!(directory.mark_leaving(0), DirectoryChange::Leaving(0));
-    directory.get_mut(0).keep_quiet(NOW);
+    directory.get_mut(0).back_off(NOW);
     directory.remove("i-0", 2, false, NOW);
     directory.apply(id(), entry(0, ReplicaStage::Ready, 1), 3);
     assert!(!directory.get(0).is_listed(), "it said that it leaves");
-    assert_eq!(directory.get(0).quiet_until, NOW);
+    assert_eq!(directory.get(0).backoff_until, NOW);
     directory.apply(id(), entry(0, ReplicaStage::Ready, 2), 4);
     assert!(directory.get(0).is_listed(), "it has restarted");
-    assert_eq!(directory.get(0).quiet_until, Duration::ZERO);
+    assert_eq!(directory.get(0).backoff_until, Duration::ZERO);
 }
 
 #[test]
