Keep a short delay between watches while a VM catches up

After a failed call a VM read each change with a watch of its own for four seconds, without any delay, while servers came and went.

Change: a tenth of the usual delay stays between two watches in that time, and after a large response.

--- a/crates/dewedge/src/storage/intervals.rs
+++ b/crates/dewedge/src/storage/intervals.rs
@@ -25,6 +25,11 @@
 /// many. More than half of the bound is left for a slow store.
 const WATCH_DELAY_SHARE: f64 = 0.45;
 
+/// Share of the longest delay that is left between two watches while the VM may
+/// lag behind the store. A store with many changes answers each watch at once,
+/// so without any delay the VMs would call it continuously.
+const CATCH_UP_DELAY_SHARE: f64 = 0.1;
+
 /// Share of the smallest update bound within which a change is read; the rest is
 /// left for requests on their way to a server.
 const READ_SHARE: f64 = 0.75;
@@ -78,11 +83,11 @@
 
     /// Returns the delay before the next watch.
     ///
-    /// While the VM may lag behind the store, because calls failed recently or
-    /// the last response was large, it reads on at once.
+    /// It is short while the VM may lag behind the store, because calls failed
+    /// recently or the last response was large.
     pub(super) fn delay_after_watch(&self, response_bytes: usize, recovering: bool) -> Duration {
         if recovering || response_bytes >= LARGE_RESPONSE {
-            return Duration::ZERO;
+            return self.watch_delay.mul_f64(CATCH_UP_DELAY_SHARE);
         }
         let reading = self.call_time * CALLS_PER_CHANGE;
         self.watch_delay.min(self.read_time.saturating_sub(reading))
