Say that the revision of a route table changes with the store's era

Cause: the module still said that a table never changes, and a new era of the store sets its revision. Change: the comment. Result: formatted; no code changes, and no test was run for it.

--- a/crates/dewedge/src/tables.rs
+++ b/crates/dewedge/src/tables.rs
@@ -1,7 +1,8 @@
 //! The operators' tables: routes, services, workspaces and limits of callers.
 //!
-//! The main invariant: a [`RouteTable`] is immutable. A change of the tables
-//! creates a new one, and requests in progress keep their route.
+//! The main invariant: the rows of a [`RouteTable`] are immutable. A change of
+//! the tables creates a new one, and requests in progress keep their route. Only
+//! the store revision of a table changes, when the store begins a new era.
 
 use std::sync::Arc;
 use std::time::Duration;
