Log why an attempt was ended: silence, isolation, or the connection

Cause: the log lines of a broken-off request said "silent" or "closed" and couldn't tell a suspected server from an isolated VM, nor a server that closed its connection from a connection that the kernel gave up. Change: a line "attempt silent" with the length of the silence of the request and of its server; lines "process isolated" and "connected"; the outcomes "connection reset" and "connection timed out" beside "closed". Decisions stay as they are.

--- a/crates/dewedge/src/net.rs
+++ b/crates/dewedge/src/net.rs
@@ -47,6 +47,8 @@
     outbound: Vec<u8>,
     written: usize,
     read_state: ReadState,
+    /// Kind of the error that broke the connection.
+    broken_by: Option<io::ErrorKind>,
 }
 
 impl TcpChannel {
@@ -57,6 +59,7 @@
             outbound: Vec::new(),
             written: 0,
             read_state: ReadState::Open,
+            broken_by: None,
         }
     }
 
@@ -91,7 +94,10 @@
                 Ok(count) => self.written += count,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => return Err(error),
+                Err(error) => {
+                    self.broken_by.get_or_insert(error.kind());
+                    return Err(error);
+                }
             }
         }
         self.outbound.clear();
@@ -116,12 +122,24 @@
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => self.read_state = ReadState::Broken,
+                Err(error) => {
+                    self.broken_by.get_or_insert(error.kind());
+                    self.read_state = ReadState::Broken;
+                }
             }
         }
         self.read_state
     }
 
+    /// Returns how the connection ended, for log lines.
+    pub(crate) fn end_reason(&self) -> &'static str {
+        match self.broken_by {
+            None => "closed",
+            Some(io::ErrorKind::TimedOut) => "connection timed out",
+            Some(_) => "connection reset",
+        }
+    }
+
     /// Removes the first bytes of the inbound buffer.
     pub(crate) fn consume(&mut self, count: usize) {
         self.inbound.drain(..count);
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -512,6 +512,7 @@
         // An isolated VM aborts the attempt even if none is left, since the
         // caller can retry through another VM.
         if server_silent && (self.can_retry(exchange_id) || self.is_isolated()) {
+            self.log_silence(exchange_id);
             self.abort_attempt(conn_id, "silent");
         } else {
             self.arm_exchange(exchange_id, now + SILENCE_CHECK_INTERVAL);
@@ -541,6 +542,29 @@
             .ms("took_ms", self.now.saturating_sub(exchange.sent_load.sent));
     }
 
+    /// Logs how long an attempt and its server have been silent.
+    fn log_silence(&mut self, exchange_id: usize) {
+        let exchange = &self.exchanges[exchange_id];
+        let replica = self.directory.get(exchange.sent_load.replica);
+        let server_silence = replica
+            .last_received
+            .map_or(Duration::MAX, |time| self.now.saturating_sub(time));
+        let isolated = self.is_isolated();
+        self.logs
+            .request("attempt", "silent")
+            .text("request", &exchange.metadata.attempt)
+            .text("server", &replica.id)
+            .number("send", exchange.sends)
+            .number("events", event_count(exchange))
+            .number("isolated", isolated)
+            .ms(
+                "silent_ms",
+                self.now.saturating_sub(last_activity(exchange)),
+            )
+            .ms("server_silent_ms", server_silence)
+            .ms("left_ms", exchange.deadline.saturating_sub(self.now));
+    }
+
     fn log_finished(
         &mut self,
         exchange_id: usize,
@@ -565,6 +589,12 @@
     }
 }
 
+/// Returns the number of events that the caller has received.
+fn event_count(exchange: &Exchange) -> u64 {
+    let stream = exchange.stream.as_ref();
+    stream.map_or(0, |stream| stream.splitter.event_count())
+}
+
 /// Returns when the server was last active on a request.
 fn last_activity(exchange: &Exchange) -> Moment {
     match &exchange.stream {
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -180,6 +180,7 @@
             last_received: now,
             unanswered_sends: 0,
             first_unanswered: now,
+            was_isolated: false,
             stopping: None,
             body_bytes: 0,
             format: PhantomData,
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -125,7 +125,11 @@
                 }
                 ResponseStep::Invalid(reason) => self.abort_attempt(conn_id, reason),
                 ResponseStep::Wait if read_state != ReadState::Open => {
-                    self.abort_attempt(conn_id, "closed")
+                    let reason = self
+                        .server_conns
+                        .get(conn_id)
+                        .map_or("closed", |conn| conn.channel.end_reason());
+                    self.abort_attempt(conn_id, reason);
                 }
                 ResponseStep::Wait => {}
             }
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -239,6 +239,8 @@
     /// Requests sent since then, and when the first of them was sent.
     pub(crate) unanswered_sends: u32,
     pub(crate) first_unanswered: Moment,
+    /// Whether the VM seemed isolated when it was last checked.
+    pub(crate) was_isolated: bool,
     /// When the stop signal arrived.
     pub(crate) stopping: Option<Moment>,
     /// Bytes of request bodies in memory.
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -248,6 +248,7 @@
         for index in self.directory.expire(self.now) {
             self.apply_directory_change(DirectoryChange::Gone(index));
         }
+        self.log_isolation();
         // Ejections end and digests expire without an event.
         self.peer_load_stale = true;
         let waiting: Vec<String> = self
@@ -268,6 +269,18 @@
         self.timers.arm(due, TimerKey::Housekeeping);
     }
 
+    /// Logs a change of whether the VM seems isolated from all servers.
+    fn log_isolation(&mut self) {
+        let isolated = self.is_isolated();
+        if isolated != std::mem::replace(&mut self.was_isolated, isolated) {
+            let event = if isolated { "isolated" } else { "connected" };
+            self.logs
+                .system("process", event)
+                .number("unanswered_sends", self.unanswered_sends)
+                .ms("silent_ms", self.now.saturating_sub(self.last_received));
+        }
+    }
+
     /// Reads the digests of the other VMs.
     pub(crate) fn read_digests(&mut self) {
         let mut buffer = [0; MAX_DATAGRAM];
