Hedge a request whose server falls silent instead of ending its attempt

What callers see: their stream is broken off, or they get 502, while their server is sound and only silent for a second or two. Cause: after 1 s of silence the attempt was aborted, and only then was another server looked for. Without one that had room, with an empty retry budget, or when that one rejected the request, nothing was left. A retryable request is sent to another server as well, if one has room and the budget permits; the silent attempt stands by, and the first to respond goes on. A failed hedge returns to the standby. Why it works: no attempt ends before another one has responded, so an answer is lost only when both fail or the deadline passes.

--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -32,7 +32,7 @@
 const MIN_CONNECTIONS: u32 = 4;
 
 /// Remaining time below which a request isn't sent.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
+pub(crate) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
 /// Share of a connection's idle timeout after which only retryable requests are
 /// sent on it; the server may close it before it has received the request.
@@ -114,7 +114,7 @@
     }
 
     /// Chooses a server for a request.
-    fn choose_server(&mut self, exchange_id: usize) -> PlacementChoice {
+    pub(crate) fn choose_server(&mut self, exchange_id: usize) -> PlacementChoice {
         let tie_breaker = self.next_random();
         let Some(exchange) = self.exchanges.get(exchange_id) else {
             return PlacementChoice::Unavailable;
@@ -210,6 +210,18 @@
             self.fail_request(exchange_id, "retry_budget");
             return;
         }
+        self.start_attempt(exchange_id, replica, prefill_ms, cost);
+    }
+
+    /// Writes a request to a connection to a server.
+    pub(crate) fn start_attempt(
+        &mut self,
+        exchange_id: usize,
+        replica: ReplicaIndex,
+        prefill_ms: f64,
+        cost: f64,
+    ) {
+        let now = self.now;
         let retryable = self.exchanges[exchange_id].route.is_retryable();
         // While the VM seems isolated, a new connection tests whether the
         // server is reachable.
@@ -246,7 +258,7 @@
         self.arm_exchange(exchange_id, due);
     }
 
-    fn try_acquire_retry(&mut self, exchange_id: usize) -> bool {
+    pub(crate) fn try_acquire_retry(&mut self, exchange_id: usize) -> bool {
         let now = self.now;
         let service = self.exchanges[exchange_id].service.clone();
         let slack = vm_slack(self.settings.retry_slack, self.peers.vm_count());
@@ -296,6 +308,7 @@
             gap_sensitive,
             unread: true,
             counted: true,
+            suspected: false,
         };
         replica_state.own_load.requests += 1;
         replica_state.own_load.backlog_ms += prefill_ms;
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -5,6 +5,7 @@
 //! - [`dispatch`]: sends waiting requests to servers.
 //! - [`servers`]: connections to servers, parsed into attempt outcomes.
 //! - [`outcomes`]: retries or completes a request after an attempt.
+//! - [`silence`]: servers that fall silent while they run a request.
 //! - [`responses`]: writes responses to callers.
 //! - [`admin`]: readiness checks and metrics.
 //! - [`updates`]: applies updates from the store and load digests of the
@@ -14,8 +15,8 @@
 //! work to another thread costs more than the work itself.
 //!
 //! An exchange is one request of a caller with all its attempts at servers. The
-//! main invariant: each exchange has one owner at a time, the queue or one
-//! connection to a server, and its caller gets one response.
+//! main invariant: each exchange has one owner at a time, the queue or the
+//! connection of its current attempt, and its caller gets one response.
 
 mod admin;
 mod callers;
@@ -25,6 +26,7 @@
 mod responses;
 mod run;
 mod servers;
+mod silence;
 mod state;
 mod timers;
 mod updates;
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -4,17 +4,13 @@
 //! request that may have run and isn't retryable is answered with 502 or 504,
 //! or its connection is closed, but never with 503.
 
-use std::time::Duration;
-
-use crate::clock::Moment;
 use crate::directory::ReplicaIndex;
 use crate::format::PlatformFormat;
 use crate::http::ResponseHead;
 use crate::policy::engine_model::{FirstEventSample, GapSample};
 use crate::policy::health::AttemptResult;
-use crate::tables::RequestKind;
 
-use super::state::{CallerId, EdgeState, Exchange, ExchangePhase, FallbackResponse};
+use super::state::{CallerId, EdgeState, ExchangePhase, FallbackResponse, SentLoad};
 
 /// Outcome of an attempt.
 #[derive(Debug)]
@@ -42,33 +38,7 @@
 }
 
 /// Failed connections that a request may have before it fails.
-const MAX_CONNECT_FAILURES: u32 = 4;
-
-/// Time after the deadline for which a server's response is still awaited.
-const RESPONSE_GRACE: Duration = Duration::from_millis(80);
-
-/// Minimum silence after which a stream counts as stalled. The kernel detects
-/// unreachable servers; this detects servers that accept requests and never
-/// respond.
-const MIN_STREAM_SILENCE: Duration = Duration::from_millis(1000);
-
-/// Multiple of the event gap target after which a stream counts as stalled.
-const GAP_SILENCE_FACTOR: f64 = 3.0;
-
-/// Multiple of the latency target after which a stream without events counts as
-/// stalled.
-const FIRST_EVENT_SILENCE_FACTOR: f64 = 1.2;
-
-/// Multiple of the latency target after which a plain request counts as
-/// stalled.
-const PLAIN_SILENCE_FACTOR: f64 = 2.0;
-
-/// Minimum silence after which a plain request counts as stalled.
-const MIN_PLAIN_SILENCE: Duration = Duration::from_millis(300);
-
-/// Interval at which a stalled request is checked again while it can't be
-/// retried or its server still responds to other requests.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+pub(crate) const MAX_CONNECT_FAILURES: u32 = 4;
 
 /// Weight of the newest time to first event in the moving average of slowness.
 const SLOWNESS_WEIGHT: f64 = 0.15;
@@ -102,6 +72,9 @@
                     self.record_attempt_result(replica, AttemptResult::Failed);
                 }
                 self.log_outcome(exchange_id, replica, "not_run", u64::from(status));
+                if self.restore_standby(exchange_id) {
+                    return;
+                }
                 if self.can_retry(exchange_id) {
                     self.enqueue(exchange_id);
                 } else {
@@ -125,6 +98,9 @@
                 };
                 self.record_attempt_result(replica, result);
                 self.log_outcome(exchange_id, replica, reason, 0);
+                if self.restore_standby(exchange_id) {
+                    return;
+                }
                 if self.exchanges[exchange_id].route.is_retryable() && self.can_retry(exchange_id) {
                     self.requeue(exchange_id);
                 } else {
@@ -152,6 +128,10 @@
     pub(crate) fn on_connect_failure(&mut self, exchange_id: usize, replica: ReplicaIndex) {
         self.record_attempt_result(replica, AttemptResult::Unresponsive);
         self.log_outcome(exchange_id, replica, "not_connected", 0);
+        if self.restore_standby(exchange_id) {
+            self.exchanges[exchange_id].connect_failures += 1;
+            return;
+        }
         let exchange = &mut self.exchanges[exchange_id];
         exchange.connect_failures += 1;
         if exchange.connect_failures > MAX_CONNECT_FAILURES {
@@ -178,7 +158,7 @@
     }
 
     /// Returns whether a request has time and attempts left for a retry.
-    fn can_retry(&self, exchange_id: usize) -> bool {
+    pub(crate) fn can_retry(&self, exchange_id: usize) -> bool {
         let exchange = &self.exchanges[exchange_id];
         exchange.sends < exchange.route.max_attempts && exchange.deadline > self.now
     }
@@ -198,7 +178,10 @@
         };
         self.record_attempt_result(replica, result);
         let started = self.response_started(exchange_id);
-        if failed && self.exchanges[exchange_id].route.is_retryable() && self.can_retry(exchange_id)
+        let has_standby = self.exchanges[exchange_id].standby.is_some();
+        if failed
+            && self.exchanges[exchange_id].route.is_retryable()
+            && (has_standby || self.can_retry(exchange_id))
         {
             self.log_outcome(exchange_id, replica, "failed", u64::from(head.status));
             let exchange = &mut self.exchanges[exchange_id];
@@ -207,6 +190,9 @@
             if !started {
                 exchange.fallback = Some(FallbackResponse { head, body });
             }
+            if self.restore_standby(exchange_id) {
+                return;
+            }
             self.requeue(exchange_id);
             return;
         }
@@ -256,7 +242,7 @@
     }
 
     /// Returns whether the caller has received the start of its response.
-    fn response_started(&self, exchange_id: usize) -> bool {
+    pub(crate) fn response_started(&self, exchange_id: usize) -> bool {
         let stream = self.exchanges[exchange_id].stream.as_ref();
         stream.is_some_and(|stream| stream.head_sent)
     }
@@ -288,7 +274,7 @@
             return;
         }
         let exchange = &self.exchanges[exchange_id];
-        if exchange.may_have_run {
+        if exchange.may_have_run || exchange.standby.is_some() {
             let late = exchange.deadline <= self.now;
             let status = if late { 504 } else { 502 };
             self.log_finished(
@@ -332,6 +318,7 @@
     /// Removes a request from its queue and its connection to a server.
     fn detach(&mut self, exchange_id: usize) {
         self.release_load(exchange_id);
+        self.drop_standby(exchange_id);
         let Some(exchange) = self.exchanges.get(exchange_id) else {
             return;
         };
@@ -370,10 +357,17 @@
         let Some(exchange) = self.exchanges.get_mut(exchange_id) else {
             return;
         };
-        if !std::mem::take(&mut exchange.sent_load.counted) {
+        let load = exchange.sent_load;
+        exchange.sent_load.counted = false;
+        let service = exchange.service.clone();
+        self.release_sent_load(load, service);
+    }
+
+    /// Removes an attempt from the load on its server.
+    pub(crate) fn release_sent_load(&mut self, load: SentLoad, service: String) {
+        if !load.counted {
             return;
         }
-        let load = exchange.sent_load;
         let own = &mut self.directory.get_mut(load.replica).own_load;
         own.requests = own.requests.saturating_sub(1);
         own.tokens = own.tokens.saturating_sub(load.tokens);
@@ -386,7 +380,6 @@
         if own.requests == 0 {
             own.backlog_ms = 0.0;
         }
-        let service = exchange.service.clone();
         self.digest_due = true;
         self.pending_dispatches.push_back(service);
     }
@@ -471,60 +464,12 @@
         }
     }
 
-    /// Returns when a sent request is checked next.
-    pub(crate) fn next_check_time(&self, exchange_id: usize) -> Moment {
-        let exchange = &self.exchanges[exchange_id];
-        let last = exchange.deadline + RESPONSE_GRACE;
-        match silence_limit(exchange) {
-            Some(limit) => (last_activity(exchange) + limit).min(last),
-            None => last,
-        }
-    }
-
-    /// Handles an expired timer of a request.
-    pub(crate) fn on_exchange_timer(&mut self, exchange_id: usize) {
-        let now = self.now;
-        let Some(exchange) = self.exchanges.get(exchange_id) else {
-            return;
-        };
-        let conn_id = match exchange.phase {
-            ExchangePhase::Waiting => {
-                self.expire(exchange_id);
-                return;
-            }
-            ExchangePhase::Sent(conn_id) => conn_id,
-        };
-        if exchange.deadline + RESPONSE_GRACE <= now {
-            self.exchanges[exchange_id].may_have_run = true;
-            self.fail_request(exchange_id, "timeout");
-            return;
-        }
-        let due = self.next_check_time(exchange_id);
-        if due > now {
-            self.arm_exchange(exchange_id, due);
-            return;
-        }
-        let last_received = self.directory.get(exchange.sent_load.replica).last_received;
-        let server_silent = last_received.is_none_or(|last_received| {
-            now.saturating_sub(last_received) >= MIN_STREAM_SILENCE
-                || last_received < exchange.sent_load.sent
-        });
-        // An isolated VM aborts the attempt even if none is left, since the
-        // caller can retry through another VM.
-        if server_silent && (self.can_retry(exchange_id) || self.is_isolated()) {
-            self.log_silence(exchange_id);
-            self.abort_attempt(conn_id, "silent");
-        } else {
-            self.arm_exchange(exchange_id, now + SILENCE_CHECK_INTERVAL);
-        }
-    }
-
     /// Fails a request that waited too long for a server.
     pub(crate) fn expire(&mut self, exchange_id: usize) {
         self.fail_request(exchange_id, "no_server_in_time");
     }
 
-    fn log_outcome(
+    pub(crate) fn log_outcome(
         &mut self,
         exchange_id: usize,
         replica: ReplicaIndex,
@@ -542,29 +487,6 @@
             .ms("took_ms", self.now.saturating_sub(exchange.sent_load.sent));
     }
 
-    /// Logs how long an attempt and its server have been silent.
-    fn log_silence(&mut self, exchange_id: usize) {
-        let exchange = &self.exchanges[exchange_id];
-        let replica = self.directory.get(exchange.sent_load.replica);
-        let server_silence = replica
-            .last_received
-            .map_or(Duration::MAX, |time| self.now.saturating_sub(time));
-        let isolated = self.is_isolated();
-        self.logs
-            .request("attempt", "silent")
-            .text("request", &exchange.metadata.attempt)
-            .text("server", &replica.id)
-            .number("send", exchange.sends)
-            .number("events", event_count(exchange))
-            .number("isolated", isolated)
-            .ms(
-                "silent_ms",
-                self.now.saturating_sub(last_activity(exchange)),
-            )
-            .ms("server_silent_ms", server_silence)
-            .ms("left_ms", exchange.deadline.saturating_sub(self.now));
-    }
-
     fn log_finished(
         &mut self,
         exchange_id: usize,
@@ -588,43 +510,3 @@
             .ms("took_ms", self.now.saturating_sub(exchange.arrived));
     }
 }
-
-/// Returns the number of events that the caller has received.
-fn event_count(exchange: &Exchange) -> u64 {
-    let stream = exchange.stream.as_ref();
-    stream.map_or(0, |stream| stream.splitter.event_count())
-}
-
-/// Returns when the server was last active on a request.
-fn last_activity(exchange: &Exchange) -> Moment {
-    match &exchange.stream {
-        Some(stream) if stream.head_sent => stream.last_event_at.max(exchange.sent_load.sent),
-        _ => exchange.sent_load.sent,
-    }
-}
-
-/// Returns the silence after which a request is retried at another server, if
-/// it is retryable.
-fn silence_limit(exchange: &Exchange) -> Option<Duration> {
-    if !exchange.route.is_retryable() {
-        return None;
-    }
-    let started = exchange
-        .stream
-        .as_ref()
-        .is_some_and(|stream| stream.head_sent);
-    let limit = match exchange.route.kind {
-        RequestKind::Streaming if started => {
-            exchange.route.event_gap_target.mul_f64(GAP_SILENCE_FACTOR)
-        }
-        RequestKind::Streaming => exchange
-            .route
-            .latency_target
-            .mul_f64(FIRST_EVENT_SILENCE_FACTOR),
-        _ => exchange.route.latency_target.mul_f64(PLAIN_SILENCE_FACTOR),
-    };
-    Some(match exchange.route.kind {
-        RequestKind::Streaming => limit.max(MIN_STREAM_SILENCE),
-        _ => limit.max(MIN_PLAIN_SILENCE),
-    })
-}
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -196,6 +196,7 @@
             stream: None,
             fallback: None,
             sent_load: SentLoad::default(),
+            standby: None,
             timer: LazyTimer::default(),
         });
         self.metrics.in_flight.inc();
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -62,7 +62,20 @@
             return;
         }
         let replica = conn.replica;
-        if !conn.channel.inbound.is_empty() {
+        let (received, end_reason) = (!conn.channel.inbound.is_empty(), conn.channel.end_reason());
+        if let Some(exchange_id) = conn.exchange_id
+            && self.is_standby(exchange_id, conn_id)
+        {
+            if received {
+                self.swap_standby(exchange_id);
+            } else {
+                if read_state != ReadState::Open || flushed.is_err() {
+                    self.end_standby(exchange_id, end_reason);
+                }
+                return;
+            }
+        }
+        if received {
             self.directory.get_mut(replica).last_received = Some(self.now);
             self.last_received = self.now;
             self.unanswered_sends = 0;
@@ -94,6 +107,12 @@
         let conn = &mut self.server_conns[conn_id];
         let replica = conn.replica;
         let exchange_id = conn.exchange_id.take();
+        if let Some(exchange_id) = exchange_id
+            && self.is_standby(exchange_id, conn_id)
+        {
+            self.end_standby(exchange_id, "not_connected");
+            return;
+        }
         self.close_server_conn(conn_id);
         if let Some(exchange_id) = exchange_id {
             self.handle_outcome(exchange_id, AttemptOutcome::NotSent { replica });
@@ -255,6 +274,7 @@
         if first && let Some(head) = conn.head.clone() {
             self.write_stream_head(caller, &head);
         }
+        self.drop_standby(exchange_id);
         let first_of_attempt = self.record_first_event(exchange_id);
         self.record_event(exchange_id, first_of_attempt);
         self.write_events(caller, &events);
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -149,9 +149,19 @@
     pub(crate) stream: Option<CallerStream>,
     pub(crate) fallback: Option<FallbackResponse>,
     pub(crate) sent_load: SentLoad,
+    pub(crate) standby: Option<StandbyAttempt>,
     pub(crate) timer: LazyTimer,
 }
 
+/// An earlier attempt of a request whose server is silent and may go on.
+#[derive(Debug)]
+pub(crate) struct StandbyAttempt {
+    pub(crate) conn_id: ServerConnId,
+    pub(crate) load: SentLoad,
+    /// Received bytes of an incomplete event.
+    pub(crate) partial: Vec<u8>,
+}
+
 /// The load of a sent request on its server.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct SentLoad {
@@ -173,6 +183,8 @@
     pub(crate) unread: bool,
     /// Whether it is included in the load on the server.
     pub(crate) counted: bool,
+    /// Whether the server is suspected because of its silence.
+    pub(crate) suspected: bool,
 }
 
 /// A connection to a server.
--- a/crates/dewedge/src/stream.rs
+++ b/crates/dewedge/src/stream.rs
@@ -89,6 +89,22 @@
         !self.pending.is_empty()
     }
 
+    /// Removes and returns the bytes of a partial event.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewedge::stream::EventSplitter;
+    ///
+    /// let mut splitter = EventSplitter::new(None);
+    /// splitter.push(b"id: 1\nda");
+    /// assert_eq!(splitter.take_partial(), b"id: 1\nda");
+    /// assert!(!splitter.has_partial());
+    /// ```
+    pub fn take_partial(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.pending)
+    }
+
     /// Discards a partial event left by a broken connection.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
