Count a new connection as a sign that a VM is not isolated

What callers see: when the servers of a VM are silent together, or its only one is, their requests are answered 502 and started streams are broken off. Cause: three sends and 0.7 s without a byte from any server counted as isolation, although new connections to the servers were established. Change: an established connection counts like a received byte. A started stream is broken off by an isolated VM only after 2 s of silence. Why it works: a VM that is cut off can't connect; a VM before silent servers can.

--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -94,6 +94,9 @@
         let failed = matches!(conn.channel.stream.take_error(), Ok(Some(_)) | Err(_));
         if !failed && conn.channel.stream.peer_addr().is_ok() {
             conn.connected = true;
+            // Shows a path to the server, as a received byte does.
+            self.last_received = self.now;
+            self.unanswered_sends = 0;
             return true;
         }
         if failed || closing {
--- a/crates/dewedge/src/serve/silence.rs
+++ b/crates/dewedge/src/serve/silence.rs
@@ -27,6 +27,10 @@
 /// Minimum silence after which the server of a stream is suspected.
 const MIN_STREAM_SILENCE: Duration = Duration::from_millis(1000);
 
+/// Minimum silence after which an isolated VM breaks off a started stream.
+/// Sound servers may be silent for about a second.
+const MIN_BREAK_OFF_SILENCE: Duration = Duration::from_millis(2000);
+
 /// Multiple of the event gap target after which the server of a started stream
 /// is suspected.
 const GAP_SILENCE_FACTOR: f64 = 3.0;
@@ -96,8 +100,11 @@
         if self.start_hedge(exchange_id) {
             return true;
         }
-        match self.exchanges[exchange_id].phase {
-            ExchangePhase::Sent(conn_id) if self.is_isolated() => {
+        let exchange = &self.exchanges[exchange_id];
+        let silence = self.now.saturating_sub(last_activity(exchange));
+        let may_end = !self.response_started(exchange_id) || silence >= MIN_BREAK_OFF_SILENCE;
+        match exchange.phase {
+            ExchangePhase::Sent(conn_id) if may_end && self.is_isolated() => {
                 self.abort_attempt(conn_id, "silent");
                 true
             }
