Keep connections to servers through seconds of packet silence

What callers see: a stream that may not be resumed is broken off while its server is silent at the packet level for about 2 s. Cause: connections to servers had a TCP user timeout of 1.5 s, so the kernel ended them; it stood in for the detection of dead servers. Change: connections to servers get the 4 s of callers' connections. The store keeps 1.5 s.

--- a/crates/dewedge/src/net.rs
+++ b/crates/dewedge/src/net.rs
@@ -14,13 +14,14 @@
 /// Maximum bytes of one read.
 const READ_BYTES: usize = 32 * 1024;
 
-/// TCP user timeout of connections from callers: time after which a connection
-/// with unacknowledged data is aborted.
-const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
+/// TCP user timeout of connections that carry callers' requests: time after
+/// which a connection with unacknowledged data is aborted. Sound servers may be
+/// silent for seconds; silent ones are detected sooner by their responses.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// TCP user timeout of connections to servers and to the store; lost packets
-/// are retransmitted several times by then.
-const SERVER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// TCP user timeout of connections to the store; lost packets are retransmitted
+/// several times by then.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Idle time before the first keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -63,10 +64,19 @@
         }
     }
 
-    /// Starts connecting to a server or to the store.
-    pub(crate) fn connect(address: SocketAddr) -> io::Result<Self> {
+    /// Starts connecting to a server.
+    pub(crate) fn connect_server(address: SocketAddr) -> io::Result<Self> {
+        Self::connect(address, REQUEST_TIMEOUT)
+    }
+
+    /// Starts connecting to the store.
+    pub(crate) fn connect_store(address: SocketAddr) -> io::Result<Self> {
+        Self::connect(address, STORE_TIMEOUT)
+    }
+
+    fn connect(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = TcpStream::connect(address)?;
-        set_socket_options(&stream, SERVER_TIMEOUT)?;
+        set_socket_options(&stream, timeout)?;
         Ok(Self::new(stream))
     }
 
@@ -158,7 +168,7 @@
 
 /// Sets socket options that detect a dead caller.
 pub(crate) fn set_caller_options(stream: &TcpStream) -> io::Result<()> {
-    set_socket_options(stream, CALLER_TIMEOUT)
+    set_socket_options(stream, REQUEST_TIMEOUT)
 }
 
 fn set_socket_options(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
--- a/crates/dewedge/src/storage/connection.rs
+++ b/crates/dewedge/src/storage/connection.rs
@@ -83,7 +83,7 @@
             body: Vec::new(),
         });
         if self.channel.is_none() {
-            let opened = TcpChannel::connect(address).and_then(|mut channel| {
+            let opened = TcpChannel::connect_store(address).and_then(|mut channel| {
                 channel.register(registry, self.token)?;
                 Ok(channel)
             });
