Log the software version of each server and which stream a request takes up

Change: the version of a server's entry and the header Resumes are read; placement sent logs version, resumes and last_event, the lines of the directory log version. An entry without a version names no server to use, as for the other fields. Decisions stay as they are.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -124,6 +124,7 @@
     ///     service: "draft".to_string(),
     ///     address: "127.0.0.1:80".parse().unwrap(),
     ///     data_centre: "dc-1".to_string(),
+    ///     version: "v1".to_string(),
     ///     slots: 8,
     ///     stage: ReplicaStage::Ready,
     ///     started_ms: 1,
--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -17,6 +17,9 @@
 /// Id of a server.
 pub type ReplicaId = String;
 
+/// Version of a server's software, in no order.
+pub type SoftwareVersion = String;
+
 /// Number of the store's era; it rises each time the store returns from an older
 /// copy of its data.
 pub type StoreEra = u64;
@@ -41,6 +44,9 @@
     pub api_key: Option<String>,
     /// Id of the last event that the caller received.
     pub last_event_id: Option<u64>,
+    /// Attempt that brought the first event of the stream that the caller takes
+    /// up again.
+    pub resumed_attempt: Option<AttemptId>,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
     /// Maximum output tokens.
@@ -106,6 +112,9 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: String,
+    /// Version of its software. Servers of several versions may serve side by
+    /// side.
+    pub version: SoftwareVersion,
     /// Requests that it runs concurrently.
     pub slots: u32,
     /// Its lifecycle stage.
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -338,6 +338,12 @@
             .text("request", &exchange.metadata.attempt)
             .text("route", &exchange.route.name)
             .text("server", &replica_state.id)
+            .text("version", &replica_state.entry.version)
+            .text(
+                "resumes",
+                exchange.metadata.resumed_attempt.as_deref().unwrap_or(""),
+            )
+            .number("last_event", exchange.last_event_id().unwrap_or(0))
             .number("send", exchange.sends)
             .number("tables", version)
             .number("cost", cost.max(0.0) as u64)
@@ -357,16 +363,12 @@
         let exchange = &self.exchanges[exchange_id];
         let replica_state = self.directory.get(replica);
         let is_engine = self.engine_spec(&exchange.service).is_some();
-        let resumed = exchange
-            .stream
-            .as_ref()
-            .and_then(|stream| stream.splitter.last_id());
         let metadata = ForwardMetadata {
             time_left: exchange.deadline.saturating_sub(self.now),
             replica: &replica_state.id,
             workspace: exchange.workspace.as_deref(),
             priority: is_engine.then_some(engine_rank(exchange.priority)),
-            last_event_id: resumed.or(exchange.metadata.last_event_id),
+            last_event_id: exchange.last_event_id(),
         };
         let mut bytes = Vec::with_capacity(exchange.head.len() + 256);
         bytes.extend_from_slice(&exchange.head);
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -153,6 +153,16 @@
     pub(crate) timer: LazyTimer,
 }
 
+impl Exchange {
+    /// Returns the id of the last event that the caller has received.
+    pub(crate) fn last_event_id(&self) -> Option<u64> {
+        let stream = self.stream.as_ref();
+        stream
+            .and_then(|stream| stream.splitter.last_id())
+            .or(self.metadata.last_event_id)
+    }
+}
+
 /// An earlier attempt of a request whose server is silent and may go on.
 #[derive(Debug)]
 pub(crate) struct StandbyAttempt {
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -220,6 +220,7 @@
             .system("directory", event)
             .text("server", &replica.id)
             .text("service", &replica.entry.service)
+            .text("version", &replica.entry.version)
             .number("started_ms", replica.entry.started_ms);
         let service = replica.entry.service.clone();
         self.pending_dispatches.push_back(service);
--- a/crates/dewedge/tests/directory.rs
+++ b/crates/dewedge/tests/directory.rs
@@ -14,6 +14,7 @@
         service: "draft".to_string(),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         data_centre: "dc-1".to_string(),
+        version: "v1".to_string(),
         slots: 8,
         stage,
         started_ms,
