Bind a stream to the software version that began it

What callers see: a stream holds events of servers of two software versions of a service, in one response or over their own attempts. Cause: placement did not know versions. A request that takes a stream up named the attempt that began it, and the entry ignored that; failover and hedges chose any server of the service. Change: the first event of a stream binds it to the version of its server. Each VM announces the origins of its new streams in its digests (12 bytes each); a VM that doesn't know a stream, after a restart for example, asks up to 24 others and waits 0.1 s at most. Only servers of the bound version are chosen. Without one the caller is refused as not run; so it is where nobody knows the stream and several versions serve. A bound request that waits blocks only those bound to the same version. Digests get a new format; those of earlier builds are still read, but earlier builds don't read the new ones.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::Moment;
 use crate::format::{ReplicaEntry, ReplicaId, ReplicaStage};
+use crate::origins::{VersionId, version_id};
 use crate::policy::health::ReplicaHealth;
 use crate::policy::placement::{PartCache, ServerLoad};
 use crate::policy::warmup::WarmUp;
@@ -39,6 +40,8 @@
     pub backoff_until: Moment,
     /// Whether its entry was removed.
     pub gone: bool,
+    /// When its entry was removed, if it was.
+    pub gone_at: Moment,
     /// When its entry counts as removed, if it was lost in an outage of the
     /// store.
     pub missing_until: Option<Moment>,
@@ -207,6 +210,7 @@
             return DirectoryChange::Missing(index);
         }
         replica.gone = true;
+        replica.gone_at = now;
         DirectoryChange::Gone(index)
     }
 
@@ -236,6 +240,7 @@
         for (index, replica) in self.replicas.iter_mut().enumerate() {
             if !replica.gone && replica.missing_until.is_some_and(|until| until <= now) {
                 replica.gone = true;
+                replica.gone_at = now;
                 replica.missing_until = None;
                 expired.push(index);
             }
@@ -274,6 +279,31 @@
         warm * 2 >= listed
     }
 
+    /// Returns the software version of a server.
+    pub fn version_of(&self, index: ReplicaIndex) -> VersionId {
+        version_id(&self.replicas[index].entry.version)
+    }
+
+    /// Returns whether a server of a service that accepts new requests has this
+    /// version.
+    pub fn lists_version(&self, service: &str, version: VersionId) -> bool {
+        let members = self.in_service(service).iter();
+        members
+            .copied()
+            .any(|index| self.replicas[index].is_listed() && self.version_of(index) == version)
+    }
+
+    /// Returns the version of all servers that a service has had since `since`,
+    /// if it is the same.
+    pub fn sole_version(&self, service: &str, since: Moment) -> Option<VersionId> {
+        let members = self.in_service(service).iter().copied();
+        let mut recent = members
+            .filter(|index| !self.replicas[*index].gone || self.replicas[*index].gone_at >= since)
+            .map(|index| self.version_of(index));
+        let first = recent.next()?;
+        recent.all(|version| version == first).then_some(first)
+    }
+
     /// Returns the state of a server.
     pub fn get(&self, index: ReplicaIndex) -> &ReplicaState {
         &self.replicas[index]
@@ -324,6 +354,7 @@
             leaving,
             backoff_until: Moment::ZERO,
             gone: false,
+            gone_at: Moment::ZERO,
             missing_until: None,
             health: ReplicaHealth::default(),
             warmup: WarmUp::default(),
--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -21,6 +21,7 @@
 mod logs;
 mod metrics;
 mod net;
+pub mod origins;
 mod peers;
 pub mod policy;
 mod serve;
--- /dev/null
+++ b/crates/dewedge/src/origins.rs
@@ -0,0 +1,152 @@
+//! Software versions at which recent streams began.
+//!
+//! Servers of several versions may serve side by side, and what two versions
+//! write doesn't fit together, so a stream goes on only at the version that
+//! began it. A caller may take a stream up through another VM. The VMs therefore
+//! announce each new stream in their digests, and a VM that doesn't know a
+//! stream, because it has restarted for example, asks the others.
+//!
+//! The main invariant: the origin of a stream doesn't change while it is known.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::clock::Moment;
+use crate::directory::stable_hash;
+
+/// Hash of the attempt that began a stream, the same on all VMs.
+pub type StreamKey = u64;
+
+/// Hash of a software version, the same on all VMs.
+pub type VersionId = u32;
+
+/// Maximum number of known streams; the oldest are forgotten first.
+const MAX_ORIGINS: usize = 65_536;
+
+/// Returns the key of the stream that an attempt began.
+pub fn stream_key(attempt: &str) -> StreamKey {
+    stable_hash(attempt.as_bytes())
+}
+
+/// Returns the id of a software version.
+pub fn version_id(version: &str) -> VersionId {
+    stable_hash(version.as_bytes()) as VersionId
+}
+
+/// A stream and the version at which it began.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StreamOrigin {
+    /// Key of the stream.
+    pub stream: StreamKey,
+    /// Version at which it began.
+    pub version: VersionId,
+}
+
+/// An origin that the other VMs are told.
+#[derive(Clone, Copy, Debug)]
+struct Announcement {
+    origin: StreamOrigin,
+    rounds_left: usize,
+}
+
+/// The origins of recent streams.
+#[derive(Clone, Debug, Default)]
+pub struct OriginTable {
+    versions: IndexMap<StreamKey, VersionId>,
+    /// Known streams, the oldest first.
+    learned: VecDeque<(Moment, StreamKey)>,
+    announcements: VecDeque<Announcement>,
+}
+
+impl OriginTable {
+    /// Records the origin of a stream; returns whether the stream is new.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewedge::origins::{OriginTable, StreamOrigin, stream_key, version_id};
+    /// use std::time::Duration;
+    ///
+    /// let mut table = OriginTable::default();
+    /// let stream = stream_key("attempt-1");
+    /// let origin = StreamOrigin { stream, version: version_id("v1") };
+    /// assert!(table.learn(origin, Duration::from_secs(5)));
+    /// assert_eq!(table.version_of(stream), Some(version_id("v1")));
+    /// ```
+    pub fn learn(&mut self, origin: StreamOrigin, now: Moment) -> bool {
+        if self.versions.contains_key(&origin.stream) {
+            return false;
+        }
+        if self.learned.len() >= MAX_ORIGINS {
+            self.forget_oldest();
+        }
+        self.versions.insert(origin.stream, origin.version);
+        self.learned.push_back((now, origin.stream));
+        true
+    }
+
+    /// Records the origin of a stream of this VM, which is announced in the next
+    /// `rounds` digests.
+    pub fn record(&mut self, origin: StreamOrigin, rounds: usize, now: Moment) {
+        if self.learn(origin, now) {
+            self.announcements.push_back(Announcement {
+                origin,
+                rounds_left: rounds,
+            });
+        }
+    }
+
+    /// Returns the version at which a stream began, if it is known.
+    pub fn version_of(&self, stream: StreamKey) -> Option<VersionId> {
+        self.versions.get(&stream).copied()
+    }
+
+    /// Returns the origins to announce in the next digest, at most `most`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewedge::origins::{OriginTable, StreamOrigin};
+    /// use std::time::Duration;
+    ///
+    /// let mut table = OriginTable::default();
+    /// table.record(StreamOrigin { stream: 7, version: 1 }, 2, Duration::ZERO);
+    /// assert_eq!(table.next_announcements(8).len(), 1);
+    /// assert_eq!(table.next_announcements(8).len(), 1);
+    /// assert!(!table.has_announcements());
+    /// ```
+    pub fn next_announcements(&mut self, most: usize) -> Vec<StreamOrigin> {
+        let count = self.announcements.len().min(most);
+        let mut origins = Vec::with_capacity(count);
+        for mut announcement in self.announcements.drain(..count).collect::<Vec<_>>() {
+            origins.push(announcement.origin);
+            announcement.rounds_left = announcement.rounds_left.saturating_sub(1);
+            if announcement.rounds_left > 0 {
+                self.announcements.push_back(announcement);
+            }
+        }
+        origins
+    }
+
+    /// Returns whether origins are left to announce.
+    pub fn has_announcements(&self) -> bool {
+        !self.announcements.is_empty()
+    }
+
+    /// Forgets the streams that were learned longer than `ttl` ago.
+    pub fn expire(&mut self, ttl: Duration, now: Moment) {
+        while let Some((learned, _)) = self.learned.front()
+            && now.saturating_sub(*learned) > ttl
+        {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some((_, stream)) = self.learned.pop_front() {
+            self.versions.swap_remove(&stream);
+        }
+    }
+}
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -3,6 +3,9 @@
 //! Each VM reports its own load on each server to the other VMs in one
 //! datagram. A digest is complete, so that a lost one is replaced by the next.
 //!
+//! A digest also announces the streams that its VM has begun, and their software
+//! versions. A VM asks the others for a stream that it doesn't know.
+//!
 //! The main invariant: the load reported by a VM counts only while it is
 //! recent.
 
@@ -13,10 +16,20 @@
 
 use crate::clock::Moment;
 use crate::directory::{ReplicaDirectory, stable_hash};
+use crate::origins::{StreamKey, StreamOrigin};
 use crate::policy::placement::ServerLoad;
 
 /// First bytes of a digest; the last one is the format version.
-const MAGIC: [u8; 4] = *b"DWD1";
+const MAGIC: [u8; 4] = *b"DWD2";
+
+/// First bytes of a digest without origins, as earlier builds send it.
+const LOAD_MAGIC: [u8; 4] = *b"DWD1";
+
+/// First bytes of a question for the origin of a stream.
+const QUERY_MAGIC: [u8; 4] = *b"DWQ1";
+
+/// First bytes of the answer to such a question.
+const ORIGIN_MAGIC: [u8; 4] = *b"DWO1";
 
 /// Length of the header: magic, sender, time.
 const HEAD_BYTES: usize = 20;
@@ -25,8 +38,17 @@
 /// streams.
 const ENTRY_BYTES: usize = 18;
 
-/// Maximum entries of a digest, so that it fits in a packet.
-const MAX_ENTRIES: usize = 72;
+/// Length of an origin: stream, version.
+const ORIGIN_BYTES: usize = 12;
+
+/// Length of the number of entries before the origins.
+const COUNT_BYTES: usize = 2;
+
+/// Maximum bytes of a digest, so that it fits in a packet.
+const MAX_BYTES: usize = 1400;
+
+/// Maximum origins of a digest.
+pub(crate) const MAX_ORIGINS: usize = 32;
 
 /// Age at which a digest expires; several lost digests are tolerated.
 pub(crate) const DIGEST_TTL: Duration = Duration::from_millis(900);
@@ -34,6 +56,22 @@
 /// Maximum number of VMs whose digests are kept.
 const MAX_SENDERS: usize = 1024;
 
+/// A datagram from another VM.
+#[derive(Clone, Debug)]
+pub(crate) enum PeerMessage {
+    /// It can't be read, or this VM sent it.
+    Invalid,
+    /// A digest, or origins alone.
+    Digest {
+        /// Whether the load is newer than what was known.
+        is_new: bool,
+        /// Streams and the versions at which they began.
+        origins: Vec<StreamOrigin>,
+    },
+    /// A question for the origin of a stream.
+    OriginQuery(StreamKey),
+}
+
 /// Last digest of another VM.
 #[derive(Clone, Debug, Default)]
 struct PeerDigest {
@@ -49,6 +87,7 @@
     addresses: IndexMap<String, SocketAddr>,
     digests: IndexMap<u64, PeerDigest>,
     next_target: usize,
+    next_query_target: usize,
 }
 
 impl PeerTable {
@@ -90,11 +129,21 @@
 
     /// Returns the addresses that receive the next digest, at most `most`.
     pub(crate) fn next_targets(&mut self, most: usize) -> Vec<SocketAddr> {
+        let targets = self.targets_from(self.next_target, most);
+        self.next_target = self.next_target.wrapping_add(targets.len());
+        targets
+    }
+
+    /// Returns the addresses that receive the next question, at most `most`.
+    pub(crate) fn query_targets(&mut self, most: usize) -> Vec<SocketAddr> {
+        let targets = self.targets_from(self.next_query_target, most);
+        self.next_query_target = self.next_query_target.wrapping_add(targets.len());
+        targets
+    }
+
+    fn targets_from(&self, start: usize, most: usize) -> Vec<SocketAddr> {
         let count = self.addresses.len();
-        let taken = count.min(most);
-        let start = self.next_target;
-        self.next_target = self.next_target.wrapping_add(taken);
-        (0..taken)
+        (0..count.min(most))
             .filter_map(|offset| {
                 let at = start.wrapping_add(offset) % count;
                 self.addresses.get_index(at).map(|(_, address)| *address)
@@ -102,16 +151,37 @@
             .collect()
     }
 
-    /// Encodes the digest of this VM's load.
-    pub(crate) fn encode(&self, directory: &ReplicaDirectory, now: Moment) -> Vec<u8> {
+    /// Encodes a question for the origin of a stream.
+    pub(crate) fn encode_query(&self, stream: StreamKey) -> Vec<u8> {
+        [&QUERY_MAGIC[..], &stream.to_be_bytes()].concat()
+    }
+
+    /// Encodes the origin of a stream.
+    pub(crate) fn encode_origin(&self, origin: StreamOrigin) -> Vec<u8> {
+        let mut bytes = ORIGIN_MAGIC.to_vec();
+        push_origin(&mut bytes, origin);
+        bytes
+    }
+
+    /// Encodes the digest of this VM's load and the origins of new streams.
+    pub(crate) fn encode(
+        &self,
+        directory: &ReplicaDirectory,
+        origins: &[StreamOrigin],
+        now: Moment,
+    ) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(HEAD_BYTES + 16 * ENTRY_BYTES);
         bytes.extend_from_slice(&MAGIC);
         bytes.extend_from_slice(&self.own_hash.to_be_bytes());
         bytes.extend_from_slice(&millis(now).to_be_bytes());
-        let busy = directory
+        let left = MAX_BYTES - HEAD_BYTES - COUNT_BYTES - origins.len() * ORIGIN_BYTES;
+        let busy: Vec<_> = directory
             .iter()
-            .filter(|replica| replica.own_load.requests > 0);
-        for replica in busy.take(MAX_ENTRIES) {
+            .filter(|replica| replica.own_load.requests > 0)
+            .take(left / ENTRY_BYTES)
+            .collect();
+        bytes.extend_from_slice(&saturating_u16(busy.len() as f64).to_be_bytes());
+        for replica in busy {
             let load = &replica.own_load;
             bytes.extend_from_slice(&replica.hash.to_be_bytes());
             bytes.extend_from_slice(&saturating_u16(f64::from(load.requests)).to_be_bytes());
@@ -122,22 +192,46 @@
                 &saturating_u16(f64::from(load.gap_sensitive_streams)).to_be_bytes(),
             );
         }
+        for origin in origins {
+            push_origin(&mut bytes, *origin);
+        }
         bytes
     }
 
-    /// Records a received digest; returns whether it is valid and new.
-    pub(crate) fn receive(&mut self, bytes: &[u8], now: Moment) -> bool {
-        let Some((sender, digest)) = decode(bytes, now) else {
-            return false;
+    /// Reads a datagram and records the load in it.
+    pub(crate) fn receive(&mut self, bytes: &[u8], now: Moment) -> PeerMessage {
+        if let Some(stream) = bytes.strip_prefix(&QUERY_MAGIC) {
+            return match stream.try_into() {
+                Ok(stream) => PeerMessage::OriginQuery(u64::from_be_bytes(stream)),
+                Err(_) => PeerMessage::Invalid,
+            };
+        }
+        if let Some(origins) = bytes.strip_prefix(&ORIGIN_MAGIC) {
+            return match decode_origins(origins) {
+                Some(origins) => PeerMessage::Digest {
+                    is_new: false,
+                    origins,
+                },
+                None => PeerMessage::Invalid,
+            };
+        }
+        let Some((sender, digest, origins)) = decode(bytes, now) else {
+            return PeerMessage::Invalid;
         };
+        if sender == self.own_hash {
+            return PeerMessage::Invalid;
+        }
+        let is_new = self.record(sender, digest, now);
+        PeerMessage::Digest { is_new, origins }
+    }
+
+    /// Records the load of another VM; returns whether it is new.
+    fn record(&mut self, sender: u64, digest: PeerDigest, now: Moment) -> bool {
         let known = self.digests.get(&sender);
         let stale = known.is_some_and(|known| {
             known.sent_ms >= digest.sent_ms && now.saturating_sub(known.received) < DIGEST_TTL
         });
-        if sender == self.own_hash || stale {
-            return false;
-        }
-        if self.digests.len() >= MAX_SENDERS && !self.digests.contains_key(&sender) {
+        if stale || self.digests.len() >= MAX_SENDERS && !self.digests.contains_key(&sender) {
             return false;
         }
         self.digests.insert(sender, digest);
@@ -169,11 +263,26 @@
     value.clamp(0.0, f64::from(u16::MAX)) as u16
 }
 
-fn decode(bytes: &[u8], now: Moment) -> Option<(u64, PeerDigest)> {
-    let (head, entries) = bytes.split_at_checked(HEAD_BYTES)?;
-    let head = head.strip_prefix(&MAGIC)?;
+fn push_origin(bytes: &mut Vec<u8>, origin: StreamOrigin) {
+    bytes.extend_from_slice(&origin.stream.to_be_bytes());
+    bytes.extend_from_slice(&origin.version.to_be_bytes());
+}
+
+fn decode(bytes: &[u8], now: Moment) -> Option<(u64, PeerDigest, Vec<StreamOrigin>)> {
+    let (head, rest) = bytes.split_at_checked(HEAD_BYTES)?;
+    let (magic, head) = head.split_at_checked(MAGIC.len())?;
     let sender = u64::from_be_bytes(head[..8].try_into().ok()?);
     let sent_ms = u64::from_be_bytes(head[8..].try_into().ok()?);
+    let (entries, origins) = if magic == LOAD_MAGIC {
+        (rest, &[][..])
+    } else if magic == MAGIC {
+        let (count, rest) = rest.split_at_checked(COUNT_BYTES)?;
+        let count = u16::from_be_bytes(count.try_into().ok()?);
+        rest.split_at_checked(usize::from(count) * ENTRY_BYTES)?
+    } else {
+        return None;
+    };
+    let origins = decode_origins(origins)?;
     if !entries.len().is_multiple_of(ENTRY_BYTES) {
         return None;
     }
@@ -186,7 +295,22 @@
         sent_ms,
         load,
     };
-    Some((sender, digest))
+    Some((sender, digest, origins))
+}
+
+fn decode_origins(bytes: &[u8]) -> Option<Vec<StreamOrigin>> {
+    if !bytes.len().is_multiple_of(ORIGIN_BYTES) {
+        return None;
+    }
+    bytes
+        .chunks_exact(ORIGIN_BYTES)
+        .map(|entry| {
+            Some(StreamOrigin {
+                stream: u64::from_be_bytes(entry[..8].try_into().ok()?),
+                version: u32::from_be_bytes(entry[8..].try_into().ok()?),
+            })
+        })
+        .collect()
 }
 
 fn decode_entry(entry: &[u8]) -> Option<(u64, ServerLoad)> {
--- a/crates/dewedge/src/policy/queue.rs
+++ b/crates/dewedge/src/policy/queue.rs
@@ -15,6 +15,7 @@
 use indexmap::IndexMap;
 
 use crate::clock::Moment;
+use crate::origins::VersionId;
 
 /// Id of a request in flight on this VM.
 pub type ExchangeId = usize;
@@ -74,6 +75,8 @@
     pub class: u8,
     /// Key of its home, if its prompt has a long shared prefix.
     pub home: Option<u64>,
+    /// The only software version that may serve it, if it takes a stream up.
+    pub version: Option<VersionId>,
 }
 
 impl ServerRequirements {
@@ -82,11 +85,13 @@
     ///
     /// Less urgent requests must wait, and equally urgent ones with the same
     /// home; another home may have capacity. Gap-sensitive requests and others
-    /// don't block each other.
+    /// don't block each other, and one that is bound to a software version blocks
+    /// only those bound to the same.
     pub fn blocks(&self, other: &Self) -> bool {
         let takes_precedence =
             self.class < other.class || self.class == other.class && self.home == other.home;
-        self.gap_sensitive == other.gap_sensitive && takes_precedence
+        let includes_servers = self.version.is_none() || self.version == other.version;
+        self.gap_sensitive == other.gap_sensitive && takes_precedence && includes_servers
     }
 }
 
@@ -135,7 +140,9 @@
     /// for (exchange_id, priority) in [(1, 2), (2, 0)] {
     ///     let workspace = "news".to_string();
     ///     let arrived = Duration::ZERO;
-    ///     let requirements = ServerRequirements { gap_sensitive: false, class: priority, home: None };
+    ///     let requirements = ServerRequirements {
+    ///         gap_sensitive: false, class: priority, home: None, version: None,
+    ///     };
     ///     let caller_retry = false;
     ///     queue.push(WaitingRequest {
     ///         exchange_id, priority, requirements, caller_retry, workspace, cost: 1, arrived,
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::policy::retries::vm_slack;
 use crate::tables::{EngineSpec, RequestKind, RouteSpec};
 
+use super::resumption::VersionBinding;
 use super::state::{
     EdgeState, Exchange, ExchangePhase, SentLoad, ServerConn, ServerConnId, TokenKind, token_of,
 };
@@ -80,6 +81,8 @@
                 continue;
             }
             match self.choose_server(exchange_id) {
+                // Other versions may have servers.
+                PlacementChoice::Unavailable if requirements.version.is_some() => {}
                 PlacementChoice::Unavailable => return,
                 PlacementChoice::Busy => busy.push(requirements),
                 PlacementChoice::Chosen {
@@ -175,7 +178,8 @@
             && has_connection
             && replica.backoff_until <= self.now
             && replica.health.is_usable(self.now)
-            && !exchange.tried_replicas.contains(&index);
+            && !exchange.tried_replicas.contains(&index)
+            && self.fits_version(exchange, index);
         let warming_up = service.staggers_starts
             && replica
                 .warmup
@@ -440,12 +444,14 @@
 pub(crate) fn server_requirements(
     route: &RouteSpec,
     metadata: &RequestMetadata,
+    binding: VersionBinding,
     model: &EngineModel,
 ) -> ServerRequirements {
     ServerRequirements {
         gap_sensitive: is_gap_sensitive(route, metadata, model),
         class: route.priority,
         home: long_prefix_key(&metadata.prompt_parts, model),
+        version: binding.version(),
     }
 }
 
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -5,6 +5,7 @@
 //! - [`dispatch`]: sends waiting requests to servers.
 //! - [`servers`]: connections to servers, parsed into attempt outcomes.
 //! - [`outcomes`]: retries or completes a request after an attempt.
+//! - [`resumption`]: binds streams to the software version that began them.
 //! - [`silence`]: servers that fall silent while they run a request.
 //! - [`responses`]: writes responses to callers.
 //! - [`admin`]: readiness checks and metrics.
@@ -24,6 +25,7 @@
 mod outcomes;
 mod requests;
 mod responses;
+mod resumption;
 mod run;
 mod servers;
 mod silence;
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -18,6 +18,7 @@
 
 use super::dispatch::server_requirements;
 use super::responses::is_connection_header;
+use super::resumption::VersionBinding;
 use super::state::{CallerId, CallerPhase, EdgeState, Exchange, ExchangePhase, SentLoad};
 use super::timers::LazyTimer;
 
@@ -156,13 +157,19 @@
             .caller_timeout
             .unwrap_or(timeout)
             .min(timeout);
-        let caller_retry = is_caller_retry(time_left, timeout);
+        let caller_retry =
+            is_caller_retry(time_left, timeout) || authorized.metadata.last_event_id.is_some();
         let wait = max_wait(authorized.route.latency_target, time_left, caller_retry);
         let body: Rc<[u8]> = body.into();
         let service = authorized.service.clone();
         let model = self.models.get(&service);
         let blocked = self.queues.get(&service).and_then(|queue| {
-            let requirements = server_requirements(&authorized.route, &authorized.metadata, model);
+            let requirements = server_requirements(
+                &authorized.route,
+                &authorized.metadata,
+                VersionBinding::Unbound,
+                model,
+            );
             let oldest = queue.oldest_blocker(authorized.priority, &requirements);
             (!caller_retry && is_queue_blocked(oldest, wait, now)).then_some(queue.len())
         });
@@ -197,13 +204,14 @@
             fallback: None,
             sent_load: SentLoad::default(),
             standby: None,
+            binding: VersionBinding::Unbound,
             timer: LazyTimer::default(),
         });
         self.metrics.in_flight.inc();
         if let Some(conn) = self.caller_conns.get_mut(caller) {
             conn.phase = CallerPhase::Busy(exchange_id);
         }
-        self.enqueue(exchange_id);
+        self.enqueue_new(exchange_id);
         let waits = |exchange: &Exchange| exchange.phase == ExchangePhase::Waiting;
         if let Some(waiting) = blocked
             && self.exchanges.get(exchange_id).is_some_and(waits)
@@ -226,6 +234,7 @@
             requirements: server_requirements(
                 &exchange.route,
                 &exchange.metadata,
+                exchange.binding,
                 self.models.get(&service),
             ),
             caller_retry: exchange.caller_retry,
--- /dev/null
+++ b/crates/dewedge/src/serve/resumption.rs
@@ -0,0 +1,166 @@
+//! Binds streams to the software version that began them.
+//!
+//! A stream is bound by its first event, or by the origin of the stream that its
+//! caller takes up. If this VM doesn't know that origin, it asks the other VMs
+//! before it chooses a server.
+//!
+//! The main invariant: a bound stream gets events only from servers of its
+//! version.
+
+use std::time::Duration;
+
+use crate::directory::ReplicaIndex;
+use crate::format::PlatformFormat;
+use crate::origins::{StreamOrigin, VersionId, stream_key};
+use crate::tables::RequestKind;
+
+use super::state::{EdgeState, Exchange};
+use super::updates::DIGEST_TARGETS;
+
+/// Time for which the other VMs' answers about a stream are awaited; a round
+/// trip takes a few ms.
+const ORIGIN_WAIT: Duration = Duration::from_millis(100);
+
+/// Multiple of the longest timeout of a streaming route for which the origin of
+/// a stream is kept. Its caller may resume it until its own deadline.
+const ORIGIN_TTL_FACTOR: u32 = 2;
+
+/// Time for which origins are kept before the tables are loaded.
+const DEFAULT_ORIGIN_TTL: Duration = Duration::from_secs(60);
+
+/// Which software versions may serve a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum VersionBinding {
+    /// Any; the first event of its stream binds it.
+    Unbound,
+    /// Only this one.
+    Bound(VersionId),
+    /// The other VMs are asked for the version.
+    Awaited,
+}
+
+impl VersionBinding {
+    /// Returns the only version that may serve the request, if it is bound.
+    pub(crate) fn version(self) -> Option<VersionId> {
+        match self {
+            Self::Bound(version) => Some(version),
+            Self::Unbound | Self::Awaited => None,
+        }
+    }
+}
+
+impl<F: PlatformFormat> EdgeState<F> {
+    /// Queues a new request; one that takes a stream up is bound first.
+    pub(crate) fn enqueue_new(&mut self, exchange_id: usize) {
+        let exchange = &self.exchanges[exchange_id];
+        if !is_resumption(exchange) {
+            self.enqueue(exchange_id);
+            return;
+        }
+        let Some(attempt) = &exchange.metadata.resumed_attempt else {
+            self.queue_unknown(exchange_id);
+            return;
+        };
+        let stream = stream_key(attempt);
+        if let Some(version) = self.origins.version_of(stream) {
+            self.queue_bound(exchange_id, version);
+            return;
+        }
+        let query = self.peers.encode_query(stream);
+        let targets = self.peers.query_targets(DIGEST_TARGETS);
+        if targets.is_empty() {
+            self.queue_unknown(exchange_id);
+            return;
+        }
+        for address in targets {
+            // Any of the other VMs can answer.
+            let _ = self.peer_socket.send_to(&query, address);
+        }
+        self.exchanges[exchange_id].binding = VersionBinding::Awaited;
+        self.awaiting_origin.push(exchange_id);
+        self.arm_exchange(exchange_id, self.now + ORIGIN_WAIT);
+    }
+
+    /// Queues the requests whose streams have become known.
+    pub(crate) fn bind_awaiting(&mut self) {
+        for exchange_id in std::mem::take(&mut self.awaiting_origin) {
+            let awaiting = self
+                .exchanges
+                .get(exchange_id)
+                .filter(|exchange| exchange.binding == VersionBinding::Awaited);
+            let Some(exchange) = awaiting else {
+                continue;
+            };
+            let attempt = exchange.metadata.resumed_attempt.as_deref();
+            match attempt.and_then(|attempt| self.origins.version_of(stream_key(attempt))) {
+                Some(version) => self.queue_bound(exchange_id, version),
+                None => self.awaiting_origin.push(exchange_id),
+            }
+        }
+    }
+
+    /// Queues a request whose stream began at `version`, or refuses it if no
+    /// server of that version is left.
+    fn queue_bound(&mut self, exchange_id: usize, version: VersionId) {
+        let exchange = &mut self.exchanges[exchange_id];
+        exchange.binding = VersionBinding::Bound(version);
+        if self.directory.lists_version(&exchange.service, version) {
+            self.enqueue(exchange_id);
+        } else {
+            self.refuse(exchange_id, "version_gone", 0);
+        }
+    }
+
+    /// Queues a request whose stream no VM knows, if only one version can have
+    /// begun it, or refuses it.
+    pub(crate) fn queue_unknown(&mut self, exchange_id: usize) {
+        let ttl = self.origin_ttl();
+        let exchange = &mut self.exchanges[exchange_id];
+        let recent = self.now.saturating_sub(ttl);
+        match self.directory.sole_version(&exchange.service, recent) {
+            Some(version) => {
+                exchange.binding = VersionBinding::Bound(version);
+                self.enqueue(exchange_id);
+            }
+            None => self.refuse(exchange_id, "version_unknown", 0),
+        }
+    }
+
+    /// Binds a stream by its first event, and records its origin if its caller
+    /// may resume it.
+    pub(crate) fn bind_stream(&mut self, exchange_id: usize) {
+        let now = self.now;
+        let rounds = self.peers.vm_count().div_ceil(DIGEST_TARGETS) + 1;
+        let exchange = &mut self.exchanges[exchange_id];
+        let version = self.directory.version_of(exchange.sent_load.replica);
+        if exchange.binding == VersionBinding::Unbound {
+            exchange.binding = VersionBinding::Bound(version);
+        }
+        if exchange.route.is_retryable() {
+            let attempt = exchange.metadata.resumed_attempt.as_ref();
+            let stream = stream_key(attempt.unwrap_or(&exchange.metadata.attempt));
+            let origin = StreamOrigin { stream, version };
+            self.origins.record(origin, rounds, now);
+            self.digest_due = true;
+        }
+    }
+
+    /// Returns whether a server may serve a request.
+    pub(crate) fn fits_version(&self, exchange: &Exchange, replica: ReplicaIndex) -> bool {
+        let version = exchange.binding.version();
+        version.is_none_or(|version| self.directory.version_of(replica) == version)
+    }
+
+    /// Returns how long the origin of a stream is kept.
+    pub(crate) fn origin_ttl(&self) -> Duration {
+        let table = self.table.as_ref();
+        table
+            .and_then(|table| table.longest_stream_timeout())
+            .map_or(DEFAULT_ORIGIN_TTL, |timeout| timeout * ORIGIN_TTL_FACTOR)
+    }
+}
+
+/// Returns whether the caller takes up a stream of which it has events.
+pub(crate) fn is_resumption(exchange: &Exchange) -> bool {
+    exchange.route.kind == RequestKind::Streaming && exchange.metadata.last_event_id.is_some()
+}
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -19,6 +19,7 @@
 use crate::keys::KeyConfirmation;
 use crate::logs::LogWriter;
 use crate::metrics::EdgeMetrics;
+use crate::origins::OriginTable;
 use crate::peers::PeerTable;
 use crate::policy::engine_model::ModelTable;
 use crate::settings::EdgeSettings;
@@ -159,6 +160,8 @@
             directory: ReplicaDirectory::default(),
             peers: PeerTable::new(&settings.vm),
             peer_socket,
+            origins: OriginTable::default(),
+            awaiting_origin: Vec::new(),
             digest_due: false,
             digest_timer: LazyTimer::default(),
             digest_sent: Moment::ZERO,
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -279,6 +279,9 @@
         }
         self.drop_standby(exchange_id);
         let first_of_attempt = self.record_first_event(exchange_id);
+        if first_of_attempt {
+            self.bind_stream(exchange_id);
+        }
         self.record_event(exchange_id, first_of_attempt);
         self.write_events(caller, &events);
         Ok(())
--- a/crates/dewedge/src/serve/silence.rs
+++ b/crates/dewedge/src/serve/silence.rs
@@ -19,6 +19,7 @@
 
 use super::dispatch::MIN_TIME_LEFT;
 use super::outcomes::MAX_CONNECT_FAILURES;
+use super::resumption::VersionBinding;
 use super::state::{EdgeState, Exchange, ExchangePhase, ServerConnId, StandbyAttempt};
 
 /// Time after the deadline for which a server's response is still awaited.
@@ -64,7 +65,9 @@
             return;
         };
         let last = exchange.deadline + RESPONSE_GRACE;
-        if exchange.phase == ExchangePhase::Waiting {
+        if exchange.binding == VersionBinding::Awaited {
+            self.queue_unknown(exchange_id);
+        } else if exchange.phase == ExchangePhase::Waiting {
             self.expire(exchange_id);
         } else if last <= now {
             self.exchanges[exchange_id].may_have_run = true;
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -19,6 +19,7 @@
 use crate::logs::LogWriter;
 use crate::metrics::EdgeMetrics;
 use crate::net::TcpChannel;
+use crate::origins::OriginTable;
 use crate::peers::PeerTable;
 use crate::policy::engine_model::ModelTable;
 use crate::policy::queue::{ExchangeId, WaitingQueue};
@@ -28,6 +29,7 @@
 use crate::stream::EventSplitter;
 use crate::tables::{CallerLimits, RouteSpec, RouteTable};
 
+use super::resumption::VersionBinding;
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
 
 /// Id of a caller's connection.
@@ -150,6 +152,7 @@
     pub(crate) fallback: Option<FallbackResponse>,
     pub(crate) sent_load: SentLoad,
     pub(crate) standby: Option<StandbyAttempt>,
+    pub(crate) binding: VersionBinding,
     pub(crate) timer: LazyTimer,
 }
 
@@ -234,6 +237,9 @@
     pub(crate) directory: ReplicaDirectory,
     pub(crate) peers: PeerTable,
     pub(crate) peer_socket: UdpSocket,
+    pub(crate) origins: OriginTable,
+    /// Requests for whose streams the other VMs are asked.
+    pub(crate) awaiting_origin: Vec<ExchangeId>,
     pub(crate) digest_due: bool,
     pub(crate) digest_timer: LazyTimer,
     pub(crate) digest_sent: Moment,
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -1,10 +1,13 @@
 //! Applies updates from the store, and exchanges digests with the other VMs.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::directory::DirectoryChange;
 use crate::format::{PlatformFormat, RecordKey, StoreEra, StoreRecord};
+use crate::origins::{StreamKey, StreamOrigin};
+use crate::peers::{MAX_ORIGINS, PeerMessage};
 use crate::storage::{StoreEvent, WATCH_CALL};
 use crate::tables::RouteTable;
 
@@ -23,7 +26,7 @@
 const DIGEST_REFRESH: Duration = Duration::from_millis(300);
 
 /// VMs that receive one digest; in a larger fleet they take turns.
-const DIGEST_TARGETS: usize = 24;
+pub(crate) const DIGEST_TARGETS: usize = 24;
 
 /// Maximum bytes of a datagram.
 const MAX_DATAGRAM: usize = 2048;
@@ -250,6 +253,8 @@
             self.apply_directory_change(DirectoryChange::Gone(index));
         }
         self.log_isolation();
+        let ttl = self.origin_ttl();
+        self.origins.expire(ttl, self.now);
         // Ejections end and digests expire without an event.
         self.peer_load_stale = true;
         let waiting: Vec<String> = self
@@ -286,13 +291,30 @@
     pub(crate) fn read_digests(&mut self) {
         let mut buffer = [0; MAX_DATAGRAM];
         for _ in 0..MAX_DATAGRAMS {
-            let Ok((length, _)) = self.peer_socket.recv_from(&mut buffer) else {
-                return;
+            let Ok((length, sender)) = self.peer_socket.recv_from(&mut buffer) else {
+                break;
             };
-            if self.peers.receive(&buffer[..length], self.now) {
-                self.peer_load_stale = true;
+            match self.peers.receive(&buffer[..length], self.now) {
+                PeerMessage::Invalid => {}
+                PeerMessage::OriginQuery(stream) => self.answer_origin_query(stream, sender),
+                PeerMessage::Digest { is_new, origins } => {
+                    self.peer_load_stale |= is_new;
+                    for origin in origins {
+                        self.origins.learn(origin, self.now);
+                    }
+                }
             }
         }
+        self.bind_awaiting();
+    }
+
+    /// Tells another VM the origin of a stream, if it is known.
+    fn answer_origin_query(&mut self, stream: StreamKey, sender: SocketAddr) {
+        if let Some(version) = self.origins.version_of(stream) {
+            let answer = self.peers.encode_origin(StreamOrigin { stream, version });
+            // A VM that gets no answer asks the next time.
+            let _ = self.peer_socket.send_to(&answer, sender);
+        }
     }
 
     /// Schedules a digest if the load of this VM has changed.
@@ -307,7 +329,9 @@
     /// Sends the digest of this VM's load.
     pub(crate) fn send_digest(&mut self) {
         self.digest_sent = self.now;
-        let bytes = self.peers.encode(&self.directory, self.now);
+        let origins = self.origins.next_announcements(MAX_ORIGINS);
+        self.digest_due |= self.origins.has_announcements();
+        let bytes = self.peers.encode(&self.directory, &origins, self.now);
         for address in self.peers.next_targets(DIGEST_TARGETS) {
             // The next digest replaces a lost one.
             let _ = self.peer_socket.send_to(&bytes, address);
--- a/crates/dewedge/src/tables.rs
+++ b/crates/dewedge/src/tables.rs
@@ -252,6 +252,15 @@
         classes
     }
 
+    /// Returns the longest timeout of a streaming route.
+    pub fn longest_stream_timeout(&self) -> Option<Duration> {
+        let routes = self.hosts.values().flat_map(IndexMap::values);
+        routes
+            .filter(|route| route.kind == RequestKind::Streaming)
+            .map(|route| route.timeout)
+            .max()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(IndexMap::len).sum()
--- a/crates/dewedge/tests/load_model/simulation.rs
+++ b/crates/dewedge/tests/load_model/simulation.rs
@@ -306,6 +306,7 @@
             gap_sensitive: self.is_gap_sensitive(exchange_id),
             class: self.deployment.classes[request.class].priority,
             home: long_prefix_key(&request.parts, &self.engine_models[request.vm]),
+            version: None,
         }
     }
 
--- a/crates/dewedge/tests/policy.rs
+++ b/crates/dewedge/tests/policy.rs
@@ -23,6 +23,7 @@
             gap_sensitive: false,
             class: priority,
             home: None,
+            version: None,
         },
         caller_retry: false,
         workspace: workspace.to_string(),
@@ -87,6 +88,7 @@
         gap_sensitive: false,
         class,
         home,
+        version: None,
     };
     assert_eq!(
         queue.oldest_blocker(4, &requirements(1, None)),
