--- a/crates/dewedge/src/serve/resumption.rs
+++ b/crates/dewedge/src/serve/resumption.rs
@@ -21,6 +21,10 @@
 /// trip takes a few ms.
 const ORIGIN_WAIT: Duration = Duration::from_millis(100);
 
+/// VMs that are asked for a stream. The one that began it may not have announced
+/// it to the others yet, so most fleets are asked as a whole.
+const QUERY_TARGETS: usize = 96;
+
 /// Multiple of the longest timeout of a streaming route for which the origin of
 /// a stream is kept. Its caller may resume it until its own deadline.
 const ORIGIN_TTL_FACTOR: u32 = 2;
@@ -67,7 +71,7 @@
             return;
         }
         let query = self.peers.encode_query(stream);
-        let targets = self.peers.query_targets(DIGEST_TARGETS);
+        let targets = self.peers.query_targets(QUERY_TARGETS);
         if targets.is_empty() {
             self.queue_unknown(exchange_id);
             return;
