Read connections to the end of their input

What callers see: a request whose body of about 80 KB or more arrives at once gets 408 after the idle timeout; a response over 256 KiB gets 504 at the deadline. Cause: events are edge-triggered, but reading stopped at the limit of the buffer, and no event came for the bytes left in the socket. Change: a connection knows whether it may hold more, and is read again once its bytes are processed. A connection to a server that may hold more is not kept.

--- a/crates/dewedge/src/net.rs
+++ b/crates/dewedge/src/net.rs
@@ -48,6 +48,8 @@
     outbound: Vec<u8>,
     written: usize,
     read_state: ReadState,
+    /// Whether the last [`Self::fill`] may have left bytes in the socket.
+    may_have_more: bool,
     /// Kind of the error that broke the connection.
     broken_by: Option<io::ErrorKind>,
 }
@@ -60,6 +62,7 @@
             outbound: Vec::new(),
             written: 0,
             read_state: ReadState::Open,
+            may_have_more: false,
             broken_by: None,
         }
     }
@@ -118,8 +121,11 @@
     /// Reads available bytes until the buffer holds at least `limit` bytes.
     ///
     /// Stops after a short read, which means that the socket is empty. With
-    /// `closing`, continues, because the end of the stream follows.
+    /// `closing`, continues, because the end of the stream follows. If
+    /// [`Self::may_have_more`] holds afterwards, the caller must call it again
+    /// once it has processed the bytes: no event announces the rest.
     pub(crate) fn fill(&mut self, limit: usize, closing: bool) -> ReadState {
+        self.may_have_more = true;
         while self.read_state == ReadState::Open && self.inbound.len() < limit {
             let start = self.inbound.len();
             self.inbound.resize(start + READ_BYTES, 0);
@@ -128,9 +134,15 @@
             self.inbound.truncate(start + count);
             match result {
                 Ok(0) => self.read_state = ReadState::Closed,
-                Ok(count) if count < READ_BYTES && !closing => break,
+                Ok(count) if count < READ_BYTES && !closing => {
+                    self.may_have_more = false;
+                    break;
+                }
                 Ok(_) => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.may_have_more = false;
+                    break;
+                }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
                     self.broken_by.get_or_insert(error.kind());
@@ -138,9 +150,16 @@
                 }
             }
         }
+        self.may_have_more &= self.read_state == ReadState::Open;
         self.read_state
     }
 
+    /// Returns whether the last [`Self::fill`] stopped at its limit, so that
+    /// the socket may hold further bytes.
+    pub(crate) fn may_have_more(&self) -> bool {
+        self.may_have_more
+    }
+
     /// Returns how the connection ended, for log lines.
     pub(crate) fn end_reason(&self) -> &'static str {
         match self.broken_by {
--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -93,12 +93,20 @@
                 self.close_caller(caller, "caller left");
                 return;
             }
-            if !self.advance_caller(caller) {
+            if !self.advance_caller(caller) && !self.has_unread_input(caller) {
                 return;
             }
         }
     }
 
+    /// Returns whether the socket of a caller may hold input that is to be read
+    /// now. Pipelined input is read after the request in progress.
+    fn has_unread_input(&self, caller: CallerId) -> bool {
+        self.caller_conns.get(caller).is_some_and(|conn| {
+            conn.channel.may_have_more() && !matches!(conn.phase, CallerPhase::Busy(_))
+        })
+    }
+
     /// Processes the buffered input once; returns whether more may follow.
     fn advance_caller(&mut self, caller: CallerId) -> bool {
         let limits = self.limits();
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -44,14 +44,20 @@
 impl<F: PlatformFormat> EdgeState<F> {
     /// Handles an I/O event on a connection to a server.
     pub(crate) fn on_server_event(&mut self, conn_id: ServerConnId, closing: bool) {
-        let Some(conn) = self.server_conns.get_mut(conn_id) else {
+        let Some(conn) = self.server_conns.get(conn_id) else {
             return;
         };
         if !conn.connected && !self.check_connected(conn_id, closing) {
             return;
         }
+        while self.read_server_conn(conn_id, closing) {}
+    }
+
+    /// Reads and processes available bytes; returns whether the socket may hold
+    /// more.
+    fn read_server_conn(&mut self, conn_id: ServerConnId, closing: bool) -> bool {
         let Some(conn) = self.server_conns.get_mut(conn_id) else {
-            return;
+            return false;
         };
         let flushed = conn.channel.flush();
         let read_state = conn.channel.fill(MAX_INBOUND, closing);
@@ -59,7 +65,7 @@
             if read_state != ReadState::Open || !conn.channel.inbound.is_empty() {
                 self.close_server_conn(conn_id);
             }
-            return;
+            return false;
         }
         let replica = conn.replica;
         let (received, end_reason) = (!conn.channel.inbound.is_empty(), conn.channel.end_reason());
@@ -72,7 +78,7 @@
                 if read_state != ReadState::Open || flushed.is_err() {
                     self.end_standby(exchange_id, end_reason);
                 }
-                return;
+                return false;
             }
         }
         if received {
@@ -80,12 +86,16 @@
             self.last_received = self.now;
             self.unanswered_sends = 0;
         }
-        let read_state = if flushed.is_err() && read_state == ReadState::Open {
+        let has_more = self.server_conns[conn_id].channel.may_have_more();
+        let read_state = if flushed.is_err() && read_state == ReadState::Open && !has_more {
             ReadState::Broken
         } else {
             read_state
         };
         self.read_server_response(conn_id, read_state);
+        // The response may have ended, and the id may be in use again.
+        let conn = self.server_conns.get(conn_id);
+        conn.is_some_and(|conn| conn.exchange_id.is_some() && conn.channel.may_have_more())
     }
 
     /// Checks whether a connection is established.
@@ -302,6 +312,7 @@
         let reusable = framed
             && read_state == ReadState::Open
             && conn.channel.inbound.is_empty()
+            && !conn.channel.may_have_more()
             && conn.channel.unsent() == 0
             && !head.fields.has_list_element("connection", "close");
         if reusable {
