Give retries back that were never sent

What callers see: a stream is broken off with retry_budget, or not sent to another server when its own falls silent, though few retries reached a server. Cause: a retry taken from the budget stayed spent if its connection was not established. Change: such a retry is given back, also when the standby is the one that wasn't connected; the latter no longer counts as a run either. No server got anything, so the promise about retries holds: its properties in tests/policy.rs now give some retries back.

--- a/crates/dewedge/src/policy/retries.rs
+++ b/crates/dewedge/src/policy/retries.rs
@@ -87,6 +87,27 @@
         permitted
     }
 
+    /// Gives a retry back that was taken at `taken` and not sent.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewedge::policy::retries::RetryBudget;
+    /// use std::time::Duration;
+    ///
+    /// let mut budget = RetryBudget::new(0.2, Duration::from_secs(10));
+    /// let now = Duration::from_secs(50);
+    /// assert!(budget.try_acquire(1.0, now));
+    /// budget.give_back(now);
+    /// assert!(budget.try_acquire(1.0, now));
+    /// ```
+    pub fn give_back(&mut self, taken: Moment) {
+        // It may have left the window.
+        if let Some(index) = self.retries.iter().rposition(|time| *time == taken) {
+            self.retries.remove(index);
+        }
+    }
+
     /// Returns whether every window that contains the newest retry stays within
     /// the limit, even if no further request arrives.
     ///
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -238,6 +238,9 @@
             None => match self.connect(replica) {
                 Some(conn_id) => conn_id,
                 None => {
+                    if self.exchanges[exchange_id].sends > 0 {
+                        self.give_retry_back(exchange_id, now);
+                    }
                     self.exchanges[exchange_id].tried_replicas.push(replica);
                     self.on_connect_failure(exchange_id, replica);
                     return;
@@ -272,6 +275,40 @@
         }
     }
 
+    /// Gives back a retry that was taken for an attempt which wasn't sent.
+    fn give_retry_back(&mut self, exchange_id: usize, taken: Moment) {
+        let service = &self.exchanges[exchange_id].service;
+        if let Some(budget) = self.budgets.get_mut(service) {
+            budget.give_back(taken);
+        }
+    }
+
+    /// Handles that an attempt of a request wasn't sent, because its connection
+    /// wasn't established.
+    ///
+    /// The first attempt takes no retry. If it is the unsent one, the attempt
+    /// beside it becomes the first.
+    pub(crate) fn undo_send(&mut self, exchange_id: usize, unsent: SentLoad) {
+        let exchange = &mut self.exchanges[exchange_id];
+        exchange.sends -= 1;
+        let mut taken = unsent.uses_retry.then_some(unsent.sent);
+        if taken.is_none() {
+            let standby = exchange.standby.as_mut();
+            let loads = [
+                Some(&mut exchange.sent_load),
+                standby.map(|standby| &mut standby.load),
+            ];
+            for load in loads.into_iter().flatten() {
+                if std::mem::take(&mut load.uses_retry) {
+                    taken = Some(load.sent);
+                }
+            }
+        }
+        if let Some(taken) = taken {
+            self.give_retry_back(exchange_id, taken);
+        }
+    }
+
     fn record_send(
         &mut self,
         exchange_id: usize,
@@ -304,6 +341,7 @@
         exchange.sent_load = SentLoad {
             replica,
             sent: now,
+            uses_retry: exchange.sends > 1,
             backlog_ms: prefill_ms,
             ahead_ms: backlog,
             expected_ms: backlog + prefill_ms + model.first_event_ms(),
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -61,9 +61,9 @@
         self.count_attempt(exchange_id, &outcome);
         match outcome {
             AttemptOutcome::NotSent { replica } => {
-                let exchange = &mut self.exchanges[exchange_id];
-                exchange.sends -= 1;
-                exchange.tried_replicas.push(replica);
+                let unsent = self.exchanges[exchange_id].sent_load;
+                self.undo_send(exchange_id, unsent);
+                self.exchanges[exchange_id].tried_replicas.push(replica);
                 self.on_connect_failure(exchange_id, replica);
             }
             AttemptOutcome::NotRun { replica, status } => {
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -123,7 +123,7 @@
         if let Some(exchange_id) = exchange_id
             && self.is_standby(exchange_id, conn_id)
         {
-            self.end_standby(exchange_id, "not_connected");
+            self.fail_standby_connect(exchange_id);
             return;
         }
         self.close_server_conn(conn_id);
--- a/crates/dewedge/src/serve/silence.rs
+++ b/crates/dewedge/src/serve/silence.rs
@@ -245,12 +245,26 @@
     /// Handles the end of the standby's connection; the current attempt goes
     /// on.
     pub(crate) fn end_standby(&mut self, exchange_id: usize, reason: &'static str) {
+        self.exchanges[exchange_id].may_have_run = true;
+        self.remove_standby(exchange_id, AttemptResult::Failed, reason);
+    }
+
+    /// Handles that the standby's connection wasn't established; the current
+    /// attempt goes on.
+    pub(crate) fn fail_standby_connect(&mut self, exchange_id: usize) {
+        if let Some(standby) = &self.exchanges[exchange_id].standby {
+            let unsent = standby.load;
+            self.undo_send(exchange_id, unsent);
+        }
+        self.remove_standby(exchange_id, AttemptResult::Unresponsive, "not_connected");
+    }
+
+    fn remove_standby(&mut self, exchange_id: usize, result: AttemptResult, reason: &'static str) {
         let standby = self.exchanges[exchange_id].standby.as_ref();
         let Some(replica) = standby.map(|standby| standby.load.replica) else {
             return;
         };
-        self.exchanges[exchange_id].may_have_run = true;
-        self.record_attempt_result(replica, AttemptResult::Failed);
+        self.record_attempt_result(replica, result);
         self.log_outcome(exchange_id, replica, reason, 0);
         self.drop_standby(exchange_id);
     }
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -180,6 +180,8 @@
 pub(crate) struct SentLoad {
     pub(crate) replica: ReplicaIndex,
     pub(crate) sent: Moment,
+    /// Whether a retry was taken from the budget for it.
+    pub(crate) uses_retry: bool,
     /// Expected prefill time, in ms.
     pub(crate) backlog_ms: f64,
     /// Prefill time of the other unread prompts at the server when it was
--- a/crates/dewedge/tests/policy.rs
+++ b/crates/dewedge/tests/policy.rs
@@ -131,7 +131,8 @@
 
 /// Applies requests (`true`) and attempted retries (`false`) on several VMs,
 /// each after a wait in units of 8 ms, and returns whether every window that
-/// ends at one of them stays within the budget of the fleet.
+/// ends at one of them stays within the budget of the fleet. Each retry after a
+/// wait of 3 units isn't sent, and is given back.
 fn retries_fit_the_fleets_budget(steps: &[(u8, bool, u8)], vms: usize) -> bool {
     let (ratio, slack) = (0.2, 1.0);
     let window = Duration::from_secs(10);
@@ -145,7 +146,10 @@
             budget.record_request(now);
             requests.push(now);
         } else if budget.try_acquire(slack, now) {
-            retries.push(now);
+            match wait {
+                3 => budget.give_back(now),
+                _ => retries.push(now),
+            }
         }
         // The requests that permit a retry lie in the current window, in
         // the previous one, or in one that starts half a window earlier.
@@ -198,6 +202,25 @@
     }
 }
 
+/// Guards against a budget that is spent on connections that were never
+/// established.
+#[test]
+fn a_retry_that_is_given_back_can_be_taken_again() {
+    let mut budget = RetryBudget::new(0.2, Duration::from_secs(10));
+    for turn in 0..50 {
+        let now = ms(100_000 + turn);
+        assert!(budget.try_acquire(1.0, now), "turn {turn}");
+        budget.give_back(now);
+    }
+    let sent = ms(100_100);
+    assert!(budget.try_acquire(1.0, sent));
+    budget.give_back(ms(100_099));
+    assert!(
+        !budget.try_acquire(1.0, ms(100_200)),
+        "one that was sent still counts"
+    );
+}
+
 /// A budget that is always sound could permit too little.
 #[test]
 fn steady_traffic_gets_nearly_the_whole_ratio_of_retries() {
