Readmit a server whose probe ended without a result

What callers see: requests wait for other servers or get 503 while a sound server is idle, until another result or a restart. Cause: a probe bars its server until its result is known, but a response that states not run, and the end of a request at its deadline, gave none. Change: both end the probe without a result, as a caller that leaves. Result: silence::a_server_whose_probe_is_not_run_is_used_again and a_server_whose_probe_reaches_its_deadline_is_used_again failed before and pass; cargo test -p dewedge -p dewplatform: all pass, 46 of 46 path tests.

--- a/crates/dewedge/src/policy/health.rs
+++ b/crates/dewedge/src/policy/health.rs
@@ -101,8 +101,9 @@
         }
     }
 
-    /// Records that a request ended without a result because its caller
-    /// disconnected.
+    /// Records that a request ended without a result: its caller disconnected,
+    /// its deadline passed, or the server was full. If it was the probe, another
+    /// one may be sent.
     pub fn record_abandoned(&mut self) {
         self.probing = false;
     }
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -70,6 +70,9 @@
                 self.exchanges[exchange_id].tried_replicas.push(replica);
                 if status == 421 {
                     self.record_attempt_result(replica, AttemptResult::Failed);
+                } else {
+                    // A full server says nothing about its health.
+                    self.directory.get_mut(replica).health.record_abandoned();
                 }
                 self.log_outcome(exchange_id, replica, "not_run", u64::from(status));
                 if self.restore_standby(exchange_id) {
@@ -328,6 +331,8 @@
                 .get(conn_id)
                 .is_some_and(|conn| conn.exchange_id == Some(exchange_id));
             if owned {
+                let replica = exchange.sent_load.replica;
+                self.directory.get_mut(replica).health.record_abandoned();
                 self.close_server_conn(conn_id);
             }
         }
@@ -342,12 +347,6 @@
         let Some(exchange) = self.exchanges.get(exchange_id) else {
             return;
         };
-        if let ExchangePhase::Sent(_) = exchange.phase {
-            self.directory
-                .get_mut(exchange.sent_load.replica)
-                .health
-                .record_abandoned();
-        }
         self.log_finished(exchange_id, exchange.sent_load.replica, outcome, 0);
         self.finish(exchange_id, "abandoned", |_, _| {});
     }
