--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -193,13 +193,19 @@
         }
     }
 
-    /// Closes a connection that is idle, unless a request has just arrived.
+    /// Closes a connection that is idle, unless a request has just arrived; it
+    /// may have been answered at once.
     pub(crate) fn close_if_idle(&mut self, caller: CallerId) {
+        let Some(conn) = self.caller_conns.get(caller) else {
+            return;
+        };
+        let idle_since = conn.idle_since;
         self.read_caller(caller, false);
         let Some(conn) = self.caller_conns.get(caller) else {
             return;
         };
-        if matches!(conn.phase, CallerPhase::Head) && conn.channel.inbound.is_empty() {
+        let is_idle = matches!(conn.phase, CallerPhase::Head) && conn.idle_since == idle_since;
+        if is_idle && conn.channel.inbound.is_empty() {
             self.close_caller(caller, "idle");
         }
     }
