Take a VM for isolated only if connections fail

What callers see: 502 for requests and broken-off streams while all servers are silent for a second or two on kept connections, and then go on; a VM that was isolated becomes ready only with the next request. Cause: three requests and 0.7 s without a byte counted as isolation, unless a new connection was established, and sends on kept connections open none. Change: isolation requires a failed connection since the last sign of a server. While the VM may be isolated, housekeeping tests twice a second whether a server can be connected to. Result: silence::silence_on_kept_connections_ends_no_request, silence_on_kept_connections_breaks_no_started_stream_off and a_vm_that_reaches_no_server_is_not_ready_until_it_does failed before and pass; cargo test -p dewedge -p dewplatform: all pass, 49 of 49 path tests.

--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -451,9 +451,12 @@
     }
 
     /// Opens a connection to a server.
-    fn connect(&mut self, replica: ReplicaIndex) -> Option<ServerConnId> {
+    pub(crate) fn connect(&mut self, replica: ReplicaIndex) -> Option<ServerConnId> {
         let address = self.directory.get(replica).entry.address;
-        let mut channel = TcpChannel::connect_server(address).ok()?;
+        let Ok(mut channel) = TcpChannel::connect_server(address) else {
+            self.connect_failed = true;
+            return None;
+        };
         let entry = self.server_conns.vacant_entry();
         let conn_id = entry.key();
         let token = token_of(TokenKind::Server, conn_id);
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -183,6 +183,8 @@
             last_received: now,
             unanswered_sends: 0,
             first_unanswered: now,
+            connect_failed: false,
+            reach_test_due: now,
             was_isolated: false,
             stopping: None,
             body_bytes: 0,
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -83,8 +83,7 @@
         }
         if received {
             self.directory.get_mut(replica).last_received = Some(self.now);
-            self.last_received = self.now;
-            self.unanswered_sends = 0;
+            self.record_reached();
         }
         let has_more = self.server_conns[conn_id].channel.may_have_more();
         let read_state = if flushed.is_err() && read_state == ReadState::Open && !has_more {
@@ -104,9 +103,7 @@
         let failed = matches!(conn.channel.stream.take_error(), Ok(Some(_)) | Err(_));
         if !failed && conn.channel.stream.peer_addr().is_ok() {
             conn.connected = true;
-            // Shows a path to the server, as a received byte does.
-            self.last_received = self.now;
-            self.unanswered_sends = 0;
+            self.record_reached();
             return true;
         }
         if failed || closing {
@@ -117,6 +114,7 @@
 
     /// Closes a connection that couldn't be established.
     fn fail_connect(&mut self, conn_id: ServerConnId) {
+        self.connect_failed = true;
         let conn = &mut self.server_conns[conn_id];
         let replica = conn.replica;
         let exchange_id = conn.exchange_id.take();
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -269,6 +269,10 @@
     /// Requests sent since then, and when the first of them was sent.
     pub(crate) unanswered_sends: u32,
     pub(crate) first_unanswered: Moment,
+    /// Whether a connection to a server has failed since then.
+    pub(crate) connect_failed: bool,
+    /// When housekeeping may next test whether a server can be reached.
+    pub(crate) reach_test_due: Moment,
     /// Whether the VM seemed isolated when it was last checked.
     pub(crate) was_isolated: bool,
     /// When the stop signal arrived.
@@ -305,14 +309,27 @@
         !self.settings.keys_fail_closed || self.keys.is_fresh(self.now)
     }
 
-    /// Returns whether no server responds, so that the VM seems to be isolated
-    /// from all of them.
+    /// Returns whether no server can be reached, so that the VM seems to be
+    /// isolated from all of them.
     pub(crate) fn is_isolated(&self) -> bool {
+        self.connect_failed && self.may_be_isolated()
+    }
+
+    /// Returns whether no server responds. All of them may be silent but sound
+    /// unless connections fail as well.
+    pub(crate) fn may_be_isolated(&self) -> bool {
         let last = self.last_received.max(self.first_unanswered);
         self.unanswered_sends >= ISOLATION_MIN_SENDS
             && self.now.saturating_sub(last) >= ISOLATION_MIN_SILENCE
     }
 
+    /// Records a sign that a server can be reached.
+    pub(crate) fn record_reached(&mut self) {
+        self.last_received = self.now;
+        self.unanswered_sends = 0;
+        self.connect_failed = false;
+    }
+
     /// Returns whether the VM is ready to serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         self.stopping.is_none()
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -11,6 +11,7 @@
 use crate::storage::{StoreEvent, WATCH_CALL};
 use crate::tables::RouteTable;
 
+use super::dispatch::CONNECT_TIMEOUT;
 use super::state::EdgeState;
 use super::timers::TimerKey;
 
@@ -38,6 +39,10 @@
 /// checked.
 pub(crate) const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which a VM that may be isolated tests whether a server can be
+/// reached.
+const REACH_TEST_INTERVAL: Duration = Duration::from_millis(500);
+
 impl<F: PlatformFormat> EdgeState<F> {
     /// Runs the store client and applies its events.
     pub(crate) fn drive_store(&mut self) {
@@ -252,6 +257,7 @@
         for index in self.directory.expire(self.now) {
             self.apply_directory_change(DirectoryChange::Gone(index));
         }
+        self.test_reach();
         self.log_isolation();
         let ttl = self.origin_ttl();
         self.origins.expire(ttl, self.now);
@@ -275,6 +281,29 @@
         self.timers.arm(due, TimerKey::Housekeeping);
     }
 
+    /// While the VM may be isolated, opens a connection to a server to find out;
+    /// it is closed unused.
+    fn test_reach(&mut self) {
+        if !self.may_be_isolated() || self.reach_test_due > self.now {
+            return;
+        }
+        self.reach_test_due = self.now + REACH_TEST_INTERVAL;
+        let listed: Vec<usize> = self
+            .directory
+            .iter()
+            .enumerate()
+            .filter(|(_, replica)| replica.is_listed())
+            .map(|(index, _)| index)
+            .collect();
+        if listed.is_empty() {
+            return;
+        }
+        let replica = listed[self.next_random() as usize % listed.len()];
+        if let Some(conn_id) = self.connect(replica) {
+            self.arm_server(conn_id, self.now + CONNECT_TIMEOUT);
+        }
+    }
+
     /// Logs a change of whether the VM seems isolated from all servers.
     fn log_isolation(&mut self) {
         let isolated = self.is_isolated();
