Use ejected servers if a service has no other

What callers see: 503 while the only server of a service is suspected because of one slow request. Cause: an ejected server got no request even if there was no other. Change: health is ignored while no listed server of the service is usable by it. Result: silence::a_slow_request_bars_its_only_server_for_no_other and the_suspicion_of_every_server_refuses_no_request failed before and pass; path tests: 51 of 51 pass.

--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -52,6 +52,8 @@
     connection_limit: u32,
     /// Whether the VMs stagger the first use of a started server.
     staggers_starts: bool,
+    /// Whether ejected servers are used, because all of them are ejected.
+    ignores_health: bool,
 }
 
 impl<F: PlatformFormat> EdgeState<F> {
@@ -125,16 +127,26 @@
         let engine = self.engine_spec(&exchange.service);
         let members = self.directory.in_service(&exchange.service);
         let use_missing = self.directory.may_use_missing();
+        let is_considered = |index: &ReplicaIndex| {
+            use_missing || self.directory.get(*index).missing_until.is_none()
+        };
+        let is_sound = |index: &ReplicaIndex| {
+            let replica = self.directory.get(*index);
+            replica.is_listed() && replica.health.is_usable(self.now)
+        };
         let service = ServiceContext {
             engine: engine.as_ref(),
             connection_limit: self.connection_limit(&exchange.service),
             staggers_starts: self
                 .directory
                 .has_warm_majority(&exchange.service, self.now),
+            ignores_health: !members
+                .iter()
+                .any(|index| is_considered(index) && is_sound(index)),
         };
         let views: Vec<ReplicaView<'_>> = members
             .iter()
-            .filter(|index| use_missing || self.directory.get(**index).missing_until.is_none())
+            .filter(|index| is_considered(index))
             .map(|index| self.replica_view(*index, exchange, &service))
             .collect();
         if engine.is_none() {
@@ -177,7 +189,7 @@
         let usable = replica.is_listed()
             && has_connection
             && replica.backoff_until <= self.now
-            && replica.health.is_usable(self.now)
+            && (service.ignores_health || replica.health.is_usable(self.now))
             && !exchange.tried_replicas.contains(&index)
             && self.fits_version(exchange, index);
         let warming_up = service.staggers_starts
