Return to the standby after a hedge without success

What callers see: a stream is broken off, or a request answered with a failure, because the second server answered with it while the first was about to go on. Cause: only failures with status 500 and above returned to the standby. Change: all responses but successes do while there is one, whether the stream has started or not.

--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -182,10 +182,17 @@
         self.record_attempt_result(replica, result);
         let started = self.response_started(exchange_id);
         let has_standby = self.exchanges[exchange_id].standby.is_some();
-        if failed
-            && self.exchanges[exchange_id].route.is_retryable()
-            && (has_standby || self.can_retry(exchange_id))
-        {
+        let succeeded = (200..300).contains(&head.status);
+        // The standby may still succeed, whatever the status of the hedge.
+        let goes_on = match has_standby {
+            true => !succeeded,
+            false => {
+                failed
+                    && self.exchanges[exchange_id].route.is_retryable()
+                    && self.can_retry(exchange_id)
+            }
+        };
+        if goes_on {
             self.log_outcome(exchange_id, replica, "failed", u64::from(head.status));
             let exchange = &mut self.exchanges[exchange_id];
             exchange.may_have_run = true;
