Open a new connection for a hedge

What callers see: 504 when all kept connections are dead without a sign. Cause: the second attempt of a request with a silent server went out on a kept connection, as the first. Change: it opens a new connection. Result: silence::silence_on_all_kept_connections_for_good_loses_no_stream failed before and passes; path tests: 53 of 53 pass.

--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -240,8 +240,10 @@
         let now = self.now;
         let retryable = self.exchanges[exchange_id].route.is_retryable();
         // While the VM seems isolated, a new connection tests whether the
-        // server is reachable.
-        let idle_conn = match self.is_isolated() {
+        // server is reachable. A hedge must not share the fate of the silent
+        // attempt: all kept connections may be dead.
+        let is_hedge = self.exchanges[exchange_id].standby.is_some();
+        let idle_conn = match is_hedge || self.is_isolated() {
             true => None,
             false => self.take_idle_conn(replica, retryable),
         };
