Keep the retry budgets when their settings change

What callers see: a stream whose server falls silent just after the retry settings changed is not sent to another one. Cause: the change discarded all budgets, and a service without one gets no retry until its next request; the retries of the last window were forgotten as well, which permits too many. Change: the new ratio and window apply to the existing budgets.

--- a/crates/dewedge/src/policy/retries.rs
+++ b/crates/dewedge/src/policy/retries.rs
@@ -68,6 +68,25 @@
         }
     }
 
+    /// Applies a changed limit to the requests and retries so far.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewedge::policy::retries::RetryBudget;
+    /// use std::time::Duration;
+    ///
+    /// let mut budget = RetryBudget::new(0.2, Duration::from_secs(10));
+    /// let now = Duration::from_secs(50);
+    /// assert!(budget.try_acquire(1.0, now));
+    /// budget.set_limit(0.3, Duration::from_secs(10));
+    /// assert!(!budget.try_acquire(1.0, now));
+    /// ```
+    pub fn set_limit(&mut self, ratio: f64, window: Duration) {
+        self.ratio = ratio * RATIO_USED;
+        self.window = window;
+    }
+
     /// Records a caller's request.
     pub fn record_request(&mut self, now: Moment) {
         self.discard_old(now);
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -422,7 +422,9 @@
         if settings.retry_ratio != self.settings.retry_ratio
             || settings.retry_window != self.settings.retry_window
         {
-            self.budgets.clear();
+            for budget in self.budgets.values_mut() {
+                budget.set_limit(settings.retry_ratio, settings.retry_window);
+            }
         }
         self.store.apply_settings(&settings);
         self.settings = settings;
