Close a caller's connection only after its response is sent

What callers see: a large response that closes its connection ends early for a caller that takes over a second to read it, also when the process stops. Cause: a closing connection was cut a second after the response was queued, and an idle one at once, whatever was unsent. Change: both stay open while bytes are unsent, 4 s at most.

--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -3,6 +3,8 @@
 //! The main invariant: a caller's connection has at most one request in
 //! progress, and pipelined bytes never hide that the caller disconnected.
 
+use std::time::Duration;
+
 use mio::net::TcpStream;
 
 use crate::format::PlatformFormat;
@@ -16,6 +18,13 @@
 /// Maximum bytes that a caller may pipeline while its request is in progress.
 const MAX_PIPELINED: usize = 64 * 1024;
 
+/// Interval at which a closing connection with unsent bytes is checked.
+const LINGER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Maximum time for which a closing connection stays open so that the caller
+/// can take the rest of the last response.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(4);
+
 /// Divisor of the process's memory limit that gives the memory for request
 /// bodies.
 const BODY_MEMORY_DIVISOR: u64 = 3;
@@ -173,7 +182,14 @@
         };
         match &conn.phase {
             CallerPhase::Busy(_) => {}
-            CallerPhase::Lingering => self.close_caller(caller, "closed"),
+            CallerPhase::Lingering => {
+                let last = conn.idle_since + MAX_LINGER_TIME;
+                if conn.channel.unsent() > 0 && now < last {
+                    self.arm_caller(caller, last.min(now + LINGER_CHECK_INTERVAL));
+                } else {
+                    self.close_caller(caller, "closed");
+                }
+            }
             CallerPhase::Body { .. } => {
                 conn.closing = true;
                 self.respond(caller, 408, "body_timeout", None);
@@ -201,11 +217,20 @@
         };
         let idle_since = conn.idle_since;
         self.read_caller(caller, false);
-        let Some(conn) = self.caller_conns.get(caller) else {
+        let now = self.now;
+        let Some(conn) = self.caller_conns.get_mut(caller) else {
             return;
         };
         let is_idle = matches!(conn.phase, CallerPhase::Head) && conn.idle_since == idle_since;
-        if is_idle && conn.channel.inbound.is_empty() {
+        if !is_idle || !conn.channel.inbound.is_empty() {
+            return;
+        }
+        if conn.channel.unsent() > 0 {
+            // The caller is still taking its last response.
+            conn.phase = CallerPhase::Lingering;
+            conn.idle_since = now;
+            self.arm_caller(caller, now + LINGER_CHECK_INTERVAL);
+        } else {
             self.close_caller(caller, "idle");
         }
     }
