Count no event of a rejected batch as forwarded

What callers see: a stream that is resumed after an event out of order lacks the events that came with it. Cause: the splitter recorded the ids of the events before the wrong one, though none of the batch is forwarded. Change: ids and counts are recorded only for returned events.

--- a/crates/dewedge/src/stream.rs
+++ b/crates/dewedge/src/stream.rs
@@ -55,22 +55,24 @@
     /// # Errors
     ///
     /// Returns an error if the id of an event doesn't follow the previous one;
-    /// then no event of this call may be forwarded.
+    /// then no event of this call may be forwarded, and none of them counts.
     pub fn take_events(&mut self) -> Result<Vec<u8>, EventError> {
-        let mut end = 0;
+        let (mut end, mut last_id, mut events) = (0, self.last_id, 0);
         while let Some(length) = event_length(&self.pending[end..]) {
             let event = &self.pending[end..end + length];
             if let Some(id) = event_id(event) {
-                if let Some(after) = self.last_id
+                if let Some(after) = last_id
                     && id != after + 1
                 {
                     return Err(EventError::OutOfOrder { after, found: id });
                 }
-                self.last_id = Some(id);
+                last_id = Some(id);
             }
-            self.events += 1;
+            events += 1;
             end += length;
         }
+        self.last_id = last_id;
+        self.events += events;
         Ok(self.pending.drain(..end).collect())
     }
 
--- a/crates/dewedge/tests/stream.rs
+++ b/crates/dewedge/tests/stream.rs
@@ -103,3 +103,12 @@
         assert_eq!(found, case.expected, "{}", case.name);
     }
 }
+
+/// Guards against a resumption behind events that the caller never got.
+#[test]
+fn events_of_a_rejected_batch_do_not_count_as_forwarded() {
+    let mut splitter = EventSplitter::new(Some(3));
+    splitter.push(b"id: 4\ndata: a\n\nid: 6\ndata: b\n\n");
+    assert!(splitter.take_events().is_err());
+    assert_eq!((splitter.last_id(), splitter.event_count()), (Some(3), 0));
+}
