Judge warm-up and health among the servers of a bound version

What callers see: a stream that they take up is refused with no_server_in_time although two servers of its version are listed and idle. Cause: a service counted as warm, and as having a sound server, if servers of other versions were; those of the stream's own version were then held back by their warm-up, or by their ejection. Change: both are judged among the servers that may serve the request.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -264,11 +264,19 @@
         missing.len() >= listed.len()
     }
 
-    /// Returns whether at least half of a service's servers have completed
-    /// their warm-up; otherwise there are too few other servers to send
-    /// requests to.
-    pub fn has_warm_majority(&self, service: &str, now: Moment) -> bool {
-        let members = self.in_service(service).iter();
+    /// Returns whether at least half of a service's servers, or of those of a
+    /// version, have completed their warm-up; otherwise there are too few other
+    /// servers to send requests to.
+    pub fn has_warm_majority(
+        &self,
+        service: &str,
+        version: Option<VersionId>,
+        now: Moment,
+    ) -> bool {
+        let members = self
+            .in_service(service)
+            .iter()
+            .filter(|index| version.is_none_or(|version| self.version_of(**index) == version));
         let (mut listed, mut warm) = (0, 0);
         for replica in members.map(|index| &self.replicas[*index]) {
             if replica.is_listed() {
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -52,7 +52,8 @@
     connection_limit: u32,
     /// Whether the VMs stagger the first use of a started server.
     staggers_starts: bool,
-    /// Whether ejected servers are used, because all of them are ejected.
+    /// Whether ejected servers are used, because all that may serve the request
+    /// are ejected.
     ignores_health: bool,
 }
 
@@ -137,12 +138,14 @@
         let service = ServiceContext {
             engine: engine.as_ref(),
             connection_limit: self.connection_limit(&exchange.service),
-            staggers_starts: self
-                .directory
-                .has_warm_majority(&exchange.service, self.now),
-            ignores_health: !members
-                .iter()
-                .any(|index| is_considered(index) && is_sound(index)),
+            staggers_starts: self.directory.has_warm_majority(
+                &exchange.service,
+                exchange.binding.version(),
+                self.now,
+            ),
+            ignores_health: !members.iter().any(|index| {
+                is_considered(index) && is_sound(index) && self.fits_version(exchange, *index)
+            }),
         };
         let views: Vec<ReplicaView<'_>> = members
             .iter()
