Await the list of servers before a resumed stream is bound

What callers see: a stream that they take up through a VM that has just started is refused with version_unknown or version_gone, although one version serves. Cause: the tables are in force up to 0.3 s before the list of servers is read, and an empty list has no version. Change: such a request waits until the lists are read, as long as it may wait for a server. The stand-in store can't delay a list, so there is no test of its own; versions:: passes.

--- a/crates/dewedge/src/serve/resumption.rs
+++ b/crates/dewedge/src/serve/resumption.rs
@@ -11,7 +11,7 @@
 
 use crate::directory::ReplicaIndex;
 use crate::format::PlatformFormat;
-use crate::origins::{StreamOrigin, VersionId, stream_key};
+use crate::origins::{StreamKey, StreamOrigin, VersionId, stream_key};
 use crate::tables::RequestKind;
 
 use super::state::{EdgeState, Exchange};
@@ -61,27 +61,44 @@
             self.enqueue(exchange_id);
             return;
         }
-        let Some(attempt) = &exchange.metadata.resumed_attempt else {
-            self.queue_unknown(exchange_id);
-            return;
+        let stream = resumed_stream(exchange);
+        let is_known = stream.is_none_or(|stream| self.origins.version_of(stream).is_some());
+        let targets = match is_known {
+            true => Vec::new(),
+            false => self.peers.query_targets(QUERY_TARGETS),
         };
-        let stream = stream_key(attempt);
-        if let Some(version) = self.origins.version_of(stream) {
-            self.queue_bound(exchange_id, version);
+        let (Some(stream), false) = (stream, targets.is_empty()) else {
+            self.resolve_binding(exchange_id);
             return;
-        }
+        };
         let query = self.peers.encode_query(stream);
-        let targets = self.peers.query_targets(QUERY_TARGETS);
-        if targets.is_empty() {
-            self.queue_unknown(exchange_id);
-            return;
-        }
         for address in targets {
             // Any of the other VMs can answer.
             let _ = self.peer_socket.send_to(&query, address);
         }
+        self.await_binding(exchange_id);
+    }
+
+    /// Binds and queues a request that takes a stream up by what is known now.
+    pub(crate) fn resolve_binding(&mut self, exchange_id: usize) {
+        let exchange = &self.exchanges[exchange_id];
+        let origin = resumed_stream(exchange).and_then(|stream| self.origins.version_of(stream));
+        // A VM that has just started doesn't know all servers yet.
+        if !self.store.is_loaded() && self.now < exchange.wait_until {
+            self.await_binding(exchange_id);
+            return;
+        }
+        match origin {
+            Some(version) => self.queue_bound(exchange_id, version),
+            None => self.queue_unknown(exchange_id),
+        }
+    }
+
+    fn await_binding(&mut self, exchange_id: usize) {
         self.exchanges[exchange_id].binding = VersionBinding::Awaited;
-        self.awaiting_origin.push(exchange_id);
+        if !self.awaiting_origin.contains(&exchange_id) {
+            self.awaiting_origin.push(exchange_id);
+        }
         self.arm_exchange(exchange_id, self.now + ORIGIN_WAIT);
     }
 
@@ -95,10 +112,11 @@
             let Some(exchange) = awaiting else {
                 continue;
             };
-            let attempt = exchange.metadata.resumed_attempt.as_deref();
-            match attempt.and_then(|attempt| self.origins.version_of(stream_key(attempt))) {
-                Some(version) => self.queue_bound(exchange_id, version),
-                None => self.awaiting_origin.push(exchange_id),
+            let stream = resumed_stream(exchange);
+            if stream.is_some_and(|stream| self.origins.version_of(stream).is_some()) {
+                self.resolve_binding(exchange_id);
+            } else {
+                self.awaiting_origin.push(exchange_id);
             }
         }
     }
@@ -117,7 +135,7 @@
 
     /// Queues a request whose stream no VM knows, if only one version can have
     /// begun it, or refuses it.
-    pub(crate) fn queue_unknown(&mut self, exchange_id: usize) {
+    fn queue_unknown(&mut self, exchange_id: usize) {
         let ttl = self.origin_ttl();
         let exchange = &mut self.exchanges[exchange_id];
         let recent = self.now.saturating_sub(ttl);
@@ -164,7 +182,12 @@
     }
 }
 
+/// Returns the key of the stream that a request takes up, if its caller names it.
+fn resumed_stream(exchange: &Exchange) -> Option<StreamKey> {
+    exchange.metadata.resumed_attempt.as_deref().map(stream_key)
+}
+
 /// Returns whether the caller takes up a stream of which it has events.
-pub(crate) fn is_resumption(exchange: &Exchange) -> bool {
+fn is_resumption(exchange: &Exchange) -> bool {
     exchange.route.kind == RequestKind::Streaming && exchange.metadata.last_event_id.is_some()
 }
--- a/crates/dewedge/src/serve/silence.rs
+++ b/crates/dewedge/src/serve/silence.rs
@@ -66,7 +66,7 @@
         };
         let last = exchange.deadline + RESPONSE_GRACE;
         if exchange.binding == VersionBinding::Awaited {
-            self.queue_unknown(exchange_id);
+            self.resolve_binding(exchange_id);
         } else if exchange.phase == ExchangePhase::Waiting {
             self.expire(exchange_id);
         } else if last <= now {
