Ask the other VMs for a stream once they are known

Cause: a VM that has just started has no list of VMs yet. A request that took up a stream then asked nobody, and was refused with version_unknown once the servers were listed. Change: the question is asked when the lists are read. Result: versions:: and silence:: pass (15 tests); found by reading.

--- a/crates/dewedge/src/serve/resumption.rs
+++ b/crates/dewedge/src/serve/resumption.rs
@@ -39,8 +39,11 @@
     Unbound,
     /// Only this one.
     Bound(VersionId),
-    /// The other VMs are asked for the version.
-    Awaited,
+    /// The version isn't known yet.
+    Awaited {
+        /// Whether the other VMs have been asked for it.
+        is_asked: bool,
+    },
 }
 
 impl VersionBinding {
@@ -48,7 +51,7 @@
     pub(crate) fn version(self) -> Option<VersionId> {
         match self {
             Self::Bound(version) => Some(version),
-            Self::Unbound | Self::Awaited => None,
+            Self::Unbound | Self::Awaited { .. } => None,
         }
     }
 }
@@ -56,46 +59,47 @@
 impl<F: PlatformFormat> EdgeState<F> {
     /// Queues a new request; one that takes a stream up is bound first.
     pub(crate) fn enqueue_new(&mut self, exchange_id: usize) {
-        let exchange = &self.exchanges[exchange_id];
-        if !is_resumption(exchange) {
-            self.enqueue(exchange_id);
-            return;
-        }
-        let stream = resumed_stream(exchange);
-        let is_known = stream.is_none_or(|stream| self.origins.version_of(stream).is_some());
-        let targets = match is_known {
-            true => Vec::new(),
-            false => self.peers.query_targets(QUERY_TARGETS),
-        };
-        let (Some(stream), false) = (stream, targets.is_empty()) else {
+        if is_resumption(&self.exchanges[exchange_id]) {
             self.resolve_binding(exchange_id);
-            return;
-        };
-        let query = self.peers.encode_query(stream);
-        for address in targets {
-            // Any of the other VMs can answer.
-            let _ = self.peer_socket.send_to(&query, address);
+        } else {
+            self.enqueue(exchange_id);
         }
-        self.await_binding(exchange_id);
     }
 
-    /// Binds and queues a request that takes a stream up by what is known now.
+    /// Binds and queues a request that takes a stream up, or asks the other VMs
+    /// for the stream.
     pub(crate) fn resolve_binding(&mut self, exchange_id: usize) {
         let exchange = &self.exchanges[exchange_id];
-        let origin = resumed_stream(exchange).and_then(|stream| self.origins.version_of(stream));
-        // A VM that has just started doesn't know all servers yet.
+        let is_asked = exchange.binding == VersionBinding::Awaited { is_asked: true };
         if !self.store.is_loaded() && self.now < exchange.wait_until {
-            self.await_binding(exchange_id);
+            // A VM that has just started knows neither all servers nor all VMs.
+            self.await_binding(exchange_id, is_asked);
             return;
         }
-        match origin {
+        let stream = resumed_stream(exchange);
+        match stream.and_then(|stream| self.origins.version_of(stream)) {
             Some(version) => self.queue_bound(exchange_id, version),
+            None if !is_asked && stream.is_some_and(|stream| self.ask_origin(stream)) => {
+                self.await_binding(exchange_id, true);
+            }
             None => self.queue_unknown(exchange_id),
         }
     }
 
-    fn await_binding(&mut self, exchange_id: usize) {
-        self.exchanges[exchange_id].binding = VersionBinding::Awaited;
+    /// Asks the other VMs for the origin of a stream; returns whether there are
+    /// any.
+    fn ask_origin(&mut self, stream: StreamKey) -> bool {
+        let query = self.peers.encode_query(stream);
+        let targets = self.peers.query_targets(QUERY_TARGETS);
+        for address in &targets {
+            // Any of the other VMs can answer.
+            let _ = self.peer_socket.send_to(&query, *address);
+        }
+        !targets.is_empty()
+    }
+
+    fn await_binding(&mut self, exchange_id: usize, is_asked: bool) {
+        self.exchanges[exchange_id].binding = VersionBinding::Awaited { is_asked };
         if !self.awaiting_origin.contains(&exchange_id) {
             self.awaiting_origin.push(exchange_id);
         }
@@ -108,7 +112,7 @@
             let awaiting = self
                 .exchanges
                 .get(exchange_id)
-                .filter(|exchange| exchange.binding == VersionBinding::Awaited);
+                .filter(|exchange| matches!(exchange.binding, VersionBinding::Awaited { .. }));
             let Some(exchange) = awaiting else {
                 continue;
             };
