--- a/crates/dewedge/src/origins.rs
+++ b/crates/dewedge/src/origins.rs
@@ -44,7 +44,7 @@
     pub version: VersionId,
 }
 
-/// An origin that the other VMs are told.
+/// An origin to announce to the other VMs.
 #[derive(Clone, Copy, Debug)]
 struct Announcement {
     origin: StreamOrigin,
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -337,7 +337,7 @@
         self.bind_awaiting();
     }
 
-    /// Tells another VM the origin of a stream, if it is known.
+    /// Answers the question of another VM for a stream, if its origin is known.
     fn answer_origin_query(&mut self, stream: StreamKey, sender: SocketAddr) {
         if let Some(version) = self.origins.version_of(stream) {
             let answer = self.peers.encode_origin(StreamOrigin { stream, version });
