Log which call brought the tables, and how old the last watch response is

The lines about tables in force didn't tell a change that came with the watch from one that came with a confirmation, and a failed call was logged as having taken 0 ms. So a late change could not be traced to a silent connection.

The line tables in_force names the call and the age of the store's last response to a watch, store lost has the real duration, and a gauge shows the age. No decision changes.

--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -41,6 +41,7 @@
     pub(crate) in_flight: Gauge,
     pub(crate) table_version: Gauge,
     pub(crate) key_age_ms: Gauge,
+    pub(crate) watch_age_ms: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -96,6 +97,12 @@
             "Age of the last confirmation of the keys",
             key_age_ms.clone(),
         );
+        let watch_age_ms = Gauge::default();
+        registry.register(
+            "store_watch_age_ms",
+            "Age of the store's last response to a watch",
+            watch_age_ms.clone(),
+        );
         Self {
             registry,
             requests,
@@ -107,6 +114,7 @@
             in_flight,
             table_version,
             key_age_ms,
+            watch_age_ms,
         }
     }
 
--- a/crates/dewedge/src/serve/admin.rs
+++ b/crates/dewedge/src/serve/admin.rs
@@ -103,10 +103,14 @@
         self.metrics
             .table_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
-        let age = self
-            .keys
-            .age(self.now)
-            .map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
-        self.metrics.key_age_ms.set(age);
+        let key_age = gauge_ms(self.keys.age(self.now));
+        self.metrics.key_age_ms.set(key_age);
+        let watch_age = gauge_ms(self.store.watch_age(self.now));
+        self.metrics.watch_age_ms.set(watch_age);
     }
 }
+
+/// Converts an age to the value of a gauge: milliseconds, or -1 for none.
+fn gauge_ms(age: Option<Duration>) -> i64 {
+    age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+}
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -57,8 +57,9 @@
             match event {
                 StoreEvent::Record {
                     record,
+                    call,
                     outage_suspected,
-                } => self.apply_record(record, outage_suspected),
+                } => self.apply_record(record, call, outage_suspected),
                 StoreEvent::Listed {
                     replicas,
                     outage_suspected,
@@ -115,9 +116,9 @@
         }
     }
 
-    fn apply_record(&mut self, record: StoreRecord, outage_suspected: bool) {
+    fn apply_record(&mut self, record: StoreRecord, call: &'static str, outage_suspected: bool) {
         match record.key {
-            RecordKey::Tables => self.apply_tables(record.value, record.revision),
+            RecordKey::Tables => self.apply_tables(record.value, record.revision, call),
             RecordKey::Replica(id) => {
                 let change = match &record.value {
                     None => self
@@ -150,7 +151,7 @@
         }
     }
 
-    fn apply_tables(&mut self, value: Option<Vec<u8>>, revision: u64) {
+    fn apply_tables(&mut self, value: Option<Vec<u8>>, revision: u64, call: &'static str) {
         let already_applied = self
             .table
             .as_ref()
@@ -190,11 +191,14 @@
             return;
         }
         let table = RouteTable::index(set, revision);
+        let watch_age = self.store.watch_age(self.now).unwrap_or(Duration::MAX);
         self.logs
             .system("tables", "in_force")
             .number("version", table.version)
             .number("revision", revision)
-            .number("routes", table.route_count() as u64);
+            .number("routes", table.route_count() as u64)
+            .text("call", call)
+            .ms("watch_age_ms", watch_age);
         for (service, classes) in table.stream_classes() {
             let classes = classes.into_iter().collect();
             self.models.get_mut(service).set_classes(classes);
--- a/crates/dewedge/src/storage/connection.rs
+++ b/crates/dewedge/src/storage/connection.rs
@@ -47,8 +47,8 @@
     Pending,
     /// The call, when it was sent, and the head and body of its response.
     Completed(StoreCall, Moment, ResponseHead, Vec<u8>),
-    /// The call and why it failed.
-    Failed(StoreCall, &'static str),
+    /// The call, when it was sent, and why it failed.
+    Failed(StoreCall, Moment, &'static str),
 }
 
 impl StoreConnection {
@@ -147,7 +147,7 @@
     pub(super) fn fail(&mut self, reason: &'static str) -> CallOutcome {
         self.channel = None;
         match self.pending.take() {
-            Some(pending) => CallOutcome::Failed(pending.call, reason),
+            Some(pending) => CallOutcome::Failed(pending.call, pending.sent, reason),
             None => CallOutcome::Pending,
         }
     }
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -58,6 +58,8 @@
     /// The current state of an item.
     Record {
         record: StoreRecord,
+        /// The call that brought it.
+        call: &'static str,
         /// Whether a removal may be due to an outage of the store.
         outage_suspected: bool,
     },
@@ -92,6 +94,8 @@
     era: Option<StoreEra>,
     /// Revision up to which changes are known; `None` while lists are read.
     watch_revision: Option<u64>,
+    /// When the store last responded to a watch.
+    watch_answered: Option<Moment>,
     /// Revision of the store when reading the lists began.
     list_revision: u64,
     listed_replicas: IndexSet<ReplicaId>,
@@ -121,6 +125,7 @@
             queue: VecDeque::new(),
             era: None,
             watch_revision: None,
+            watch_answered: None,
             list_revision: 0,
             listed_replicas: IndexSet::new(),
             loaded: false,
@@ -143,6 +148,12 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Returns the time since the store last responded to a watch.
+    pub(crate) fn watch_age(&self, now: Moment) -> Option<Duration> {
+        self.watch_answered
+            .map(|answered| now.saturating_sub(answered))
+    }
+
     /// Returns whether the tables and the lists were read once.
     pub(crate) fn is_loaded(&self) -> bool {
         self.loaded
@@ -272,8 +283,8 @@
     fn handle_outcome(&mut self, is_watch: bool, outcome: CallOutcome, now: Moment) {
         match outcome {
             CallOutcome::Pending => {}
-            CallOutcome::Failed(call, reason) => {
-                self.record_call(&call, reason, now, now);
+            CallOutcome::Failed(call, sent, reason) => {
+                self.record_call(&call, reason, sent, now);
                 self.handle_failure(is_watch, call, now);
             }
             CallOutcome::Completed(call, sent, head, body) => {
@@ -376,10 +387,11 @@
             .is_some_and(|last_failure| now.saturating_sub(last_failure) < OUTAGE_SUSPICION_TIME)
     }
 
-    fn push_record(&mut self, record: StoreRecord, now: Moment) {
+    fn push_record(&mut self, record: StoreRecord, call: &'static str, now: Moment) {
         let outage_suspected = self.is_outage_suspected(now);
         self.events.push(StoreEvent::Record {
             record,
+            call,
             outage_suspected,
         });
     }
@@ -392,11 +404,12 @@
         times: (Moment, Moment),
     ) {
         let (sent, now) = times;
+        let name = call_name(&call);
         match (call, response) {
             (StoreCall::ReadTables, StoreResponse::Record(Some(record), as_of)) => {
                 self.list_revision = as_of;
                 let revision = record.revision;
-                self.push_record(record, now);
+                self.push_record(record, name, now);
                 self.events.push(StoreEvent::Confirmed { revision, sent });
                 self.confirm_at = sent + self.intervals.confirm_interval;
             }
@@ -412,8 +425,9 @@
                 self.handle_peer_page(records, more, now);
             }
             (StoreCall::Watch { .. }, StoreResponse::Changes { records, as_of }) => {
+                self.watch_answered = Some(now);
                 for record in records {
-                    self.push_record(record, now);
+                    self.push_record(record, name, now);
                 }
                 if self
                     .watch_revision
@@ -431,7 +445,7 @@
             }
             (StoreCall::ConfirmTables(_), StoreResponse::Changed(Some(record))) => {
                 let revision = record.revision;
-                self.push_record(record, now);
+                self.push_record(record, name, now);
                 self.events.push(StoreEvent::Confirmed { revision, sent });
             }
             (StoreCall::OpenLease(_), StoreResponse::Lease(lease)) => {
@@ -460,7 +474,7 @@
             if let RecordKey::Replica(id) = &record.key {
                 self.listed_replicas.insert(id.clone());
             }
-            self.push_record(record, now);
+            self.push_record(record, "list_replicas", now);
         }
         if more && last.is_some() {
             self.queue.push_front(StoreCall::ListReplicas(last));
@@ -478,7 +492,7 @@
     fn handle_peer_page(&mut self, records: Vec<StoreRecord>, more: bool, now: Moment) {
         let last = records.last().map(|record| record.name.clone());
         for record in records {
-            self.push_record(record, now);
+            self.push_record(record, "list_peers", now);
         }
         if more && last.is_some() {
             self.queue.push_front(StoreCall::ListPeers(last));
