Read the configuration in time behind a silent watch

Callers of a dewspringd whose watch connection has fallen silent, and whose peers are no better off, were served by the earlier tables for up to 10 s; the bound is 6 s. Cause: the read that finds such a change comes only after the watch's timeout of 10 s. Change: the timeout is 4 s. 800 daemons then make 200 reads a second at rest in place of 80. Result: configuration::tests::keeper::a_silent_watch_delays_no_change_beyond_the_bound failed before (revision 1 after 6 s) and passes; the other 12 tests of configuration pass.

--- a/crates/dewspring/src/configuration/keeper.rs
+++ b/crates/dewspring/src/configuration/keeper.rs
@@ -24,6 +24,11 @@
 /// dropped, since the peer offers again.
 const MESSAGE_CAPACITY: usize = 64;
 
+/// Timeout of a watch. A watch on a connection that has fallen silent brings no
+/// change, so the read after it must come within the 6 s in which a change is in
+/// force everywhere.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Settings for watching a fleet's document in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KeeperSettings {
@@ -53,7 +58,7 @@
     pub fn new(fleet: impl Into<String>, seed: u64) -> Self {
         Self {
             fleet: fleet.into(),
-            watch_timeout: Duration::from_secs(10),
+            watch_timeout: WATCH_TIMEOUT,
             retry_base: Duration::from_millis(200),
             retry_limit: Duration::from_secs(5),
             seed,
--- a/crates/dewspring/src/configuration/tests/keeper.rs
+++ b/crates/dewspring/src/configuration/tests/keeper.rs
@@ -15,6 +15,8 @@
 use crate::tables::{ConfigDocument, config_key};
 
 const FLEET: &str = "north";
+/// Time within which a change must be in force.
+const CHANGE_BOUND: Duration = Duration::from_secs(6);
 const ROUTES: &str = r#"
 [[route]]
 name = "pay"
@@ -95,6 +97,20 @@
     assert_eq!(revisions.try_iter().collect::<Vec<_>>(), [1, 2, 3]);
 }
 
+/// Guards against a watch on a silent connection that hides a change for longer
+/// than the fleet's bound.
+#[test]
+fn a_silent_watch_delays_no_change_beyond_the_bound() {
+    let store = FaultyStore::open();
+    write(&store.inner(), &document(1, "a"));
+    store.silence_watches();
+    let keeper = ConfigKeeper::spawn_with(store.clone(), KeeperSettings::new(FLEET, 3), read_plain);
+    wait_for_revision(&keeper, 1);
+    write(&store.inner(), &document(2, "b"));
+    thread::sleep(CHANGE_BOUND);
+    assert_eq!(keeper.revision(), 2);
+}
+
 #[test]
 fn reports_a_restored_store_and_writes_nothing_back() {
     let store = FaultyStore::open();
--- a/crates/dewspring/src/store/tests/faulty.rs
+++ b/crates/dewspring/src/store/tests/faulty.rs
@@ -17,6 +17,7 @@
 struct FaultSwitches {
     inner: Mutex<EmbeddedStore>,
     is_down: AtomicBool,
+    has_silent_watches: AtomicBool,
     latency_millis: AtomicU64,
     lost_responses: AtomicU64,
     calls: AtomicU64,
@@ -34,6 +35,7 @@
             switches: Arc::new(FaultSwitches {
                 inner: Mutex::new(EmbeddedStore::open()),
                 is_down: AtomicBool::new(false),
+                has_silent_watches: AtomicBool::new(false),
                 latency_millis: AtomicU64::new(0),
                 lost_responses: AtomicU64::new(0),
                 calls: AtomicU64::new(0),
@@ -45,6 +47,13 @@
         self.switches.is_down.store(is_down, Ordering::SeqCst);
     }
 
+    /// Lets watches end without an event, whatever changes.
+    pub fn silence_watches(&self) {
+        self.switches
+            .has_silent_watches
+            .store(true, Ordering::SeqCst);
+    }
+
     pub fn set_latency(&self, latency: Duration) {
         let millis = u64::try_from(latency.as_millis()).expect("a short time");
         self.switches.latency_millis.store(millis, Ordering::SeqCst);
@@ -117,6 +126,10 @@
         after: StoreVersion,
         timeout: Duration,
     ) -> Result<Option<StoreEntry>, StoreError> {
+        if self.switches.has_silent_watches.load(Ordering::SeqCst) {
+            thread::sleep(timeout);
+            return Ok(None);
+        }
         let mut remaining = timeout;
         while !remaining.is_zero() {
             let slice = remaining.min(WATCH_POLL_INTERVAL);
