Replace a silent connection to the store within the recovery bound

Cause: only the watch brings changes in time. One whose connection falls silent without a reset was taken for alive for 11.5 s; until then changes of the tables came with the confirmations, after 2.88 to 4.02 s, and changes of servers not at all. A new era was noticed just as late. Change: the store ends a watch without changes 0.7 of the recovery bound (stable-window-ms) after its last response. A response that is missing 0.15 of the bound later shows a dead connection; the watch goes on over a new one, and so do the calls. The timeout grows with the time of recent calls and with failures, and a response that has begun times out by its progress, not by its size. Why it works: silence of any length that begins at any moment is noticed after 0.85 of the bound.

--- a/crates/dewedge/src/settings.rs
+++ b/crates/dewedge/src/settings.rs
@@ -34,6 +34,9 @@
     pub table_update_bound: Duration,
     /// Time within which a leaving server must get its last new request.
     pub drain_bound: Duration,
+    /// Time after a disturbance of this VM or of the store from which the bounds
+    /// hold again.
+    pub recovery_bound: Duration,
     /// Whether keys are accepted only while the store confirms the tables.
     pub keys_fail_closed: bool,
     /// Permitted retries per request.
--- a/crates/dewedge/src/storage/connection.rs
+++ b/crates/dewedge/src/storage/connection.rs
@@ -16,6 +16,10 @@
 /// Longest delay after a failed call.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
 
+/// Time after which a response that has begun times out if no further byte of it
+/// arrives.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// Maximum bytes of a response head.
 const MAX_HEAD: usize = 16 * 1024;
 
@@ -27,6 +31,7 @@
 pub(super) struct PendingCall {
     call: StoreCall,
     sent: Moment,
+    /// When the call times out if no further byte of its response arrives.
     pub(super) deadline: Moment,
     head: Option<(ResponseHead, BodyDecoder)>,
     body: Vec<u8>,
@@ -62,6 +67,12 @@
         }
     }
 
+    /// Returns the number of calls that have failed since the last successful
+    /// one.
+    pub(super) fn failures(&self) -> u32 {
+        self.failures
+    }
+
     pub(super) fn is_free(&self, now: Moment) -> bool {
         self.pending.is_none() && self.retry_at <= now
     }
@@ -105,18 +116,24 @@
         }
     }
 
-    pub(super) fn advance(&mut self, closing: bool) -> CallOutcome {
+    pub(super) fn advance(&mut self, closing: bool, now: Moment) -> CallOutcome {
         let Some(channel) = &mut self.channel else {
             return CallOutcome::Pending;
         };
         let flushed = channel.flush();
+        let buffered = channel.inbound.len();
         let read_state = channel.fill(MAX_RESPONSE, closing);
+        let received = channel.inbound.len() > buffered;
         let Some(pending) = &mut self.pending else {
             if read_state != ReadState::Open || !channel.inbound.is_empty() {
                 self.channel = None;
             }
             return CallOutcome::Pending;
         };
+        if received {
+            // A large response takes longer than a call on a narrow link.
+            pending.deadline = pending.deadline.max(now + PROGRESS_TIMEOUT);
+        }
         match read_response(pending, channel) {
             Err(reason) => return self.fail(reason),
             Ok(true) => {}
@@ -152,6 +169,13 @@
         }
     }
 
+    /// Closes the connection if no call is in progress on it.
+    pub(super) fn close_idle(&mut self) {
+        if self.pending.is_none() {
+            self.channel = None;
+        }
+    }
+
     pub(super) fn back_off(&mut self, now: Moment, jitter: f64) {
         let max_delay = MIN_RETRY_DELAY
             .saturating_mul(1 << self.failures.min(4))
@@ -184,5 +208,8 @@
         .decode(&channel.inbound, &mut pending.body)
         .map_err(|_| "malformed")?;
     channel.consume(used);
+    if pending.body.len() > MAX_RESPONSE {
+        return Err("oversized");
+    }
     Ok(decoder.is_done())
 }
--- a/crates/dewedge/src/storage/intervals.rs
+++ b/crates/dewedge/src/storage/intervals.rs
@@ -1,7 +1,8 @@
 //! Intervals of the calls to the store, derived from the settings.
 //!
-//! The main invariant: a lost confirmation is requested again before the
-//! previous one expires.
+//! The main invariants: a lost confirmation is requested again before the
+//! previous one expires, and a connection that has fallen silent is replaced
+//! within the recovery bound.
 
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 const CONFIRM_TIMEOUT_SHARE: f64 = 0.22;
 
 /// Shortest interval or timeout, for bounds that are very short or disabled.
-const MIN_CONFIRM_TIME: Duration = Duration::from_millis(300);
+const MIN_CALL_TIME: Duration = Duration::from_millis(300);
 
 /// Delay between two watches, as a share of the smallest update bound. Changes
 /// accumulate meanwhile, since a call costs the same for one change as for
@@ -34,6 +35,21 @@
 /// left for requests on their way to a server.
 const READ_SHARE: f64 = 0.75;
 
+/// Longest time between two responses to watches, as a share of the recovery
+/// bound. The store ends a watch without changes by then, so that a missing
+/// response shows that its connection is dead.
+const WATCH_PERIOD_SHARE: f64 = 0.7;
+
+/// Time after the end of a watch in which its response must begin, as a share of
+/// the recovery bound. The rest of the bound is left for another connection.
+const WATCH_TIMEOUT_SHARE: f64 = 0.15;
+
+/// Recent call times after which a response is overdue.
+const OVERDUE_CALL_TIMES: u32 = 3;
+
+/// Longest time after the end of a watch in which its response must begin.
+const MAX_WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// Calls that a change may need after the delay: a watch whose response doesn't
 /// contain it because it is full, and the next one.
 const CALLS_PER_CHANGE: u32 = 2;
@@ -54,6 +70,10 @@
     pub(super) confirm_timeout: Duration,
     /// Longest delay between two watches.
     watch_delay: Duration,
+    /// Longest time between two responses to watches.
+    watch_period: Duration,
+    /// Shortest timeout of a watch after its end.
+    min_watch_timeout: Duration,
     /// Time within which a change must be read.
     read_time: Duration,
     /// Duration of recent calls.
@@ -65,12 +85,18 @@
     pub(super) fn new(settings: &EdgeSettings) -> Self {
         let validity = KeyConfirmation::new(settings.key_revocation_bound).validity();
         let update_bound = settings.table_update_bound.min(settings.drain_bound);
+        let recovery_bound = settings.recovery_bound;
+        let watch_period = recovery_bound
+            .mul_f64(WATCH_PERIOD_SHARE)
+            .max(MIN_CALL_TIME);
         Self {
-            confirm_interval: validity.mul_f64(CONFIRM_SHARE).max(MIN_CONFIRM_TIME),
-            confirm_timeout: validity
-                .mul_f64(CONFIRM_TIMEOUT_SHARE)
-                .max(MIN_CONFIRM_TIME),
-            watch_delay: update_bound.mul_f64(WATCH_DELAY_SHARE),
+            confirm_interval: validity.mul_f64(CONFIRM_SHARE).max(MIN_CALL_TIME),
+            confirm_timeout: validity.mul_f64(CONFIRM_TIMEOUT_SHARE).max(MIN_CALL_TIME),
+            watch_delay: update_bound.mul_f64(WATCH_DELAY_SHARE).min(watch_period),
+            watch_period,
+            min_watch_timeout: recovery_bound
+                .mul_f64(WATCH_TIMEOUT_SHARE)
+                .max(MIN_CALL_TIME),
             read_time: update_bound.mul_f64(READ_SHARE),
             call_time: Duration::ZERO,
         }
@@ -92,4 +118,20 @@
         let reading = self.call_time * CALLS_PER_CHANGE;
         self.watch_delay.min(self.read_time.saturating_sub(reading))
     }
+
+    /// Returns for how long the store may hold a watch open, given the time
+    /// since its last response to one.
+    pub(super) fn watch_wait(&self, age: Duration) -> Duration {
+        self.watch_period.saturating_sub(age)
+    }
+
+    /// Returns the time after the end of a watch in which its response must
+    /// begin. It doubles with each failure, because the store may be slow.
+    pub(super) fn watch_timeout(&self, failures: u32) -> Duration {
+        let overdue = self.call_time * OVERDUE_CALL_TIMES;
+        self.min_watch_timeout
+            .max(overdue)
+            .saturating_mul(1 << failures.min(4))
+            .min(MAX_WATCH_TIMEOUT)
+    }
 }
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -6,6 +6,10 @@
 //! tables are still the latest. Keys are confirmed only by responses to calls
 //! that read or confirm the tables, not by the watch.
 //!
+//! A connection may fall silent without a reset. The store therefore ends a watch
+//! without changes early enough that a missing response shows a dead connection,
+//! and a new one brings the changes, within the recovery bound.
+//!
 //! In a drill, the store may return from an older copy of its data. Its era then
 //! rises, and revisions are given out again.
 //!
@@ -35,12 +39,6 @@
 /// of the smallest key revocation bound in use.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Time for which the store may hold a watch open.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
-
-/// Time beyond the wait of a watch after which it times out.
-const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(1500);
-
 /// Time after a failed call during which removed entries may have been lost in
 /// an outage of the store.
 const OUTAGE_SUSPICION_TIME: Duration = Duration::from_secs(4);
@@ -94,7 +92,7 @@
     era: Option<StoreEra>,
     /// Revision up to which changes are known; `None` while lists are read.
     watch_revision: Option<u64>,
-    /// When the store last responded to a watch.
+    /// When the store last responded to a watch, or the lists were read.
     watch_answered: Option<Moment>,
     /// Revision of the store when reading the lists began.
     list_revision: u64,
@@ -177,7 +175,7 @@
         } else {
             &mut self.call_connection
         };
-        let outcome = connection.advance(closing);
+        let outcome = connection.advance(closing, now);
         self.handle_outcome(is_watch, outcome, now);
     }
 
@@ -214,10 +212,14 @@
         if self.watch_connection.is_free(now)
             && let Some(after) = self.watch_revision
         {
-            let wait = WATCH_WAIT;
+            let age = self.watch_age(now).unwrap_or(Duration::MAX);
+            let wait = self.intervals.watch_wait(age);
+            let timeout = self
+                .intervals
+                .watch_timeout(self.watch_connection.failures());
             let call = StoreCall::Watch { after, wait };
             let bytes = F::write_call(&call);
-            let times = (now, now + WATCH_WAIT + WATCH_TIMEOUT_MARGIN);
+            let times = (now, now + wait + timeout);
             self.watch_connection
                 .send(registry, self.address, call, &bytes, times);
         }
@@ -372,7 +374,8 @@
         connection.back_off(now, jitter);
         self.calls_failed |= !is_watch;
         match call {
-            StoreCall::Watch { .. } => {}
+            // The calls' connection may be dead as well.
+            StoreCall::Watch { .. } => self.call_connection.close_idle(),
             StoreCall::ConfirmTables(_) => self.confirm_at = now,
             // The lease is renewed or opened again shortly.
             StoreCall::RenewLease(_) | StoreCall::OpenLease(_) => {
@@ -499,6 +502,7 @@
             return;
         }
         self.watch_revision = Some(self.list_revision);
+        self.watch_answered = Some(now);
         self.loaded = true;
     }
 }
