Let no lost call delay the confirmation of the tables

Callers were refused with 503 (keys_unconfirmed) although only single calls to the store had been lost. Cause: all calls but the watch share a connection, one after the other. A call of another kind that got no response held it for 1.5 s, more than the time by which a confirmation comes early; and a call that had timed out waited 150 ms more. Change: every call times out as a confirmation does, and the pause after a failed call counts from when it was sent.

--- a/crates/dewedge/src/storage/connection.rs
+++ b/crates/dewedge/src/storage/connection.rs
@@ -10,10 +10,10 @@
 use crate::http::{BodyDecoder, ResponseHead, parse_response};
 use crate::net::{ReadState, TcpChannel};
 
-/// Shortest delay after a failed call.
+/// Shortest time between a failed call and the next one.
 pub(super) const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Longest delay after a failed call.
+/// Longest time between a failed call and the next one.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
 
 /// Time after which a response that has begun times out if no further byte of it
@@ -176,12 +176,13 @@
         }
     }
 
-    pub(super) fn back_off(&mut self, now: Moment, jitter: f64) {
+    /// Delays the next call after a failed one, counted from when that was sent.
+    pub(super) fn back_off(&mut self, sent: Moment, jitter: f64) {
         let max_delay = MIN_RETRY_DELAY
             .saturating_mul(1 << self.failures.min(4))
             .min(MAX_RETRY_DELAY);
         self.failures += 1;
-        self.retry_at = now + MIN_RETRY_DELAY + (max_delay - MIN_RETRY_DELAY).mul_f64(jitter);
+        self.retry_at = sent + MIN_RETRY_DELAY + (max_delay - MIN_RETRY_DELAY).mul_f64(jitter);
     }
 }
 
--- a/crates/dewedge/src/storage/intervals.rs
+++ b/crates/dewedge/src/storage/intervals.rs
@@ -13,10 +13,14 @@
 /// again.
 const CONFIRM_SHARE: f64 = 0.64;
 
-/// Share of the validity after which a confirmation without a response times
-/// out. After [`CONFIRM_SHARE`] and this, a seventh is left for a second try,
-/// so that one lost call invalidates no key.
-const CONFIRM_TIMEOUT_SHARE: f64 = 0.22;
+/// Share of the validity after which a call without a response times out. After
+/// [`CONFIRM_SHARE`] and this, a seventh is left for a second try, so that one
+/// lost call invalidates no key, whether it is a confirmation or the call that a
+/// confirmation waits for.
+const CALL_TIMEOUT_SHARE: f64 = 0.22;
+
+/// Longest timeout of a call, for bounds that are very long or disabled.
+const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Shortest interval or timeout, for bounds that are very short or disabled.
 const MIN_CALL_TIME: Duration = Duration::from_millis(300);
@@ -47,9 +51,6 @@
 /// Recent call times after which a response is overdue.
 const OVERDUE_CALL_TIMES: u32 = 3;
 
-/// Longest time after the end of a watch in which its response must begin.
-const MAX_WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Calls that a change may need after the delay: a watch whose response doesn't
 /// contain it because it is full, and the next one.
 const CALLS_PER_CHANGE: u32 = 2;
@@ -66,8 +67,8 @@
 pub(super) struct CallIntervals {
     /// Interval between two confirmations of the tables.
     pub(super) confirm_interval: Duration,
-    /// Timeout of a confirmation.
-    pub(super) confirm_timeout: Duration,
+    /// Timeout of a call without a response.
+    pub(super) call_timeout: Duration,
     /// Longest delay between two watches.
     watch_delay: Duration,
     /// Longest time between two responses to watches.
@@ -91,7 +92,9 @@
             .max(MIN_CALL_TIME);
         Self {
             confirm_interval: validity.mul_f64(CONFIRM_SHARE).max(MIN_CALL_TIME),
-            confirm_timeout: validity.mul_f64(CONFIRM_TIMEOUT_SHARE).max(MIN_CALL_TIME),
+            call_timeout: validity
+                .mul_f64(CALL_TIMEOUT_SHARE)
+                .clamp(MIN_CALL_TIME, MAX_CALL_TIMEOUT),
             watch_delay: update_bound.mul_f64(WATCH_DELAY_SHARE).min(watch_period),
             watch_period,
             min_watch_timeout: recovery_bound
@@ -132,6 +135,6 @@
         self.min_watch_timeout
             .max(overdue)
             .saturating_mul(1 << failures.min(4))
-            .min(MAX_WATCH_TIMEOUT)
+            .min(MAX_CALL_TIMEOUT)
     }
 }
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -35,10 +35,6 @@
 use connection::{CallOutcome, MIN_RETRY_DELAY, StoreConnection};
 use intervals::CallIntervals;
 
-/// Timeout of a call; far above the store's usual few milliseconds, and a third
-/// of the smallest key revocation bound in use.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Time after a failed call during which removed entries may have been lost in
 /// an outage of the store.
 const OUTAGE_SUSPICION_TIME: Duration = Duration::from_secs(4);
@@ -201,11 +197,7 @@
             && let Some(call) = self.queue.pop_front()
         {
             let bytes = F::write_call(&call);
-            let timeout = match call {
-                StoreCall::ConfirmTables(_) => self.intervals.confirm_timeout,
-                _ => CALL_TIMEOUT,
-            };
-            let times = (now, now + timeout);
+            let times = (now, now + self.intervals.call_timeout);
             self.call_connection
                 .send(registry, self.address, call, &bytes, times);
         }
@@ -287,7 +279,7 @@
             CallOutcome::Pending => {}
             CallOutcome::Failed(call, sent, reason) => {
                 self.record_call(&call, reason, sent, now);
-                self.handle_failure(is_watch, call, now);
+                self.handle_failure(is_watch, call, (sent, now));
             }
             CallOutcome::Completed(call, sent, head, body) => {
                 if self.begins_era(F::store_era(&head.fields)) {
@@ -299,7 +291,7 @@
                 match F::read_response(&call, head.status, &body) {
                     Ok(StoreResponse::Refused(_)) => {
                         self.record_call(&call, "refused", sent, now);
-                        self.handle_failure(is_watch, call, now);
+                        self.handle_failure(is_watch, call, (sent, now));
                     }
                     Ok(response) => {
                         self.record_call(&call, "ok", sent, now);
@@ -313,7 +305,7 @@
                     }
                     Err(_) => {
                         self.record_call(&call, "malformed", sent, now);
-                        self.handle_failure(is_watch, call, now);
+                        self.handle_failure(is_watch, call, (sent, now));
                     }
                 }
             }
@@ -359,7 +351,8 @@
         });
     }
 
-    fn handle_failure(&mut self, is_watch: bool, call: StoreCall, now: Moment) {
+    fn handle_failure(&mut self, is_watch: bool, call: StoreCall, times: (Moment, Moment)) {
+        let (sent, now) = times;
         self.last_failure = Some(now);
         self.random_state = self
             .random_state
@@ -371,7 +364,7 @@
         } else {
             &mut self.call_connection
         };
-        connection.back_off(now, jitter);
+        connection.back_off(sent, jitter);
         self.calls_failed |= !is_watch;
         match call {
             // The calls' connection may be dead as well.
