Log the request limit that a server names

No log line told whether a VM had received a limit (Server-Limit), so a VM that ignores it couldn't be told from several that each keep to the whole limit.

No decision changes.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -38,6 +38,9 @@
     pub leaving: bool,
     /// Until when it accepts no request from this VM.
     pub backoff_until: Moment,
+    /// Requests a second that it accepts from all VMs together, if it named a
+    /// limit.
+    pub rate_limit: Option<f64>,
     /// Whether its entry was removed.
     pub gone: bool,
     /// When its entry was removed, if it was.
@@ -80,6 +83,7 @@
     fn reset(&mut self) {
         self.leaving = false;
         self.backoff_until = Moment::ZERO;
+        self.rate_limit = None;
         self.health = ReplicaHealth::default();
         self.cached_parts.clear();
         self.slowness = 1.0;
@@ -361,6 +365,7 @@
             entry,
             leaving,
             backoff_until: Moment::ZERO,
+            rate_limit: None,
             gone: false,
             gone_at: Moment::ZERO,
             missing_until: None,
--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -82,7 +82,7 @@
 }
 
 /// Metadata of a response, read from its headers.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Id of the caller's attempt that the response belongs to.
     pub attempt: Option<AttemptId>,
@@ -92,6 +92,20 @@
     pub leaving: bool,
     /// Time for which the server accepts no further request from this VM.
     pub retry_after: Option<Duration>,
+    /// What the server says about the rate of requests that it accepts.
+    pub rate_limit: RateNotice,
+}
+
+/// What a response says about the rate of requests that its server accepts.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateNotice {
+    /// The server names no limit.
+    #[default]
+    Unlimited,
+    /// The server accepts this many requests a second from all VMs together.
+    Limited(f64),
+    /// The limit can't be read; the earlier one stays in force.
+    Unreadable,
 }
 
 /// Lifecycle stage of a server.
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::tables::{EngineSpec, RequestKind, RouteSpec};
 
 use super::resumption::VersionBinding;
+use super::servers::limit_text;
 use super::state::{
     EdgeState, Exchange, ExchangePhase, SentLoad, ServerConn, ServerConnId, TokenKind, token_of,
 };
@@ -398,6 +399,7 @@
             .text("route", &exchange.route.name)
             .text("server", &replica_state.id)
             .text("version", &replica_state.entry.version)
+            .text("limit_per_s", &limit_text(replica_state.rate_limit))
             .text(
                 "resumes",
                 exchange.metadata.resumed_attempt.as_deref().unwrap_or(""),
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crate::format::{PlatformFormat, ResponseMetadata};
+use crate::format::{PlatformFormat, RateNotice, ResponseMetadata};
 use crate::http::{BodyDecoder, ResponseHead, parse_response};
 use crate::net::ReadState;
 use crate::policy::health::AttemptResult;
@@ -223,6 +223,7 @@
             let change = self.directory.mark_leaving(replica);
             self.apply_directory_change(change);
         }
+        self.apply_rate_notice(replica, metadata.rate_limit);
         if let (503, Some(delay)) = (status, metadata.retry_after) {
             let replica_state = self.directory.get_mut(replica);
             replica_state.back_off(self.now + delay);
@@ -233,6 +234,28 @@
         }
     }
 
+    fn apply_rate_notice(&mut self, replica: usize, notice: RateNotice) {
+        let limit = match notice {
+            RateNotice::Unlimited => None,
+            RateNotice::Limited(rate) => Some(rate),
+            RateNotice::Unreadable => return,
+        };
+        let replica_state = self.directory.get_mut(replica);
+        if replica_state.rate_limit == limit {
+            return;
+        }
+        replica_state.rate_limit = limit;
+        let event = if limit.is_some() {
+            "limited"
+        } else {
+            "unlimited"
+        };
+        self.logs
+            .system("directory", event)
+            .text("server", &replica_state.id)
+            .text("limit_per_s", &limit_text(limit));
+    }
+
     fn read_response_body(&mut self, conn_id: ServerConnId, read_state: ReadState) -> ResponseStep {
         let conn = &mut self.server_conns[conn_id];
         let Some(decoder) = &mut conn.decoder else {
@@ -419,3 +442,8 @@
         }
     }
 }
+
+/// Returns the limit of a server for log lines; it is empty without a limit.
+pub(crate) fn limit_text(limit: Option<f64>) -> String {
+    limit.map_or(String::new(), |rate| rate.to_string())
+}
