Keep the requests of all VMs to a server within the limit that it names

Cause: nothing read Server-Limit, so placement took the servers for idle. A limit for the whole fleet is a quantity that no VM can keep by itself: 0.8 to 1.5 requests a second from each VM exceeded it. Change: the VMs take turns, one request per round of (VMs / limit) seconds. The rounds begin when the server named the limit, in the order of the VMs' hashes, so turns are evenly spaced without an exchange. An unused turn lapses after 1 / limit seconds (0.3 s at least). A server whose turn hasn't come counts as not usable, for hedges and retries as well. Changes are told to the other VMs for 1 s with their age, in a datagram of their own that earlier builds ignore.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -16,6 +16,7 @@
 use crate::origins::{VersionId, version_id};
 use crate::policy::health::ReplicaHealth;
 use crate::policy::placement::{PartCache, ServerLoad};
+use crate::policy::rate_limit::RateLimit;
 use crate::policy::warmup::WarmUp;
 
 /// Time for which an entry lost in an outage of the store is still used; live
@@ -38,9 +39,8 @@
     pub leaving: bool,
     /// Until when it accepts no request from this VM.
     pub backoff_until: Moment,
-    /// Requests a second that it accepts from all VMs together, if it named a
-    /// limit.
-    pub rate_limit: Option<f64>,
+    /// The limit that it names on the requests of all VMs together.
+    pub rate_limit: RateLimit,
     /// Whether its entry was removed.
     pub gone: bool,
     /// When its entry was removed, if it was.
@@ -83,7 +83,7 @@
     fn reset(&mut self) {
         self.leaving = false;
         self.backoff_until = Moment::ZERO;
-        self.rate_limit = None;
+        self.rate_limit = RateLimit::default();
         self.health = ReplicaHealth::default();
         self.cached_parts.clear();
         self.slowness = 1.0;
@@ -341,6 +341,18 @@
         self.replicas.iter_mut()
     }
 
+    /// Returns the servers that name a limit.
+    pub fn limited(&self) -> Vec<ReplicaIndex> {
+        let limited = |(index, replica): (ReplicaIndex, &ReplicaState)| {
+            replica.rate_limit.rate().map(|_| index)
+        };
+        self.replicas
+            .iter()
+            .enumerate()
+            .filter_map(limited)
+            .collect()
+    }
+
     /// Returns the number of servers that accept new requests.
     pub fn listed_count(&self) -> usize {
         self.replicas
@@ -365,7 +377,7 @@
             entry,
             leaving,
             backoff_until: Moment::ZERO,
-            rate_limit: None,
+            rate_limit: RateLimit::default(),
             gone: false,
             gone_at: Moment::ZERO,
             missing_until: None,
--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod format;
 pub mod http;
 pub mod keys;
+mod limit_notices;
 mod logs;
 mod metrics;
 mod net;
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -16,8 +16,10 @@
 
 use crate::clock::Moment;
 use crate::directory::{ReplicaDirectory, stable_hash};
+use crate::limit_notices::{LIMIT_MAGIC, LimitNotice, decode_notices};
 use crate::origins::{StreamKey, StreamOrigin};
 use crate::policy::placement::ServerLoad;
+use crate::policy::rate_limit::FleetPlace;
 
 /// First bytes of a digest; the last one is the format version.
 const MAGIC: [u8; 4] = *b"DWD2";
@@ -68,6 +70,8 @@
         /// Streams and the versions at which they began.
         origins: Vec<StreamOrigin>,
     },
+    /// Limits that servers have named.
+    Limits(Vec<LimitNotice>),
     /// A question for the origin of a stream.
     OriginQuery(StreamKey),
 }
@@ -127,6 +131,14 @@
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns this VM's place among the VMs that send to a server.
+    pub(crate) fn place_for(&self, replica: u64) -> FleetPlace {
+        FleetPlace {
+            vms: self.vm_count(),
+            rank: self.rank_for(replica),
+        }
+    }
+
     /// Returns the addresses that receive the next digest, at most `most`.
     pub(crate) fn next_targets(&mut self, most: usize) -> Vec<SocketAddr> {
         let targets = self.targets_from(self.next_target, most);
@@ -215,6 +227,12 @@
                 None => PeerMessage::Invalid,
             };
         }
+        if let Some(notices) = bytes.strip_prefix(&LIMIT_MAGIC) {
+            return match decode_notices(notices, now) {
+                Some(notices) => PeerMessage::Limits(notices),
+                None => PeerMessage::Invalid,
+            };
+        }
         let Some((sender, digest, origins)) = decode(bytes, now) else {
             return PeerMessage::Invalid;
         };
--- a/crates/dewedge/src/policy/mod.rs
+++ b/crates/dewedge/src/policy/mod.rs
@@ -11,6 +11,7 @@
 //! - [`retries`] limits retries.
 //! - [`health`] tracks the health of servers by the results of this VM's
 //!   requests.
+//! - [`rate_limit`] keeps the VMs' requests to a server within its limit.
 //! - [`warmup`] staggers the first use of a started server across the VMs.
 //!
 //! The main invariant: nothing here reads a clock or a socket; time and state
@@ -21,5 +22,6 @@
 pub mod health;
 pub mod placement;
 pub mod queue;
+pub mod rate_limit;
 pub mod retries;
 pub mod warmup;
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -193,6 +193,7 @@
         let usable = replica.is_listed()
             && has_connection
             && replica.backoff_until <= self.now
+            && replica.rate_limit.allows(self.now)
             && (service.ignores_health || replica.health.is_usable(self.now))
             && !exchange.tried_replicas.contains(&index)
             && self.fits_version(exchange, index);
@@ -307,6 +308,8 @@
     /// The first attempt takes no retry. If it is the unsent one, the attempt
     /// beside it becomes the first.
     pub(crate) fn undo_send(&mut self, exchange_id: usize, unsent: SentLoad) {
+        let replica_state = self.directory.get_mut(unsent.replica);
+        replica_state.rate_limit.undo_send();
         let exchange = &mut self.exchanges[exchange_id];
         exchange.sends -= 1;
         let mut taken = unsent.uses_retry.then_some(unsent.sent);
@@ -375,6 +378,7 @@
         replica_state.own_load.tokens += tokens;
         replica_state.own_load.gap_sensitive_streams += u32::from(exchange.sent_load.gap_sensitive);
         replica_state.health.record_sent();
+        replica_state.rate_limit.record_send(now);
         replica_state
             .cached_parts
             .record_use(&exchange.metadata.prompt_parts, now);
@@ -399,7 +403,7 @@
             .text("route", &exchange.route.name)
             .text("server", &replica_state.id)
             .text("version", &replica_state.entry.version)
-            .text("limit_per_s", &limit_text(replica_state.rate_limit))
+            .text("limit_per_s", &limit_text(replica_state.rate_limit.rate()))
             .text(
                 "resumes",
                 exchange.metadata.resumed_attempt.as_deref().unwrap_or(""),
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use crate::clock::Moment;
 use crate::format::{PlatformFormat, RateNotice, ResponseMetadata};
 use crate::http::{BodyDecoder, ResponseHead, parse_response};
 use crate::net::ReadState;
@@ -240,11 +241,28 @@
             RateNotice::Limited(rate) => Some(rate),
             RateNotice::Unreadable => return,
         };
+        if self.set_rate_limit(replica, limit, self.now, "response") {
+            let now = self.now;
+            self.directory.get_mut(replica).rate_limit.announce(now);
+            self.digest_due = true;
+        }
+    }
+
+    /// Records the limit that a server named at `heard_at`; returns whether it has
+    /// changed.
+    pub(crate) fn set_rate_limit(
+        &mut self,
+        replica: usize,
+        limit: Option<f64>,
+        heard_at: Moment,
+        source: &'static str,
+    ) -> bool {
+        let place = self.peers.place_for(self.directory.get(replica).hash);
         let replica_state = self.directory.get_mut(replica);
-        if replica_state.rate_limit == limit {
-            return;
+        if !replica_state.rate_limit.set(limit, heard_at) {
+            return false;
         }
-        replica_state.rate_limit = limit;
+        replica_state.rate_limit.set_place(place);
         let event = if limit.is_some() {
             "limited"
         } else {
@@ -253,7 +271,11 @@
         self.logs
             .system("directory", event)
             .text("server", &replica_state.id)
-            .text("limit_per_s", &limit_text(limit));
+            .text("limit_per_s", &limit_text(limit))
+            .text("source", source)
+            .number("vms", place.vms as u64)
+            .number("rank", place.rank);
+        true
     }
 
     fn read_response_body(&mut self, conn_id: ServerConnId, read_state: ReadState) -> ResponseStep {
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -6,6 +6,7 @@
 
 use crate::directory::DirectoryChange;
 use crate::format::{PlatformFormat, RecordKey, StoreEra, StoreRecord};
+use crate::limit_notices::{LimitNotice, encode_notices};
 use crate::origins::{StreamKey, StreamOrigin};
 use crate::peers::{MAX_ORIGINS, PeerMessage};
 use crate::storage::{StoreEvent, WATCH_CALL};
@@ -138,7 +139,10 @@
                 self.apply_directory_change(change);
             }
             RecordKey::Peer(vm) => match record.value.as_deref().map(F::read_peer) {
-                Some(Ok(address)) => self.peers.set_address(vm, address),
+                Some(Ok(address)) => {
+                    self.peers.set_address(vm, address);
+                    self.announce_limits();
+                }
                 Some(Err(error)) => {
                     self.logs
                         .system("peers", "unreadable")
@@ -151,6 +155,15 @@
         }
     }
 
+    /// Lets a VM that has joined know all limits.
+    fn announce_limits(&mut self) {
+        for index in self.directory.limited() {
+            let limit = &mut self.directory.get_mut(index).rate_limit;
+            limit.announce(self.now);
+            self.digest_due = true;
+        }
+    }
+
     fn apply_tables(&mut self, value: Option<Vec<u8>>, revision: u64, call: &'static str) {
         let already_applied = self
             .table
@@ -261,6 +274,7 @@
         for index in self.directory.expire(self.now) {
             self.apply_directory_change(DirectoryChange::Gone(index));
         }
+        self.refresh_fleet_places();
         self.test_reach();
         self.log_isolation();
         let ttl = self.origin_ttl();
@@ -285,6 +299,15 @@
         self.timers.arm(due, TimerKey::Housekeeping);
     }
 
+    fn refresh_fleet_places(&mut self) {
+        for index in self.directory.limited() {
+            let replica = self.directory.get_mut(index);
+            replica
+                .rate_limit
+                .set_place(self.peers.place_for(replica.hash));
+        }
+    }
+
     /// While the VM may be isolated, opens a connection to a server to find out;
     /// it is closed unused.
     fn test_reach(&mut self) {
@@ -329,6 +352,7 @@
             };
             match self.peers.receive(&buffer[..length], self.now) {
                 PeerMessage::Invalid => {}
+                PeerMessage::Limits(notices) => self.apply_limit_notices(&notices),
                 PeerMessage::OriginQuery(stream) => self.answer_origin_query(stream, sender),
                 PeerMessage::Digest { is_new, origins } => {
                     self.peer_load_stale |= is_new;
@@ -341,6 +365,14 @@
         self.bind_awaiting();
     }
 
+    fn apply_limit_notices(&mut self, notices: &[LimitNotice]) {
+        for notice in notices {
+            if let Some(index) = self.directory.by_hash(notice.server) {
+                self.set_rate_limit(index, notice.rate, notice.heard_at, "other_vm");
+            }
+        }
+    }
+
     /// Answers the question of another VM for a stream, if its origin is known.
     fn answer_origin_query(&mut self, stream: StreamKey, sender: SocketAddr) {
         if let Some(version) = self.origins.version_of(stream) {
@@ -365,9 +397,30 @@
         let origins = self.origins.next_announcements(MAX_ORIGINS);
         self.digest_due |= self.origins.has_announcements();
         let bytes = self.peers.encode(&self.directory, &origins, self.now);
+        let notices = self.limit_notices();
+        self.digest_due |= !notices.is_empty();
+        let notice_bytes = encode_notices(&notices, self.now);
         for address in self.peers.next_targets(DIGEST_TARGETS) {
             // The next digest replaces a lost one.
             let _ = self.peer_socket.send_to(&bytes, address);
+            if !notices.is_empty() {
+                let _ = self.peer_socket.send_to(&notice_bytes, address);
+            }
         }
     }
+
+    /// Returns the limits that the other VMs are to be told.
+    fn limit_notices(&self) -> Vec<LimitNotice> {
+        let announced = self
+            .directory
+            .iter()
+            .filter(|replica| replica.rate_limit.is_announced(self.now));
+        announced
+            .map(|replica| LimitNotice {
+                server: replica.hash,
+                rate: replica.rate_limit.rate(),
+                heard_at: replica.rate_limit.heard_at(),
+            })
+            .collect()
+    }
 }
