Write a VM's own entry again when the store has lost it

A VM whose entry in the store was lost outside a new era stayed unlisted: the other VMs sent it no digests and did not count it in shares of the fleet's limits. Cause: the entry is written when its lease is opened, and nothing looked at its removal; a renewal still succeeds, or fails up to 8 s later. Change: the watch covers all keys, so the removal of the own entry is seen there, and a new lease and entry are written at once. Lists that are read again no longer drop a queued call that writes the entry; that part is from reading the code and not reproduced.

--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -149,6 +149,7 @@
                         .text("vm", &vm)
                         .text("reason", &error.0);
                 }
+                None if vm == self.settings.vm => self.store.rewrite_own_entry(self.now),
                 None => self.peers.remove(&vm, self.now),
             },
             RecordKey::Other => {}
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -163,6 +163,12 @@
         self.tables_revision = Some(revision);
     }
 
+    /// Writes this VM's entry again, because the store has lost it.
+    pub(crate) fn rewrite_own_entry(&mut self, now: Moment) {
+        self.lease = None;
+        self.renew_at = now;
+    }
+
     /// Handles an I/O event on one of the two connections.
     pub(crate) fn on_event(&mut self, token: Token, closing: bool, now: Moment) {
         let is_watch = token == self.watch_connection.token;
@@ -269,9 +275,10 @@
     fn reload(&mut self) {
         self.watch_revision = None;
         self.listed_replicas.clear();
-        self.queue.clear();
-        self.queue.push_back(StoreCall::ReadTables);
-        self.queue.push_back(StoreCall::ListReplicas(None));
+        // The calls that write this VM's entry aren't repeated by themselves.
+        self.queue.retain(writes_own_entry);
+        self.queue.push_front(StoreCall::ListReplicas(None));
+        self.queue.push_front(StoreCall::ReadTables);
     }
 
     fn handle_outcome(&mut self, is_watch: bool, outcome: CallOutcome, now: Moment) {
@@ -335,8 +342,8 @@
         // Servers whose entries were lost write them again shortly.
         self.last_failure = Some(now);
         self.tables_revision = None;
-        self.lease = None;
-        self.renew_at = now;
+        self.queue.clear();
+        self.rewrite_own_entry(now);
         self.restart_watch(now);
         // A call that was sent in the earlier era confirms nothing.
         self.call_connection.fail("new_era");
@@ -500,6 +507,13 @@
     }
 }
 
+fn writes_own_entry(call: &StoreCall) -> bool {
+    matches!(
+        call,
+        StoreCall::OpenLease(_) | StoreCall::PublishPeer { .. } | StoreCall::RenewLease(_)
+    )
+}
+
 /// Name of the watch call, which uses its own connection.
 pub(crate) const WATCH_CALL: &str = "watch";
 
