Bound what a server that sends without end can hold up

Any server could stop a VM: one that sends interim responses, or events, without end and as fast as the VM reads kept the event loop in one connection, so that no timer fired, no change of the tables was applied and no other request went on. An event without end filled the memory. Cause: a connection was read until its socket was empty, and an event, the interim responses and all large responses together had no limit. An event has at most 256 KiB, a response at most 16 interim ones, and large responses share a quarter of the memory limit. A caller that doesn't read is given up during a stream as well. Suspected only: that this delayed the changes that the users saw.

--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -15,6 +15,9 @@
 use super::state::{CallerConn, CallerId, CallerPhase, EdgeState, TokenKind, token_of};
 use super::timers::LazyTimer;
 
+/// Reads of a caller's connection in one iteration of the event loop.
+const MAX_READS: u32 = 32;
+
 /// Maximum bytes that a caller may pipeline while its request is in progress.
 const MAX_PIPELINED: usize = 64 * 1024;
 
@@ -80,7 +83,7 @@
     /// Reads and serves all complete requests on a connection.
     pub(crate) fn read_caller(&mut self, caller: CallerId, closing: bool) {
         let limits = self.limits();
-        loop {
+        for _ in 0..MAX_READS {
             let Some(conn) = self.caller_conns.get_mut(caller) else {
                 return;
             };
@@ -106,6 +109,8 @@
                 return;
             }
         }
+        // Other connections and timers come before the rest.
+        self.unread_callers.push_back(caller);
     }
 
     /// Returns whether the socket of a caller may hold input that is to be read
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -494,6 +494,7 @@
             decoder: None,
             body: Vec::new(),
             is_stream: false,
+            interim_responses: 0,
             idle_until: Moment::ZERO,
             idle_since: Moment::ZERO,
             timer: LazyTimer::default(),
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -188,6 +188,8 @@
             was_isolated: false,
             stopping: None,
             body_bytes: 0,
+            unread_servers: VecDeque::new(),
+            unread_callers: VecDeque::new(),
             format: PhantomData,
             settings,
         };
@@ -223,11 +225,7 @@
         let mut events = Events::with_capacity(MAX_EVENTS);
         self.state.drive_store();
         while !self.is_finished() {
-            let timeout = self
-                .state
-                .timers
-                .next()
-                .map(|at| at.saturating_sub(clock::now()));
+            let timeout = self.poll_timeout();
             match self.poll.poll(&mut events, timeout) {
                 Ok(()) => {}
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -239,6 +237,7 @@
                 let closing = event.is_read_closed() || event.is_error();
                 self.on_event(event.token(), closing);
             }
+            self.read_unread();
             self.fire_timers();
             self.finish_iteration();
         }
@@ -249,6 +248,30 @@
         Ok(())
     }
 
+    /// Returns how long to wait for events.
+    fn poll_timeout(&self) -> Option<Duration> {
+        let state = &self.state;
+        if !state.unread_servers.is_empty() || !state.unread_callers.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let next = state.timers.next();
+        next.map(|at| at.saturating_sub(clock::now()))
+    }
+
+    /// Reads on from the connections that had more bytes than one iteration of
+    /// the loop processes.
+    fn read_unread(&mut self) {
+        let state = &mut self.state;
+        for _ in 0..state.unread_servers.len() {
+            if let Some((conn_id, closing)) = state.unread_servers.pop_front() {
+                state.on_server_event(conn_id, closing);
+            }
+        }
+        for caller in std::mem::take(&mut state.unread_callers) {
+            state.read_caller(caller, false);
+        }
+    }
+
     fn on_event(&mut self, token: Token, closing: bool) {
         match token_kind(token) {
             (TokenKind::Caller, caller) => self.state.on_caller_event(caller, closing),
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -11,15 +11,25 @@
 use crate::http::{BodyDecoder, ResponseHead, parse_response};
 use crate::net::ReadState;
 use crate::policy::health::AttemptResult;
-use crate::stream::EventSplitter;
+use crate::stream::{EventError, EventSplitter};
 use crate::tables::RequestKind;
 
 use super::outcomes::AttemptOutcome;
+use super::responses::MAX_UNSENT;
 use super::state::{CallerStream, EdgeState, ServerConnId};
 
 /// Maximum bytes of a response head.
 const MAX_HEAD: usize = 32 * 1024;
 
+/// Maximum interim responses before the final one.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
+/// Size from which a response counts toward the memory for responses.
+const LARGE_BODY: usize = 256 * 1024;
+
+/// Share of the memory limit that large responses may use while they are read.
+const RESPONSE_MEMORY_DIVISOR: u64 = 4;
+
 /// Maximum bytes of a response that isn't a stream.
 const MAX_BODY: usize = 8 << 20;
 
@@ -51,7 +61,10 @@
         if !conn.connected && !self.check_connected(conn_id, closing) {
             return;
         }
-        while self.read_server_conn(conn_id, closing) {}
+        // Other connections and timers come before the rest.
+        if self.read_server_conn(conn_id, closing) {
+            self.unread_servers.push_back((conn_id, closing));
+        }
     }
 
     /// Reads and processes available bytes; returns whether the socket may hold
@@ -150,6 +163,11 @@
                         let conn = &mut self.server_conns[conn_id];
                         conn.head = None;
                         conn.decoder = None;
+                        conn.interim_responses += 1;
+                        if conn.interim_responses > MAX_INTERIM_RESPONSES {
+                            self.abort_attempt(conn_id, "too many interim responses");
+                            return;
+                        }
                         continue;
                     }
                     self.complete_response(conn_id, read_state);
@@ -295,6 +313,8 @@
             }
         } else if conn.body.len() > MAX_BODY {
             return ResponseStep::Invalid("answer too long");
+        } else if !self.has_response_capacity(conn_id) {
+            return ResponseStep::Invalid("no memory for the answer");
         }
         if done {
             ResponseStep::Complete
@@ -303,6 +323,20 @@
         }
     }
 
+    /// Returns whether there is memory to read on. Under pressure, the responses
+    /// that are larger than the average are given up.
+    fn has_response_capacity(&self, conn_id: ServerConnId) -> bool {
+        let own = self.server_conns[conn_id].body.len();
+        if own < LARGE_BODY {
+            return true;
+        }
+        let sizes = self.server_conns.iter().map(|(_, conn)| conn.body.len());
+        let large: Vec<usize> = sizes.filter(|size| *size >= LARGE_BODY).collect();
+        let total: usize = large.iter().sum();
+        let capacity = self.settings.memory_bytes / RESPONSE_MEMORY_DIVISOR;
+        total as u64 <= capacity || own * large.len() < total
+    }
+
     /// Writes complete events to the caller.
     fn forward_events(&mut self, conn_id: ServerConnId) -> Result<(), &'static str> {
         let conn = &mut self.server_conns[conn_id];
@@ -318,10 +352,10 @@
         }
         stream.splitter.push(&conn.body);
         conn.body.clear();
-        let events = stream
-            .splitter
-            .take_events()
-            .map_err(|_| "event out of order")?;
+        let events = stream.splitter.take_events().map_err(|error| match error {
+            EventError::TooLong => "event too long",
+            EventError::OutOfOrder { .. } => "event out of order",
+        })?;
         if events.is_empty() {
             return Ok(());
         }
@@ -337,6 +371,11 @@
         }
         self.record_event(exchange_id, first_of_attempt);
         self.write_events(caller, &events);
+        let caller_conn = self.caller_conns.get(caller);
+        if caller_conn.is_some_and(|conn| conn.channel.unsent() > MAX_UNSENT) {
+            self.close_caller(caller, "caller too slow");
+            return Err("caller too slow");
+        }
         Ok(())
     }
 
@@ -394,6 +433,7 @@
             idle.saturating_sub(IDLE_TIMEOUT_MARGIN).max(idle / 3)
         });
         conn.is_stream = false;
+        conn.interim_responses = 0;
         conn.idle_since = now;
         conn.idle_until = now + time;
         conn.channel.shrink();
@@ -426,6 +466,7 @@
             let replica = self.directory.get_mut(conn.replica);
             replica.open_connections = replica.open_connections.saturating_sub(1);
             replica.idle_conns.retain(|other| *other != conn_id);
+            self.unread_servers.retain(|(other, _)| *other != conn_id);
         }
     }
 
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -214,6 +214,8 @@
     pub(crate) decoder: Option<BodyDecoder>,
     pub(crate) body: Vec<u8>,
     pub(crate) is_stream: bool,
+    /// Interim responses to the request in progress.
+    pub(crate) interim_responses: u32,
     pub(crate) idle_until: Moment,
     pub(crate) idle_since: Moment,
     pub(crate) timer: LazyTimer,
@@ -279,6 +281,11 @@
     pub(crate) stopping: Option<Moment>,
     /// Bytes of request bodies in memory.
     pub(crate) body_bytes: u64,
+    /// Connections to servers whose sockets may hold more bytes, and whether they
+    /// are closing; no event announces these bytes.
+    pub(crate) unread_servers: VecDeque<(ServerConnId, bool)>,
+    /// Callers whose sockets may hold more bytes.
+    pub(crate) unread_callers: VecDeque<CallerId>,
     pub(crate) format: PhantomData<F>,
 }
 
--- a/crates/dewedge/src/stream.rs
+++ b/crates/dewedge/src/stream.rs
@@ -3,6 +3,9 @@
 //! The main invariant: only complete events are returned, and a partial event
 //! left by a broken connection is discarded.
 
+/// Maximum bytes of an event.
+const MAX_EVENT: usize = 256 * 1024;
+
 /// Splits bytes into events and tracks the id of the last one.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
@@ -14,6 +17,8 @@
 /// Why an event is invalid.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EventError {
+    /// The event is longer than 256 KiB.
+    TooLong,
     /// The id doesn't follow the id of the previous event.
     OutOfOrder {
         /// Id of the previous event.
@@ -54,8 +59,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the id of an event doesn't follow the previous one;
-    /// then no event of this call may be forwarded, and none of them counts.
+    /// Returns an error if the id of an event doesn't follow the previous one, or
+    /// if an event is too long; then no event of this call may be forwarded, and none of them counts.
     pub fn take_events(&mut self) -> Result<Vec<u8>, EventError> {
         let (mut end, mut last_id, mut events) = (0, self.last_id, 0);
         while let Some(length) = event_length(&self.pending[end..]) {
@@ -71,6 +76,9 @@
             events += 1;
             end += length;
         }
+        if self.pending.len() - end > MAX_EVENT {
+            return Err(EventError::TooLong);
+        }
         self.last_id = last_id;
         self.events += events;
         Ok(self.pending.drain(..end).collect())
