Let a rejection without a limit withdraw none

A server with a limit of 4 requests a second got 410 in 4 s while it rejected requests as not run: its rejections don't repeat the limit, and each VM took that for a withdrawal. Change: only the response to a request that the server ran withdraws a limit; a rejection can still name one.

--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -242,7 +242,10 @@
             let change = self.directory.mark_leaving(replica);
             self.apply_directory_change(change);
         }
-        self.apply_rate_notice(replica, metadata.rate_limit);
+        // Servers needn't repeat their limit when they reject a request.
+        if !metadata.not_run || metadata.rate_limit != RateNotice::Unlimited {
+            self.apply_rate_notice(replica, metadata.rate_limit);
+        }
         if let (503, Some(delay)) = (status, metadata.retry_after) {
             let replica_state = self.directory.get_mut(replica);
             replica_state.back_off(self.now + delay);
