Bound what a server may send dewspringd before its response header

Callers of other servers waited 15 s, or got no response within 30 s, beside a server that sends interim responses without end (8 requests of it at the same time). Cause: the HTTP library reads interim responses without a limit, and the connections' tasks kept the worker threads busy until the route's timeout. Change: a connection fails once a server has sent 1 MiB before the header of its response is complete. Bodies without end were already read at the caller's pace.

--- a/crates/dewspring/src/entry/mod.rs
+++ b/crates/dewspring/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod exchange;
 mod grants;
 mod handler;
+mod head_limit;
 mod headers;
 mod keyed;
 mod linger;
--- a/crates/dewspring/src/entry/upstream.rs
+++ b/crates/dewspring/src/entry/upstream.rs
@@ -19,6 +19,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use super::head_limit::HeadLimitedStream;
+
 /// Why a request got no response.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum UpstreamError {
@@ -94,6 +96,7 @@
     stream
         .set_nodelay(true)
         .map_err(|error| not_sent(error.to_string()))?;
+    let (stream, head_limit) = HeadLimitedStream::new(stream);
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| not_sent(error.to_string()))?;
@@ -101,10 +104,13 @@
 
     match timeout_at(deadline, sender.try_send_request(request)).await {
         Err(_) => Err(UpstreamError::TimedOut),
-        Ok(Ok(response)) => Ok(UpstreamResponse {
-            response,
-            _connection: connection,
-        }),
+        Ok(Ok(response)) => {
+            head_limit.lift();
+            Ok(UpstreamResponse {
+                response,
+                _connection: connection,
+            })
+        }
         Ok(Err(mut error)) => {
             if error.take_message().is_some() {
                 Err(not_sent("the connection closed".into()))
--- a/crates/dewspringd/tests/hostile/main.rs
+++ b/crates/dewspringd/tests/hostile/main.rs
@@ -7,6 +7,7 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+mod endless;
 mod limits;
 mod mutations;
 mod properties;
