Find a silent watch by the revision of confirmations

Change: watches wait for 10 s again. A confirmation of the tables returns the store's revision; if the watch hasn't brought changes up to it 0.1 s later (three times recent calls, if longer), the watch goes on over a new connection. Confirmations come after 0.85 of the smallest update bound or 0.64 of the recovery bound, if that is sooner than the keys need. Why it works: a missed change is a higher revision, so every change of tables and servers is noticed within the update bound, whenever the connection fell silent. With both connections silent, the confirmation times out within the recovery bound.

--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -219,7 +219,10 @@
     },
     /// The store no longer has the history that a watch needs.
     Compacted,
-    /// The call succeeded; for a confirmation, the tables are unchanged.
+    /// A transaction succeeded; for a confirmation, the tables are unchanged. The
+    /// number is the current revision of the store.
+    Committed(u64),
+    /// The call succeeded.
     Succeeded,
     /// The tables have changed; their current record.
     Changed(Option<StoreRecord>),
--- a/crates/dewedge/src/storage/connection.rs
+++ b/crates/dewedge/src/storage/connection.rs
@@ -67,12 +67,6 @@
         }
     }
 
-    /// Returns the number of calls that have failed since the last successful
-    /// one.
-    pub(super) fn failures(&self) -> u32 {
-        self.failures
-    }
-
     pub(super) fn is_free(&self, now: Moment) -> bool {
         self.pending.is_none() && self.retry_at <= now
     }
@@ -169,6 +163,15 @@
         }
     }
 
+    /// Lets the call in progress time out at `due` unless a response begins.
+    pub(super) fn expect_response(&mut self, due: Moment) {
+        if let Some(pending) = &mut self.pending
+            && pending.head.is_none()
+        {
+            pending.deadline = pending.deadline.min(due);
+        }
+    }
+
     /// Closes the connection if no call is in progress on it.
     pub(super) fn close_idle(&mut self) {
         if self.pending.is_none() {
--- a/crates/dewedge/src/storage/intervals.rs
+++ b/crates/dewedge/src/storage/intervals.rs
@@ -1,8 +1,8 @@
 //! Intervals of the calls to the store, derived from the settings.
 //!
 //! The main invariants: a lost confirmation is requested again before the
-//! previous one expires, and a connection that has fallen silent is replaced
-//! within the recovery bound.
+//! previous one expires, and a confirmation shows within the update bound that a
+//! watch has missed a change.
 
 use std::time::Duration;
 
@@ -39,14 +39,17 @@
 /// left for requests on their way to a server.
 const READ_SHARE: f64 = 0.75;
 
-/// Longest time between two responses to watches, as a share of the recovery
-/// bound. The store ends a watch without changes by then, so that a missing
-/// response shows that its connection is dead.
-const WATCH_PERIOD_SHARE: f64 = 0.7;
+/// Share of the smallest update bound after which the tables are confirmed again.
+/// A confirmation shows whether the watch has missed a change; the rest of the
+/// bound is left for reading it.
+const CONFIRM_UPDATE_SHARE: f64 = 0.85;
 
-/// Time after the end of a watch in which its response must begin, as a share of
-/// the recovery bound. The rest of the bound is left for another connection.
-const WATCH_TIMEOUT_SHARE: f64 = 0.15;
+/// Share of the recovery bound after which the tables are confirmed again, so that
+/// calls on a dead connection time out within the bound.
+const CONFIRM_RECOVERY_SHARE: f64 = 0.64;
+
+/// Shortest time after which a response is overdue that the store has sent.
+const MIN_OVERDUE_TIME: Duration = Duration::from_millis(100);
 
 /// Recent call times after which a response is overdue.
 const OVERDUE_CALL_TIMES: u32 = 3;
@@ -71,10 +74,6 @@
     pub(super) call_timeout: Duration,
     /// Longest delay between two watches.
     watch_delay: Duration,
-    /// Longest time between two responses to watches.
-    watch_period: Duration,
-    /// Shortest timeout of a watch after its end.
-    min_watch_timeout: Duration,
     /// Time within which a change must be read.
     read_time: Duration,
     /// Duration of recent calls.
@@ -86,20 +85,16 @@
     pub(super) fn new(settings: &EdgeSettings) -> Self {
         let validity = KeyConfirmation::new(settings.key_revocation_bound).validity();
         let update_bound = settings.table_update_bound.min(settings.drain_bound);
-        let recovery_bound = settings.recovery_bound;
-        let watch_period = recovery_bound
-            .mul_f64(WATCH_PERIOD_SHARE)
-            .max(MIN_CALL_TIME);
+        let confirm_interval = validity
+            .mul_f64(CONFIRM_SHARE)
+            .min(update_bound.mul_f64(CONFIRM_UPDATE_SHARE))
+            .min(settings.recovery_bound.mul_f64(CONFIRM_RECOVERY_SHARE));
         Self {
-            confirm_interval: validity.mul_f64(CONFIRM_SHARE).max(MIN_CALL_TIME),
+            confirm_interval: confirm_interval.max(MIN_CALL_TIME),
             call_timeout: validity
                 .mul_f64(CALL_TIMEOUT_SHARE)
                 .clamp(MIN_CALL_TIME, MAX_CALL_TIMEOUT),
-            watch_delay: update_bound.mul_f64(WATCH_DELAY_SHARE).min(watch_period),
-            watch_period,
-            min_watch_timeout: recovery_bound
-                .mul_f64(WATCH_TIMEOUT_SHARE)
-                .max(MIN_CALL_TIME),
+            watch_delay: update_bound.mul_f64(WATCH_DELAY_SHARE),
             read_time: update_bound.mul_f64(READ_SHARE),
             call_time: Duration::ZERO,
         }
@@ -122,19 +117,9 @@
         self.watch_delay.min(self.read_time.saturating_sub(reading))
     }
 
-    /// Returns for how long the store may hold a watch open, given the time
-    /// since its last response to one.
-    pub(super) fn watch_wait(&self, age: Duration) -> Duration {
-        self.watch_period.saturating_sub(age)
-    }
-
-    /// Returns the time after the end of a watch in which its response must
-    /// begin. It doubles with each failure, because the store may be slow.
-    pub(super) fn watch_timeout(&self, failures: u32) -> Duration {
-        let overdue = self.call_time * OVERDUE_CALL_TIMES;
-        self.min_watch_timeout
-            .max(overdue)
-            .saturating_mul(1 << failures.min(4))
-            .min(MAX_CALL_TIMEOUT)
+    /// Returns the time after which a response is overdue that the store has sent
+    /// already.
+    pub(super) fn overdue_time(&self) -> Duration {
+        (self.call_time * OVERDUE_CALL_TIMES).max(MIN_OVERDUE_TIME)
     }
 }
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -6,9 +6,9 @@
 //! tables are still the latest. Keys are confirmed only by responses to calls
 //! that read or confirm the tables, not by the watch.
 //!
-//! A connection may fall silent without a reset. The store therefore ends a watch
-//! without changes early enough that a missing response shows a dead connection,
-//! and a new one brings the changes, within the recovery bound.
+//! A connection may fall silent without a reset. A confirmation returns the store's
+//! revision, so it shows that the watch has missed a change. The watch then goes on
+//! over a new connection.
 //!
 //! In a drill, the store may return from an older copy of its data. Its era then
 //! rises, and revisions are given out again.
@@ -35,6 +35,12 @@
 use connection::{CallOutcome, MIN_RETRY_DELAY, StoreConnection};
 use intervals::CallIntervals;
 
+/// Time for which the store may hold a watch open.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// Time beyond the wait of a watch after which it times out.
+const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(1500);
+
 /// Time after a failed call during which removed entries may have been lost in
 /// an outage of the store.
 const OUTAGE_SUSPICION_TIME: Duration = Duration::from_secs(4);
@@ -210,14 +216,10 @@
         if self.watch_connection.is_free(now)
             && let Some(after) = self.watch_revision
         {
-            let age = self.watch_age(now).unwrap_or(Duration::MAX);
-            let wait = self.intervals.watch_wait(age);
-            let timeout = self
-                .intervals
-                .watch_timeout(self.watch_connection.failures());
+            let wait = WATCH_WAIT;
             let call = StoreCall::Watch { after, wait };
             let bytes = F::write_call(&call);
-            let times = (now, now + wait + timeout);
+            let times = (now, now + WATCH_WAIT + WATCH_TIMEOUT_MARGIN);
             self.watch_connection
                 .send(registry, self.address, call, &bytes, times);
         }
@@ -443,11 +445,13 @@
                 self.watch_connection.retry_at = now + delay;
             }
             (StoreCall::Watch { .. }, StoreResponse::Compacted) => self.reload(),
-            (StoreCall::ConfirmTables(revision), StoreResponse::Succeeded) => {
+            (StoreCall::ConfirmTables(revision), StoreResponse::Committed(current)) => {
                 self.events.push(StoreEvent::Confirmed { revision, sent });
+                self.check_watch(current, now);
             }
             (StoreCall::ConfirmTables(_), StoreResponse::Changed(Some(record))) => {
                 let revision = record.revision;
+                self.check_watch(revision, now);
                 self.push_record(record, name, now);
                 self.events.push(StoreEvent::Confirmed { revision, sent });
             }
@@ -471,6 +475,18 @@
         }
     }
 
+    /// Lets the watch time out soon if the store has changes that the watch
+    /// should have brought: its connection may have fallen silent.
+    fn check_watch(&mut self, current_revision: u64, now: Moment) {
+        if self
+            .watch_revision
+            .is_some_and(|watch_revision| watch_revision < current_revision)
+        {
+            let due = now + self.intervals.overdue_time();
+            self.watch_connection.expect_response(due);
+        }
+    }
+
     fn handle_replica_page(&mut self, records: Vec<StoreRecord>, more: bool, now: Moment) {
         let last = records.last().map(|record| record.name.clone());
         for record in records {
