Compute a VM's place among the VMs only for limits that change

Each response of a server hashed the names of all VMs, also without a limit. Change: the place is computed once the limit has changed. The notices between VMs use the steps of the limit from the policy.

--- a/crates/dewedge/src/limit_notices.rs
+++ b/crates/dewedge/src/limit_notices.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::clock::Moment;
+use crate::policy::rate_limit::RATE_STEPS;
 
 /// First bytes of a datagram with notices.
 pub(crate) const LIMIT_MAGIC: [u8; 4] = *b"DWL1";
@@ -20,9 +21,6 @@
 /// Value of the limit that stands for none.
 const NO_LIMIT: u32 = u32::MAX;
 
-/// Steps of the limit in one request a second.
-const RATE_STEPS: f64 = 1000.0;
-
 /// What a server said about its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct LimitNotice {
--- a/crates/dewedge/src/policy/rate_limit.rs
+++ b/crates/dewedge/src/policy/rate_limit.rs
@@ -19,7 +19,7 @@
 use crate::clock::Moment;
 
 /// Steps of a limit in one request a second; finer differences don't count.
-const RATE_STEPS: f64 = 1000.0;
+pub(crate) const RATE_STEPS: f64 = 1000.0;
 
 /// Smallest limit that is kept, in requests a second. Below it, no VM would
 /// notice that the limit was withdrawn.
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -278,11 +278,11 @@
         heard_at: Moment,
         source: &'static str,
     ) -> bool {
-        let place = self.peers.place_for(self.directory.get(replica).hash);
         let replica_state = self.directory.get_mut(replica);
         if !replica_state.rate_limit.set(limit, heard_at) {
             return false;
         }
+        let place = self.peers.place_for(replica_state.hash);
         replica_state.rate_limit.set_place(place);
         let event = if limit.is_some() {
             "limited"
