--- a/crates/dewedge/src/policy/rate_limit.rs
+++ b/crates/dewedge/src/policy/rate_limit.rs
@@ -9,7 +9,7 @@
 //! one turn each and all send at once when load arrives.
 //!
 //! This handles limits far below one request a second for each VM, and VMs that
-//! hear of a limit at slightly different times.
+//! learn of a limit at slightly different times.
 //!
 //! The main invariant: what a server said later is never undone by what it said
 //! earlier.
