--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -370,6 +370,7 @@
             tokens,
             gap_sensitive,
             unread: true,
+            first_event: None,
             counted: true,
             suspected: false,
         };
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -4,8 +4,10 @@
 //! request that may have run and isn't retryable is answered with 502 or 504,
 //! or its connection is closed, but never with 503.
 
+use std::time::Duration;
+
 use crate::directory::ReplicaIndex;
-use crate::format::PlatformFormat;
+use crate::format::{PlatformFormat, PromptPart};
 use crate::http::ResponseHead;
 use crate::policy::engine_model::{FirstEventSample, GapSample};
 use crate::policy::health::AttemptResult;
@@ -399,6 +401,7 @@
         if !std::mem::take(&mut exchange.sent_load.unread) {
             return false;
         }
+        exchange.sent_load.first_event = Some(now);
         let took = now.saturating_sub(exchange.sent_load.sent).as_secs_f64();
         let replica_state = self.directory.get_mut(exchange.sent_load.replica);
         replica_state.own_load.backlog_ms =
@@ -483,6 +486,10 @@
         status: u64,
     ) {
         let exchange = &self.exchanges[exchange_id];
+        let load = &exchange.sent_load;
+        let streamed = load.first_event.map_or(Duration::ZERO, |first_event| {
+            self.now.saturating_sub(first_event)
+        });
         self.logs
             .request("attempt", "ended")
             .text("request", &exchange.metadata.attempt)
@@ -490,7 +497,10 @@
             .text("outcome", outcome)
             .number("status", status)
             .number("send", exchange.sends)
-            .ms("took_ms", self.now.saturating_sub(exchange.sent_load.sent));
+            .number("began", load.first_event.is_some())
+            .text("prompt_parts", &part_list(&exchange.metadata.prompt_parts))
+            .ms("streamed_ms", streamed)
+            .ms("took_ms", self.now.saturating_sub(load.sent));
     }
 
     fn log_finished(
@@ -516,3 +526,9 @@
             .ms("took_ms", self.now.saturating_sub(exchange.arrived));
     }
 }
+
+/// Returns the ids of the parts of a prompt for log lines.
+fn part_list(parts: &[PromptPart]) -> String {
+    let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -196,6 +196,8 @@
     pub(crate) gap_sensitive: bool,
     /// Whether the server hasn't finished the prompt: no event has arrived.
     pub(crate) unread: bool,
+    /// When the first event of the attempt arrived.
+    pub(crate) first_event: Option<Moment>,
     /// Whether it is included in the load on the server.
     pub(crate) counted: bool,
     /// Whether the server is suspected because of its silence.
