Ignore datagrams that no known VM sent

Callers of a service could be refused because any host that reaches a VM's internal port could name a limit for a server, report load or announce the origin of a stream: the sender of a datagram wasn't looked at.

--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -38,6 +38,7 @@
     pub(crate) queue_wait: Family<ServiceLabels, Histogram>,
     pub(crate) store_calls: Family<StoreCallLabels, Counter>,
     pub(crate) connects: Counter,
+    pub(crate) foreign_datagrams: Counter,
     pub(crate) in_flight: Gauge,
     pub(crate) table_version: Gauge,
     pub(crate) key_age_ms: Gauge,
@@ -79,6 +80,12 @@
             "New connections to servers",
             connects.clone(),
         );
+        let foreign_datagrams = Counter::default();
+        registry.register(
+            "foreign_datagrams",
+            "Datagrams that were ignored because no known VM sent them",
+            foreign_datagrams.clone(),
+        );
         let in_flight = Gauge::default();
         registry.register(
             "requests_in_flight",
@@ -111,6 +118,7 @@
             queue_wait,
             store_calls,
             connects,
+            foreign_datagrams,
             in_flight,
             table_version,
             key_age_ms,
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -6,8 +6,8 @@
 //! A digest also announces the streams that its VM has begun, and their software
 //! versions. A VM asks the others for a stream that it doesn't know.
 //!
-//! The main invariant: the load reported by a VM counts only while it is
-//! recent.
+//! The main invariants: only datagrams from known VMs count, and the load that a
+//! VM reports counts only while it is recent.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -94,8 +94,8 @@
 pub(crate) struct PeerTable {
     own_hash: u64,
     addresses: IndexMap<String, SocketAddr>,
-    /// VMs whose entries were removed, and when.
-    departed: IndexMap<String, Moment>,
+    /// VMs whose entries were removed: their addresses, and when.
+    departed: IndexMap<String, (SocketAddr, Moment)>,
     digests: IndexMap<u64, PeerDigest>,
     next_target: usize,
     next_query_target: usize,
@@ -119,15 +119,22 @@
 
     /// Removes a VM, which still counts for a while.
     pub(crate) fn remove(&mut self, vm: &str, now: Moment) {
-        if self.addresses.swap_remove(vm).is_some() {
-            self.departed.insert(vm.to_string(), now);
+        if let Some(address) = self.addresses.swap_remove(vm) {
+            self.departed.insert(vm.to_string(), (address, now));
         }
     }
 
+    /// Returns whether a datagram from this address comes from a known VM.
+    pub(crate) fn is_known(&self, sender: SocketAddr) -> bool {
+        let departed = self.departed.values().map(|(address, _)| address);
+        let mut known = self.addresses.values().chain(departed);
+        known.any(|address| *address == sender)
+    }
+
     /// Forgets VMs that were removed long ago.
     pub(crate) fn expire_departed(&mut self, now: Moment) {
         self.departed
-            .retain(|_, removed| now.saturating_sub(*removed) < DEPARTED_HOLD);
+            .retain(|_, (_, removed)| now.saturating_sub(*removed) < DEPARTED_HOLD);
     }
 
     /// Returns the number of VMs that may be running, including this one; each
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -352,6 +352,10 @@
             let Ok((length, sender)) = self.peer_socket.recv_from(&mut buffer) else {
                 break;
             };
+            if !self.peers.is_known(sender) {
+                self.metrics.foreign_datagrams.inc();
+                continue;
+            }
             match self.peers.receive(&buffer[..length], self.now) {
                 PeerMessage::Invalid => {}
                 PeerMessage::Limits(notices) => self.apply_limit_notices(&notices),
