Treat a stream that ends with its connection before any event as broken off

Callers got an empty stream with status 200 that looked complete when a server sent the header of a response without a length or chunks and then ended. Nothing says that such a stream is incomplete but the event that is missing.

A stream of that kind now ends properly only after an event, or if its caller took it up after its last one. Otherwise it is retried, or answered with 502 if it must not be repeated.

--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -308,12 +308,15 @@
             return ResponseStep::Invalid("malformed body");
         };
         conn.channel.consume(used);
-        let done =
-            decoder.is_done() || decoder.ends_with_connection() && read_state == ReadState::Closed;
+        let ends_now = decoder.ends_with_connection() && read_state == ReadState::Closed;
+        let done = decoder.is_done() || ends_now;
         if conn.is_stream {
             if let Err(reason) = self.forward_events(conn_id) {
                 return ResponseStep::Invalid(reason);
             }
+            if ends_now && !self.has_stream_begun(conn_id) {
+                return ResponseStep::Invalid("closed before the first event");
+            }
         } else if conn.body.len() > MAX_BODY {
             return ResponseStep::Invalid("answer too long");
         } else if !self.has_response_capacity(conn_id) {
@@ -326,6 +329,17 @@
         }
     }
 
+    /// Returns whether the caller has an event of the stream on a connection.
+    fn has_stream_begun(&self, conn_id: ServerConnId) -> bool {
+        let exchange_id = self.server_conns[conn_id].exchange_id;
+        let exchange = exchange_id.and_then(|exchange_id| self.exchanges.get(exchange_id));
+        exchange.is_some_and(|exchange| {
+            let stream = exchange.stream.as_ref();
+            let events = stream.map_or(0, |stream| stream.splitter.event_count());
+            events > 0 || exchange.last_event_id().is_some()
+        })
+    }
+
     /// Returns whether there is memory to read on. Under pressure, the responses
     /// that are larger than the average are given up.
     fn has_response_capacity(&self, conn_id: ServerConnId) -> bool {
