Block prompt parts that crash servers, over all VMs

Cause: a VM handled each such request as if it were the first, and no VM knew what had crashed the servers before the eyes of the others.

The new crate dewguard keeps a ledger of crashes. An attempt that ends with its connection has its server tested with a new connection; if that is refused, the server has crashed, and the requests that were in flight there are suspects, except those of which it had streamed for 0.3 s. The VMs tell each other their suspects. A part that was present at three separate crashes, in two different requests, and that no server has survived since, is blocked on all VMs for 10 minutes. Runs that a server survives are announced for parts under suspicion and refute a block, so parts that sound requests share are not blocked. Blocks are repeated each second, for VMs that join, restart, freeze or were cut off.

Callers get 503 with the time that is left of the block: nothing ran, and coming back sooner is in vain.

Crashes within 0.1 s of each other count once, since the loss of a data centre ends servers together; crashes that a blocked part explains accuse no other; servers that can't be reached, or were leaving, accuse nobody.

--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -14,6 +14,7 @@
 //! it is retryable, and is never reported as not run.
 
 pub mod clock;
+pub mod crash_notices;
 pub mod directory;
 pub mod format;
 pub mod http;
--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -39,6 +39,8 @@
     pub(crate) store_calls: Family<StoreCallLabels, Counter>,
     pub(crate) connects: Counter,
     pub(crate) foreign_datagrams: Counter,
+    pub(crate) server_crashes: Counter,
+    pub(crate) blocked_causes: Gauge,
     pub(crate) in_flight: Gauge,
     pub(crate) table_version: Gauge,
     pub(crate) key_age_ms: Gauge,
@@ -86,6 +88,18 @@
             "Datagrams that were ignored because no known VM sent them",
             foreign_datagrams.clone(),
         );
+        let server_crashes = Counter::default();
+        registry.register(
+            "server_crashes",
+            "Servers that ended while they ran a request of this VM",
+            server_crashes.clone(),
+        );
+        let blocked_causes = Gauge::default();
+        registry.register(
+            "blocked_causes",
+            "Causes of crashes whose requests aren't sent",
+            blocked_causes.clone(),
+        );
         let in_flight = Gauge::default();
         registry.register(
             "requests_in_flight",
@@ -119,6 +133,8 @@
             store_calls,
             connects,
             foreign_datagrams,
+            server_crashes,
+            blocked_causes,
             in_flight,
             table_version,
             key_age_ms,
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -15,6 +15,7 @@
 use indexmap::IndexMap;
 
 use crate::clock::Moment;
+use crate::crash_notices::{CRASH_MAGIC, CrashNotice, decode_notices as decode_crash_notices};
 use crate::directory::{ReplicaDirectory, stable_hash};
 use crate::limit_notices::{LIMIT_MAGIC, LimitNotice, decode_notices};
 use crate::origins::{StreamKey, StreamOrigin};
@@ -77,6 +78,8 @@
     },
     /// Limits that servers have named.
     Limits(Vec<LimitNotice>),
+    /// What another VM knows of crashes.
+    Crashes(Vec<CrashNotice>),
     /// A question for the origin of a stream.
     OriginQuery(StreamKey),
 }
@@ -258,6 +261,12 @@
                 None => PeerMessage::Invalid,
             };
         }
+        if let Some(notices) = bytes.strip_prefix(&CRASH_MAGIC) {
+            return match decode_crash_notices(notices, now) {
+                Some(notices) => PeerMessage::Crashes(notices),
+                None => PeerMessage::Invalid,
+            };
+        }
         let Some((sender, digest, origins)) = decode(bytes, now) else {
             return PeerMessage::Invalid;
         };
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sends waiting requests to servers.
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use crate::policy::retries::vm_slack;
 use crate::tables::{EngineSpec, RequestKind, RouteSpec};
 
+use super::crashes::ServerTest;
 use super::resumption::VersionBinding;
 use super::servers::limit_text;
 use super::state::{
@@ -81,6 +83,10 @@
             if exchange.phase != ExchangePhase::Waiting {
                 continue;
             }
+            if self.blocked_for(exchange_id).is_some() {
+                self.reject_blocked(exchange_id);
+                continue;
+            }
             if busy.iter().any(|other| other.blocks(&requirements)) {
                 continue;
             }
@@ -255,8 +261,8 @@
         let conn_id = match idle_conn {
             Some(conn_id) => conn_id,
             None => match self.connect(replica) {
-                Some(conn_id) => conn_id,
-                None => {
+                Ok(conn_id) => conn_id,
+                Err(_) => {
                     if self.exchanges[exchange_id].sends > 0 {
                         self.give_retry_back(exchange_id, now);
                     }
@@ -372,6 +378,7 @@
             unread: true,
             first_event: None,
             counted: true,
+            survived: false,
             suspected: false,
         };
         replica_state.own_load.requests += 1;
@@ -474,22 +481,32 @@
         None
     }
 
+    /// Opens a connection to a server that only tests whether it runs.
+    pub(crate) fn open_test_connection(&mut self, replica: ReplicaIndex) {
+        match self.connect(replica) {
+            Ok(conn_id) => {
+                self.server_conns[conn_id].is_test = true;
+                self.arm_server(conn_id, self.now + CONNECT_TIMEOUT);
+            }
+            Err(error) => self.end_server_test(replica, ServerTest::of_error(&error)),
+        }
+    }
+
     /// Opens a connection to a server.
-    pub(crate) fn connect(&mut self, replica: ReplicaIndex) -> Option<ServerConnId> {
+    pub(crate) fn connect(&mut self, replica: ReplicaIndex) -> io::Result<ServerConnId> {
         let address = self.directory.get(replica).entry.address;
-        let Ok(mut channel) = TcpChannel::connect_server(address) else {
-            self.connect_failed = true;
-            return None;
-        };
+        let mut channel =
+            TcpChannel::connect_server(address).inspect_err(|_| self.connect_failed = true)?;
         let entry = self.server_conns.vacant_entry();
         let conn_id = entry.key();
         let token = token_of(TokenKind::Server, conn_id);
-        channel.register(&self.registry, token).ok()?;
+        channel.register(&self.registry, token)?;
         entry.insert(ServerConn {
             channel,
             replica,
             connected: false,
             reused: false,
+            is_test: false,
             exchange_id: None,
             head: None,
             decoder: None,
@@ -502,7 +519,7 @@
         });
         self.metrics.connects.inc();
         self.directory.get_mut(replica).open_connections += 1;
-        Some(conn_id)
+        Ok(conn_id)
     }
 }
 
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -4,6 +4,7 @@
 //! - [`requests`]: authorizes requests, and queues or refuses them.
 //! - [`dispatch`]: sends waiting requests to servers.
 //! - [`servers`]: connections to servers, parsed into attempt outcomes.
+//! - [`crashes`]: servers that crash, and requests that crash them.
 //! - [`outcomes`]: retries or completes a request after an attempt.
 //! - [`resumption`]: binds streams to the software version that began them.
 //! - [`silence`]: servers that fall silent while they run a request.
@@ -21,6 +22,7 @@
 
 mod admin;
 mod callers;
+mod crashes;
 mod dispatch;
 mod outcomes;
 mod requests;
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -12,6 +12,7 @@
 use crate::policy::engine_model::{FirstEventSample, GapSample};
 use crate::policy::health::AttemptResult;
 
+use super::crashes::ends_with_connection;
 use super::state::{CallerId, EdgeState, ExchangePhase, FallbackResponse, SentLoad};
 
 /// Outcome of an attempt.
@@ -97,6 +98,10 @@
             AttemptOutcome::Unknown { replica, reason } => {
                 self.exchanges[exchange_id].may_have_run = true;
                 self.exchanges[exchange_id].tried_replicas.push(replica);
+                if ends_with_connection(reason) {
+                    let load = self.exchanges[exchange_id].sent_load;
+                    self.suspect_crash(exchange_id, load, false);
+                }
                 let result = match reason {
                     "silent" => AttemptResult::Unresponsive,
                     _ => AttemptResult::Failed,
@@ -452,6 +457,9 @@
         if first_of_attempt {
             return;
         }
+        self.record_survived_stream(exchange_id);
+        let exchange = &self.exchanges[exchange_id];
+        let replica_state = self.directory.get(exchange.sent_load.replica);
         let model = self.models.get_mut(&exchange.service);
         let reclassified = model.record_gap(GapSample {
             gap,
@@ -473,6 +481,12 @@
         }
     }
 
+    /// Completes a request that must not be sent, because requests like it crash
+    /// servers.
+    pub(crate) fn reject_blocked(&mut self, exchange_id: usize) {
+        self.fail_request(exchange_id, "crashes_servers");
+    }
+
     /// Fails a request that waited too long for a server.
     pub(crate) fn expire(&mut self, exchange_id: usize) {
         self.fail_request(exchange_id, "no_server_in_time");
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -4,6 +4,7 @@
 //! that the store confirmed recently; without such a confirmation the response
 //! is 503.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -188,6 +189,7 @@
             workspace: authorized.workspace,
             priority: authorized.priority,
             method: head.method.clone(),
+            target: request_target(head),
             head: request_head.into(),
             body,
             arrived: now,
@@ -205,6 +207,7 @@
             sent_load: SentLoad::default(),
             standby: None,
             binding: VersionBinding::Unbound,
+            request_hash: OnceCell::new(),
             timer: LazyTimer::default(),
         });
         self.metrics.in_flight.inc();
@@ -222,11 +225,16 @@
 
     /// Adds a request to the queue of its service.
     pub(crate) fn enqueue(&mut self, exchange_id: usize) {
+        let is_blocked = self.blocked_for(exchange_id).is_some();
         let Some(exchange) = self.exchanges.get_mut(exchange_id) else {
             return;
         };
         exchange.phase = ExchangePhase::Waiting;
         exchange.queued = self.now;
+        if is_blocked {
+            self.reject_blocked(exchange_id);
+            return;
+        }
         let service = exchange.service.clone();
         let request = WaitingRequest {
             exchange_id,
@@ -259,7 +267,11 @@
             return;
         };
         let left = exchange.deadline.saturating_sub(now);
-        let after = retry_after(left, jitter);
+        // A blocked request would be rejected again any sooner.
+        let after = match self.blocked_for(exchange_id) {
+            Some(blocked) => blocked,
+            None => retry_after(left, jitter),
+        };
         self.logs
             .request("entry", "refused")
             .text("request", &exchange.metadata.attempt)
@@ -284,6 +296,12 @@
     }
 }
 
+/// Returns the host, path and query of a request.
+fn request_target(head: &RequestHead) -> String {
+    let host = head.fields.unique("host").ok().flatten();
+    format!("{}{}", host.unwrap_or_default(), head.target)
+}
+
 /// Returns the request line and the caller's headers that are forwarded.
 fn forward_head<F: PlatformFormat>(head: &RequestHead) -> Vec<u8> {
     let mut out = Vec::with_capacity(head.length);
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -25,6 +25,7 @@
 use crate::settings::EdgeSettings;
 use crate::storage::StoreClient;
 
+use super::crashes::CrashWatch;
 use super::state::{CallerPhase, EdgeState, TokenKind, token_kind, token_of};
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
 use super::updates::HOUSEKEEPING_INTERVAL;
@@ -162,6 +163,7 @@
             peer_socket,
             origins: OriginTable::default(),
             awaiting_origin: Vec::new(),
+            crashes: CrashWatch::default(),
             digest_due: false,
             digest_timer: LazyTimer::default(),
             digest_sent: Moment::ZERO,
@@ -315,6 +317,12 @@
         while let Some(key) = self.state.timers.pop(now) {
             let state = &mut self.state;
             match key {
+                TimerKey::CrashTest => {
+                    let timer = state.crashes.timer_mut();
+                    if timer.fire(now, key, &mut state.timers) {
+                        state.test_suspected_servers();
+                    }
+                }
                 TimerKey::Store => {
                     if state.store_timer.fire(now, key, &mut state.timers) {
                         state.drive_store();
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -14,6 +14,7 @@
 use crate::stream::{EventError, EventSplitter};
 use crate::tables::RequestKind;
 
+use super::crashes::ServerTest;
 use super::outcomes::AttemptOutcome;
 use super::responses::MAX_UNSENT;
 use super::state::{CallerStream, EdgeState, ServerConnId};
@@ -114,23 +115,39 @@
     /// Checks whether a connection is established.
     fn check_connected(&mut self, conn_id: ServerConnId, closing: bool) -> bool {
         let conn = &mut self.server_conns[conn_id];
-        let failed = matches!(conn.channel.stream.take_error(), Ok(Some(_)) | Err(_));
-        if !failed && conn.channel.stream.peer_addr().is_ok() {
+        let error = match conn.channel.stream.take_error() {
+            Ok(error) => error,
+            Err(error) => Some(error),
+        };
+        if error.is_none() && conn.channel.stream.peer_addr().is_ok() {
             conn.connected = true;
+            let (replica, is_test) = (conn.replica, conn.is_test);
             self.record_reached();
-            return true;
+            if is_test {
+                self.close_server_conn(conn_id);
+                self.end_server_test(replica, ServerTest::Running);
+            }
+            return !is_test;
         }
-        if failed || closing {
-            self.fail_connect(conn_id);
+        if error.is_some() || closing {
+            let test = error
+                .as_ref()
+                .map_or(ServerTest::Unreachable, ServerTest::of_error);
+            self.fail_connect(conn_id, test);
         }
         false
     }
 
     /// Closes a connection that couldn't be established.
-    fn fail_connect(&mut self, conn_id: ServerConnId) {
+    fn fail_connect(&mut self, conn_id: ServerConnId, test: ServerTest) {
         self.connect_failed = true;
         let conn = &mut self.server_conns[conn_id];
         let replica = conn.replica;
+        if conn.is_test {
+            self.close_server_conn(conn_id);
+            self.end_server_test(replica, test);
+            return;
+        }
         let exchange_id = conn.exchange_id.take();
         if let Some(exchange_id) = exchange_id
             && self.is_standby(exchange_id, conn_id)
@@ -420,6 +437,14 @@
             self.close_server_conn(conn_id);
         }
         let metadata = F::response_metadata(&head.fields);
+        if (200..300).contains(&head.status) && !metadata.not_run {
+            if framed {
+                self.record_survived_exchange(exchange_id);
+            } else {
+                let load = self.exchanges[exchange_id].sent_load;
+                self.suspect_crash(exchange_id, load, true);
+            }
+        }
         let outcome = if is_stream {
             AttemptOutcome::StreamEnd { replica, head }
         } else if metadata.not_run || head.status == 421 {
@@ -494,7 +519,7 @@
             return;
         };
         if !conn.connected {
-            self.fail_connect(conn_id);
+            self.fail_connect(conn_id, ServerTest::Unreachable);
         } else if conn.exchange_id.is_none() {
             if conn.idle_until <= now {
                 self.close_server_conn(conn_id);
--- a/crates/dewedge/src/serve/silence.rs
+++ b/crates/dewedge/src/serve/silence.rs
@@ -147,7 +147,7 @@
         if !exchange.tried_replicas.contains(&silent) {
             exchange.tried_replicas.push(silent);
         }
-        if !self.can_retry(exchange_id) {
+        if !self.can_retry(exchange_id) || self.blocked_for(exchange_id).is_some() {
             return false;
         }
         let PlacementChoice::Chosen {
@@ -245,7 +245,12 @@
     /// Handles the end of the standby's connection; the current attempt goes
     /// on.
     pub(crate) fn end_standby(&mut self, exchange_id: usize, reason: &'static str) {
-        self.exchanges[exchange_id].may_have_run = true;
+        let exchange = &mut self.exchanges[exchange_id];
+        exchange.may_have_run = true;
+        if let Some(standby) = &exchange.standby {
+            let load = standby.load;
+            self.suspect_crash(exchange_id, load, false);
+        }
         self.remove_standby(exchange_id, AttemptResult::Failed, reason);
     }
 
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -1,11 +1,13 @@
 //! State of the event loop.
 
+use std::cell::OnceCell;
 use std::collections::VecDeque;
 use std::marker::PhantomData;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use dewguard::RequestHash;
 use indexmap::IndexMap;
 use mio::net::UdpSocket;
 use mio::{Registry, Token};
@@ -29,6 +31,7 @@
 use crate::stream::EventSplitter;
 use crate::tables::{CallerLimits, RouteSpec, RouteTable};
 
+use super::crashes::CrashWatch;
 use super::resumption::VersionBinding;
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
 
@@ -128,6 +131,8 @@
     /// Rank among all requests; 0 is the most urgent.
     pub(crate) priority: u8,
     pub(crate) method: String,
+    /// Host, path and query.
+    pub(crate) target: String,
     /// Request line and the caller's headers that are forwarded.
     pub(crate) head: Rc<[u8]>,
     pub(crate) body: Rc<[u8]>,
@@ -153,6 +158,8 @@
     pub(crate) sent_load: SentLoad,
     pub(crate) standby: Option<StandbyAttempt>,
     pub(crate) binding: VersionBinding,
+    /// Its hash, once it was needed.
+    pub(crate) request_hash: OnceCell<RequestHash>,
     pub(crate) timer: LazyTimer,
 }
 
@@ -200,6 +207,8 @@
     pub(crate) first_event: Option<Moment>,
     /// Whether it is included in the load on the server.
     pub(crate) counted: bool,
+    /// Whether the server has survived the beginning of the stream.
+    pub(crate) survived: bool,
     /// Whether the server is suspected because of its silence.
     pub(crate) suspected: bool,
 }
@@ -211,6 +220,8 @@
     pub(crate) replica: ReplicaIndex,
     pub(crate) connected: bool,
     pub(crate) reused: bool,
+    /// Whether it only tests whether the server runs.
+    pub(crate) is_test: bool,
     pub(crate) exchange_id: Option<ExchangeId>,
     pub(crate) head: Option<ResponseHead>,
     pub(crate) decoder: Option<BodyDecoder>,
@@ -246,6 +257,7 @@
     pub(crate) origins: OriginTable,
     /// Requests for whose streams the other VMs are asked.
     pub(crate) awaiting_origin: Vec<ExchangeId>,
+    pub(crate) crashes: CrashWatch,
     pub(crate) digest_due: bool,
     pub(crate) digest_timer: LazyTimer,
     pub(crate) digest_sent: Moment,
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -142,6 +142,7 @@
                 Some(Ok(address)) => {
                     self.peers.set_address(vm, address);
                     self.announce_limits();
+                    self.crashes.refresh_now();
                 }
                 Some(Err(error)) => {
                     self.logs
@@ -277,6 +278,7 @@
         }
         self.peers.expire_departed(self.now);
         self.refresh_fleet_places();
+        self.refresh_blocks();
         self.test_reach();
         self.log_isolation();
         let ttl = self.origin_ttl();
@@ -328,7 +330,7 @@
             return;
         }
         let replica = listed[self.next_random() as usize % listed.len()];
-        if let Some(conn_id) = self.connect(replica) {
+        if let Ok(conn_id) = self.connect(replica) {
             self.arm_server(conn_id, self.now + CONNECT_TIMEOUT);
         }
     }
@@ -359,6 +361,7 @@
             match self.peers.receive(&buffer[..length], self.now) {
                 PeerMessage::Invalid => {}
                 PeerMessage::Limits(notices) => self.apply_limit_notices(&notices),
+                PeerMessage::Crashes(notices) => self.apply_crash_notices(notices),
                 PeerMessage::OriginQuery(stream) => self.answer_origin_query(stream, sender),
                 PeerMessage::Digest { is_new, origins } => {
                     self.peer_load_stale |= is_new;
@@ -406,12 +409,17 @@
         let notices = self.limit_notices();
         self.digest_due |= !notices.is_empty();
         let notice_bytes = encode_notices(&notices, self.now);
+        let crash_datagrams = self.next_crash_datagrams();
+        self.digest_due |= self.crashes.has_notices();
         for address in self.peers.next_targets(DIGEST_TARGETS) {
             // The next digest replaces a lost one.
             let _ = self.peer_socket.send_to(&bytes, address);
             if !notices.is_empty() {
                 let _ = self.peer_socket.send_to(&notice_bytes, address);
             }
+            for datagram in &crash_datagrams {
+                let _ = self.peer_socket.send_to(datagram, address);
+            }
         }
     }
 
