Let dewspringd's brokers refuse prompts whose start crashes engines

The broker of a pool sees the attempts of all entries, but kept nothing of what a request holds.

An entry now tests the server of a broken attempt with a new connection, and reports the attempt as crashed if that is refused. The broker keeps the ledger of dewguard for its pool, and refuses prompts whose start crashed three servers under two different requests, until 10 minutes after the last crash; the refusal says when that is. Attempts that complete, or stream for 0.3 s, show that the start is sound. Grant requests carry a hash of the request, so the protocol between VMs has a new version.

Stand-ins exit on requests with a given text (--crash-on). Two tests of the broker: five cases of what blocks, and a queued request. All tests of dewspring, dewspringd, dewctl, dewload and the stand-ins pass.

--- a/crates/dewspring/benches/broker.rs
+++ b/crates/dewspring/benches/broker.rs
@@ -86,6 +86,7 @@
         max_tokens: None,
         prefix: Some(number % 100),
         excluded: Vec::new(),
+        fingerprint: 0,
     }
 }
 
--- a/crates/dewspring/examples/peer_cost.rs
+++ b/crates/dewspring/examples/peer_cost.rs
@@ -347,5 +347,6 @@
         max_tokens: Some(800),
         prefix: Some(0x9e37_79b9_7f4a_7c15),
         excluded: Vec::new(),
+        fingerprint: 0,
     }
 }
--- a/crates/dewspring/src/broker/grants.rs
+++ b/crates/dewspring/src/broker/grants.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
+use dewguard::CrashSuspect;
 use indexmap::IndexMap;
 
 use super::replica::ReplicaId;
@@ -30,6 +31,8 @@
     pub(super) tier: TierLevel,
     /// Workspace of the request.
     pub(super) workspace: WorkspaceId,
+    /// What of the request may crash its server.
+    pub(super) suspect: CrashSuspect,
     /// Length of the prompt, in tokens.
     pub(super) prompt_tokens: TokenCount,
     /// Estimated work, in tokens.
--- a/crates/dewspring/src/broker/health.rs
+++ b/crates/dewspring/src/broker/health.rs
@@ -203,7 +203,12 @@
                 self.penalty_until = None;
             }
             Some(AttemptOutcome::Cancelled) | None => {}
-            Some(AttemptOutcome::NotRun | AttemptOutcome::Failed | AttemptOutcome::Unknown) => {
+            Some(
+                AttemptOutcome::NotRun
+                | AttemptOutcome::Failed
+                | AttemptOutcome::Unknown
+                | AttemptOutcome::Crashed,
+            ) => {
                 self.failures = self.failures.saturating_add(1);
                 self.penalty_until = Some(now + FAILURE_PENALTY_TIME);
             }
--- a/crates/dewspring/src/broker/messages.rs
+++ b/crates/dewspring/src/broker/messages.rs
@@ -49,6 +49,8 @@
     pub prefix: Option<u64>,
     /// Servers on which this request has already failed.
     pub excluded: Vec<ServerName>,
+    /// Hash of the request, the same for each of its repetitions.
+    pub fingerprint: u64,
 }
 
 /// Permission to send one request to one server.
@@ -87,6 +89,8 @@
     TimedOut,
     /// The daemon is shutting down.
     ShuttingDown,
+    /// Requests like it have crashed several servers.
+    CrashesServers,
 }
 
 /// A final refusal: the request was not run.
@@ -120,6 +124,8 @@
     Cancelled,
     /// It is unknown whether the request ran.
     Unknown,
+    /// The same, and the server has ended: it refuses new connections.
+    Crashed,
 }
 
 /// An entry's notice that it no longer uses a grant.
--- a/crates/dewspring/src/broker/mod.rs
+++ b/crates/dewspring/src/broker/mod.rs
@@ -11,6 +11,7 @@
 mod choice;
 mod class;
 mod control;
+mod crashes;
 mod decision;
 mod estimate;
 mod floor;
--- a/crates/dewspring/src/broker/pool.rs
+++ b/crates/dewspring/src/broker/pool.rs
@@ -9,6 +9,7 @@
 use super::budget::RetryBudget;
 use super::choice::{ChoiceInput, ReplicaChoice, choose};
 use super::control::{ServerMark, ServerReport, ShareDivisor};
+use super::crashes::{CrashRecord, stable_hash};
 use super::estimate::{WorkEstimator, request_work};
 use super::grants::GrantRecord;
 use super::health::HealthSample;
@@ -55,6 +56,9 @@
     budget: RetryBudget,
     prefixes: PrefixIndex,
     replicas: ReplicaSet,
+    crashes: CrashRecord,
+    /// Requests that left the queue because they are blocked.
+    blocked: Vec<QueuedRequest>,
     is_listed: bool,
 }
 
@@ -67,6 +71,8 @@
             budget: RetryBudget::default(),
             prefixes: PrefixIndex::default(),
             replicas: ReplicaSet::default(),
+            crashes: CrashRecord::default(),
+            blocked: Vec::new(),
             is_listed: false,
         }
     }
@@ -146,6 +152,18 @@
         self.replicas.has_serving()
     }
 
+    /// Returns for how long a request isn't granted, because requests like it
+    /// crash servers.
+    pub(super) fn blocked_for(&self, request: &GrantRequest, now: Instant) -> Option<Duration> {
+        self.crashes.blocked_for(request, now)
+    }
+
+    /// Removes and returns the requests that left the queue because they are
+    /// blocked.
+    pub(super) fn take_blocked(&mut self) -> Vec<QueuedRequest> {
+        std::mem::take(&mut self.blocked)
+    }
+
     /// Returns whether the retry budget allows a request.
     pub(super) fn may_retry(&self, request: &GrantRequest, now: Instant) -> bool {
         self.budget.allows(request.tier, now)
@@ -158,6 +176,9 @@
         queued: &mut QueuedRequest,
         now: Instant,
     ) -> Option<RefusalReason> {
+        if self.blocked_for(&queued.request, now).is_some() {
+            return Some(RefusalReason::CrashesServers);
+        }
         if !self.replicas.has_serving_except(&queued.request.excluded) {
             return Some(RefusalReason::NoServer);
         }
@@ -232,6 +253,11 @@
         while let Some(head) = self.queue.head() {
             let queued = self.queue.get(head.ticket);
             let queued = queued.expect("the head is queued");
+            if self.crashes.blocked_for(&queued.request, now).is_some() {
+                let blocked = self.queue.remove(head.ticket);
+                self.blocked.extend(blocked);
+                continue;
+            }
             let input = ChoiceInput {
                 replicas: &self.replicas,
                 prefixes: &self.prefixes,
@@ -259,6 +285,10 @@
         release: Option<&GrantRelease>,
         now: Instant,
     ) {
+        if let (Some(release), Some(server)) = (release, self.server(record.replica)) {
+            let server = stable_hash(server);
+            self.crashes.record_release(record, release, server, now);
+        }
         let sample = release.map(|release| health_sample(record, release));
         self.replicas
             .end_grant(record.replica, record.work, sample.as_ref(), now);
--- a/crates/dewspring/src/broker/state.rs
+++ b/crates/dewspring/src/broker/state.rs
@@ -14,6 +14,7 @@
 
 use super::admission::{expiry_reason, retry_after};
 use super::control::{BrokerSettings, ShareDivisor};
+use super::crashes::crash_suspect;
 use super::decision::TicketDecision;
 use super::grants::{GrantRecord, GrantTable};
 use super::messages::{Grant, GrantDecision, GrantRelease, GrantRequest, Refusal, RefusalReason};
@@ -277,10 +278,18 @@
 
     fn dispatch(&mut self, name: &PoolName, now: Instant) {
         while let Some(pool) = self.pools.get_mut(name) {
-            let Some(placement) = pool.place_next(now) else {
+            let placement = pool.place_next(now);
+            let blocked = pool.take_blocked();
+            let is_done = placement.is_none() && blocked.is_empty();
+            for queued in blocked {
+                self.refuse(queued, RefusalReason::CrashesServers, now);
+            }
+            if let Some(placement) = placement {
+                self.grant(name, placement, now);
+            }
+            if is_done {
                 return;
-            };
-            self.grant(name, placement, now);
+            }
         }
     }
 
@@ -306,6 +315,7 @@
             class: request.class.clone(),
             tier: request.tier,
             workspace: request.workspace.clone(),
+            suspect: crash_suspect(request),
             prompt_tokens: request.prompt_tokens,
             work: queued.work,
             expires_at: add_capped(now, validity + request.timeout_left.saturating_sub(waited)),
@@ -342,11 +352,20 @@
         self.tickets.remove(queued.ticket, &queued.request.request);
         let request = &queued.request;
         let pool = self.pools.get_mut(&request.pool);
-        let drain_time = pool.map(|pool| pool.record_refusal(reason, request.tier, now));
+        let mut blocked_for = None;
+        let drain_time = pool.map(|pool| {
+            blocked_for = pool.blocked_for(request, now);
+            pool.record_refusal(reason, request.tier, now)
+        });
         let drain_time = drain_time.unwrap_or_default();
+        // A blocked request would be refused again any sooner.
+        let retry_after = match (reason, blocked_for) {
+            (RefusalReason::CrashesServers, Some(blocked)) => blocked,
+            _ => retry_after(reason, drain_time, &mut self.rng),
+        };
         let refusal = Refusal {
             reason,
-            retry_after: retry_after(reason, drain_time, &mut self.rng),
+            retry_after,
         };
         self.record_decision(queued, None, GrantDecision::Refused(refusal), now);
     }
--- a/crates/dewspring/src/broker/tests.rs
+++ b/crates/dewspring/src/broker/tests.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod budget;
 mod choice;
+mod crashes;
 mod handle;
 mod health;
 mod load;
@@ -90,6 +91,7 @@
         max_tokens: Some(100),
         prefix: None,
         excluded: Vec::new(),
+        fingerprint: 0,
     }
 }
 
--- a/crates/dewspring/src/entry/attempt.rs
+++ b/crates/dewspring/src/entry/attempt.rs
@@ -1,14 +1,26 @@
 //! One attempt to run a request at a backend server, from the grant to its
 //! release.
 
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use super::context::EntryContext;
 use super::grants::GrantSource;
 use crate::broker::{AttemptOutcome, Grant, GrantRelease};
 use crate::ids::TokenCount;
 
+/// Time after a broken attempt at which its server is tested; a process that
+/// ends closes its connections and its listener one after the other.
+const TEST_DELAY: Duration = Duration::from_millis(20);
+
+/// Timeout of the connection that tests a server.
+const TEST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Holds a grant and releases it exactly once, when it is dropped.
 ///
 /// An attempt that is dropped without an outcome is reported as cancelled,
@@ -22,6 +34,8 @@
     tokens: TokenCount,
     outcome: AttemptOutcome,
     leaving: bool,
+    /// Finds out whether the server has ended.
+    server_test: Option<JoinHandle<bool>>,
 }
 
 impl<C, G: GrantSource> AttemptGuard<C, G> {
@@ -34,6 +48,7 @@
             tokens: 0,
             outcome: AttemptOutcome::Cancelled,
             leaving: false,
+            server_test: None,
         }
     }
 
@@ -73,12 +88,48 @@
         self.context.grants.mark_leaving(&self.grant.server);
     }
 
+    /// Releases the grant of an attempt whose connection failed, once it is known
+    /// whether the server has ended.
+    pub(super) fn finish_broken(mut self)
+    where
+        C: Send + Sync + 'static,
+        G: 'static,
+    {
+        self.test_server();
+        tokio::spawn(async move {
+            let has_ended = match self.server_test.take() {
+                Some(test) => test.await.unwrap_or(false),
+                None => false,
+            };
+            self.finish(match has_ended {
+                true => AttemptOutcome::Crashed,
+                false => AttemptOutcome::Unknown,
+            });
+        });
+    }
+
+    /// Starts to find out whether the server has ended, unless that was started
+    /// before.
+    pub(super) fn test_server(&mut self) {
+        let address = self.grant.address;
+        self.server_test
+            .get_or_insert_with(|| tokio::spawn(is_refused(address)));
+    }
+
     /// Releases the grant with an outcome.
     pub(super) fn finish(mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
     }
 }
 
+/// Returns whether nothing listens at an address any more.
+async fn is_refused(address: SocketAddr) -> bool {
+    tokio::time::sleep(TEST_DELAY).await;
+    let connecting = TcpStream::connect(address);
+    let connected = tokio::time::timeout(TEST_TIMEOUT, connecting).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 impl<C, G: GrantSource> Drop for AttemptGuard<C, G> {
     fn drop(&mut self) {
         let release = GrantRelease {
--- a/crates/dewspring/src/entry/exchange.rs
+++ b/crates/dewspring/src/entry/exchange.rs
@@ -1,6 +1,7 @@
 //! The processing of one request after routing: grant, attempts with retries,
 //! and response.
 
+use std::hash::Hasher;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use siphasher::sip::SipHasher13;
 
 use super::attempt::AttemptGuard;
 use super::body::ResponseBody;
@@ -203,6 +205,7 @@
             max_tokens: model.and_then(|model| model.max_tokens),
             prefix: model.map(|model| model.prefix),
             excluded: self.excluded.clone(),
+            fingerprint: self.fingerprint(),
         }
     }
 
@@ -227,7 +230,8 @@
                         (AttemptOutcome::NotRun, AttemptFailure::NotRun(text))
                     }
                     UpstreamError::BrokenOff(text) => {
-                        (AttemptOutcome::Unknown, AttemptFailure::BrokenOff(text))
+                        attempt.finish_broken();
+                        return Err(AttemptFailure::BrokenOff(text));
                     }
                     UpstreamError::TimedOut => {
                         (self.timeout_outcome(&attempt), AttemptFailure::TimedOut)
@@ -239,6 +243,15 @@
         }
     }
 
+    /// Returns the hash of the request, which is the same for each of its
+    /// repetitions.
+    fn fingerprint(&self) -> u64 {
+        let mut hasher = SipHasher13::new();
+        hasher.write(self.workspace.as_bytes());
+        hasher.write_u64(request_fingerprint(&self.parts, &self.body));
+        hasher.finish()
+    }
+
     /// Returns the outcome to report for an attempt that timed out.
     ///
     /// A request that is sent shortly before its deadline may time out at a
--- a/crates/dewspring/src/entry/problem.rs
+++ b/crates/dewspring/src/entry/problem.rs
@@ -227,5 +227,6 @@
         RefusalReason::TargetMissed => (429, "target-missed", "The target can't be met"),
         RefusalReason::TimedOut => (429, "timed-out", "No server was free in time"),
         RefusalReason::ShuttingDown => (503, "shutting-down", "The daemon is shutting down"),
+        RefusalReason::CrashesServers => (503, "crashes-servers", "Requests like it crash servers"),
     }
 }
--- a/crates/dewspring/src/entry/pump.rs
+++ b/crates/dewspring/src/entry/pump.rs
@@ -97,6 +97,7 @@
 
     /// Resumes a broken stream, unless its caller disconnects meanwhile.
     async fn handle_break(&mut self, text: String) -> PumpStep {
+        self.attempt.test_server();
         let sender = self.sender.clone();
         // The future is large and seldom needed, so it is boxed.
         let resumed = Box::pin(self.resume(&text));
@@ -204,7 +205,7 @@
             .metrics
             .count_retry(&self.exchange.route.class);
         let broken = std::mem::replace(&mut self.attempt, started.attempt);
-        broken.finish(AttemptOutcome::Unknown);
+        broken.finish_broken();
         self.upstream = started.upstream.into_stream();
         self.resumed_from = tokens;
         self.resumes += 1;
@@ -290,7 +291,7 @@
         metrics.count_unknown_outcome(&self.exchange.route.class);
         self.exchange
             .record_decision(format!("Truncated the response after {tokens} tokens."));
-        self.attempt.finish(AttemptOutcome::Unknown);
+        self.attempt.finish_broken();
         // The send fails only if the caller has already disconnected.
         let _sent = self.sender.send(Err(TruncatedResponse)).await;
     }
--- a/crates/dewspring/src/grants/tests.rs
+++ b/crates/dewspring/src/grants/tests.rs
@@ -175,6 +175,7 @@
         max_tokens: None,
         prefix: None,
         excluded: Vec::new(),
+        fingerprint: 0,
     }
 }
 
--- a/crates/dewspring/src/peer/handshake.rs
+++ b/crates/dewspring/src/peer/handshake.rs
@@ -15,7 +15,7 @@
 use crate::settings::SharedSecret;
 
 /// Protocol name and version, the first bytes that the acceptor sends.
-const MAGIC: [u8; 8] = *b"dewpeer1";
+const MAGIC: [u8; 8] = *b"dewpeer2";
 
 /// Length of a nonce in bytes.
 const NONCE_BYTES: usize = 16;
--- a/crates/dewspring/src/peer/tests/fakes.rs
+++ b/crates/dewspring/src/peer/tests/fakes.rs
@@ -252,5 +252,6 @@
         max_tokens: Some(400),
         prefix: Some(7),
         excluded: Vec::new(),
+        fingerprint: 0,
     }
 }
--- a/crates/standins/src/bin/fake-engine.rs
+++ b/crates/standins/src/bin/fake-engine.rs
@@ -3,14 +3,19 @@
 use std::process::ExitCode;
 
 use clap::Command;
+use standins::crash::{CrashingHandler, crash_flag};
 use standins::engine::{EngineSettings, FakeEngine};
 use standins::web;
 
 fn main() -> ExitCode {
     let command = EngineSettings::flags(Command::new("fake-engine"));
-    let settings = EngineSettings::from_matches(&command.get_matches());
+    let matches = crash_flag(command).get_matches();
+    let settings = EngineSettings::from_matches(&matches);
     let listen = settings.listen;
-    let Err(error) = web::serve(listen, FakeEngine::new(settings));
+    let Err(error) = web::serve(
+        listen,
+        CrashingHandler::from_matches(FakeEngine::new(settings), &matches),
+    );
     eprintln!("fake-engine: {error}");
     ExitCode::FAILURE
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! The [`process`] module runs the workspace's programs as child processes of
 //! tests.
 
+pub mod crash;
 pub mod engine;
 mod faults;
 mod flags;
