--- a/crates/dewedge/src/serve/crashes.rs
+++ b/crates/dewedge/src/serve/crashes.rs
@@ -428,7 +428,7 @@
 }
 
 /// Returns the hash of a request, which is the same for each of its repetitions.
-fn request_hash(exchange: &Exchange) -> RequestHash {
+pub(super) fn request_hash(exchange: &Exchange) -> RequestHash {
     *exchange.request_hash.get_or_init(|| {
         let workspace = exchange.workspace.as_deref().unwrap_or_default();
         let fields = [
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -12,7 +12,7 @@
 use crate::policy::engine_model::{FirstEventSample, GapSample};
 use crate::policy::health::AttemptResult;
 
-use super::crashes::ends_with_connection;
+use super::crashes::{ends_with_connection, request_hash};
 use super::state::{CallerId, EdgeState, ExchangePhase, FallbackResponse, SentLoad};
 
 /// Outcome of an attempt.
@@ -501,6 +501,7 @@
     ) {
         let exchange = &self.exchanges[exchange_id];
         let load = &exchange.sent_load;
+        let hash = format!("{:x}", request_hash(exchange));
         let streamed = load.first_event.map_or(Duration::ZERO, |first_event| {
             self.now.saturating_sub(first_event)
         });
@@ -512,6 +513,7 @@
             .number("status", status)
             .number("send", exchange.sends)
             .number("began", load.first_event.is_some())
+            .text("request_hash", &hash)
             .text("prompt_parts", &part_list(&exchange.metadata.prompt_parts))
             .ms("streamed_ms", streamed)
             .ms("took_ms", self.now.saturating_sub(load.sent));
