Name the fingerprint in the example of a grant request

The example of BrokerHandle::request_grant didn't compile since grant requests carry a hash of the request; only the documentation test showed it.

--- a/crates/dewspring/src/broker/handle.rs
+++ b/crates/dewspring/src/broker/handle.rs
@@ -112,6 +112,7 @@
     ///     max_tokens: None,
     ///     prefix: None,
     ///     excluded: Vec::new(),
+    ///     fingerprint: 0,
     /// };
     /// let decision = handle.request_grant(request).expect("the channel has capacity");
     /// // No configuration names the pool yet.
