Block a request that crashes servers each time that it comes

Cause: no VM recognized a repetition, since each has its own attempt id, and none knew what the others had seen. The logs show one hash of method, host, path, workspace and body at each end of a server, sent by all VMs, so hypothesis 1 holds; the route's attempts bound a single attempt id, so 2 isn't the cause.

The ledger of crashes now knows a second kind of cause, the request as a whole. It is blocked after three separate crashes that no server has survived since. Two crashes also count as separate if the later one ran an attempt that was sent after the first crash, since a retry may crash the next server within 50 ms; attempts that were in flight when servers ended together still count once. Requests that ran for over 10 s are no suspects, since servers that are replaced in turn end them. When a request is blocked, it explains its crashes, so its parts and its caller accuse no sound request (hypothesis 3; a part still takes two different requests). dewspringd uses the same ledger, with the time at which the attempt was sent.

--- a/crates/dewedge/src/crash_notices.rs
+++ b/crates/dewedge/src/crash_notices.rs
@@ -27,6 +27,7 @@
 
 /// First byte of each kind of cause.
 const PART: u8 = 1;
+const REQUEST: u8 = 2;
 
 /// What a VM tells the others.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -79,6 +80,7 @@
             bytes.push(report.suspects.len().min(MAX_SUSPECTS) as u8);
             for suspect in report.suspects.iter().take(MAX_SUSPECTS) {
                 bytes.extend(suspect.request.to_be_bytes());
+                bytes.extend(age_ms(suspect.sent, now).to_be_bytes());
                 bytes.push(suspect.parts.len().min(MAX_PARTS) as u8);
                 for part in suspect.parts.iter().take(MAX_PARTS) {
                     bytes.extend(part.to_be_bytes());
@@ -94,6 +96,7 @@
 fn push_cause(bytes: &mut Vec<u8>, kind: u8, cause: CrashCause, at: Moment, now: Moment) {
     let (cause_kind, hash) = match cause {
         CrashCause::Part(hash) => (PART, hash),
+        CrashCause::Request(hash) => (REQUEST, hash),
     };
     bytes.extend([kind, cause_kind]);
     bytes.extend(hash.to_be_bytes());
@@ -145,14 +148,20 @@
 
     fn suspect(&mut self) -> Option<CrashSuspect> {
         let request = self.hash()?;
+        let sent = self.moment()?;
         let count = self.byte()?;
         let parts = (0..count).map(|_| self.hash()).collect::<Option<_>>()?;
-        Some(CrashSuspect { request, parts })
+        Some(CrashSuspect {
+            request,
+            sent,
+            parts,
+        })
     }
 
     fn cause(&mut self) -> Option<CrashCause> {
         match self.byte()? {
             PART => Some(CrashCause::Part(self.hash()?)),
+            REQUEST => Some(CrashCause::Request(self.hash()?)),
             _ => None,
         }
     }
--- a/crates/dewedge/src/serve/crashes.rs
+++ b/crates/dewedge/src/serve/crashes.rs
@@ -149,7 +149,7 @@
         }
         let now = self.now;
         let attempt = EndedAttempt {
-            suspect: crash_suspect(&self.exchanges[exchange_id]),
+            suspect: crash_suspect(&self.exchanges[exchange_id], load.sent),
             first_event: load.first_event,
             may_be_complete,
         };
@@ -285,6 +285,7 @@
     fn log_cause(&mut self, event: &str, cause: CrashCause, source: &'static str) {
         let (kind, hash) = match cause {
             CrashCause::Part(hash) => ("prompt_part", hash),
+            CrashCause::Request(hash) => ("request", hash),
         };
         self.logs
             .system("crash", event)
@@ -318,7 +319,7 @@
             return;
         }
         if let Some(exchange) = self.exchanges.get(exchange_id) {
-            let survivor = crash_suspect(exchange);
+            let survivor = crash_suspect(exchange, exchange.sent_load.sent);
             self.record_survival(&survivor, self.now);
         }
     }
@@ -349,7 +350,7 @@
         }
         let exchange = self.exchanges.get(exchange_id)?;
         let ledger = &self.crashes.ledger;
-        ledger.blocked_for(&crash_suspect(exchange), self.now)
+        ledger.blocked_for(&crash_suspect(exchange, self.now), self.now)
     }
 
     /// Applies what another VM says about crashes.
@@ -418,11 +419,12 @@
 
 /// Returns what of a request may crash a server. The last part of a prompt
 /// belongs to the request alone.
-fn crash_suspect(exchange: &Exchange) -> CrashSuspect {
+fn crash_suspect(exchange: &Exchange, sent: Moment) -> CrashSuspect {
     let parts = exchange.metadata.prompt_parts.as_slice();
     let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
     CrashSuspect {
         request: request_hash(exchange),
+        sent,
         parts: shared.iter().map(|part: &PromptPart| part.id).collect(),
     }
 }
--- a/crates/dewedge/tests/crash_notices.rs
+++ b/crates/dewedge/tests/crash_notices.rs
@@ -18,6 +18,7 @@
         .iter()
         .map(|(request, parts)| CrashSuspect {
             request: *request,
+            sent: Duration::from_millis(98_700),
             parts: parts.iter().copied().take(12).collect(),
         })
         .collect();
@@ -46,6 +47,7 @@
         for part in parts {
             let cause = CrashCause::Part(part);
             notices.push(CrashNotice::Blocked(cause, Duration::from_secs(98)));
+            let cause = CrashCause::Request(part);
             notices.push(CrashNotice::Survived(cause, Duration::from_millis(97_250)));
         }
         let datagrams = encode_notices(&notices, NOW);
--- a/crates/dewguard/src/ledger.rs
+++ b/crates/dewguard/src/ledger.rs
@@ -28,6 +28,17 @@
 /// moment do so for a common cause outside of their requests.
 const MIN_SEPARATION: Duration = Duration::from_millis(100);
 
+/// The same, if a suspect of the second crash was sent after the first one, as a
+/// retry is.
+const MIN_RETRY_SEPARATION: Duration = Duration::from_millis(20);
+
+/// Longest run after which a request is suspected. One that takes longer is more
+/// likely to be the victim, for example of servers that are replaced in turn.
+const MAX_RUN_TIME: Duration = Duration::from_secs(10);
+
+/// Error of times that VMs tell each other.
+const CLOCK_ERROR: Duration = Duration::from_millis(10);
+
 /// Time within which the reports about a server are about the same crash; a
 /// server that restarts under its id takes longer.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
@@ -57,6 +68,8 @@
 pub enum CrashCause {
     /// A part of a prompt, whatever else the request holds.
     Part(PartHash),
+    /// A request, each time that it comes.
+    Request(RequestHash),
 }
 
 /// A request that was in flight at a server when it crashed.
@@ -64,6 +77,8 @@
 pub struct CrashSuspect {
     /// The request.
     pub request: RequestHash,
+    /// When it was sent to the server.
+    pub sent: Duration,
     /// Parts of its prompt that other requests may share.
     pub parts: Vec<PartHash>,
 }
@@ -71,7 +86,8 @@
 impl CrashSuspect {
     /// Returns what may have crashed the server.
     pub fn causes(&self) -> impl Iterator<Item = CrashCause> + '_ {
-        self.parts.iter().copied().map(CrashCause::Part)
+        let parts = self.parts.iter().copied().map(CrashCause::Part);
+        parts.chain([CrashCause::Request(self.request)])
     }
 }
 
@@ -103,12 +119,13 @@
 ///
 /// let mut ledger = CrashLedger::default();
 /// for number in 1..=3 {
-///     let suspect = CrashSuspect { request: number, parts: vec![7] };
 ///     let at = Duration::from_secs(number);
+///     let suspect = CrashSuspect { request: number, sent: at, parts: vec![7] };
 ///     let report = CrashReport { server: number, at, suspects: vec![suspect] };
 ///     ledger.record_crash(report, at);
 /// }
-/// let other = CrashSuspect { request: 4, parts: vec![6, 7] };
+/// let sent = Duration::from_secs(4);
+/// let other = CrashSuspect { request: 4, sent, parts: vec![6, 7] };
 /// assert!(ledger.blocked_for(&other, Duration::from_secs(4)).is_some());
 /// // A server that survives such a request refutes the block.
 /// assert!(ledger.record_survival(CrashCause::Part(7), Duration::from_secs(4)));
@@ -137,7 +154,9 @@
     }
 
     /// Records a crash as one VM saw it; returns the causes that it blocks.
-    pub fn record_crash(&mut self, report: CrashReport, now: Duration) -> Vec<CrashCause> {
+    pub fn record_crash(&mut self, mut report: CrashReport, now: Duration) -> Vec<CrashCause> {
+        let earliest = report.at.saturating_sub(MAX_RUN_TIME);
+        report.suspects.retain(|suspect| suspect.sent >= earliest);
         let mut causes: Vec<CrashCause> = report
             .suspects
             .iter()
@@ -265,24 +284,24 @@
             if survived.is_some_and(|survived| crash.at <= survived) {
                 continue;
             }
-            let before = requests.len();
-            requests.extend(
-                self.blamed(crash)
-                    .filter(|suspect| has(suspect, cause))
-                    .map(|suspect| suspect.request),
-            );
-            if requests.len() > before {
-                times.push(crash.at);
+            let suspects: Vec<_> = self
+                .blamed(crash)
+                .filter(|suspect| has(suspect, cause))
+                .collect();
+            if let Some(last_sent) = suspects.iter().map(|suspect| suspect.sent).max() {
+                times.push((crash.at, last_sent));
             }
+            requests.extend(suspects.iter().map(|suspect| suspect.request));
         }
         requests.sort_unstable();
         requests.dedup();
         times.sort_unstable();
         let has_requests = match cause {
             CrashCause::Part(_) => requests.len() >= BLOCKING_REQUESTS,
+            CrashCause::Request(_) => true,
         };
         let is_convicted = has_requests && count_separate(&times) >= BLOCKING_CRASHES;
-        times.last().copied().filter(|_| is_convicted)
+        times.last().map(|(at, _)| *at).filter(|_| is_convicted)
     }
 
     /// Returns the suspects of a crash that may have caused it: those with a
@@ -336,14 +355,19 @@
     suspect.causes().any(|other| other == cause)
 }
 
-/// Returns how many of the times, which are in order, count as separate.
-fn count_separate(times: &[Duration]) -> usize {
+/// Returns how many crashes count as separate; each is given, in order, by its
+/// time and that at which its last suspect was sent.
+fn count_separate(crashes: &[(Duration, Duration)]) -> usize {
     let mut count = 0;
     let mut last: Option<Duration> = None;
-    for time in times {
-        if last.is_none_or(|last| *time >= last + MIN_SEPARATION) {
+    for (at, sent) in crashes {
+        let is_separate = |last: Duration| {
+            let is_later_send = *sent + CLOCK_ERROR >= last;
+            *at >= last + MIN_SEPARATION || is_later_send && *at >= last + MIN_RETRY_SEPARATION
+        };
+        if last.is_none_or(is_separate) {
             count += 1;
-            last = Some(*time);
+            last = Some(*at);
         }
     }
     count
--- a/crates/dewspring/src/broker/crashes.rs
+++ b/crates/dewspring/src/broker/crashes.rs
@@ -21,6 +21,7 @@
 pub(super) fn crash_suspect(request: &GrantRequest) -> CrashSuspect {
     CrashSuspect {
         request: request.fingerprint,
+        sent: Duration::ZERO,
         parts: request.prefix.into_iter().collect(),
     }
 }
@@ -67,10 +68,14 @@
             }
         } else if release.outcome == AttemptOutcome::Crashed {
             self.ledger.expire(now);
+            let suspect = CrashSuspect {
+                sent: now.saturating_sub(release.elapsed),
+                ..record.suspect.clone()
+            };
             let report = CrashReport {
                 server,
                 at: now,
-                suspects: vec![record.suspect.clone()],
+                suspects: vec![suspect],
             };
             for cause in self.ledger.record_crash(report, now) {
                 log::warn!("broker: requests with {cause:?} crash servers; they are refused");
