Keep blocked causes in the store, for VMs that start while no other one runs

After all VMs of a fleet were killed at once, the request that they had blocked crashed three servers and more again: blocks were only in the memory of VMs and in what they tell each other.

Each blocked cause now has an entry in the platform's store with the time of its last crash. The VMs take turns to write it, a second each in the order of their hashes, until the watch shows it; a VM that starts reads it with the list of VMs, in the same call. It is removed when a server survives the cause or the block is over, and written again if the store returns from an older copy without it. A block is in force 0.5 s after its last crash, also on VMs that hear of it later.

--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dewguard::CrashCause;
 use thiserror::Error;
 
 use crate::http::HeaderFields;
@@ -146,6 +147,8 @@
     Replica(ReplicaId),
     /// A VM of this system, by its name.
     Peer(String),
+    /// A blocked cause of crashes.
+    Block(CrashCause),
     /// Anything else.
     Other,
 }
@@ -170,7 +173,7 @@
     ReadTables,
     /// Lists servers, starting after a key.
     ListReplicas(Option<String>),
-    /// Lists VMs, starting after a key.
+    /// Lists VMs and blocked causes, starting after a key.
     ListPeers(Option<String>),
     /// Waits for changes after a revision.
     Watch {
@@ -194,6 +197,15 @@
         /// Lease of the entry.
         lease: u64,
     },
+    /// Writes that a cause of crashes is blocked.
+    PublishBlock {
+        /// The cause.
+        cause: CrashCause,
+        /// Unix time of its last crash, in ms.
+        last_crash_ms: u64,
+    },
+    /// Removes the entry of a blocked cause.
+    RemoveBlock(CrashCause),
 }
 
 /// A response of the store.
@@ -296,6 +308,14 @@
     /// Returns an error if the entry is malformed.
     fn read_peer(value: &[u8]) -> Result<SocketAddr, FormatError>;
 
+    /// Parses the entry of a blocked cause: the Unix time of its last crash, in
+    /// ms.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the entry is malformed.
+    fn read_block(value: &[u8]) -> Result<u64, FormatError>;
+
     /// Encodes a call to the store.
     fn write_call(call: &StoreCall) -> EncodedCall;
 
--- a/crates/dewedge/src/serve/crashes.rs
+++ b/crates/dewedge/src/serve/crashes.rs
@@ -12,15 +12,15 @@
 
 use std::collections::VecDeque;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use dewguard::{CrashCause, CrashLedger, CrashReport, CrashSuspect, RequestHash};
-use indexmap::IndexMap;
+use dewguard::{BLOCK_TIME, CrashCause, CrashLedger, CrashReport, CrashSuspect, RequestHash};
+use indexmap::{IndexMap, IndexSet};
 
 use crate::clock::Moment;
 use crate::crash_notices::{CrashNotice, encode_notices, report_notices};
 use crate::directory::{ReplicaIndex, stable_hash};
-use crate::format::{PlatformFormat, PromptPart};
+use crate::format::{PlatformFormat, PromptPart, StoreCall};
 use crate::policy::queue::ExchangeId;
 
 use super::state::{EdgeState, Exchange, SentLoad};
@@ -106,6 +106,8 @@
     tests: VecDeque<(Moment, ReplicaIndex)>,
     timer: LazyTimer,
     notices: VecDeque<PendingNotice>,
+    /// Blocked causes that the store has.
+    stored: IndexSet<CrashCause>,
     refresh_due: Moment,
 }
 
@@ -258,7 +260,7 @@
     }
 
     fn apply_report(&mut self, report: CrashReport, source: &'static str) {
-        let blocked = self.crashes.ledger.record_crash(report, self.now);
+        let blocked = self.crashes.ledger.record_crash(report);
         for cause in blocked {
             self.announce_block(cause, source);
         }
@@ -282,6 +284,62 @@
             .set(self.crashes.ledger.blocks().count() as i64);
     }
 
+    /// Writes a block to the store, for VMs that start while no other VM runs.
+    ///
+    /// The VMs take turns, a second each, until the store has it.
+    fn publish_block(&mut self, cause: CrashCause, last_crash: Moment) {
+        let age = self.now.saturating_sub(last_crash);
+        let rank = self.peers.rank_for(stable_hash(&cause_bytes(cause)));
+        if self.crashes.stored.contains(&cause) || u64::from(rank) > age.as_secs() {
+            return;
+        }
+        let last_crash_ms = unix_ms().saturating_sub(millis(age));
+        self.write_block(StoreCall::PublishBlock {
+            cause,
+            last_crash_ms,
+        });
+    }
+
+    fn remove_stored_block(&mut self, cause: CrashCause) {
+        if self.crashes.stored.swap_remove(&cause) {
+            self.write_block(StoreCall::RemoveBlock(cause));
+        }
+    }
+
+    fn write_block(&mut self, call: StoreCall) {
+        self.store.write_block(call);
+        self.store_timer
+            .set(self.now, TimerKey::Store, &mut self.timers);
+    }
+
+    /// Forgets which blocks the store has; they are written again if it has lost
+    /// them.
+    pub(crate) fn forget_stored_blocks(&mut self) {
+        self.crashes.stored.clear();
+    }
+
+    /// Records that the entry of a blocked cause was removed from the store.
+    pub(crate) fn forget_stored_block(&mut self, cause: CrashCause) {
+        self.crashes.stored.swap_remove(&cause);
+    }
+
+    /// Applies the entry of a blocked cause in the store, and removes it if the
+    /// block is over.
+    pub(crate) fn apply_stored_block(&mut self, cause: CrashCause, last_crash_ms: u64) {
+        let age = Duration::from_millis(unix_ms().saturating_sub(last_crash_ms));
+        self.crashes.stored.insert(cause);
+        if age >= BLOCK_TIME {
+            self.remove_stored_block(cause);
+        } else if !self.is_cause_blocked(cause) {
+            let last_crash = self.now.saturating_sub(age);
+            match self.crashes.ledger.adopt_block(cause, last_crash) {
+                None => self.log_cause("blocked", cause, "store"),
+                // A server has survived it since.
+                Some(_) => self.remove_stored_block(cause),
+            }
+        }
+    }
+
     fn log_cause(&mut self, event: &str, cause: CrashCause, source: &'static str) {
         let (kind, hash) = match cause {
             CrashCause::Part(hash) => ("prompt_part", hash),
@@ -308,6 +366,7 @@
                 self.digest_due = true;
                 if was_blocked {
                     self.log_cause("unblocked", cause, "own");
+                    self.remove_stored_block(cause);
                 }
             }
         }
@@ -372,7 +431,7 @@
 
     fn adopt_block(&mut self, cause: CrashCause, last_crash: Moment) {
         let was_blocked = self.is_cause_blocked(cause);
-        let refuted = self.crashes.ledger.adopt_block(cause, last_crash, self.now);
+        let refuted = self.crashes.ledger.adopt_block(cause, last_crash);
         if let Some(survived) = refuted {
             let notice = CrashNotice::Survived(cause, survived);
             self.crashes.announce(notice, 1);
@@ -393,13 +452,21 @@
             return;
         }
         self.crashes.refresh_due = self.now + BLOCK_REFRESH;
+        let blocked = |watch: &CrashWatch| -> Vec<_> { watch.ledger.blocks().collect() };
+        let before = blocked(&self.crashes);
         self.crashes.ledger.expire(self.now);
-        let blocks: Vec<_> = self.crashes.ledger.blocks().collect();
+        let blocks = blocked(&self.crashes);
+        for (cause, _) in before {
+            if !self.is_cause_blocked(cause) {
+                self.remove_stored_block(cause);
+            }
+        }
         self.metrics.blocked_causes.set(blocks.len() as i64);
         for (cause, last_crash) in blocks {
             let notice = CrashNotice::Blocked(cause, last_crash);
             self.crashes.announce(notice, 1);
             self.digest_due = true;
+            self.publish_block(cause, last_crash);
         }
     }
 
@@ -417,6 +484,27 @@
     }
 }
 
+/// Returns bytes that differ for each cause.
+fn cause_bytes(cause: CrashCause) -> [u8; 9] {
+    let (kind, hash) = match cause {
+        CrashCause::Part(id) => (0, id),
+        CrashCause::Request(hash) => (1, hash),
+    };
+    let mut bytes = [kind; 9];
+    bytes[1..].copy_from_slice(&hash.to_be_bytes());
+    bytes
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the Unix time, in ms; VMs may differ by seconds.
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, millis)
+}
+
 /// Returns what of a request may crash a server. The last part of a prompt
 /// belongs to the request alone.
 fn crash_suspect(exchange: &Exchange, sent: Moment) -> CrashSuspect {
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -96,6 +96,7 @@
     fn begin_store_era(&mut self, era: StoreEra) {
         self.logs.system("store", "new_era").number("era", era);
         self.directory.forget_revisions();
+        self.forget_stored_blocks();
         if let Some(table) = &mut self.table {
             Arc::make_mut(table).revision = UNKNOWN_REVISION;
         }
@@ -153,6 +154,16 @@
                 None if vm == self.settings.vm => self.store.rewrite_own_entry(self.now),
                 None => self.peers.remove(&vm, self.now),
             },
+            RecordKey::Block(cause) => match record.value.as_deref().map(F::read_block) {
+                Some(Ok(last_crash_ms)) => self.apply_stored_block(cause, last_crash_ms),
+                Some(Err(error)) => {
+                    self.logs
+                        .system("crash", "unreadable")
+                        .text("key", &record.name)
+                        .text("reason", &error.0);
+                }
+                None => self.forget_stored_block(cause),
+            },
             RecordKey::Other => {}
         }
     }
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -175,6 +175,11 @@
         self.renew_at = now;
     }
 
+    /// Writes that a cause of crashes is blocked, or no longer is.
+    pub(crate) fn write_block(&mut self, call: StoreCall) {
+        self.queue.push_back(call);
+    }
+
     /// Handles an I/O event on one of the two connections.
     pub(crate) fn on_event(&mut self, token: Token, closing: bool, now: Moment) {
         let is_watch = token == self.watch_connection.token;
@@ -277,8 +282,8 @@
     fn reload(&mut self) {
         self.watch_revision = None;
         self.listed_replicas.clear();
-        // The calls that write this VM's entry aren't repeated by themselves.
-        self.queue.retain(writes_own_entry);
+        // Calls that write aren't repeated by themselves.
+        self.queue.retain(is_write);
         self.queue.push_front(StoreCall::ListReplicas(None));
         self.queue.push_front(StoreCall::ReadTables);
     }
@@ -523,10 +528,14 @@
     }
 }
 
-fn writes_own_entry(call: &StoreCall) -> bool {
+fn is_write(call: &StoreCall) -> bool {
     matches!(
         call,
-        StoreCall::OpenLease(_) | StoreCall::PublishPeer { .. } | StoreCall::RenewLease(_)
+        StoreCall::OpenLease(_)
+            | StoreCall::PublishPeer { .. }
+            | StoreCall::RenewLease(_)
+            | StoreCall::PublishBlock { .. }
+            | StoreCall::RemoveBlock(_)
     )
 }
 
@@ -543,5 +552,7 @@
         StoreCall::OpenLease(_) => "open_lease",
         StoreCall::RenewLease(_) => "renew_lease",
         StoreCall::PublishPeer { .. } => "publish_peer",
+        StoreCall::PublishBlock { .. } => "publish_block",
+        StoreCall::RemoveBlock(_) => "remove_block",
     }
 }
--- a/crates/dewguard/src/ledger.rs
+++ b/crates/dewguard/src/ledger.rs
@@ -43,8 +43,8 @@
 /// server that restarts under its id takes longer.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 
-/// Time before a block is in force, in which VMs that know of a survived run can
-/// refute it.
+/// Time from the last crash after which a block is in force. Until then, VMs that
+/// know of a survived run can refute it.
 const SETTLING_TIME: Duration = Duration::from_millis(500);
 
 /// Time from the last crash for which a cause is blocked, and for which crashes
@@ -122,7 +122,7 @@
 ///     let at = Duration::from_secs(number);
 ///     let suspect = CrashSuspect { request: number, sent: at, parts: vec![7] };
 ///     let report = CrashReport { server: number, at, suspects: vec![suspect] };
-///     ledger.record_crash(report, at);
+///     ledger.record_crash(report);
 /// }
 /// let sent = Duration::from_secs(4);
 /// let other = CrashSuspect { request: 4, sent, parts: vec![6, 7] };
@@ -154,7 +154,7 @@
     }
 
     /// Records a crash as one VM saw it; returns the causes that it blocks.
-    pub fn record_crash(&mut self, mut report: CrashReport, now: Duration) -> Vec<CrashCause> {
+    pub fn record_crash(&mut self, mut report: CrashReport) -> Vec<CrashCause> {
         let earliest = report.at.saturating_sub(MAX_RUN_TIME);
         report.suspects.retain(|suspect| suspect.sent >= earliest);
         let mut causes: Vec<CrashCause> = report
@@ -171,7 +171,7 @@
             .filter_map(|cause| Some((cause, self.convict(cause)?)))
             .collect();
         for (cause, last_crash) in &new {
-            self.block(*cause, *last_crash, now);
+            self.block(*cause, *last_crash);
         }
         new.into_iter().map(|(cause, _)| cause).collect()
     }
@@ -210,17 +210,12 @@
 
     /// Adopts a block of another VM; returns when a server survived the cause, if
     /// that refutes the block.
-    pub fn adopt_block(
-        &mut self,
-        cause: CrashCause,
-        last_crash: Duration,
-        now: Duration,
-    ) -> Option<Duration> {
+    pub fn adopt_block(&mut self, cause: CrashCause, last_crash: Duration) -> Option<Duration> {
         let survived = self.survivals.get(&cause).copied();
         if survived.is_some_and(|survived| survived >= last_crash) {
             return survived;
         }
-        self.block(cause, last_crash, now);
+        self.block(cause, last_crash);
         None
     }
 
@@ -318,7 +313,7 @@
             .filter(move |suspect| !is_explained || is_blocked(suspect))
     }
 
-    fn block(&mut self, cause: CrashCause, last_crash: Duration, now: Duration) {
+    fn block(&mut self, cause: CrashCause, last_crash: Duration) {
         if let Some(block) = self.blocks.get_mut(&cause) {
             block.last_crash = block.last_crash.max(last_crash);
             return;
@@ -326,7 +321,7 @@
         if self.blocks.len() >= MAX_BLOCKS {
             self.blocks.shift_remove_index(0);
         }
-        let in_force_at = now + SETTLING_TIME;
+        let in_force_at = last_crash + SETTLING_TIME;
         self.blocks.insert(
             cause,
             CauseBlock {
