Need more crashes to block what servers survived shortly before

A test failed once on: 0 of 351 sound requests were served after one request had crashed all three servers of a service. While all were down, no server could survive the parts that the sound requests share, so the parts were blocked with the request, and as nothing was sent then, nothing refuted it.

VMs now remember for 10 minutes which causes servers survived, also before any crash, and tell the others when such a cause becomes a suspect. It is blocked only after six separate crashes since, and for 30 s, so that it is tried again. A cause that no server has survived takes three and is blocked for 10 minutes, as before.

--- a/crates/dewedge/src/serve/crashes.rs
+++ b/crates/dewedge/src/serve/crashes.rs
@@ -257,8 +257,14 @@
     }
 
     fn apply_report(&mut self, report: CrashReport, source: &'static str) {
-        let blocked = self.crashes.ledger.record_crash(report);
-        for cause in blocked {
+        let effect = self.crashes.ledger.record_crash(report);
+        let sends = self.notice_sends();
+        for (cause, at) in effect.survived {
+            let notice = CrashNotice::Survived(cause, at);
+            self.crashes.announce(notice, sends);
+            self.digest_due = true;
+        }
+        for cause in effect.blocked {
             self.announce_block(cause, source);
         }
     }
@@ -351,9 +357,6 @@
 
     /// Records that a server survived a request.
     fn record_survival(&mut self, survivor: &CrashSuspect, at: Moment) {
-        if !self.crashes.ledger.is_active() {
-            return;
-        }
         let sends = self.notice_sends();
         for cause in survivor.causes() {
             let was_blocked = self.is_cause_blocked(cause);
@@ -369,11 +372,8 @@
         }
     }
 
-    /// Records that the server of an exchange survived it, if that matters.
+    /// Records that the server of an exchange survived it.
     pub(crate) fn record_survived_exchange(&mut self, exchange_id: ExchangeId) {
-        if !self.crashes.ledger.is_active() {
-            return;
-        }
         if let Some(exchange) = self.exchanges.get(exchange_id) {
             let survivor = crash_suspect(exchange, exchange.sent_load.sent);
             self.record_survival(&survivor, self.now);
--- a/crates/dewguard/src/ledger.rs
+++ b/crates/dewguard/src/ledger.rs
@@ -20,6 +20,14 @@
 /// Crashes from which a cause is blocked.
 const BLOCKING_CRASHES: usize = 3;
 
+/// The same, for a cause that servers survived in the last [`BLOCK_TIME`]. What
+/// many sound requests share is present at most crashes, whatever causes them.
+const ESTABLISHED_BLOCKING_CRASHES: usize = 6;
+
+/// Time from the last crash for which such a cause is blocked. While it is, no
+/// server can show that it survives the cause.
+const ESTABLISHED_BLOCK_TIME: Duration = Duration::from_secs(30);
+
 /// Different requests that must have crashed servers before their common part is
 /// blocked: a single one may do so whatever its parts are.
 const BLOCKING_REQUESTS: usize = 2;
@@ -58,7 +66,7 @@
 const MAX_SUSPECTS: usize = 64;
 
 /// Maximum number of causes for which survived runs are remembered.
-const MAX_SURVIVALS: usize = 4096;
+const MAX_SURVIVALS: usize = 8192;
 
 /// Maximum number of blocked causes.
 const MAX_BLOCKS: usize = 1024;
@@ -102,11 +110,22 @@
     pub suspects: Vec<CrashSuspect>,
 }
 
+/// What follows from a report.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ReportEffect {
+    /// The causes that are blocked from now on.
+    pub blocked: Vec<CrashCause>,
+    /// Suspected causes that servers survived before the crash, and when; the other
+    /// VMs have to know.
+    pub survived: Vec<(CrashCause, Duration)>,
+}
+
 /// A blocked cause.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct CauseBlock {
     last_crash: Duration,
     in_force_at: Duration,
+    ends_at: Duration,
 }
 
 /// The crashes that a VM knows of, and the causes that it blocks.
@@ -137,13 +156,16 @@
     crashes: VecDeque<CrashReport>,
     /// Time of the last crash at which each cause was present.
     last_crashes: IndexMap<CrashCause, Duration>,
-    /// When a server last survived a cause.
+    /// When a server last survived a cause that is or was a suspect, as far as any
+    /// VM has said.
     survivals: IndexMap<CrashCause, Duration>,
+    /// When a server last survived a cause, as far as this VM has seen.
+    own_survivals: IndexMap<CrashCause, Duration>,
     blocks: IndexMap<CrashCause, CauseBlock>,
 }
 
 impl CrashLedger {
-    /// Returns whether survived runs matter, because there were crashes.
+    /// Returns whether there were crashes or blocks.
     pub fn is_active(&self) -> bool {
         !self.crashes.is_empty() || !self.blocks.is_empty()
     }
@@ -153,8 +175,8 @@
         !self.blocks.is_empty()
     }
 
-    /// Records a crash as one VM saw it; returns the causes that it blocks.
-    pub fn record_crash(&mut self, mut report: CrashReport) -> Vec<CrashCause> {
+    /// Records a crash as one VM saw it.
+    pub fn record_crash(&mut self, mut report: CrashReport) -> ReportEffect {
         let earliest = report.at.saturating_sub(MAX_RUN_TIME);
         report.suspects.retain(|suspect| suspect.sent >= earliest);
         let mut causes: Vec<CrashCause> = report
@@ -164,7 +186,9 @@
             .collect();
         causes.sort_unstable();
         causes.dedup();
+        let at = report.at;
         self.merge(report);
+        let survived = self.recall_survivals(&causes, at);
         let new: Vec<(CrashCause, Duration)> = causes
             .into_iter()
             .filter(|cause| !self.blocks.contains_key(cause))
@@ -173,12 +197,35 @@
         for (cause, last_crash) in &new {
             self.block(*cause, *last_crash);
         }
-        new.into_iter().map(|(cause, _)| cause).collect()
+        ReportEffect {
+            blocked: new.into_iter().map(|(cause, _)| cause).collect(),
+            survived,
+        }
+    }
+
+    /// Takes up what this VM has seen of causes that have become suspects.
+    fn recall_survivals(
+        &mut self,
+        causes: &[CrashCause],
+        crashed: Duration,
+    ) -> Vec<(CrashCause, Duration)> {
+        let mut recalled = Vec::new();
+        for cause in causes {
+            if let Some(at) = self.own_survivals.get(cause).copied()
+                && crashed.saturating_sub(at) < BLOCK_TIME
+                && !self.survivals.contains_key(cause)
+            {
+                self.survivals.insert(*cause, at);
+                recalled.push((*cause, at));
+            }
+        }
+        recalled
     }
 
     /// Records that a server survived a run with a cause; returns whether the
     /// other VMs have to know.
     pub fn record_survival(&mut self, cause: CrashCause, at: Duration) -> bool {
+        insert_bounded(&mut self.own_survivals, cause, at);
         let known = self.survivals.get(&cause).copied();
         if known.is_some_and(|known| known >= at) {
             return false;
@@ -225,7 +272,7 @@
             .causes()
             .filter_map(|cause| self.blocks.get(&cause))
             .filter(|block| block.in_force_at <= now)
-            .map(|block| (block.last_crash + BLOCK_TIME).saturating_sub(now))
+            .map(|block| block.ends_at.saturating_sub(now))
             .max()
     }
 
@@ -241,7 +288,8 @@
         let is_recent = |at: Duration| now.saturating_sub(at) < BLOCK_TIME;
         self.crashes.retain(|crash| is_recent(crash.at));
         self.survivals.retain(|_, at| is_recent(*at));
-        self.blocks.retain(|_, block| is_recent(block.last_crash));
+        self.blocks.retain(|_, block| now < block.ends_at);
+        self.own_survivals.retain(|_, at| is_recent(*at));
         self.last_crashes.retain(|_, at| is_recent(*at));
     }
 
@@ -295,7 +343,11 @@
             CrashCause::Part(_) => requests.len() >= BLOCKING_REQUESTS,
             CrashCause::Request(_) => true,
         };
-        let is_convicted = has_requests && count_separate(&times) >= BLOCKING_CRASHES;
+        let needed_crashes = match survived {
+            None => BLOCKING_CRASHES,
+            Some(_) => ESTABLISHED_BLOCKING_CRASHES,
+        };
+        let is_convicted = has_requests && count_separate(&times) >= needed_crashes;
         times.last().map(|(at, _)| *at).filter(|_| is_convicted)
     }
 
@@ -314,8 +366,13 @@
     }
 
     fn block(&mut self, cause: CrashCause, last_crash: Duration) {
+        let block_time = match self.survivals.contains_key(&cause) {
+            true => ESTABLISHED_BLOCK_TIME,
+            false => BLOCK_TIME,
+        };
         if let Some(block) = self.blocks.get_mut(&cause) {
             block.last_crash = block.last_crash.max(last_crash);
+            block.ends_at = block.last_crash + block_time;
             return;
         }
         if self.blocks.len() >= MAX_BLOCKS {
@@ -327,15 +384,13 @@
             CauseBlock {
                 last_crash,
                 in_force_at,
+                ends_at: last_crash + block_time,
             },
         );
     }
 
     fn remember_survival(&mut self, cause: CrashCause, at: Duration) {
-        if self.survivals.len() >= MAX_SURVIVALS && !self.survivals.contains_key(&cause) {
-            self.survivals.shift_remove_index(0);
-        }
-        self.survivals.insert(cause, at);
+        insert_bounded(&mut self.survivals, cause, at);
         if self
             .blocks
             .get(&cause)
@@ -346,6 +401,14 @@
     }
 }
 
+/// Records a survived run; an arbitrary older one makes room.
+fn insert_bounded(survivals: &mut IndexMap<CrashCause, Duration>, cause: CrashCause, at: Duration) {
+    if survivals.len() >= MAX_SURVIVALS && !survivals.contains_key(&cause) {
+        survivals.swap_remove_index(0);
+    }
+    survivals.insert(cause, at);
+}
+
 fn has(suspect: &CrashSuspect, cause: CrashCause) -> bool {
     suspect.causes().any(|other| other == cause)
 }
--- a/crates/dewguard/src/lib.rs
+++ b/crates/dewguard/src/lib.rs
@@ -11,6 +11,6 @@
 mod ledger;
 
 pub use ledger::{
-    BLOCK_TIME, CrashCause, CrashLedger, CrashReport, CrashSuspect, PartHash, RequestHash,
-    ServerHash,
+    BLOCK_TIME, CrashCause, CrashLedger, CrashReport, CrashSuspect, PartHash, ReportEffect,
+    RequestHash, ServerHash,
 };
--- a/crates/dewspring/src/broker/crashes.rs
+++ b/crates/dewspring/src/broker/crashes.rs
@@ -77,7 +77,7 @@
                 at: now,
                 suspects: vec![suspect],
             };
-            for cause in self.ledger.record_crash(report) {
+            for cause in self.ledger.record_crash(report).blocked {
                 log::warn!("broker: requests with {cause:?} crash servers; they are refused");
             }
         }
