Read the settings and tables of duties and of servers' load

Calls to the platform's API that one VM makes for all, orders for servers and the load that servers report were not read at all. The settings, the scaling of a service, interruptible servers and load reports are now decoded; nothing uses them yet.

--- /dev/null
+++ b/crates/dewduty/src/lease.rs
@@ -0,0 +1,1 @@
+//! Decides which VM holds a duty, with which fencing token, until when.
--- /dev/null
+++ b/crates/dewduty/src/scaling.rs
@@ -0,0 +1,1 @@
+//! Decides how many servers a data centre needs.
--- /dev/null
+++ b/crates/dewduty/src/truetime.rs
@@ -0,0 +1,1 @@
+//! Estimates true time from the clocks of several VMs.
--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -135,6 +135,8 @@
     ///     slots: 8,
     ///     stage: ReplicaStage::Ready,
     ///     started_ms: 1,
+    ///     interruptible: false,
+    ///     leaves_in: None,
     /// };
     /// let change = directory.apply("i-1".to_string(), entry, 5);
     /// assert_eq!(change, DirectoryChange::Started(0));
--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -95,6 +95,22 @@
     pub retry_after: Option<Duration>,
     /// What the server says about the rate of requests that it accepts.
     pub rate_limit: RateNotice,
+    /// What the server says about its load.
+    pub load: Option<LoadReport>,
+}
+
+/// What a server says about its load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadReport {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that it can run at once.
+    pub slots: u32,
+    /// Time that work takes on its machine at this moment, relative to the usual
+    /// time, if it says so; 1 is normal.
+    pub slowness: Option<f64>,
 }
 
 /// What a response says about the rate of requests that its server accepts.
@@ -136,6 +152,10 @@
     pub stage: ReplicaStage,
     /// Unix time of its start, in ms; 0 if it is unknown.
     pub started_ms: u64,
+    /// Whether the platform may reclaim it at any time.
+    pub interruptible: bool,
+    /// Time until it leaves, if it has announced one.
+    pub leaves_in: Option<Duration>,
 }
 
 /// What an item in the store describes.
--- a/crates/dewedge/src/settings.rs
+++ b/crates/dewedge/src/settings.rs
@@ -45,4 +45,27 @@
     pub retry_slack: f64,
     /// Time window over which retries are counted.
     pub retry_window: Duration,
+    /// Duties that one VM at a time performs for the fleet, if the deployment has
+    /// any.
+    pub duties: Option<DutySettings>,
+}
+
+/// Duties that one VM at a time performs for the fleet, by calls to the
+/// platform's API.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DutySettings {
+    /// Address of the platform's API.
+    pub api_address: SocketAddr,
+    /// Calls a second that the API accepts from all VMs together.
+    pub calls_per_second: f64,
+    /// Whether usage is reported.
+    pub reports_usage: bool,
+    /// Whether servers are ordered.
+    pub orders_servers: bool,
+    /// Time within which a duty must not return to an earlier holder.
+    pub lease_time: Duration,
+    /// Length of a usage window.
+    pub usage_window: Duration,
+    /// Time after the end of a window at which its report is due.
+    pub usage_due: Duration,
 }
--- a/crates/dewedge/src/tables.rs
+++ b/crates/dewedge/src/tables.rs
@@ -89,6 +89,25 @@
     pub max_connections: u32,
     /// The engines, if the service serves a model.
     pub engine: Option<EngineSpec>,
+    /// How many servers may be ordered, if any may.
+    pub scaling: Option<ScalingSpec>,
+}
+
+/// How many servers of a service may be ordered in each data centre, and what
+/// they cost.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScalingSpec {
+    /// Fewest servers in a data centre.
+    pub min: u32,
+    /// Most servers in a data centre, regular and interruptible ones together.
+    pub max: u32,
+    /// Time from an order until a new server serves.
+    pub boot_time: Duration,
+    /// Price of an interruptible server, as a share of the price of a regular
+    /// one; `None` if there are none.
+    pub interruptible_price: Option<f64>,
+    /// Price of a regular server in each data centre.
+    pub prices: IndexMap<String, f64>,
 }
 
 /// A workspace, to which API keys belong.
--- a/crates/dewedge/tests/directory.rs
+++ b/crates/dewedge/tests/directory.rs
@@ -18,6 +18,8 @@
         slots: 8,
         stage,
         started_ms,
+        interruptible: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/dewedge/tests/origins.rs
+++ b/crates/dewedge/tests/origins.rs
@@ -90,6 +90,8 @@
                 slots: 8,
                 stage: ReplicaStage::Ready,
                 started_ms: 1,
+                interruptible: false,
+                leaves_in: None,
             };
             let id = format!("i-{index}");
             directory.apply(id.clone(), entry, 1);
