--- /dev/null
+++ b/crates/dewduty/src/usage/collector.rs
@@ -0,0 +1,479 @@
+//! What the holder and the next candidates have received, and which window is to be
+//! reported.
+//!
+//! Main invariant: the window of a plan is later than every window of which a report
+//! is known to be written, and there is no plan while a written report may not have
+//! been accepted.
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::{
+    MAX_VMS, MAX_WORKSPACES, ShareState, UsageAck, UsagePolicy, UsageShare, VmHash, WindowIndex,
+    WorkspaceHash,
+};
+use crate::truetime::ClockEstimate;
+
+/// Maximum number of processes of a VM that are told apart.
+const MAX_STARTS: usize = 4;
+
+/// Maximum number of counts that are kept, over all windows and processes; about
+/// 80 MB.
+const MAX_COUNTS: usize = 1 << 21;
+
+/// Time by which the end of a window may come earlier for a VM than for the receiver.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(500);
+
+/// Share of the due time for which the report of a window waits beyond the usual
+/// time while counts still arrive, for example after a partition.
+const GROWTH_SHARE: f64 = 0.3;
+
+/// A report that is written to the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WrittenReport {
+    /// The window.
+    pub window: WindowIndex,
+    /// Fencing token of the holder that wrote it.
+    pub token: u64,
+    /// Counts by workspace.
+    pub counts: IndexMap<String, u64>,
+}
+
+/// A window that is to be reported.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReportPlan {
+    /// The window.
+    pub window: WindowIndex,
+    /// Counts by workspace.
+    pub totals: IndexMap<WorkspaceHash, u64>,
+    /// VMs whose counts are not known to be complete.
+    pub missing: Vec<VmHash>,
+    /// Windows before it of which there is no report.
+    pub skipped: Range<WindowIndex>,
+}
+
+/// A process of a VM.
+#[derive(Clone, Copy, Debug)]
+struct VmProcess {
+    started: u64,
+    first: WindowIndex,
+    /// Window after which it counts nothing.
+    last: Option<WindowIndex>,
+}
+
+/// A VM that is known or was heard.
+#[derive(Clone, Debug)]
+struct FleetVm {
+    is_listed: bool,
+    seen: Duration,
+    /// Its processes, in the order in which they were first heard.
+    processes: Vec<VmProcess>,
+}
+
+/// Counts of one process in one window.
+#[derive(Debug, Default)]
+struct CollectedShare {
+    counts: IndexMap<WorkspaceHash, u32>,
+    arrived: u64,
+    final_total: Option<u64>,
+}
+
+impl CollectedShare {
+    fn is_complete(&self) -> bool {
+        self.final_total.is_some_and(|total| self.arrived >= total)
+    }
+}
+
+/// Counts of one window.
+#[derive(Debug, Default)]
+struct CollectedWindow {
+    shares: IndexMap<(VmHash, u64), CollectedShare>,
+    grown_at: Duration,
+    /// Since when shares of more than half of the VMs are there.
+    majority_at: Option<Duration>,
+}
+
+/// Counts of the fleet, on the holder and on the next candidates.
+///
+/// # Examples
+///
+/// ```
+/// use dewduty::usage::{UsageCollector, UsagePolicy};
+/// use std::time::Duration;
+///
+/// let policy = UsagePolicy::new(Duration::from_secs(5), Duration::from_secs(10));
+/// let mut collector = UsageCollector::new(policy, 1);
+/// collector.set_vms([1, 2], Duration::from_secs(1_000));
+/// assert_eq!(collector.next_report(Duration::from_secs(1_020)), None);
+/// ```
+#[derive(Debug)]
+pub struct UsageCollector {
+    policy: UsagePolicy,
+    vm: VmHash,
+    vms: IndexMap<VmHash, FleetVm>,
+    windows: BTreeMap<WindowIndex, CollectedWindow>,
+    counts: usize,
+    /// Last window of which a report is known to be written.
+    reported: Option<WindowIndex>,
+    written: Option<WrittenReport>,
+    is_accepted: bool,
+    /// What was in the last report of this holder, by process.
+    closed: BTreeMap<WindowIndex, IndexMap<(VmHash, u64), u64>>,
+    planned: Option<WindowIndex>,
+    observed_from: Option<Duration>,
+    took_over_at: Option<Duration>,
+}
+
+impl UsageCollector {
+    /// Creates the collector of a VM.
+    pub fn new(policy: UsagePolicy, vm: VmHash) -> Self {
+        UsageCollector {
+            policy,
+            vm,
+            vms: IndexMap::new(),
+            windows: BTreeMap::new(),
+            counts: 0,
+            reported: None,
+            written: None,
+            is_accepted: true,
+            closed: BTreeMap::new(),
+            planned: None,
+            observed_from: None,
+            took_over_at: None,
+        }
+    }
+
+    /// Sets the VMs that belong to the fleet.
+    pub fn set_vms(&mut self, vms: impl IntoIterator<Item = VmHash>, unix: Duration) {
+        self.observed_from.get_or_insert(unix);
+        for vm in self.vms.values_mut() {
+            vm.is_listed = false;
+        }
+        for vm in vms {
+            if let Some(vm) = self.vm_entry(vm, unix) {
+                vm.is_listed = true;
+            }
+        }
+        let oldest = unix.saturating_sub(self.policy.skip_age);
+        self.vms.retain(|_, vm| vm.is_listed || vm.seen >= oldest);
+    }
+
+    /// Begins to act as the holder, with the written report that the store holds. It
+    /// is to be sent before anything else.
+    pub fn take_over(&mut self, written: Option<WrittenReport>, unix: Duration) {
+        self.observed_from.get_or_insert(unix);
+        self.took_over_at = Some(unix);
+        if let Some(written) = written {
+            self.record_written(written);
+        }
+    }
+
+    /// Merges a share and returns the reply. A share of a window that is reported
+    /// changes nothing; the reply says what of it was dropped.
+    pub fn receive(
+        &mut self,
+        share: &UsageShare,
+        now: Duration,
+        clock: &ClockEstimate,
+    ) -> UsageAck {
+        let unix = clock.unix_at(now);
+        let current = self.policy.window_at(unix);
+        self.observed_from.get_or_insert(unix);
+        self.learn_reported(share.reported.filter(|&window| window <= current));
+        self.note_process(share, unix);
+        let mut ack = UsageAck {
+            receiver: self.vm,
+            vm: share.vm,
+            started: share.started,
+            window: share.window,
+            state: ShareState::Incomplete,
+            arrived: 0,
+            dropped: 0,
+            unix: clock.settled_at(now),
+        };
+        if Some(share.window) <= self.reported {
+            ack.state = ShareState::Reported;
+            let in_report = self.in_report(share);
+            ack.arrived = in_report.unwrap_or(0);
+            ack.dropped = in_report.map_or(0, |arrived| share.total.saturating_sub(arrived));
+            return ack;
+        }
+        // A window further ahead comes from a clock that is wrong.
+        let is_open = share.window >= self.policy.oldest_at(unix) && share.window <= current + 1;
+        if is_open && self.vms.contains_key(&share.vm) {
+            let merged = self.merge(share, unix);
+            ack.arrived = merged.arrived;
+            if merged.is_complete() {
+                ack.state = ShareState::Complete;
+            }
+        }
+        ack
+    }
+
+    /// Returns the next window that is to be reported: one of which all VMs have sent
+    /// their counts, or the longest wait is over.
+    pub fn next_report(&mut self, unix: Duration) -> Option<ReportPlan> {
+        self.remove_old_windows(unix);
+        if self.unaccepted().is_some() {
+            return None;
+        }
+        let oldest = *self.windows.keys().next()?;
+        let begin = self.reported.map_or(oldest, |window| window + 1);
+        let end = self.policy.window_at(unix);
+        for window in begin.max(self.policy.oldest_at(unix))..end {
+            if self.is_reportable(window, unix)? {
+                self.planned = Some(window);
+                return Some(self.plan(window, begin..window, unix));
+            }
+        }
+        None
+    }
+
+    /// Returns the written report that may not have been accepted yet.
+    pub fn unaccepted(&self) -> Option<&WrittenReport> {
+        self.written.as_ref().filter(|_| !self.is_accepted)
+    }
+
+    /// Returns the last window of which a report is known to be written.
+    pub fn reported(&self) -> Option<WindowIndex> {
+        self.reported
+    }
+
+    /// Takes in the written report that the store holds, whichever VM wrote it. An
+    /// older one than is known changes nothing, as after a restore of the store.
+    pub fn record_written(&mut self, report: WrittenReport) {
+        if Some(report.window) < self.reported || self.written.as_ref() == Some(&report) {
+            return;
+        }
+        let is_repeat = self
+            .written
+            .as_ref()
+            .is_some_and(|written| written.window == report.window);
+        if is_repeat {
+            return;
+        }
+        self.learn_reported(Some(report.window));
+        self.written = Some(report);
+        self.is_accepted = false;
+    }
+
+    /// Takes in that the platform has accepted the report of a window.
+    pub fn record_accepted(&mut self, window: WindowIndex) {
+        if self
+            .written
+            .as_ref()
+            .is_some_and(|written| written.window <= window)
+        {
+            self.is_accepted = true;
+        }
+    }
+
+    /// Closes a window and the ones before it.
+    fn learn_reported(&mut self, window: Option<WindowIndex>) {
+        let Some(window) = window.filter(|&window| Some(window) > self.reported) else {
+            return;
+        };
+        if self.planned == Some(window)
+            && let Some(collected) = self.windows.get(&window)
+        {
+            let shares = collected.shares.iter();
+            let arrived = shares
+                .map(|(&process, share)| (process, share.arrived))
+                .collect();
+            self.closed.insert(window, arrived);
+        }
+        self.planned = None;
+        self.reported = Some(window);
+        self.remove_windows_before(window.saturating_add(1));
+    }
+
+    /// Returns what of a share is in the report, if this VM made it.
+    fn in_report(&self, share: &UsageShare) -> Option<u64> {
+        let closed = self.closed.get(&share.window)?;
+        let arrived = closed.get(&(share.vm, share.started));
+        Some(arrived.copied().unwrap_or(0))
+    }
+
+    fn vm_entry(&mut self, vm: VmHash, unix: Duration) -> Option<&mut FleetVm> {
+        if self.vms.len() >= MAX_VMS && !self.vms.contains_key(&vm) {
+            return None;
+        }
+        let entry = self.vms.entry(vm).or_insert(FleetVm {
+            is_listed: false,
+            seen: unix,
+            processes: Vec::new(),
+        });
+        entry.seen = entry.seen.max(unix);
+        Some(entry)
+    }
+
+    fn note_process(&mut self, share: &UsageShare, unix: Duration) {
+        let Some(vm) = self.vm_entry(share.vm, unix) else {
+            return;
+        };
+        let mut processes = vm.processes.iter_mut();
+        let process = match processes.find(|process| process.started == share.started) {
+            Some(process) => process,
+            None => {
+                if vm.processes.len() >= MAX_STARTS {
+                    vm.processes.remove(0);
+                }
+                vm.processes.push(VmProcess {
+                    started: share.started,
+                    first: share.first,
+                    last: None,
+                });
+                vm.processes.last_mut().expect("a process was added")
+            }
+        };
+        process.first = process.first.min(share.first);
+        if share.is_last {
+            process.last = process.last.max(Some(share.window));
+        }
+    }
+
+    fn merge(&mut self, share: &UsageShare, unix: Duration) -> &CollectedShare {
+        let is_early = !share.is_last && unix + CLOCK_TOLERANCE < self.policy.end_of(share.window);
+        let window = self.windows.entry(share.window).or_default();
+        let process = (share.vm, share.started);
+        let merged = window.shares.entry(process).or_default();
+        let before = merged.arrived;
+        for (&workspace, &count) in &share.counts {
+            let has_room = self.counts < MAX_COUNTS && merged.counts.len() < MAX_WORKSPACES;
+            match merged.counts.get_mut(&workspace) {
+                Some(known) => {
+                    merged.arrived += u64::from(count.saturating_sub(*known));
+                    *known = count.max(*known);
+                }
+                None if has_room => {
+                    merged.counts.insert(workspace, count);
+                    merged.arrived += u64::from(count);
+                    self.counts += 1;
+                }
+                None => {}
+            }
+        }
+        if share.is_final && !is_early {
+            merged.final_total = merged.final_total.max(Some(share.total));
+        } else if Some(share.total) > merged.final_total {
+            // The sender's clock has been corrected, so that the window goes on.
+            merged.final_total = None;
+        }
+        if merged.arrived > before {
+            window.grown_at = unix;
+        }
+        &window.shares[&process]
+    }
+
+    /// Returns whether a window can be reported; `None` if it is to be waited for.
+    fn is_reportable(&mut self, window: WindowIndex, unix: Duration) -> Option<bool> {
+        let end = self.policy.end_of(window);
+        let has_shares = self.windows.contains_key(&window);
+        if has_shares && self.missing_vms(window, unix).is_empty() {
+            return Some(true);
+        }
+        let waited_until = end + self.policy.wait;
+        if unix < waited_until {
+            return None;
+        }
+        let has_majority = self.has_majority(window);
+        let collected = self.windows.get_mut(&window);
+        let (grown_at, majority_at) = collected.map_or((Duration::ZERO, None), |collected| {
+            if has_majority {
+                collected.majority_at.get_or_insert(unix);
+            }
+            (collected.grown_at, collected.majority_at)
+        });
+        let changed_at = self.took_over_at.unwrap_or_default().max(grown_at);
+        let is_growing = unix < changed_at + 2 * self.policy.send_interval;
+        let patience = self.policy.due.mul_f64(GROWTH_SHARE);
+        let since = majority_at.unwrap_or(changed_at).max(waited_until);
+        if is_growing && unix < since + patience {
+            return None;
+        }
+        Some(has_majority && self.has_observed(window))
+    }
+
+    /// Returns whether this VM can know what the fleet has counted in a window. A
+    /// first report needs it; later ones follow a written report.
+    fn has_observed(&self, window: WindowIndex) -> bool {
+        let begin = self.policy.start_of(window);
+        self.reported.is_some() || self.observed_from.is_some_and(|from| from <= begin)
+    }
+
+    /// Returns whether shares of more than half of the VMs are there that can have
+    /// counted in a window.
+    fn has_majority(&self, window: WindowIndex) -> bool {
+        let Some(collected) = self.windows.get(&window) else {
+            return false;
+        };
+        let has_share = |vm: VmHash| collected.shares.keys().any(|&(sender, _)| sender == vm);
+        let began_later = |vm: &FleetVm| {
+            let mut processes = vm.processes.iter();
+            !vm.processes.is_empty() && processes.all(|process| process.first > window)
+        };
+        let counting = self
+            .vms
+            .iter()
+            .filter(|(_, vm)| vm.is_listed && !began_later(vm));
+        let (known, expected) = counting.fold((0, 0), |(known, expected), (&vm, _)| {
+            (known + usize::from(has_share(vm)), expected + 1)
+        });
+        2 * known > expected || (expected == 0 && !collected.shares.is_empty())
+    }
+
+    /// Returns the VMs of which the counts of a window may be incomplete.
+    fn missing_vms(&self, window: WindowIndex, unix: Duration) -> Vec<VmHash> {
+        let begin = self.policy.start_of(window);
+        let gone_wait = self.policy.end_of(window) + 3 * self.policy.send_interval;
+        let is_awaited = |vm: &FleetVm| vm.is_listed || (vm.seen >= begin && unix < gone_wait);
+        let awaited = self.vms.iter().filter(|(_, vm)| is_awaited(vm));
+        let missing = awaited.filter(|&(&vm, entry)| !self.is_done(vm, entry, window));
+        missing.map(|(&vm, _)| vm).collect()
+    }
+
+    fn is_done(&self, vm: VmHash, entry: &FleetVm, window: WindowIndex) -> bool {
+        let Some(process) = entry.processes.last() else {
+            return false;
+        };
+        let is_outside = process.first > window || process.last.is_some_and(|last| last < window);
+        let shares = self.windows.get(&window).map(|collected| &collected.shares);
+        let share = shares.and_then(|shares| shares.get(&(vm, process.started)));
+        is_outside || share.is_some_and(CollectedShare::is_complete)
+    }
+
+    fn plan(&self, window: WindowIndex, skipped: Range<WindowIndex>, unix: Duration) -> ReportPlan {
+        let mut totals = IndexMap::new();
+        let collected = self.windows.get(&window);
+        let shares = collected
+            .into_iter()
+            .flat_map(|collected| collected.shares.values());
+        for (&workspace, &count) in shares.flat_map(|share| &share.counts) {
+            *totals.entry(workspace).or_default() += u64::from(count);
+        }
+        ReportPlan {
+            window,
+            totals,
+            missing: self.missing_vms(window, unix),
+            skipped,
+        }
+    }
+
+    fn remove_old_windows(&mut self, unix: Duration) {
+        let oldest = self.policy.oldest_at(unix);
+        self.remove_windows_before(oldest);
+        self.closed = self.closed.split_off(&oldest);
+    }
+
+    fn remove_windows_before(&mut self, window: WindowIndex) {
+        let kept = self.windows.split_off(&window);
+        let removed = std::mem::replace(&mut self.windows, kept);
+        let shares = removed
+            .values()
+            .flat_map(|collected| collected.shares.values());
+        self.counts -= shares.map(|share| share.counts.len()).sum::<usize>();
+    }
+}
