Perform the fleet's duties in dewnode: usage reports and orders for servers

Calls to the platform's API that one VM makes for all were not made: each usage window was missed, and all servers were paid for whether needed or not. dewnode now holds duties by the lease table of dewduty, collects the counts of all VMs by datagrams, writes each report to the store before it sends it, and orders servers from the digests and notices of unmet demand.

--- a/crates/dewedge/src/storage/connection.rs
+++ b/crates/dewedge/src/call_connection.rs
@@ -1,4 +1,8 @@
-//! A connection to the store that carries one call at a time.
+//! A connection to a service of the platform that carries one call at a time.
+//!
+//! The store client uses two of them, and the client of the platform's API one.
+//! The main invariant: a call that has failed delivers no response later, because
+//! its connection is closed.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -6,12 +10,12 @@
 use mio::{Registry, Token};
 
 use crate::clock::Moment;
-use crate::format::{EncodedCall, StoreCall};
+use crate::format::EncodedCall;
 use crate::http::{BodyDecoder, ResponseHead, parse_response};
 use crate::net::{ReadState, TcpChannel};
 
 /// Shortest time between a failed call and the next one.
-pub(super) const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
+pub(crate) const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Longest time between a failed call and the next one.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
@@ -28,36 +32,36 @@
 
 /// A call in progress.
 #[derive(Debug)]
-pub(super) struct PendingCall {
-    call: StoreCall,
+pub(crate) struct PendingCall<C> {
+    call: C,
     sent: Moment,
     /// When the call times out if no further byte of its response arrives.
-    pub(super) deadline: Moment,
+    pub(crate) deadline: Moment,
     head: Option<(ResponseHead, BodyDecoder)>,
     body: Vec<u8>,
 }
 
-/// A connection to the store, reopened as needed.
+/// A connection to a service of the platform, reopened as needed.
 #[derive(Debug)]
-pub(super) struct StoreConnection {
-    pub(super) token: Token,
+pub(crate) struct CallConnection<C> {
+    pub(crate) token: Token,
     channel: Option<TcpChannel>,
-    pub(super) pending: Option<PendingCall>,
-    pub(super) retry_at: Moment,
+    pub(crate) pending: Option<PendingCall<C>>,
+    pub(crate) retry_at: Moment,
     failures: u32,
 }
 
 /// State of a call after an event.
-pub(super) enum CallOutcome {
+pub(crate) enum CallOutcome<C> {
     Pending,
     /// The call, when it was sent, and the head and body of its response.
-    Completed(StoreCall, Moment, ResponseHead, Vec<u8>),
+    Completed(C, Moment, ResponseHead, Vec<u8>),
     /// The call, when it was sent, and why it failed.
-    Failed(StoreCall, Moment, &'static str),
+    Failed(C, Moment, &'static str),
 }
 
-impl StoreConnection {
-    pub(super) fn new(token: Token) -> Self {
+impl<C> CallConnection<C> {
+    pub(crate) fn new(token: Token) -> Self {
         Self {
             token,
             channel: None,
@@ -67,15 +71,15 @@
         }
     }
 
-    pub(super) fn is_free(&self, now: Moment) -> bool {
+    pub(crate) fn is_free(&self, now: Moment) -> bool {
         self.pending.is_none() && self.retry_at <= now
     }
 
-    pub(super) fn send(
+    pub(crate) fn send(
         &mut self,
         registry: &Registry,
         address: SocketAddr,
-        call: StoreCall,
+        call: C,
         bytes: &EncodedCall,
         times: (Moment, Moment),
     ) {
@@ -96,13 +100,14 @@
             self.channel = opened.ok();
         }
         if let Some(channel) = &mut self.channel {
-            let head = format!(
-                "{} {} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
-                 Content-Length: {}\r\n\r\n",
-                bytes.method,
-                bytes.target,
-                bytes.body.len()
+            let mut head = format!(
+                "{} {} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n",
+                bytes.method, bytes.target,
             );
+            for (name, value) in &bytes.headers {
+                head.push_str(&format!("{name}: {value}\r\n"));
+            }
+            head.push_str(&format!("Content-Length: {}\r\n\r\n", bytes.body.len()));
             channel.queue(head.as_bytes());
             channel.queue(&bytes.body);
             // The next read reports the error again.
@@ -110,7 +115,7 @@
         }
     }
 
-    pub(super) fn advance(&mut self, closing: bool, now: Moment) -> CallOutcome {
+    pub(crate) fn advance(&mut self, closing: bool, now: Moment) -> CallOutcome<C> {
         let Some(channel) = &mut self.channel else {
             return CallOutcome::Pending;
         };
@@ -155,7 +160,17 @@
         CallOutcome::Completed(pending.call, pending.sent, head, pending.body)
     }
 
-    pub(super) fn fail(&mut self, reason: &'static str) -> CallOutcome {
+    /// Fails the call in progress and resets its connection, so that bytes of it
+    /// that are still on their way aren't delivered.
+    pub(crate) fn reset(&mut self, reason: &'static str) -> CallOutcome<C> {
+        if let Some(channel) = &self.channel {
+            channel.reset_on_close();
+        }
+        self.fail(reason)
+    }
+
+    /// Fails the call in progress and closes its connection.
+    pub(crate) fn fail(&mut self, reason: &'static str) -> CallOutcome<C> {
         self.channel = None;
         match self.pending.take() {
             Some(pending) => CallOutcome::Failed(pending.call, pending.sent, reason),
@@ -164,7 +179,7 @@
     }
 
     /// Lets the call in progress time out at `due` unless a response begins.
-    pub(super) fn expect_response(&mut self, due: Moment) {
+    pub(crate) fn expect_response(&mut self, due: Moment) {
         if let Some(pending) = &mut self.pending
             && pending.head.is_none()
         {
@@ -173,14 +188,14 @@
     }
 
     /// Closes the connection if no call is in progress on it.
-    pub(super) fn close_idle(&mut self) {
+    pub(crate) fn close_idle(&mut self) {
         if self.pending.is_none() {
             self.channel = None;
         }
     }
 
     /// Delays the next call after a failed one, counted from when that was sent.
-    pub(super) fn back_off(&mut self, sent: Moment, jitter: f64) {
+    pub(crate) fn back_off(&mut self, sent: Moment, jitter: f64) {
         let max_delay = MIN_RETRY_DELAY
             .saturating_mul(1 << self.failures.min(4))
             .min(MAX_RETRY_DELAY);
@@ -190,8 +205,8 @@
 }
 
 /// Reads more of a response; returns whether it is complete.
-fn read_response(
-    pending: &mut PendingCall,
+fn read_response<C>(
+    pending: &mut PendingCall<C>,
     channel: &mut TcpChannel,
 ) -> Result<bool, &'static str> {
     if pending.head.is_none() {
--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dewduty::lease::{DutySubject, FencingToken, LeaseId, StoreRevision, VmName};
+use dewduty::usage::WrittenReport;
 use dewguard::CrashCause;
 use thiserror::Error;
 
@@ -169,6 +171,12 @@
     Peer(String),
     /// A blocked cause of crashes.
     Block(CrashCause),
+    /// The holder of a duty.
+    DutyHolder(DutySubject),
+    /// The last fencing token of a duty.
+    DutyToken(DutySubject),
+    /// The last usage report that was written.
+    UsageReport,
     /// Anything else.
     Other,
 }
@@ -226,6 +234,91 @@
     },
     /// Removes the entry of a blocked cause.
     RemoveBlock(CrashCause),
+    /// A call about duties.
+    Duty(DutyCall),
+}
+
+/// A call to the store about duties that one VM performs at a time. It is made
+/// once; the caller decides what follows a failure.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DutyCall {
+    /// Opens a lease with this TTL.
+    OpenLease(Duration),
+    /// Renews a lease.
+    RenewLease(LeaseId),
+    /// Ends a lease.
+    EndLease(LeaseId),
+    /// Writes the holder of a duty and its token, if there is no holder and the
+    /// token has this revision.
+    Acquire {
+        /// The duty.
+        subject: DutySubject,
+        /// Who holds it from now on.
+        holder: DutyHolder,
+        /// Revision of the last token; 0 if there is none.
+        token_revision: StoreRevision,
+    },
+    /// Removes the holder of a duty, if it has this revision.
+    Release {
+        /// The duty.
+        subject: DutySubject,
+        /// Revision of the holder's record.
+        revision: StoreRevision,
+    },
+    /// Writes a usage report, if the last one and the holder have these
+    /// revisions.
+    WriteReport {
+        /// The report.
+        report: WrittenReport,
+        /// Revision of the last report; 0 if there is none.
+        report_revision: StoreRevision,
+        /// Revision of the holder's record.
+        holder_revision: StoreRevision,
+    },
+}
+
+/// Who holds a duty.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DutyHolder {
+    /// Name of the VM.
+    pub vm: VmName,
+    /// Its fencing token.
+    pub token: FencingToken,
+    /// The lease to which its record is attached.
+    pub lease: LeaseId,
+}
+
+/// A call to the platform's API, which belongs to a duty.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ApiCall {
+    /// Reports the usage of a window.
+    ReportUsage(WrittenReport),
+    /// Orders a number of servers of a service in a data centre.
+    OrderServers {
+        /// Name of the service.
+        service: String,
+        /// The data centre.
+        data_centre: String,
+        /// Desired number of servers of this kind.
+        count: u32,
+        /// Whether the platform may reclaim them.
+        interruptible: bool,
+    },
+}
+
+/// A response of the platform's API.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ApiResponse {
+    /// The call took effect.
+    Accepted,
+    /// There are no such servers at this moment.
+    Unavailable,
+    /// Too many calls were made.
+    Throttled,
+    /// The API is out of order, with this HTTP status; the call can be repeated.
+    Failed(u16),
+    /// The call is wrong, with this HTTP status.
+    Rejected(u16),
 }
 
 /// A response of the store.
@@ -258,6 +351,9 @@
     Succeeded,
     /// The tables have changed; their current record.
     Changed(Option<StoreRecord>),
+    /// A condition of a transaction isn't met; the current records of the items
+    /// that it names and that exist.
+    Conflict(Vec<StoreRecord>),
     /// A lease was opened.
     Lease(u64),
     /// The lease has expired.
@@ -273,6 +369,8 @@
     pub method: &'static str,
     /// Path and query.
     pub target: String,
+    /// Headers beside those of HTTP.
+    pub headers: Vec<(&'static str, String)>,
     /// JSON body.
     pub body: Vec<u8>,
 }
@@ -336,6 +434,33 @@
     /// Returns an error if the entry is malformed.
     fn read_block(value: &[u8]) -> Result<u64, FormatError>;
 
+    /// Parses the record of the holder of a duty.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is malformed.
+    fn read_duty_holder(value: &[u8]) -> Result<DutyHolder, FormatError>;
+
+    /// Parses the record of the last token of a duty.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is malformed.
+    fn read_duty_token(value: &[u8]) -> Result<FencingToken, FormatError>;
+
+    /// Parses the record of the last usage report.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is malformed.
+    fn read_usage_report(value: &[u8]) -> Result<WrittenReport, FormatError>;
+
+    /// Encodes a call to the platform's API by the holder of a duty.
+    fn write_api_call(call: &ApiCall, vm: &str, token: FencingToken) -> EncodedCall;
+
+    /// Returns what the status of a response of the platform's API means.
+    fn read_api_response(status: u16) -> ApiResponse;
+
     /// Encodes a call to the store.
     fn write_call(call: &StoreCall) -> EncodedCall;
 
--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -13,8 +13,11 @@
 //! The main invariant: a request that may have run is never sent again unless
 //! it is retryable, and is never reported as not run.
 
+mod api;
+mod call_connection;
 pub mod clock;
 pub mod crash_notices;
+pub mod demand_notices;
 pub mod directory;
 pub mod format;
 pub mod http;
--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -28,6 +28,12 @@
     pub(crate) outcome: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct DutyLabels {
+    pub(crate) duty: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
 /// All metrics of a process.
 #[derive(Debug)]
 pub(crate) struct EdgeMetrics {
@@ -37,6 +43,10 @@
     pub(crate) first_byte: Family<ServiceLabels, Histogram>,
     pub(crate) queue_wait: Family<ServiceLabels, Histogram>,
     pub(crate) store_calls: Family<StoreCallLabels, Counter>,
+    pub(crate) duty_changes: Family<DutyLabels, Counter>,
+    pub(crate) api_calls: Family<DutyLabels, Counter>,
+    pub(crate) malformed_duty_datagrams: Counter,
+    pub(crate) uncounted_requests: Counter,
     pub(crate) connects: Counter,
     pub(crate) foreign_datagrams: Counter,
     pub(crate) server_crashes: Counter,
@@ -76,6 +86,30 @@
         );
         let store_calls = Family::default();
         registry.register("store_calls", "Calls to the store", store_calls.clone());
+        let duty_changes = Family::default();
+        registry.register(
+            "duty_changes",
+            "Duties that this VM acquired, lost or released",
+            duty_changes.clone(),
+        );
+        let api_calls = Family::default();
+        registry.register(
+            "api_calls",
+            "Calls to the platform's API by their outcome",
+            api_calls.clone(),
+        );
+        let malformed_duty_datagrams = Counter::default();
+        registry.register(
+            "malformed_duty_datagrams",
+            "Datagrams about duties that could not be read",
+            malformed_duty_datagrams.clone(),
+        );
+        let uncounted_requests = Counter::default();
+        registry.register(
+            "uncounted_requests",
+            "Started requests that no usage report has, because they were known too late",
+            uncounted_requests.clone(),
+        );
         let connects = Counter::default();
         registry.register(
             "server_connects",
@@ -131,6 +165,10 @@
             first_byte,
             queue_wait,
             store_calls,
+            duty_changes,
+            api_calls,
+            malformed_duty_datagrams,
+            uncounted_requests,
             connects,
             foreign_datagrams,
             server_crashes,
@@ -142,6 +180,18 @@
         }
     }
 
+    /// Counts a change of a duty of this VM.
+    pub(crate) fn count_duty_change(&self, duty: &'static str, outcome: &'static str) {
+        let label = DutyLabels { duty, outcome };
+        self.duty_changes.get_or_create(&label).inc();
+    }
+
+    /// Counts a call to the platform's API.
+    pub(crate) fn count_api_call(&self, duty: &'static str, outcome: &'static str) {
+        let label = DutyLabels { duty, outcome };
+        self.api_calls.get_or_create(&label).inc();
+    }
+
     /// Returns all metrics in the text exposition format.
     pub(crate) fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/dewedge/src/net.rs
+++ b/crates/dewedge/src/net.rs
@@ -89,6 +89,13 @@
         registry.register(&mut self.stream, token, interest)
     }
 
+    /// Lets the connection be reset when it is dropped: bytes that the peer hasn't
+    /// received are discarded.
+    pub(crate) fn reset_on_close(&self) {
+        // Without the option the connection ends in order, which the peer may read.
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// Queues bytes, which [`Self::flush`] sends.
     pub(crate) fn queue(&mut self, bytes: &[u8]) {
         self.outbound.extend_from_slice(bytes);
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -97,6 +97,10 @@
 pub(crate) struct PeerTable {
     own_hash: u64,
     addresses: IndexMap<String, SocketAddr>,
+    /// Whether a VM was added or removed since the names were last taken.
+    names_changed: bool,
+    /// When the last digest arrived.
+    digest_received: Option<Moment>,
     /// VMs whose entries were removed: their addresses, and when.
     departed: IndexMap<String, (SocketAddr, Moment)>,
     digests: IndexMap<u64, PeerDigest>,
@@ -116,17 +120,42 @@
     pub(crate) fn set_address(&mut self, vm: String, address: SocketAddr) {
         if stable_hash(vm.as_bytes()) != self.own_hash {
             self.departed.swap_remove(&vm);
-            self.addresses.insert(vm, address);
+            self.names_changed |= self.addresses.insert(vm, address).is_none();
         }
     }
 
     /// Removes a VM, which still counts for a while.
     pub(crate) fn remove(&mut self, vm: &str, now: Moment) {
         if let Some(address) = self.addresses.swap_remove(vm) {
+            self.names_changed = true;
             self.departed.insert(vm.to_string(), (address, now));
         }
     }
 
+    /// Returns whether VMs were added or removed since the last call.
+    pub(crate) fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.names_changed)
+    }
+
+    /// Returns the names of the other VMs.
+    pub(crate) fn names(&self) -> impl Iterator<Item = &str> {
+        self.addresses.keys().map(String::as_str)
+    }
+
+    /// Returns the address of a VM.
+    pub(crate) fn address_of(&self, vm: &str) -> Option<SocketAddr> {
+        self.addresses.get(vm).copied()
+    }
+
+    /// Returns the time since the last digest of another VM, if there are any VMs.
+    pub(crate) fn digest_age(&self, now: Moment) -> Option<Duration> {
+        if self.addresses.is_empty() {
+            return None;
+        }
+        let received = self.digest_received.unwrap_or_default();
+        Some(now.saturating_sub(received))
+    }
+
     /// Returns whether a datagram from this address comes from a known VM.
     pub(crate) fn is_known(&self, sender: SocketAddr) -> bool {
         let departed = self.departed.values().map(|(address, _)| address);
@@ -279,6 +308,7 @@
 
     /// Records the load of another VM; returns whether it is new.
     fn record(&mut self, sender: u64, digest: PeerDigest, now: Moment) -> bool {
+        self.digest_received = Some(now);
         let known = self.digests.get(&sender);
         let stale = known.is_some_and(|known| {
             known.sent_ms >= digest.sent_ms && now.saturating_sub(known.received) < DIGEST_TTL
--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -81,6 +81,10 @@
 /// of more urgent classes are.
 const MIN_LIMIT_SHARE: f64 = 0.4;
 
+/// Prefill backlog of an engine up to which first events are in time, in ms, if no
+/// route has a target.
+const DEFAULT_BACKLOG_MS: f64 = 300.0;
+
 /// Cost of a server in another data centre, as a share of a busy slot.
 const REMOTE_COST: f64 = 0.15;
 
@@ -290,6 +294,34 @@
     reserved
 }
 
+/// Returns the load up to which an engine meets the targets of its requests:
+/// requests that read prompts, gap-sensitive streams if it has only such, and the
+/// prefill backlog in ms up to which first events are in time.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::policy::engine_model::EngineModel;
+/// use dewedge::policy::placement::engine_capacity;
+///
+/// let (requests, streams, backlog_ms) = engine_capacity(64, &EngineModel::default());
+/// assert!(requests > 0.0 && streams > 0.0 && backlog_ms > 0.0);
+/// ```
+pub fn engine_capacity(slots: u32, model: &EngineModel) -> (f64, f64, f64) {
+    let requests = f64::from(MAX_ENGINE_REQUESTS.min(slots).max(1));
+    let by_slots = f64::from(slots) * RESERVED_SLOT_SHARE;
+    let by_prefill = RESERVED_PREFILL_SHARE / model.stream_prefill_share();
+    let streams = by_slots.min(by_prefill).max(1.0);
+    let limits = model
+        .more_urgent_classes(u8::MAX)
+        .map(|class| class_limit_ms(class.priority, class.latency_target, model));
+    let backlog_ms = limits.fold(f64::INFINITY, f64::min);
+    match backlog_ms.is_finite() {
+        true => (requests, streams, backlog_ms),
+        false => (requests, streams, DEFAULT_BACKLOG_MS),
+    }
+}
+
 /// Chooses a model engine.
 ///
 /// # Examples
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -115,13 +115,13 @@
     }
 
     /// Sums the digests of the other VMs, if new ones have arrived.
-    fn refresh_peer_load(&mut self) {
+    pub(super) fn refresh_peer_load(&mut self) {
         if std::mem::take(&mut self.peer_load_stale) {
             self.peers.apply_digests(&mut self.directory, self.now);
         }
     }
 
-    fn engine_spec(&self, service: &str) -> Option<EngineSpec> {
+    pub(super) fn engine_spec(&self, service: &str) -> Option<EngineSpec> {
         let table = self.table.as_ref()?;
         table.service(service)?.engine.clone()
     }
--- /dev/null
+++ b/crates/dewedge/src/serve/duties/mod.rs
@@ -0,0 +1,183 @@
+//! Duties that one VM at a time performs for the fleet: reports of usage, and
+//! orders for servers.
+//!
+//! The decisions are those of the crate `dewduty`: who holds a duty, what is
+//! reported, how many servers are ordered. This module connects them with the
+//! store, the datagrams of the other VMs and the platform's API:
+//!
+//! - [`holding`]: acquires, renews and releases duties through the store.
+//! - [`usage`]: counts requests, collects the counts of all VMs, and reports them.
+//! - [`orders`]: observes the servers, and orders more or fewer.
+//! - [`calls`]: makes the calls to the platform's API.
+//!
+//! The main invariant: a call to the API is made only under an authority that
+//! outlasts the call.
+
+mod calls;
+mod holding;
+mod orders;
+mod usage;
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use dewduty::lease::{DutySubject, LeasePolicy, LeaseTable};
+use dewduty::truetime::ClockEstimate;
+use indexmap::IndexMap;
+use mio::Token;
+
+use crate::api::ApiClient;
+use crate::clock::Moment;
+use crate::demand_notices::{DEMAND_MAGIC, DemandTable};
+use crate::directory::stable_hash;
+use crate::format::PlatformFormat;
+use crate::settings::{DutySettings, EdgeSettings};
+
+use super::state::EdgeState;
+use super::timers::{LazyTimer, TimerKey};
+use orders::{OrderDesk, RefusedCounts};
+use usage::UsageDesk;
+
+/// Longest time until the duties are looked at again.
+const MAX_LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Shortest time until the duties are looked at again without an event.
+const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// State of the duties on this VM.
+#[derive(Debug)]
+pub(crate) struct DutyState<F> {
+    settings: DutySettings,
+    leases: LeaseTable,
+    /// Names of the VMs that the candidates were last computed from.
+    vm_count: usize,
+    api: ApiClient<F>,
+    /// Until when the API isn't called, because it was called too often or
+    /// doesn't respond.
+    api_pause_until: Moment,
+    clock: ClockEstimate,
+    usage: Option<UsageDesk>,
+    orders: IndexMap<DutySubject, OrderDesk>,
+    demand: DemandTable,
+    /// Requests that were refused for lack of servers, by service.
+    refused: RefusedCounts,
+    /// The same counts as they were at the last look at the servers.
+    refused_seen: RefusedCounts,
+    /// When this VM last told the holders about unmet demand, and whether there
+    /// was any.
+    demand_sent: (Moment, bool),
+    timer: LazyTimer,
+    /// Whether the other duties were told that the process stops.
+    is_stopping: bool,
+}
+
+impl<F: PlatformFormat> DutyState<F> {
+    /// Returns the state for the duties in the settings, if there are any.
+    pub(crate) fn new(settings: &EdgeSettings, token: Token) -> Option<Self> {
+        let duties = settings.duties.clone()?;
+        let policy = LeasePolicy::new(settings.vm.clone(), duties.lease_time);
+        let usage = duties.reports_usage.then(|| {
+            let vm = stable_hash(settings.vm.as_bytes());
+            UsageDesk::new(&duties, vm, unix_time())
+        });
+        Some(Self {
+            leases: LeaseTable::new(policy),
+            vm_count: 0,
+            api: ApiClient::new(duties.api_address, &settings.vm, token),
+            api_pause_until: Moment::ZERO,
+            clock: ClockEstimate::new(),
+            usage,
+            orders: IndexMap::new(),
+            demand: DemandTable::default(),
+            refused: RefusedCounts::new(),
+            refused_seen: RefusedCounts::new(),
+            demand_sent: (Moment::ZERO, false),
+            timer: LazyTimer::default(),
+            is_stopping: false,
+            settings: duties,
+        })
+    }
+
+    pub(crate) fn timer_mut(&mut self) -> &mut LazyTimer {
+        &mut self.timer
+    }
+}
+
+/// Returns the time of the wall clock since the Unix epoch, which may be wrong.
+fn unix_time() -> Duration {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.unwrap_or_default()
+}
+
+impl<F: PlatformFormat> EdgeState<F> {
+    /// Runs a step with the state of the duties; without duties, nothing happens.
+    fn with_duties<T>(
+        &mut self,
+        step: impl FnOnce(&mut Self, &mut DutyState<F>) -> T,
+    ) -> Option<T> {
+        // The step needs the rest of the state as well.
+        let mut duties = self.duties.take()?;
+        let result = step(self, &mut duties);
+        self.duties = Some(duties);
+        Some(result)
+    }
+
+    /// Does what is due for the duties, and arms the timer for the next look.
+    pub(crate) fn run_duties(&mut self) {
+        self.with_duties(|state, duties| {
+            duties.clock.observe_own(unix_time(), state.now);
+            state.expire_api_call(duties);
+            state.update_candidates(duties);
+            state.announce_stop(duties);
+            state.make_lease_calls(duties);
+            state.send_usage(duties);
+            state.send_demand(duties);
+            state.observe_servers(duties);
+            state.call_api(duties);
+            state.log_holder_changes(duties);
+            let due = state.next_duty_look(duties);
+            duties.timer.set(due, TimerKey::Duties, &mut state.timers);
+        });
+    }
+
+    fn next_duty_look(&self, duties: &DutyState<F>) -> Moment {
+        let usage = duties.usage.as_ref();
+        let times = [
+            duties.leases.next_due(self.now),
+            duties.api.next_due(),
+            usage.and_then(|usage| usage.next_due(self.now, &duties.clock)),
+        ];
+        let latest = self.now + MAX_LOOK_INTERVAL;
+        let next = times.into_iter().flatten().fold(latest, Moment::min);
+        next.max(self.now + MIN_LOOK_INTERVAL)
+    }
+
+    /// Reads a datagram about duties; returns whether it is one.
+    pub(crate) fn receive_duty_datagram(
+        &mut self,
+        bytes: &[u8],
+        sender: std::net::SocketAddr,
+    ) -> bool {
+        let is_demand = bytes.starts_with(&DEMAND_MAGIC);
+        if !is_demand && !usage::is_usage_datagram(bytes) {
+            return false;
+        }
+        self.with_duties(|state, duties| match is_demand {
+            true => {
+                let notice = &bytes[DEMAND_MAGIC.len()..];
+                if !duties.demand.receive(notice, state.now) {
+                    state.metrics.malformed_duty_datagrams.inc();
+                }
+            }
+            false => state.receive_usage_datagram(duties, bytes, sender),
+        });
+        true
+    }
+
+    /// Sends a datagram to a VM, if its address is known.
+    fn send_to_vm(&self, vm: &str, bytes: &[u8]) {
+        if let Some(address) = self.peers.address_of(vm) {
+            // A lost datagram is replaced by the next one.
+            let _ = self.peer_socket.send_to(bytes, address);
+        }
+    }
+}
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -5,6 +5,7 @@
 //! - [`dispatch`]: sends waiting requests to servers.
 //! - [`servers`]: connections to servers, parsed into attempt outcomes.
 //! - [`crashes`]: servers that crash, and requests that crash them.
+//! - [`duties`]: what one VM at a time does for the fleet.
 //! - [`outcomes`]: retries or completes a request after an attempt.
 //! - [`resumption`]: binds streams to the software version that began them.
 //! - [`silence`]: servers that fall silent while they run a request.
@@ -24,6 +25,7 @@
 mod callers;
 mod crashes;
 mod dispatch;
+mod duties;
 mod outcomes;
 mod requests;
 mod responses;
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -281,6 +281,8 @@
             .number("waiting", waiting as u64)
             .ms("waited_ms", now.saturating_sub(exchange.arrived))
             .ms("retry_after_ms", after);
+        let service = self.exchanges[exchange_id].service.clone();
+        self.count_unserved(&service);
         self.finish(exchange_id, code, |state, caller| {
             state.respond(caller, 503, code, Some(after));
         });
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -26,6 +26,7 @@
 use crate::storage::StoreClient;
 
 use super::crashes::CrashWatch;
+use super::duties::DutyState;
 use super::state::{CallerPhase, EdgeState, TokenKind, token_kind, token_of};
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
 use super::updates::HOUSEKEEPING_INTERVAL;
@@ -38,6 +39,7 @@
 const RELOAD_TOKEN: usize = 5;
 const CALLS_TOKEN: usize = 6;
 const WATCH_TOKEN: usize = 7;
+const API_TOKEN: usize = 8;
 
 /// Maximum events handled in one iteration of the loop.
 const MAX_EVENTS: usize = 256;
@@ -164,6 +166,7 @@
             origins: OriginTable::default(),
             awaiting_origin: Vec::new(),
             crashes: CrashWatch::default(),
+            duties: DutyState::new(&settings, fixed(API_TOKEN)).map(Box::new),
             digest_due: false,
             digest_timer: LazyTimer::default(),
             digest_sent: Moment::ZERO,
@@ -226,6 +229,7 @@
     pub fn run(&mut self) -> Result<(), ServeError> {
         let mut events = Events::with_capacity(MAX_EVENTS);
         self.state.drive_store();
+        self.state.run_duties();
         while !self.is_finished() {
             let timeout = self.poll_timeout();
             match self.poll.poll(&mut events, timeout) {
@@ -243,6 +247,7 @@
             self.fire_timers();
             self.finish_iteration();
         }
+        self.state.send_last_usage();
         self.state.logs.system("process", "stopped");
         self.state.logs.flush();
         // Gives the log writer thread time to write the last lines.
@@ -308,6 +313,7 @@
                 self.state.store.on_event(token, closing, now);
                 self.state.drive_store();
             }
+            (TokenKind::Fixed, API_TOKEN) => self.state.on_api_event(closing),
             (TokenKind::Fixed, _) => {}
         }
     }
@@ -328,6 +334,12 @@
                         state.drive_store();
                     }
                 }
+                TimerKey::Duties => {
+                    let timer = state.duties.as_mut().map(|duties| duties.timer_mut());
+                    if fire_timer(timer, now, key, &mut state.timers) {
+                        state.run_duties();
+                    }
+                }
                 TimerKey::Digest => {
                     if state.digest_timer.fire(now, key, &mut state.timers) {
                         state.send_digest();
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -401,6 +401,7 @@
         self.drop_standby(exchange_id);
         let first_of_attempt = self.record_first_event(exchange_id);
         if first_of_attempt {
+            self.count_begun(exchange_id);
             self.bind_stream(exchange_id);
         }
         self.record_event(exchange_id, first_of_attempt);
@@ -437,6 +438,9 @@
             self.close_server_conn(conn_id);
         }
         let metadata = F::response_metadata(&head.fields);
+        if !is_stream && !metadata.not_run && head.status != 421 {
+            self.count_begun(exchange_id);
+        }
         if (200..300).contains(&head.status) && !metadata.not_run {
             if framed {
                 self.record_survived_exchange(exchange_id);
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -32,6 +32,7 @@
 use crate::tables::{CallerLimits, RouteSpec, RouteTable};
 
 use super::crashes::CrashWatch;
+use super::duties::DutyState;
 use super::resumption::VersionBinding;
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
 
@@ -258,6 +259,8 @@
     /// Requests for whose streams the other VMs are asked.
     pub(crate) awaiting_origin: Vec<ExchangeId>,
     pub(crate) crashes: CrashWatch,
+    /// The duties of the fleet, if the settings name any.
+    pub(crate) duties: Option<Box<DutyState<F>>>,
     pub(crate) digest_due: bool,
     pub(crate) digest_timer: LazyTimer,
     pub(crate) digest_sent: Moment,
--- a/crates/dewedge/src/serve/timers.rs
+++ b/crates/dewedge/src/serve/timers.rs
@@ -16,6 +16,7 @@
     Server(usize),
     Admin(usize),
     Store,
+    Duties,
     CrashTest,
     Digest,
     Housekeeping,
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -72,6 +72,14 @@
                         self.apply_directory_change(change);
                     }
                 }
+                StoreEvent::Loaded { revision } => self.on_duties_listed(revision),
+                StoreEvent::EraSeen { era } => self.on_store_era(era),
+                StoreEvent::DutyEnded {
+                    call,
+                    sent,
+                    response,
+                    era,
+                } => self.on_duty_ended(call, sent, response, era),
                 StoreEvent::EraChanged { era } => self.begin_store_era(era),
                 StoreEvent::Confirmed { revision, sent } => {
                     let tables_current = self
@@ -164,6 +172,9 @@
                 }
                 None => self.forget_stored_block(cause),
             },
+            RecordKey::DutyHolder(_) | RecordKey::DutyToken(_) | RecordKey::UsageReport => {
+                self.on_duty_record(record);
+            }
             RecordKey::Other => {}
         }
     }
@@ -369,6 +380,9 @@
                 self.metrics.foreign_datagrams.inc();
                 continue;
             }
+            if self.receive_duty_datagram(&buffer[..length], sender) {
+                continue;
+            }
             match self.peers.receive(&buffer[..length], self.now) {
                 PeerMessage::Invalid => {}
                 PeerMessage::Limits(notices) => self.apply_limit_notices(&notices),
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -16,7 +16,6 @@
 //! The main invariant: a reported change is never undone by an older one,
 //! because each consumer compares revisions within one era.
 
-mod connection;
 mod intervals;
 
 use std::collections::VecDeque;
@@ -28,12 +27,12 @@
 use indexmap::IndexSet;
 use mio::{Registry, Token};
 
+use crate::call_connection::{CallConnection, CallOutcome, MIN_RETRY_DELAY};
 use crate::clock::Moment;
 use crate::format::{
-    PlatformFormat, RecordKey, ReplicaId, StoreCall, StoreEra, StoreRecord, StoreResponse,
+    DutyCall, PlatformFormat, RecordKey, ReplicaId, StoreCall, StoreEra, StoreRecord, StoreResponse,
 };
 use crate::settings::EdgeSettings;
-use connection::{CallOutcome, MIN_RETRY_DELAY, StoreConnection};
 use intervals::CallIntervals;
 
 /// Time for which the store may hold a watch open.
@@ -72,8 +71,23 @@
     /// The store confirmed that the tables of this revision, or newer ones
     /// reported before, are the latest; the call was sent at this time.
     Confirmed { revision: u64, sent: Moment },
+    /// All lists were read.
+    Loaded {
+        /// Revision of the store when reading them began.
+        revision: u64,
+    },
+    /// The first response of an era arrived, or the first one at all.
+    EraSeen { era: Option<StoreEra> },
     /// The store has returned from an older copy of its data.
     EraChanged { era: StoreEra },
+    /// A call about duties ended; without a response, it may still take effect.
+    DutyEnded {
+        call: DutyCall,
+        sent: Moment,
+        response: Option<StoreResponse>,
+        /// Era of the store as of the response.
+        era: Option<StoreEra>,
+    },
     /// A call ended.
     CallEnded {
         call: &'static str,
@@ -89,10 +103,12 @@
     vm: String,
     peer_address: SocketAddr,
     intervals: CallIntervals,
-    call_connection: StoreConnection,
-    watch_connection: StoreConnection,
+    call_connection: CallConnection<StoreCall>,
+    watch_connection: CallConnection<StoreCall>,
     queue: VecDeque<StoreCall>,
     era: Option<StoreEra>,
+    /// Whether the store has responded since the process started.
+    has_responded: bool,
     /// Revision up to which changes are known; `None` while lists are read.
     watch_revision: Option<u64>,
     /// When the store last responded to a watch, or the lists were read.
@@ -121,10 +137,11 @@
             vm: settings.vm.clone(),
             peer_address: settings.peer_address,
             intervals: CallIntervals::new(settings),
-            call_connection: StoreConnection::new(tokens.0),
-            watch_connection: StoreConnection::new(tokens.1),
+            call_connection: CallConnection::new(tokens.0),
+            watch_connection: CallConnection::new(tokens.1),
             queue: VecDeque::new(),
             era: None,
+            has_responded: false,
             watch_revision: None,
             watch_answered: None,
             list_revision: 0,
@@ -187,6 +204,12 @@
         self.queue.push_back(call);
     }
 
+    /// Makes a call about duties once. It goes before other calls, because the
+    /// validity of a lease counts from its sending.
+    pub(crate) fn call_duty(&mut self, call: DutyCall) {
+        self.queue.push_front(StoreCall::Duty(call));
+    }
+
     /// Handles an I/O event on one of the two connections.
     pub(crate) fn on_event(&mut self, token: Token, closing: bool, now: Moment) {
         let is_watch = token == self.watch_connection.token;
@@ -295,7 +318,7 @@
         self.queue.push_front(StoreCall::ReadTables);
     }
 
-    fn handle_outcome(&mut self, is_watch: bool, outcome: CallOutcome, now: Moment) {
+    fn handle_outcome(&mut self, is_watch: bool, outcome: CallOutcome<StoreCall>, now: Moment) {
         match outcome {
             CallOutcome::Pending => {}
             CallOutcome::Failed(call, sent, reason) => {
@@ -306,6 +329,7 @@
                 if self.begins_era(F::store_era(&head.fields)) {
                     // Revisions of the earlier era mean nothing in this response.
                     self.record_call(&call, "new_era", sent, now);
+                    self.fail_duty(call, sent);
                     self.begin_era(now);
                     return;
                 }
@@ -336,12 +360,16 @@
     /// Notes the era of a response, and returns whether it is a later one than
     /// before.
     fn begins_era(&mut self, era: Option<StoreEra>) -> bool {
+        if !std::mem::replace(&mut self.has_responded, true) {
+            self.events.push(StoreEvent::EraSeen { era });
+        }
         let Some(era) = era else {
             return false;
         };
         let known = self.era.replace(era);
         let begins = known.is_some_and(|known| known < era);
         if begins {
+            self.events.push(StoreEvent::EraSeen { era: Some(era) });
             self.events.push(StoreEvent::EraChanged { era });
         } else {
             // A response of an earlier era arrived late.
@@ -356,14 +384,30 @@
         // Servers whose entries were lost write them again shortly.
         self.last_failure = Some(now);
         self.tables_revision = None;
-        self.queue.clear();
+        for call in std::mem::take(&mut self.queue) {
+            self.fail_duty(call, now);
+        }
         self.rewrite_own_entry(now);
         self.restart_watch(now);
         // A call that was sent in the earlier era confirms nothing.
-        self.call_connection.fail("new_era");
+        if let CallOutcome::Failed(call, sent, _) = self.call_connection.fail("new_era") {
+            self.fail_duty(call, sent);
+        }
         self.reload();
     }
 
+    /// Reports that a call about duties got no response.
+    fn fail_duty(&mut self, call: StoreCall, sent: Moment) {
+        if let StoreCall::Duty(call) = call {
+            self.events.push(StoreEvent::DutyEnded {
+                call,
+                sent,
+                response: None,
+                era: self.era,
+            });
+        }
+    }
+
     fn record_call(&mut self, call: &StoreCall, outcome: &'static str, sent: Moment, now: Moment) {
         self.events.push(StoreEvent::CallEnded {
             call: call_name(call),
@@ -397,6 +441,7 @@
             }
             // Blocks that the store doesn't have are written again shortly.
             StoreCall::PublishBlock { .. } | StoreCall::RemoveBlock(_) => {}
+            call @ StoreCall::Duty(_) => self.fail_duty(call, sent),
             call => self.queue.push_front(call),
         }
     }
@@ -425,6 +470,12 @@
         let (sent, now) = times;
         let name = call_name(&call);
         match (call, response) {
+            (StoreCall::Duty(call), response) => self.events.push(StoreEvent::DutyEnded {
+                call,
+                sent,
+                response: Some(response),
+                era: self.era,
+            }),
             (StoreCall::ReadTables, StoreResponse::Record(Some(record), as_of)) => {
                 self.list_revision = as_of;
                 let revision = record.revision;
@@ -534,6 +585,8 @@
         self.watch_revision = Some(self.list_revision);
         self.watch_answered = Some(now);
         self.loaded = true;
+        let revision = self.list_revision;
+        self.events.push(StoreEvent::Loaded { revision });
     }
 }
 
@@ -553,6 +606,7 @@
             | StoreCall::RenewLease(_)
             | StoreCall::PublishBlock { .. }
             | StoreCall::RemoveBlock(_)
+            | StoreCall::Duty(_)
     )
 }
 
@@ -571,5 +625,11 @@
         StoreCall::PublishPeer { .. } => "publish_peer",
         StoreCall::PublishBlock { .. } => "publish_block",
         StoreCall::RemoveBlock(_) => "remove_block",
+        StoreCall::Duty(DutyCall::OpenLease(_)) => "open_duty_lease",
+        StoreCall::Duty(DutyCall::RenewLease(_)) => "renew_duty_lease",
+        StoreCall::Duty(DutyCall::EndLease(_)) => "end_duty_lease",
+        StoreCall::Duty(DutyCall::Acquire { .. }) => "acquire_duty",
+        StoreCall::Duty(DutyCall::Release { .. }) => "release_duty",
+        StoreCall::Duty(DutyCall::WriteReport { .. }) => "write_report",
     }
 }
--- a/crates/dewedge/src/tables.rs
+++ b/crates/dewedge/src/tables.rs
@@ -171,6 +171,7 @@
     hosts: IndexMap<String, IndexMap<String, Arc<RouteSpec>>>,
     keys: IndexMap<String, KeyOwner>,
     needs_key: bool,
+    workspaces: IndexSet<String>,
 }
 
 impl RouteTable {
@@ -199,6 +200,11 @@
         }
         let mut keys = IndexMap::new();
         let needs_key = !set.workspaces.is_empty();
+        let names = set
+            .workspaces
+            .iter()
+            .map(|workspace| workspace.name.clone());
+        let workspaces = names.collect();
         for workspace in set.workspaces {
             for key in workspace.keys {
                 let owner = KeyOwner {
@@ -220,9 +226,21 @@
             hosts,
             keys,
             needs_key,
+            workspaces,
         }
     }
 
+    /// Returns the names of all workspaces.
+    pub fn workspaces(&self) -> impl Iterator<Item = &str> {
+        self.workspaces.iter().map(String::as_str)
+    }
+
+    /// Returns the services whose servers may be ordered.
+    pub fn scaled_services(&self) -> impl Iterator<Item = (&ServiceSpec, &ScalingSpec)> {
+        let services = self.services.values();
+        services.filter_map(|service| Some((service, service.scaling.as_ref()?)))
+    }
+
     /// Returns the route with the longest matching path prefix.
     ///
     /// The cost depends on the number of slashes in the path, not on the number
