Show who holds which duty on the admin address

An operator could see the holders only in the log lines of each VM. /duties lists them with token and age, the last decisions about servers and the last written report.

--- a/crates/dewedge/src/serve/admin.rs
+++ b/crates/dewedge/src/serve/admin.rs
@@ -1,4 +1,5 @@
-//! Admin connections: readiness checks of the balancer, and metrics.
+//! Admin connections: readiness checks of the balancer, metrics, and the duties
+//! of the fleet.
 
 use std::time::Duration;
 
@@ -23,6 +24,9 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path of the duties of the fleet.
+const DUTIES_PATH: &str = "/duties";
+
 impl<F: PlatformFormat> EdgeState<F> {
     /// Accepts an admin connection.
     pub(crate) fn accept_admin(&mut self, stream: TcpStream) {
@@ -88,6 +92,8 @@
         } else if target == METRICS_PATH {
             self.refresh_gauges();
             ("200 OK", self.metrics.render())
+        } else if target == DUTIES_PATH {
+            ("200 OK", self.render_duties())
         } else {
             ("404 Not Found", String::new())
         };
--- a/crates/dewedge/src/serve/duties/mod.rs
+++ b/crates/dewedge/src/serve/duties/mod.rs
@@ -9,6 +9,7 @@
 //! - [`usage`]: counts requests, collects the counts of all VMs, and reports them.
 //! - [`orders`]: observes the servers, and orders more or fewer.
 //! - [`calls`]: makes the calls to the platform's API.
+//! - [`view`]: shows an operator who holds what.
 //!
 //! The main invariant: a call to the API is made only under an authority that
 //! outlasts the call.
@@ -17,6 +18,7 @@
 mod holding;
 mod orders;
 mod usage;
+mod view;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
--- a/crates/dewedge/src/serve/duties/orders.rs
+++ b/crates/dewedge/src/serve/duties/orders.rs
@@ -8,8 +8,8 @@
 
 use dewduty::lease::DutySubject;
 use dewduty::scaling::{
-    FleetObservation, OrderResult, ScalingLimits, ScalingPlanner, ServerCapacity, ServerCounts,
-    ServerKind, ServerOrder,
+    FleetObservation, OrderResult, ScalingDecision, ScalingLimits, ScalingPlanner, ServerCapacity,
+    ServerCounts, ServerKind, ServerOrder,
 };
 use indexmap::{IndexMap, IndexSet};
 
@@ -43,6 +43,12 @@
     logged: (u32, u32),
 }
 
+impl OrderDesk {
+    pub(super) fn last_decision(&self) -> &ScalingDecision {
+        self.planner.last_decision()
+    }
+}
+
 impl<F: PlatformFormat> EdgeState<F> {
     /// Counts a request that was refused for lack of servers.
     pub(crate) fn count_unserved(&mut self, service: &str) {
--- a/crates/dewedge/src/serve/duties/usage.rs
+++ b/crates/dewedge/src/serve/duties/usage.rs
@@ -107,6 +107,11 @@
         self.stored = report;
     }
 
+    /// Returns the last report that is written, as far as this VM knows.
+    pub(super) fn stored(&self) -> Option<&WrittenReport> {
+        self.stored.as_ref()
+    }
+
     /// Begins to act as the holder if this VM has just become it.
     fn take_over(&mut self, authority: &Authority, unix: Duration) {
         if self.holds.replace(authority.token) != Some(authority.token) {
