Follow the need up at once and down slowly, also when servers are lost

Headroom and trend counted requests that wait already, and data centres whose servers still booted counted as unable to get their share. Headroom and trend now follow the running requests only, the time for a share starts anew when servers come, and regular servers are replaced by interruptible ones only after 20 s without an increase.

--- a/crates/dewduty/src/scaling.rs
+++ b/crates/dewduty/src/scaling.rs
@@ -2,19 +2,25 @@
 //!
 //! One planner runs at the VM that holds the duty for a service in a data
 //! centre. It turns what this VM observes once a second into orders: desired
-//! numbers of regular and of interruptible servers. `need` says how many servers
-//! the requests of the service need, `split` divides them over the data centres,
-//! `planner` divides a data centre's share into the two kinds, and `orders` tracks the
-//! orders of each kind.
+//! numbers of regular and of interruptible servers.
+//!
+//! - `need`: how many servers the requests of the service need.
+//! - `split`: how this need is divided over the data centres.
+//! - `share`: what that asks of the planner's data centre.
+//! - `mix`: how many of its servers are of which kind.
+//! - `orders`: what the platform was told, and what came of it.
+//! - `planner`: one planner, composed of these.
 //!
 //! The main invariant: the desired numbers of both kinds together never fall
 //! below what the need of the sliding window asks of this data centre, within
 //! the limits, and a decrease is only taken on recent observations.
 
+mod mix;
 mod need;
 mod orders;
 mod period;
 mod planner;
+mod share;
 mod split;
 
 use std::fmt;
@@ -25,6 +31,10 @@
 pub use need::FleetNeed;
 pub use planner::ScalingPlanner;
 
+/// Age of inputs, and time without an observation, after which nothing
+/// decreases.
+const MAX_INPUT_AGE: Duration = Duration::from_secs(3);
+
 /// Limits of a service's servers.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ScalingLimits {
--- a/crates/dewduty/src/scaling/need.rs
+++ b/crates/dewduty/src/scaling/need.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use super::period::wave_period;
-use super::{FleetObservation, ServerCapacity};
+use super::{FleetObservation, MAX_INPUT_AGE, ServerCapacity};
 
 /// Window over which the maximum of the need decides, unless the load shows a
 /// wave with a longer period.
@@ -24,8 +24,9 @@
 /// periods that are detected.
 const HISTORY_SPAN: Duration = Duration::from_secs(150);
 
-/// Share of the load by which it may grow within the boot time without a
-/// shortage.
+/// Share of the running requests by which they may grow within the boot time
+/// without a shortage. It isn't added to waiting and refused requests: these
+/// show that the growth has come.
 const HEADROOM: f64 = 0.5;
 
 /// Largest growth by trend within the boot time, as a share of the load. A jump
@@ -35,14 +36,21 @@
 /// Least number of samples that show a trend.
 const TREND_SAMPLES: usize = 3;
 
+/// Ratio of the span over which a trend is measured to the boot time. Over one
+/// boot time, the trend that a jump to the threefold shows is larger than the
+/// headroom, which would order servers beyond what the jump needs.
+const TREND_SPAN: u32 = 2;
+
 /// Least span over which a trend is measured.
-const MIN_TREND_SPAN: Duration = Duration::from_secs(3);
+const MIN_TREND_SPAN: Duration = Duration::from_secs(4);
 
 #[derive(Clone, Copy, Debug)]
 struct NeedSample {
     at: Duration,
     /// Servers that the requests in flight and in queues need.
     load: f64,
+    /// Servers that the requests in flight need.
+    running: f64,
     /// Servers that unread prompts need.
     backlog: f64,
     /// Refused requests since the sample before.
@@ -64,17 +72,21 @@
     pub peak: f64,
     /// The window.
     pub window: Duration,
+    /// Whether recent observations cover the whole window.
+    pub is_covered: bool,
 }
 
 /// The last observations of a planner.
 #[derive(Clone, Debug, Default)]
 pub(super) struct NeedHistory {
     samples: VecDeque<NeedSample>,
+    /// First and last time of the recent valid observations without a gap.
+    covered: Option<(Duration, Duration)>,
 }
 
 impl NeedHistory {
-    /// Adds an observation. Returns whether its numbers are valid; others are
-    /// ignored.
+    /// Adds an observation. Returns whether its numbers are valid and recent.
+    /// Invalid ones are ignored; old ones count, but don't cover their time.
     pub fn record(
         &mut self,
         observation: &FleetObservation,
@@ -101,6 +113,7 @@
         let mut sample = NeedSample {
             at: now,
             load,
+            running: observation.in_flight / capacity,
             backlog,
             refused: observation.refused / capacity,
             base: 0.0,
@@ -115,7 +128,8 @@
         self.samples.push_back(sample);
         sample.base = (load + self.refused(boot_time, now)).max(lasting_backlog);
         let growth = self.trend(boot_time, now).min(load * MAX_TREND);
-        sample.need = sample.base + growth.max(sample.base * HEADROOM);
+        let running = (observation.in_flight / capacity).max(lasting_backlog);
+        sample.need = (sample.base + growth).max(running * (1.0 + HEADROOM));
         if let Some(last) = self.samples.back_mut() {
             *last = sample;
         }
@@ -126,7 +140,14 @@
         {
             self.samples.pop_front();
         }
-        true
+        let is_recent = observation.age <= MAX_INPUT_AGE;
+        if is_recent {
+            self.covered = match self.covered {
+                Some((first, last)) if now <= last + MAX_INPUT_AGE => Some((first, now)),
+                _ => Some((now, now)),
+            };
+        }
+        is_recent
     }
 
     /// Returns the need that decides at this time.
@@ -135,6 +156,9 @@
         let mut need = FleetNeed {
             current: self.samples.back().map_or(0.0, |last| last.base),
             window,
+            is_covered: self
+                .covered
+                .is_some_and(|(first, last)| last == now && now >= first + window),
             ..FleetNeed::default()
         };
         for sample in self.since(now.saturating_sub(window)) {
@@ -169,13 +193,14 @@
             .sum()
     }
 
-    /// Returns by how much the load grows within the boot time, in servers, if
-    /// it goes on like within the last boot time.
+    /// Returns by how much the requests in flight grow within the boot time, in
+    /// servers, if they go on like lately. Queues don't show a trend: they grow
+    /// until servers are up that may be ordered already.
     fn trend(&self, boot_time: Duration, now: Duration) -> f64 {
-        let span = boot_time.max(MIN_TREND_SPAN);
+        let span = (boot_time * TREND_SPAN).max(MIN_TREND_SPAN);
         let points: Vec<(f64, f64)> = self
             .since(now.saturating_sub(span))
-            .map(|sample| (sample.at.as_secs_f64(), sample.load))
+            .map(|sample| (sample.at.as_secs_f64(), sample.running))
             .collect();
         if points.len() < TREND_SAMPLES {
             return 0.0;
--- a/crates/dewduty/src/scaling/period.rs
+++ b/crates/dewduty/src/scaling/period.rs
@@ -1,7 +1,7 @@
 //! Finds the period of a wave in the load.
 //!
-//! The period is a lag at which the autocorrelation of the load has a maximum
-//! after it fell to zero. A load that only grows or only jumps has none.
+//! The period is the first lag at which the autocorrelation of the load has a
+//! high maximum after it fell to zero. A load that only grows or only jumps has none.
 
 use std::time::Duration;
 
@@ -12,6 +12,10 @@
 /// Least autocorrelation at a period.
 const MIN_CORRELATION: f64 = 0.5;
 
+/// Least ratio of the autocorrelation at a period to the largest one, which may
+/// be at a multiple of the period.
+const MULTIPLE_RATIO: f64 = 0.9;
+
 /// Least ratio of the standard deviation to the mean of a load with a wave.
 /// Smaller waves are within the headroom.
 const MIN_DEVIATION: f64 = 0.04;
@@ -35,13 +39,17 @@
         .collect();
     let fallen = correlations.iter().position(|value| *value <= 0.0)?;
     let shortest = fallen.max(lag_of(PERIOD_BOUNDS.0));
-    let (lag, best) = correlations
+    let best = correlations
         .iter()
-        .enumerate()
         .skip(shortest)
-        .max_by(|first, second| first.1.total_cmp(second.1))?;
+        .fold(MIN_CORRELATION, |best, value| best.max(*value));
+    let is_top = |lag: usize| {
+        let neighbours = correlations[lag - 1].max(correlations[lag + 1]);
+        correlations[lag] >= neighbours && correlations[lag] >= best * MULTIPLE_RATIO
+    };
     // A maximum at the end of the range may belong to a longer period.
-    (*best >= MIN_CORRELATION && lag < longest).then(|| spacing.mul_f64(lag as f64))
+    let lag = (shortest.max(1)..longest).find(|lag| is_top(*lag))?;
+    (correlations[lag] >= MIN_CORRELATION).then(|| spacing.mul_f64(lag as f64))
 }
 
 /// Returns the distances of these loads from their regression line.
--- a/crates/dewduty/src/scaling/split.rs
+++ b/crates/dewduty/src/scaling/split.rs
@@ -7,6 +7,9 @@
 
 use super::ScalingLimits;
 
+/// Largest need that is split.
+const MAX_NEED: f64 = 100_000.0;
+
 /// Splits a need over data centres, each with the most servers that it can
 /// have. The cheapest ones get the most, but no data centre gets more than half
 /// of the need as long as others can take it. Every data centre gets the
@@ -35,7 +38,7 @@
 /// Returns the least number of servers for a need.
 pub(super) fn whole_servers(need: f64) -> u32 {
     // A need that exceeds a whole number by rounding takes no further server.
-    (need - 1e-6).ceil().clamp(0.0, 1e6) as u32
+    (need - 1e-6).ceil().clamp(0.0, MAX_NEED) as u32
 }
 
 /// Returns the data centres in groups of equal price, cheapest first. An unknown
