Drop calls about duties that wait too long to be sent

The lease table relies on a call being sent soon after it was decided; behind slow calls of the store client it could be sent seconds later. Such a call is now reported as failed.

--- a/crates/dewedge/src/serve/duties/holding.rs
+++ b/crates/dewedge/src/serve/duties/holding.rs
@@ -1,5 +1,7 @@
 //! Acquires, renews and releases duties through the store.
 
+use std::time::Duration;
+
 use dewduty::lease::{
     ChangeKind, ChangeReason, DutySubject, HolderRecord, LeaseAction, LeaseEvent, TokenRecord,
 };
@@ -13,6 +15,10 @@
 use super::super::timers::TimerKey;
 use super::DutyState;
 
+/// Time within which a call to the store is sent or dropped. What it was decided
+/// from is out of date later.
+const SEND_WINDOW: Duration = Duration::from_secs(1);
+
 impl<F: PlatformFormat> EdgeState<F> {
     /// Passes the names of the VMs to the lease table if they have changed.
     pub(super) fn update_candidates(&mut self, duties: &mut DutyState<F>) {
@@ -68,7 +74,8 @@
 
     /// Makes a call to the store at the next iteration of its client.
     pub(super) fn call_duty(&mut self, call: DutyCall) {
-        self.store.call_duty(call);
+        let latest = self.now + SEND_WINDOW;
+        self.store.call_duty(call, latest);
         self.store_timer
             .set(self.now, TimerKey::Store, &mut self.timers);
     }
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -106,6 +106,8 @@
     call_connection: CallConnection<StoreCall>,
     watch_connection: CallConnection<StoreCall>,
     queue: VecDeque<StoreCall>,
+    /// Calls about duties, each with the time after which it isn't sent any more.
+    duty_queue: VecDeque<(DutyCall, Moment)>,
     era: Option<StoreEra>,
     /// Whether the store has responded since the process started.
     has_responded: bool,
@@ -140,6 +142,7 @@
             call_connection: CallConnection::new(tokens.0),
             watch_connection: CallConnection::new(tokens.1),
             queue: VecDeque::new(),
+            duty_queue: VecDeque::new(),
             era: None,
             has_responded: false,
             watch_revision: None,
@@ -204,10 +207,21 @@
         self.queue.push_back(call);
     }
 
-    /// Makes a call about duties once. It goes before other calls, because the
-    /// validity of a lease counts from its sending.
-    pub(crate) fn call_duty(&mut self, call: DutyCall) {
-        self.queue.push_front(StoreCall::Duty(call));
+    /// Makes a call about duties once, unless it can't be sent before `latest`. It
+    /// goes before other calls, because a lease must be renewed in time.
+    pub(crate) fn call_duty(&mut self, call: DutyCall, latest: Moment) {
+        self.duty_queue.push_back((call, latest));
+    }
+
+    /// Returns the next call to make.
+    fn next_call(&mut self, now: Moment) -> Option<StoreCall> {
+        while let Some((call, latest)) = self.duty_queue.pop_front() {
+            if now <= latest {
+                return Some(StoreCall::Duty(call));
+            }
+            self.fail_duty(StoreCall::Duty(call), now);
+        }
+        self.queue.pop_front()
     }
 
     /// Handles an I/O event on one of the two connections.
@@ -241,7 +255,7 @@
         }
         self.enqueue_due(now);
         if self.call_connection.is_free(now)
-            && let Some(call) = self.queue.pop_front()
+            && let Some(call) = self.next_call(now)
         {
             let bytes = F::write_call(&call);
             let times = (now, now + self.intervals.call_timeout);
@@ -384,8 +398,9 @@
         // Servers whose entries were lost write them again shortly.
         self.last_failure = Some(now);
         self.tables_revision = None;
-        for call in std::mem::take(&mut self.queue) {
-            self.fail_duty(call, now);
+        self.queue.clear();
+        for (call, _) in std::mem::take(&mut self.duty_queue) {
+            self.fail_duty(StoreCall::Duty(call), now);
         }
         self.rewrite_own_entry(now);
         self.restart_watch(now);
@@ -606,7 +621,6 @@
             | StoreCall::RenewLease(_)
             | StoreCall::PublishBlock { .. }
             | StoreCall::RemoveBlock(_)
-            | StoreCall::Duty(_)
     )
 }
 
