Choose servers by the load and slowness that they report

Cause: placement knew a server's load only from this VM's requests and the other VMs' digests, took all engines as equally fast, and all VMs with the same information chose the same server.

Change: `load_reports` keeps the last report of each server, corrects it by what happened since, lets it expire, and smooths the slowness with a learned time constant. `reported_placement` draws plain servers at random by free capacity, limits engines and distributes homes in inverse proportion to slowness, and keeps streams off engines whose prompts would break their gap target. A refusal marks a server as full. All of this applies to a service once one of its servers reported its slowness.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -15,6 +15,7 @@
 use crate::format::{ReplicaEntry, ReplicaId, ReplicaStage};
 use crate::origins::{VersionId, version_id};
 use crate::policy::health::ReplicaHealth;
+use crate::policy::load_reports::ServerReports;
 use crate::policy::placement::{PartCache, ServerLoad};
 use crate::policy::rate_limit::RateLimit;
 use crate::policy::warmup::WarmUp;
@@ -60,6 +61,8 @@
     pub peer_load: ServerLoad,
     /// Ratio of the measured to the expected time to first event; 1 is normal.
     pub slowness: f64,
+    /// What it reported about its load, if its service's servers do.
+    pub reports: ServerReports,
     /// When bytes were last received from it.
     pub last_received: Option<Moment>,
     /// Idle connections, most recently used last.
@@ -87,6 +90,7 @@
         self.health = ReplicaHealth::default();
         self.cached_parts.clear();
         self.slowness = 1.0;
+        self.reports = ServerReports::default();
         self.last_received = None;
     }
 }
@@ -389,6 +393,7 @@
             own_load: ServerLoad::default(),
             peer_load: ServerLoad::default(),
             slowness: 1.0,
+            reports: ServerReports::default(),
             last_received: None,
             idle_conns: Vec::new(),
             open_connections: 0,
--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -37,6 +37,7 @@
     pub(crate) first_byte: Family<ServiceLabels, Histogram>,
     pub(crate) queue_wait: Family<ServiceLabels, Histogram>,
     pub(crate) store_calls: Family<StoreCallLabels, Counter>,
+    pub(crate) reported_choices: Family<ServiceLabels, Counter>,
     pub(crate) connects: Counter,
     pub(crate) foreign_datagrams: Counter,
     pub(crate) server_crashes: Counter,
@@ -76,6 +77,12 @@
         );
         let store_calls = Family::default();
         registry.register("store_calls", "Calls to the store", store_calls.clone());
+        let reported_choices = Family::default();
+        registry.register(
+            "reported_choices",
+            "Sends to servers that were chosen by the load that they reported",
+            reported_choices.clone(),
+        );
         let connects = Counter::default();
         registry.register(
             "server_connects",
@@ -131,6 +138,7 @@
             first_byte,
             queue_wait,
             store_calls,
+            reported_choices,
             connects,
             foreign_datagrams,
             server_crashes,
--- a/crates/dewedge/src/policy/engine_model.rs
+++ b/crates/dewedge/src/policy/engine_model.rs
@@ -176,19 +176,19 @@
 
 /// Mean with exponential forgetting.
 #[derive(Clone, Copy, Debug, Default)]
-struct RunningMean {
+pub(super) struct RunningMean {
     weight: f64,
     sum: f64,
 }
 
 impl RunningMean {
-    fn record(&mut self, value: f64) {
+    pub(super) fn record(&mut self, value: f64) {
         let kept = 1.0 - 1.0 / MEMORY_SAMPLES;
         self.weight = self.weight * kept + 1.0;
         self.sum = self.sum * kept + value;
     }
 
-    fn mean(&self, prior: f64) -> f64 {
+    pub(super) fn mean(&self, prior: f64) -> f64 {
         (self.sum + PRIOR_SAMPLES * prior) / (self.weight + PRIOR_SAMPLES)
     }
 }
--- a/crates/dewedge/src/policy/mod.rs
+++ b/crates/dewedge/src/policy/mod.rs
@@ -6,6 +6,8 @@
 //! - [`placement`] chooses a server.
 //! - [`engine_model`] learns the speed of the engines that placement chooses
 //!   from.
+//! - [`load_reports`] keeps the load that servers report.
+//! - [`reported_placement`] chooses a server by these reports.
 //! - [`queue`] orders the requests that wait for a server.
 //! - [`admission`] decides which requests are refused and when callers retry.
 //! - [`retries`] limits retries.
@@ -20,8 +22,10 @@
 pub mod admission;
 pub mod engine_model;
 pub mod health;
+pub mod load_reports;
 pub mod placement;
 pub mod queue;
 pub mod rate_limit;
+pub mod reported_placement;
 pub mod retries;
 pub mod warmup;
--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -28,7 +28,7 @@
 
 /// Cost of a millisecond of prefill relative to a millisecond of waiting;
 /// prefill delays all requests on the engine.
-const PREFILL_WEIGHT: f64 = 3.0;
+pub(super) const PREFILL_WEIGHT: f64 = 3.0;
 
 /// Gap-sensitive streams on each reserved engine, as a share of its slots; the
 /// rest is left for bursts.
@@ -71,7 +71,7 @@
 const KV_CACHE_SHARE: f64 = 0.85;
 
 /// Requests at a plain server beyond its slots before others wait.
-const MAX_PLAIN_QUEUED: u32 = 2;
+pub(super) const MAX_PLAIN_QUEUED: u32 = 2;
 
 /// Largest backlog limit of a class, as a share of the limit of a more urgent
 /// one.
@@ -238,7 +238,7 @@
     model.prefill_ms(shared_prefix_tokens(parts)) >= LONG_PREFIX_MS
 }
 
-fn rendezvous_weight(key: u64, replica: u64) -> u64 {
+pub(super) fn rendezvous_weight(key: u64, replica: u64) -> u64 {
     use std::hash::Hasher;
     siphasher::sip::SipHasher13::new_with_keys(key, replica).finish()
 }
@@ -260,13 +260,18 @@
         .map(|(index, _)| index)
 }
 
-/// Returns which engines are reserved for gap-sensitive streams.
-fn reserved_engines(replicas: &[ReplicaView<'_>], model: &EngineModel) -> Vec<bool> {
-    let mut usable: Vec<(u64, usize)> = replicas
+/// Returns which engines are reserved for gap-sensitive streams: the first ones
+/// in the order of a key that is the same on all VMs.
+pub(super) fn reserved_engines<K: Ord>(
+    replicas: &[ReplicaView<'_>],
+    model: &EngineModel,
+    order_key: impl Fn(&ReplicaView<'_>) -> K,
+) -> Vec<bool> {
+    let mut usable: Vec<(K, usize)> = replicas
         .iter()
         .enumerate()
         .filter(|(_, replica)| replica.usable)
-        .map(|(index, replica)| (replica.hash, index))
+        .map(|(index, replica)| (order_key(replica), index))
         .collect();
     usable.sort_unstable();
     let streams: u32 = replicas
@@ -317,7 +322,7 @@
     replicas: &[ReplicaView<'_>],
     model: &EngineModel,
 ) -> PlacementChoice {
-    let reserved = reserved_engines(replicas, model);
+    let reserved = reserved_engines(replicas, model, |replica| replica.hash);
     let choice = choose_among(query, replicas, model, &reserved, query.gap_sensitive);
     match choice {
         PlacementChoice::Chosen { .. } => choice,
@@ -380,7 +385,7 @@
 /// It stays below that of the more urgent classes, even if their targets are
 /// shorter; otherwise a less urgent class would keep the backlogs above their
 /// limits.
-fn backlog_limit_ms(query: &PlacementQuery<'_>, model: &EngineModel) -> f64 {
+pub(super) fn backlog_limit_ms(query: &PlacementQuery<'_>, model: &EngineModel) -> f64 {
     let own = class_limit_ms(query.priority, query.latency_target, model);
     let more_urgent = model
         .more_urgent_classes(query.priority)
@@ -396,8 +401,8 @@
 }
 
 /// The shared prefix of a prompt, which its home has read.
-struct SharedPrefix {
-    tokens: u32,
+pub(super) struct SharedPrefix {
+    pub(super) tokens: u32,
     /// Whether reading it takes long.
     is_long: bool,
     /// Whether an engine may be chosen that has to read it again.
@@ -408,7 +413,7 @@
     /// A prompt waits for its home as long as reading the prefix again would
     /// take. So the time that it loses is at most twice that of the better
     /// choice in hindsight.
-    fn of(query: &PlacementQuery<'_>, model: &EngineModel) -> Self {
+    pub(super) fn of(query: &PlacementQuery<'_>, model: &EngineModel) -> Self {
         let tokens = shared_prefix_tokens(query.parts);
         let prefix_ms = model.prefill_ms(tokens);
         Self {
@@ -420,7 +425,7 @@
 }
 
 /// Returns how many requests an engine may have when the request is sent to it.
-fn max_requests(
+pub(super) fn max_requests(
     query: &PlacementQuery<'_>,
     replica: &ReplicaView<'_>,
     prefix: &SharedPrefix,
@@ -441,7 +446,7 @@
     }
 }
 
-fn has_capacity(
+pub(super) fn has_capacity(
     query: &PlacementQuery<'_>,
     replica: &ReplicaView<'_>,
     limit_ms: f64,
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -9,11 +9,15 @@
 use crate::format::{ForwardMetadata, PlatformFormat, RequestMetadata};
 use crate::net::TcpChannel;
 use crate::policy::engine_model::EngineModel;
+use crate::policy::load_reports::{ReportAge, ServiceReports};
 use crate::policy::placement::{
     PlacementChoice, PlacementQuery, ReplicaView, choose_engine, choose_plain_server,
     long_prefix_key, shared_prefix_tokens,
 };
 use crate::policy::queue::{ServerRequirements, engine_rank};
+use crate::policy::reported_placement::{
+    ReportedQuery, choose_reported_engine, choose_reported_server,
+};
 use crate::policy::retries::vm_slack;
 use crate::tables::{EngineSpec, RequestKind, RouteSpec};
 
@@ -58,6 +62,9 @@
     /// Whether ejected servers are used, because all that may serve the request
     /// are ejected.
     ignores_health: bool,
+    /// What is known of the service's reports, if its servers report their
+    /// slowness.
+    reports: Option<&'a ServiceReports>,
 }
 
 impl<F: PlatformFormat> EdgeState<F> {
@@ -128,7 +135,7 @@
 
     /// Chooses a server for a request.
     pub(crate) fn choose_server(&mut self, exchange_id: usize) -> PlacementChoice {
-        let tie_breaker = self.next_random();
+        let random = self.next_random();
         let Some(exchange) = self.exchanges.get(exchange_id) else {
             return PlacementChoice::Unavailable;
         };
@@ -153,6 +160,7 @@
             ignores_health: !members.iter().any(|index| {
                 is_considered(index) && is_sound(index) && self.fits_version(exchange, *index)
             }),
+            reports: self.load_reports.get(&exchange.service),
         };
         let views: Vec<ReplicaView<'_>> = members
             .iter()
@@ -160,7 +168,10 @@
             .map(|index| self.replica_view(*index, exchange, &service))
             .collect();
         if engine.is_none() {
-            return choose_plain_server(&views, tie_breaker);
+            return match service.reports {
+                Some(_) => choose_reported_server(&views, random),
+                None => choose_plain_server(&views, random),
+            };
         }
         let model = self.models.get(&exchange.service);
         let query = PlacementQuery {
@@ -173,7 +184,16 @@
             waited: self.now.saturating_sub(exchange.queued),
             now: self.now,
         };
-        choose_engine(&query, &views, model)
+        if service.reports.is_none() {
+            return choose_engine(&query, &views, model);
+        }
+        let streams = exchange.route.kind == RequestKind::Streaming;
+        let query = ReportedQuery {
+            request: query,
+            event_gap_target: streams.then_some(exchange.route.event_gap_target),
+            random,
+        };
+        choose_reported_engine(&query, &views, model)
     }
 
     /// Returns how many connections this VM may have to a server of a service:
@@ -207,7 +227,7 @@
             && replica
                 .warmup
                 .must_wait(replica.own_load.requests, self.now);
-        ReplicaView {
+        let mut view = ReplicaView {
             hash: replica.hash,
             usable,
             same_data_centre: replica.entry.data_centre == self.settings.data_centre,
@@ -220,7 +240,15 @@
             slowness: replica.slowness,
             failure_rate: replica.health.failure_rate(),
             cached_parts: &replica.cached_parts,
+        };
+        if let Some(reports) = service.reports {
+            let own_requests = replica.own_load.requests;
+            let lifetime = reports.lifetime();
+            replica
+                .reports
+                .adapt_view(&mut view, own_requests, lifetime, self.now);
         }
+        view
     }
 
     /// Sends a request to a server.
@@ -272,6 +300,7 @@
                 }
             },
         };
+        let report = self.valid_report(exchange_id, replica);
         self.record_send(exchange_id, replica, conn_id, prefill_ms);
         let bytes = self.request_head_bytes(exchange_id, replica);
         let body = Rc::clone(&self.exchanges[exchange_id].body);
@@ -285,11 +314,19 @@
         } else {
             self.arm_server(conn_id, now + CONNECT_TIMEOUT);
         }
-        self.log_send(exchange_id, replica, idle_conn.is_some(), cost);
+        self.log_send(exchange_id, replica, idle_conn.is_some(), cost, report);
         let due = self.next_check_time(exchange_id);
         self.arm_exchange(exchange_id, due);
     }
 
+    /// Returns the report of a server that a choice takes into account.
+    fn valid_report(&self, exchange_id: usize, replica: ReplicaIndex) -> Option<ReportAge> {
+        let service = &self.exchanges[exchange_id].service;
+        let reports = self.load_reports.get(service)?;
+        let server = &self.directory.get(replica).reports;
+        server.valid_report(reports.lifetime(), self.now)
+    }
+
     pub(crate) fn try_acquire_retry(&mut self, exchange_id: usize) -> bool {
         let now = self.now;
         let service = self.exchanges[exchange_id].service.clone();
@@ -386,6 +423,9 @@
         replica_state.own_load.tokens += tokens;
         replica_state.own_load.gap_sensitive_streams += u32::from(exchange.sent_load.gap_sensitive);
         replica_state.health.record_sent();
+        if self.load_reports.get(&exchange.service).is_some() {
+            replica_state.reports.record_send(now);
+        }
         replica_state.rate_limit.record_send(now);
         replica_state
             .cached_parts
@@ -401,11 +441,19 @@
             .observe(waited);
     }
 
-    fn log_send(&mut self, exchange_id: usize, replica: ReplicaIndex, reused: bool, cost: f64) {
+    fn log_send(
+        &mut self,
+        exchange_id: usize,
+        replica: ReplicaIndex,
+        reused: bool,
+        cost: f64,
+        report: Option<ReportAge>,
+    ) {
         let exchange = &self.exchanges[exchange_id];
         let replica_state = self.directory.get(replica);
         let version = self.table.as_ref().map_or(0, |table| table.version);
-        self.logs
+        let line = self
+            .logs
             .request("placement", "sent")
             .text("request", &exchange.metadata.attempt)
             .text("route", &exchange.route.name)
@@ -429,6 +477,15 @@
             .number("kept_connection", reused)
             .ms("waited_ms", self.now.saturating_sub(exchange.queued))
             .ms("left_ms", exchange.deadline.saturating_sub(self.now));
+        let Some(report) = report else {
+            return;
+        };
+        line.number("reported_load", report.requests)
+            .ms("report_age_ms", report.age);
+        let label = crate::metrics::ServiceLabels {
+            service: exchange.service.clone(),
+        };
+        self.metrics.reported_choices.get_or_create(&label).inc();
     }
 
     /// Returns the head of a request as it is sent to a server.
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -60,6 +60,7 @@
         if !self.exchanges.contains(exchange_id) {
             return;
         }
+        self.record_request_time(exchange_id, &outcome);
         self.release_load(exchange_id);
         self.count_attempt(exchange_id, &outcome);
         match outcome {
@@ -120,6 +121,19 @@
         }
     }
 
+    /// Records the duration of an attempt that its server completed, if the
+    /// service's servers report their load.
+    fn record_request_time(&mut self, exchange_id: usize, outcome: &AttemptOutcome) {
+        let completed = matches!(
+            outcome,
+            AttemptOutcome::Response { .. } | AttemptOutcome::StreamEnd { .. }
+        );
+        let exchange = &self.exchanges[exchange_id];
+        if completed && let Some(reports) = self.load_reports.get_mut(&exchange.service) {
+            reports.record_request(self.now.saturating_sub(exchange.sent_load.sent));
+        }
+    }
+
     fn count_attempt(&mut self, exchange_id: usize, outcome: &AttemptOutcome) {
         let label = crate::metrics::OutcomeLabels {
             service: self.exchanges[exchange_id].service.clone(),
@@ -381,7 +395,12 @@
         if !load.counted {
             return;
         }
-        let own = &mut self.directory.get_mut(load.replica).own_load;
+        let replica_state = self.directory.get_mut(load.replica);
+        if self.load_reports.get(&service).is_some() {
+            let left = load.first_event.is_some();
+            replica_state.reports.record_end(load.sent, left);
+        }
+        let own = &mut replica_state.own_load;
         own.requests = own.requests.saturating_sub(1);
         own.tokens = own.tokens.saturating_sub(load.tokens);
         own.gap_sensitive_streams = own
@@ -416,14 +435,18 @@
             let (low, high) = SLOWNESS_BOUNDS;
             let ratio = (took_ms / exchange.sent_load.expected_ms.max(1.0)).clamp(low, high);
             replica_state.slowness += SLOWNESS_WEIGHT * (ratio - replica_state.slowness);
+            replica_state.reports.record_ratio(ratio);
         }
+        let slowness = replica_state.reports.reported_slowness();
         if let Some(unread_tokens) = exchange.sent_load.unread_tokens {
             self.models
                 .get_mut(&exchange.service)
                 .record_first_event(FirstEventSample {
                     unread_tokens,
                     backlog_ms: exchange.sent_load.ahead_ms,
-                    took: now.saturating_sub(exchange.sent_load.sent),
+                    took: now
+                        .saturating_sub(exchange.sent_load.sent)
+                        .div_f64(slowness),
                 });
         }
         let label = crate::metrics::ServiceLabels {
@@ -460,9 +483,11 @@
         self.record_survived_stream(exchange_id);
         let exchange = &self.exchanges[exchange_id];
         let replica_state = self.directory.get(exchange.sent_load.replica);
+        // The model is that of an engine of normal speed.
+        let slowness = replica_state.reports.reported_slowness();
         let model = self.models.get_mut(&exchange.service);
         let reclassified = model.record_gap(GapSample {
-            gap,
+            gap: gap.div_f64(slowness),
             backlog_ms,
             ends_idle,
             running: replica_state.own_load.requests + replica_state.peer_load.requests,
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -22,6 +22,7 @@
 use crate::origins::OriginTable;
 use crate::peers::PeerTable;
 use crate::policy::engine_model::ModelTable;
+use crate::policy::load_reports::ReportTable;
 use crate::settings::EdgeSettings;
 use crate::storage::StoreClient;
 
@@ -178,6 +179,7 @@
             queues: IndexMap::new(),
             budgets: IndexMap::new(),
             models: ModelTable::default(),
+            load_reports: ReportTable::default(),
             pending_dispatches: VecDeque::new(),
             finished_callers: VecDeque::new(),
             timers: TimerHeap::default(),
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -255,6 +255,7 @@
         if status == 421 {
             return;
         }
+        self.apply_load_report(replica, metadata);
         if metadata.leaving {
             let change = self.directory.mark_leaving(replica);
             self.apply_directory_change(change);
@@ -273,6 +274,26 @@
         }
     }
 
+    /// Records the load that a server reports, and that it is full if it refused
+    /// the request.
+    fn apply_load_report(&mut self, replica: usize, metadata: &ResponseMetadata) {
+        let replica_state = self.directory.get_mut(replica);
+        let service = &replica_state.entry.service;
+        if let Some(report) = metadata.load
+            && let Some(reports) = self.load_reports.enable(service, &report)
+        {
+            let peer_requests = replica_state.peer_load.requests;
+            replica_state
+                .reports
+                .record_report(report, peer_requests, reports, self.now);
+        }
+        if metadata.not_run && self.load_reports.get(service).is_some() {
+            replica_state
+                .reports
+                .record_refusal(metadata.retry_after, self.now);
+        }
+    }
+
     fn apply_rate_notice(&mut self, replica: usize, notice: RateNotice) {
         let limit = match notice {
             RateNotice::Unlimited => None,
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -24,6 +24,7 @@
 use crate::origins::OriginTable;
 use crate::peers::PeerTable;
 use crate::policy::engine_model::ModelTable;
+use crate::policy::load_reports::ReportTable;
 use crate::policy::queue::{ExchangeId, WaitingQueue};
 use crate::policy::retries::RetryBudget;
 use crate::settings::EdgeSettings;
@@ -274,6 +275,7 @@
     pub(crate) queues: IndexMap<String, WaitingQueue>,
     pub(crate) budgets: IndexMap<String, RetryBudget>,
     pub(crate) models: ModelTable,
+    pub(crate) load_reports: ReportTable,
     /// Services whose queue is dispatched at the end of the iteration.
     pub(crate) pending_dispatches: VecDeque<String>,
     /// Callers whose last request has ended and who may have sent the next one.
--- a/crates/dewedge/tests/load_model/deployments.rs
+++ b/crates/dewedge/tests/load_model/deployments.rs
@@ -57,6 +57,13 @@
     ..NEWS_ENGINES
 };
 
+/// The engines of a pool whose machines differ in speed.
+pub const UNEVEN_ENGINES: EngineKind = EngineKind {
+    name: "uneven",
+    speeds: [0.6, 1.0, 1.6],
+    ..NEWS_ENGINES
+};
+
 /// Traffic of one class, from its specification.
 #[derive(Clone, Copy)]
 pub struct ClassSpec {
@@ -115,6 +122,16 @@
     },
 ];
 
+/// As those of the news, with tighter gap targets for the streams.
+pub const UNEVEN_CLASSES: [ClassSpec; 3] = [
+    ClassSpec {
+        event_gap_ms: 200,
+        ..NEWS_CLASSES[0]
+    },
+    NEWS_CLASSES[1],
+    NEWS_CLASSES[2],
+];
+
 pub const ENROLMENT_CLASSES: [ClassSpec; 3] = [
     ClassSpec {
         priority: 0,
@@ -169,6 +186,11 @@
     classes: NEWS_CLASSES,
 };
 
+pub const UNEVEN: Deployment = Deployment {
+    kind: UNEVEN_ENGINES,
+    classes: UNEVEN_CLASSES,
+};
+
 pub const CASTING: Deployment = Deployment {
     kind: CASTING_ENGINES,
     classes: NEWS_CLASSES,
--- a/crates/dewedge/tests/load_model/main.rs
+++ b/crates/dewedge/tests/load_model/main.rs
@@ -13,7 +13,7 @@
 
 use deployments::{
     BurstPlan, CASTING, DOUBLE_BURST, Deployment, ENROLMENT, LONG_BURST, NEWS, NEWS_CLASSES,
-    STEEP_BURST, random_deployment,
+    STEEP_BURST, UNEVEN, random_deployment,
 };
 use simulation::{ClassResult, Model, Policy, in_time_share};
 
@@ -128,6 +128,30 @@
     }
 }
 
+/// Guards against streams that share slow engines with long prompts, and against
+/// slow engines that get as many requests as fast ones. Without reports, VMs
+/// choose as if all engines had the same speed.
+#[test]
+fn reported_slowness_serves_streams_on_uneven_engines() {
+    let (mut before, mut after) = ([0; 3], [0; 3]);
+    for seed in [11, 12, 13, 21, 22, 23] {
+        for (policy, unserved) in [
+            (Policy::Product, &mut before),
+            (Policy::Reported, &mut after),
+        ] {
+            let (results, spread) = Model::new(UNEVEN, policy, LONG_BURST, seed).run_with_spread();
+            for (count, result) in unserved.iter_mut().zip(results) {
+                *count += result.late + result.refused;
+            }
+            println!("seed {seed}, {policy:?}: largest to mean {spread:.2}, {results:?}");
+        }
+    }
+    println!("late or refused: {before:?} before, {after:?} after");
+    let context = format!("{before:?} {after:?}");
+    assert!(after[0] * 3 <= before[0] * 2, "{context}");
+    assert!(after[2] < before[2], "{context}");
+}
+
 /// Shows that the bounds of the previous test distinguish between a learned and
 /// a fixed model on a kind of engine that the fixed one isn't made for.
 #[test]
--- a/crates/dewedge/tests/load_model/simulation.rs
+++ b/crates/dewedge/tests/load_model/simulation.rs
@@ -3,14 +3,16 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use dewedge::format::PromptPart;
+use dewedge::format::{LoadReport, PromptPart};
 use dewedge::policy::admission::max_wait;
 use dewedge::policy::engine_model::{EngineModel, FirstEventSample, GapSample, StreamClass};
+use dewedge::policy::load_reports::{ServerReports, ServiceReports};
 use dewedge::policy::placement::{
     PartCache, PlacementChoice, PlacementQuery, ReplicaView, ServerLoad, choose_engine,
     long_prefix_key, shared_prefix_tokens,
 };
 use dewedge::policy::queue::{ServerRequirements, WaitingQueue, WaitingRequest, request_rank};
+use dewedge::policy::reported_placement::{ReportedQuery, choose_reported_engine};
 
 use crate::deployments::{BurstPlan, Deployment, RandomSource};
 
@@ -27,6 +29,9 @@
 /// Largest event gap target of a stream that the fixed policy protects.
 const FIXED_GAP_LIMIT_MS: u64 = 400;
 
+/// Range of the noise in the slowness that an engine reports.
+const SLOWNESS_NOISE: f64 = 0.3;
+
 /// A simulated request.
 pub struct ModelRequest {
     pub class: usize,
@@ -65,6 +70,8 @@
     pub requests: u32,
     pub in_time: u32,
     pub refused: u32,
+    /// Requests that were served and ended too late or with too long a gap.
+    pub late: u32,
     /// Requests that arrived after the burst, and those of them that were in
     /// time.
     pub settled_requests: u32,
@@ -75,10 +82,12 @@
 }
 
 /// Placement policy of the VMs.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Policy {
     /// The product's functions with the learned model.
     Product,
+    /// The same with the load and slowness that engines report.
+    Reported,
     /// The product's functions with a model that never learns, and with streams
     /// that are protected by a fixed limit of their gap target.
     FixedConstants,
@@ -98,6 +107,10 @@
     pub digests: Vec<Vec<ServerLoad>>,
     pub own: Vec<Vec<ServerLoad>>,
     pub engine_models: Vec<EngineModel>,
+    pub services: Vec<ServiceReports>,
+    pub reports: Vec<Vec<ServerReports>>,
+    /// Requests that each engine got.
+    pub sent: [u32; ENGINES],
     pub results: [ClassResult; 3],
     pub next_engine: usize,
     /// Session parts that an engine has read.
@@ -120,13 +133,22 @@
             digests: vec![vec![ServerLoad::default(); ENGINES]; VMS],
             own: vec![vec![ServerLoad::default(); ENGINES]; VMS],
             engine_models: vec![learning_model(&deployment); VMS],
+            services: vec![ServiceReports::default(); VMS],
+            reports: vec![vec![ServerReports::default(); ENGINES]; VMS],
+            sent: [0; ENGINES],
             results: [ClassResult::default(); 3],
             next_engine: 0,
             read_parts: BTreeSet::new(),
         }
     }
 
-    pub fn run(mut self) -> [ClassResult; 3] {
+    pub fn run(self) -> [ClassResult; 3] {
+        self.run_with_spread().0
+    }
+
+    /// Returns the results and the largest number of requests that an engine got,
+    /// relative to the mean.
+    pub fn run_with_spread(mut self) -> ([ClassResult; 3], f64) {
         for now in 0..END_MS {
             if now % DIGEST_INTERVAL_MS == 0 {
                 self.digests.clone_from(&self.own);
@@ -150,7 +172,7 @@
                 self.dispatch(vm, now);
             }
         }
-        self.results
+        (self.results, self.largest_to_mean())
     }
 
     fn arrive(&mut self, class: usize, now: u64) {
@@ -244,11 +266,16 @@
                 let engine = (0..ENGINES).min_by_key(in_flight)?;
                 return Some((engine, 0.0));
             }
-            Policy::Product | Policy::FixedConstants => {}
+            Policy::Product | Policy::Reported | Policy::FixedConstants => {}
         }
+        // Other policies draw no number here.
+        let random = match self.policy {
+            Policy::Reported => (self.random.next() * (1u64 << 53) as f64) as u64,
+            _ => 0,
+        };
         let request = &self.requests[exchange_id];
         let spec = self.deployment.classes[request.class];
-        let views: Vec<ReplicaView<'_>> = (0..ENGINES)
+        let mut views: Vec<ReplicaView<'_>> = (0..ENGINES)
             .map(|engine| ReplicaView {
                 hash: engine as u64 * 7919 + 13,
                 usable: true,
@@ -272,7 +299,19 @@
             waited: Duration::from_millis(now - request.arrived),
             now: Duration::from_millis(now),
         };
-        match choose_engine(&query, &views, &self.engine_models[vm]) {
+        let choice = match self.policy {
+            Policy::Reported => {
+                self.adapt_views(vm, &mut views, now);
+                let query = ReportedQuery {
+                    request: query,
+                    event_gap_target: Some(Duration::from_millis(spec.event_gap_ms)),
+                    random,
+                };
+                choose_reported_engine(&query, &views, &self.engine_models[vm])
+            }
+            _ => choose_engine(&query, &views, &self.engine_models[vm]),
+        };
+        match choice {
             PlacementChoice::Chosen {
                 hash, prefill_ms, ..
             } => Some(((hash as usize - 13) / 7919, prefill_ms)),
@@ -280,6 +319,52 @@
         }
     }
 
+    fn adapt_views(&self, vm: usize, views: &mut [ReplicaView<'_>], now: u64) {
+        let lifetime = self.services[vm].lifetime();
+        for (engine, view) in views.iter_mut().enumerate() {
+            let own = self.own[vm][engine].requests;
+            let now = Duration::from_millis(now);
+            self.reports[vm][engine].adapt_view(view, own, lifetime, now);
+        }
+    }
+
+    /// Receives the report of an engine with the first event of a stream.
+    fn record_report(&mut self, vm: usize, engine: usize, now: u64) {
+        let noise = (self.random.next() - 0.5) * 2.0 * SLOWNESS_NOISE;
+        let running = self.engines[engine].running.len() as u32;
+        let slots = self.deployment.kind.slots;
+        let report = LoadReport {
+            running: running.min(slots),
+            waiting: running.saturating_sub(slots),
+            slots,
+            slowness: Some(self.speed(engine) + noise),
+        };
+        let own = self.own[vm][engine].requests;
+        let peer_requests = self.load(vm, engine).requests - own;
+        let service = &mut self.services[vm];
+        let now = Duration::from_millis(now);
+        self.reports[vm][engine].record_report(report, peer_requests, service, now);
+    }
+
+    fn speed(&self, engine: usize) -> f64 {
+        let speeds = self.deployment.kind.speeds;
+        speeds[engine % speeds.len()]
+    }
+
+    /// Returns the slowness by which samples of an engine are divided.
+    fn slowness(&self, vm: usize, engine: usize) -> f64 {
+        match self.policy {
+            Policy::Reported => self.reports[vm][engine].reported_slowness(),
+            _ => 1.0,
+        }
+    }
+
+    fn largest_to_mean(&self) -> f64 {
+        let largest = self.sent.iter().copied().max().unwrap_or(0);
+        let total: u32 = self.sent.iter().sum();
+        f64::from(largest) * ENGINES as f64 / f64::from(total.max(1))
+    }
+
     /// Returns the load on an engine as a VM sees it.
     fn load(&self, vm: usize, engine: usize) -> ServerLoad {
         let mut load = self.own[vm][engine];
@@ -350,6 +435,9 @@
         let used_at = Duration::from_millis(now);
         self.part_caches[request.vm][engine].record_use(&request.parts, used_at);
         self.engines[engine].running.push(exchange_id);
+        self.sent[engine] += 1;
+        let vm = self.requests[exchange_id].vm;
+        self.reports[vm][engine].record_send(used_at);
     }
 
     fn step(&mut self, index: usize, now: u64) {
@@ -385,13 +473,17 @@
         let step = kind.step_ms
             + kind.step_ms_per_request * running.len() as f64
             + f64::from(read) / kind.tokens_per_ms;
-        let speed = kind.speeds[index % kind.speeds.len()];
-        self.engines[index].busy_until = now as f64 + step * speed;
+        self.engines[index].busy_until = now as f64 + step * self.speed(index);
     }
 
     fn record_token(&mut self, exchange_id: usize, engine: usize, now: u64) {
         let load = self.load(self.requests[exchange_id].vm, engine);
-        let learns = self.policy == Policy::Product;
+        let learns = matches!(self.policy, Policy::Product | Policy::Reported);
+        let vm = self.requests[exchange_id].vm;
+        if self.policy == Policy::Reported && self.requests[exchange_id].first.is_none() {
+            self.record_report(vm, engine, now);
+        }
+        let slowness = self.slowness(vm, engine);
         let request = &mut self.requests[exchange_id];
         let spec = self.deployment.classes[request.class];
         let own = &mut self.own[request.vm][engine];
@@ -404,7 +496,7 @@
                 self.engine_models[request.vm].record_first_event(FirstEventSample {
                     unread_tokens,
                     backlog_ms: request.ahead_ms,
-                    took: Duration::from_millis(now - request.sent),
+                    took: Duration::from_millis(now - request.sent).div_f64(slowness),
                 });
             }
         }
@@ -415,7 +507,7 @@
             let gap = now - request.last_event;
             if learns {
                 self.engine_models[request.vm].record_gap(GapSample {
-                    gap: Duration::from_millis(gap),
+                    gap: Duration::from_millis(gap).div_f64(slowness),
                     backlog_ms: request.backlog_ms,
                     ends_idle: load.backlog_ms <= 0.0,
                     running: load.requests,
@@ -437,12 +529,16 @@
             );
         }
         own.requests -= 1;
+        let took = Duration::from_millis(now - request.sent);
+        self.services[vm].record_request(took);
+        self.reports[vm][engine].record_end(Duration::from_millis(request.sent), true);
         let tokens: u32 = request.parts.iter().map(|part| part.tokens).sum();
         own.tokens -= u64::from(tokens);
         own.gap_sensitive_streams -= u32::from(request.gap_sensitive);
         let first = request.first.unwrap_or(now) - request.arrived;
         let in_time = !late && first <= spec.target_ms && request.longest_gap <= spec.event_gap_ms;
         self.results[request.class].in_time += u32::from(in_time);
+        self.results[request.class].late += u32::from(!in_time);
         let settled = (SETTLED_MS..SETTLED_END_MS).contains(&request.arrived);
         self.results[request.class].settled_in_time += u32::from(in_time && settled);
     }
