Search the second group of engines only if the first has none that suits

Cause: a choice for a gap-sensitive stream always scanned the reserved and the other engines.

Change: the other group is searched only if no engine of the first one has room and suits the stream.

--- a/crates/dewedge/src/policy/reported_placement.rs
+++ b/crates/dewedge/src/policy/reported_placement.rs
@@ -232,7 +232,8 @@
     let gap_sensitive = query.request.gap_sensitive;
     let first = search.group(gap_sensitive);
     // As in `placement`, only gap-sensitive streams may go to any engine.
-    let second = match gap_sensitive || !first.any_usable {
+    let may_go_on = gap_sensitive || !first.any_usable;
+    let second = match first.suitable.is_none() && may_go_on {
         true => search.group(!gap_sensitive),
         false => GroupResult::default(),
     };
