--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -47,6 +47,7 @@
     pub(crate) api_calls: Family<DutyLabels, Counter>,
     pub(crate) malformed_duty_datagrams: Counter,
     pub(crate) uncounted_requests: Counter,
+    pub(crate) reported_choices: Family<ServiceLabels, Counter>,
     pub(crate) connects: Counter,
     pub(crate) foreign_datagrams: Counter,
     pub(crate) server_crashes: Counter,
@@ -110,6 +111,12 @@
             "Started requests that no usage report has, because they were known too late",
             uncounted_requests.clone(),
         );
+        let reported_choices = Family::default();
+        registry.register(
+            "reported_choices",
+            "Sends to servers that were chosen by the load that they reported",
+            reported_choices.clone(),
+        );
         let connects = Counter::default();
         registry.register(
             "server_connects",
@@ -169,6 +176,7 @@
             api_calls,
             malformed_duty_datagrams,
             uncounted_requests,
+            reported_choices,
             connects,
             foreign_datagrams,
             server_crashes,
