Pass on as of which revision a listed duty record is current

After a discarded history the lists are read again. The records of duties were passed on with the revision of their last change, which is older than what the watch had shown, so the lease table ignored them and took all duties for free: holders gave up valid duties, and every VM tried to acquire them again and again. Records of a list now carry the revision of the page, and those of a failed transaction the one that was known at its sending.

--- a/crates/dewedge/src/serve/duties/holding.rs
+++ b/crates/dewedge/src/serve/duties/holding.rs
@@ -87,11 +87,15 @@
         sent: Moment,
         response: Option<StoreResponse>,
         era: Option<StoreEra>,
+        sent_revision: u64,
     ) {
         self.with_duties(|state, duties| {
             if let Some(StoreResponse::Conflict(records)) = &response {
                 for record in records {
-                    state.apply_duty_record(duties, record.clone());
+                    // The records are current as of the call, whenever they were
+                    // written.
+                    let as_of = record.revision.max(sent_revision);
+                    state.apply_duty_record(duties, record.clone(), as_of);
                 }
             }
             if let DutyCall::WriteReport { report, .. } = call {
@@ -130,13 +134,13 @@
     }
 
     /// Applies a record of the store about duties.
-    pub(crate) fn on_duty_record(&mut self, record: StoreRecord) {
+    pub(crate) fn on_duty_record(&mut self, record: StoreRecord, as_of: u64) {
         self.with_duties(|state, duties| {
-            state.apply_duty_record(duties, record);
+            state.apply_duty_record(duties, record, as_of);
         });
     }
 
-    fn apply_duty_record(&mut self, duties: &mut DutyState<F>, record: StoreRecord) {
+    fn apply_duty_record(&mut self, duties: &mut DutyState<F>, record: StoreRecord, as_of: u64) {
         let revision = record.revision;
         let result = match record.key {
             RecordKey::DutyHolder(subject) => {
@@ -152,7 +156,7 @@
                         LeaseEvent::HolderSeen {
                             subject,
                             record,
-                            revision,
+                            revision: as_of,
                         },
                         self.now,
                     );
@@ -166,7 +170,7 @@
                         LeaseEvent::TokenSeen {
                             subject,
                             record,
-                            revision,
+                            revision: as_of,
                         },
                         self.now,
                     );
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -58,9 +58,10 @@
             match event {
                 StoreEvent::Record {
                     record,
+                    as_of,
                     call,
                     outage_suspected,
-                } => self.apply_record(record, call, outage_suspected),
+                } => self.apply_record(record, as_of, call, outage_suspected),
                 StoreEvent::Listed {
                     replicas,
                     outage_suspected,
@@ -79,7 +80,8 @@
                     sent,
                     response,
                     era,
-                } => self.on_duty_ended(call, sent, response, era),
+                    sent_revision,
+                } => self.on_duty_ended(call, sent, response, era, sent_revision),
                 StoreEvent::EraChanged { era } => self.begin_store_era(era),
                 StoreEvent::Confirmed { revision, sent } => {
                     let tables_current = self
@@ -126,7 +128,13 @@
         }
     }
 
-    fn apply_record(&mut self, record: StoreRecord, call: &'static str, outage_suspected: bool) {
+    fn apply_record(
+        &mut self,
+        record: StoreRecord,
+        as_of: u64,
+        call: &'static str,
+        outage_suspected: bool,
+    ) {
         match record.key {
             RecordKey::Tables => self.apply_tables(record.value, record.revision, call),
             RecordKey::Replica(id) => {
@@ -173,7 +181,7 @@
                 None => self.forget_stored_block(cause),
             },
             RecordKey::DutyHolder(_) | RecordKey::DutyToken(_) | RecordKey::UsageReport => {
-                self.on_duty_record(record);
+                self.on_duty_record(record, as_of);
             }
             RecordKey::Other => {}
         }
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -58,6 +58,8 @@
     /// The current state of an item.
     Record {
         record: StoreRecord,
+        /// Revision of the store as of which it was current.
+        as_of: u64,
         /// The call that brought it.
         call: &'static str,
         /// Whether a removal may be due to an outage of the store.
@@ -87,6 +89,8 @@
         response: Option<StoreResponse>,
         /// Era of the store as of the response.
         era: Option<StoreEra>,
+        /// Revision of the store that was known when the call was sent.
+        sent_revision: u64,
     },
     /// A call ended.
     CallEnded {
@@ -109,6 +113,10 @@
     /// Calls about duties, each with the time after which it isn't sent any more.
     duty_queue: VecDeque<(DutyCall, Moment)>,
     era: Option<StoreEra>,
+    /// Latest revision of the store that a response has shown in this era.
+    known_revision: u64,
+    /// The latest revision that was known when the last call was sent.
+    sent_revision: u64,
     /// Whether the store has responded since the process started.
     has_responded: bool,
     /// Revision up to which changes are known; `None` while lists are read.
@@ -144,6 +152,8 @@
             queue: VecDeque::new(),
             duty_queue: VecDeque::new(),
             era: None,
+            known_revision: 0,
+            sent_revision: 0,
             has_responded: false,
             watch_revision: None,
             watch_answered: None,
@@ -258,6 +268,7 @@
             && let Some(call) = self.next_call(now)
         {
             let bytes = F::write_call(&call);
+            self.sent_revision = self.known_revision;
             let times = (now, now + self.intervals.call_timeout);
             self.call_connection
                 .send(registry, self.address, call, &bytes, times);
@@ -398,6 +409,8 @@
         // Servers whose entries were lost write them again shortly.
         self.last_failure = Some(now);
         self.tables_revision = None;
+        self.known_revision = 0;
+        self.sent_revision = 0;
         self.queue.clear();
         for (call, _) in std::mem::take(&mut self.duty_queue) {
             self.fail_duty(StoreCall::Duty(call), now);
@@ -419,6 +432,7 @@
                 sent,
                 response: None,
                 era: self.era,
+                sent_revision: self.sent_revision,
             });
         }
     }
@@ -467,9 +481,24 @@
     }
 
     fn push_record(&mut self, record: StoreRecord, call: &'static str, now: Moment) {
+        let as_of = record.revision;
+        self.push_record_as_of(record, as_of, call, now);
+    }
+
+    /// Reports a record of a list, which was current as of a later revision than
+    /// its own.
+    fn push_record_as_of(
+        &mut self,
+        record: StoreRecord,
+        as_of: u64,
+        call: &'static str,
+        now: Moment,
+    ) {
         let outage_suspected = self.is_outage_suspected(now);
+        self.known_revision = self.known_revision.max(as_of);
         self.events.push(StoreEvent::Record {
             record,
+            as_of,
             call,
             outage_suspected,
         });
@@ -490,6 +519,7 @@
                 sent,
                 response: Some(response),
                 era: self.era,
+                sent_revision: self.sent_revision,
             }),
             (StoreCall::ReadTables, StoreResponse::Record(Some(record), as_of)) => {
                 self.list_revision = as_of;
@@ -506,14 +536,22 @@
             (StoreCall::ListReplicas(_), StoreResponse::Page { records, more, .. }) => {
                 self.handle_replica_page(records, more, now);
             }
-            (StoreCall::ListPeers(_), StoreResponse::Page { records, more, .. }) => {
-                self.handle_peer_page(records, more, now);
+            (
+                StoreCall::ListPeers(_),
+                StoreResponse::Page {
+                    records,
+                    more,
+                    as_of,
+                },
+            ) => {
+                self.handle_peer_page(records, more, as_of, now);
             }
             (StoreCall::Watch { .. }, StoreResponse::Changes { records, as_of }) => {
                 self.watch_answered = Some(now);
                 for record in records {
                     self.push_record(record, name, now);
                 }
+                self.known_revision = self.known_revision.max(as_of);
                 if self
                     .watch_revision
                     .is_some_and(|watch_revision| watch_revision < as_of)
@@ -527,6 +565,7 @@
             (StoreCall::Watch { .. }, StoreResponse::Compacted) => self.reload(),
             (StoreCall::ConfirmTables(revision), StoreResponse::Committed(current)) => {
                 self.events.push(StoreEvent::Confirmed { revision, sent });
+                self.known_revision = self.known_revision.max(current);
                 self.check_watch(current, now);
             }
             (StoreCall::ConfirmTables(_), StoreResponse::Changed(Some(record))) => {
@@ -588,10 +627,10 @@
         self.queue.push_front(StoreCall::ListPeers(None));
     }
 
-    fn handle_peer_page(&mut self, records: Vec<StoreRecord>, more: bool, now: Moment) {
+    fn handle_peer_page(&mut self, records: Vec<StoreRecord>, more: bool, as_of: u64, now: Moment) {
         let last = records.last().map(|record| record.name.clone());
         for record in records {
-            self.push_record(record, "list_peers", now);
+            self.push_record_as_of(record, as_of, "list_peers", now);
         }
         if more && last.is_some() {
             self.queue.push_front(StoreCall::ListPeers(last));
