Test usage counts against a model of a fleet

Counts must be right while clocks step, datagrams are lost, VMs come and go and the duty moves. Its first runs showed that a VM that is told its own time drifts by the latency of each reply: what is returned now comes from clocks alone, and not to the VM itself. A process that doesn't know the time asks for it, as it had no other way to hear it before it counts.

--- a/crates/dewduty/src/truetime.rs
+++ b/crates/dewduty/src/truetime.rs
@@ -4,9 +4,9 @@
 //! other VMs and the median that the holder of the usage duty returns. The
 //! [`usage`](crate::usage) module assigns counts to windows by this estimate.
 //!
-//! Main invariant: a reading that is passed on to other VMs comes from the own wall
-//! clock alone. If estimates were passed on, each exchange would add the latency of
-//! a datagram to the fleet's time.
+//! Main invariant: what is passed on to other VMs comes from wall clocks alone. If
+//! estimates were passed on, each exchange would add the latency of a datagram to the
+//! fleet's time.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -145,7 +145,8 @@
         self.update(now);
     }
 
-    /// Records the wall clock of another VM, as its reading arrived.
+    /// Records the wall clock of another VM, as its reading arrived. The own clock is
+    /// not to be recorded a second time this way.
     pub fn observe_peer(&mut self, vm: u64, unix: Duration, now: Duration) {
         self.note_call(now);
         if self.is_thawing(now) {
@@ -196,12 +197,13 @@
     }
 
     /// Returns the median of the recent readings of VMs, the own one included; the
-    /// best estimate of true time if there are fewer than three.
+    /// own clock without its steps if there are fewer than three.
+    ///
+    /// What other VMs returned is not part of it: two VMs that return each other's
+    /// time would add the latency of their datagrams to it.
     pub fn median(&self, now: Duration) -> Duration {
-        match self.median {
-            Some(offset) => unix_of(offset, now),
-            None => self.unix_at(now),
-        }
+        let kept = || self.own.map_or(0, |own| own.kept_offset());
+        unix_of(self.median.unwrap_or_else(kept), now)
     }
 
     /// Returns the offset that the clocks of several VMs determine.
--- a/crates/dewduty/src/usage.rs
+++ b/crates/dewduty/src/usage.rs
@@ -3,6 +3,7 @@
 //! - `meter`: what one VM has counted, and what of it is to be sent.
 //! - `collector`: what the holder and the next candidates have received, and which
 //!   window is to be reported.
+//! - `fleet`: the VMs whose counts a report waits for.
 //! - `codec`: the datagrams between them.
 //!
 //! Windows are determined by [`truetime`](crate::truetime). Who holds the duty is
@@ -17,6 +18,7 @@
 
 mod codec;
 mod collector;
+mod fleet;
 mod meter;
 
 pub use codec::{ACK_MAGIC, SHARE_MAGIC};
@@ -32,6 +34,10 @@
 /// Hash of a VM's name, the same on all VMs.
 pub type VmHash = u64;
 
+/// Window of a share that only asks for the time. A process that has just started
+/// can't count before it knows the time, and replies carry it.
+pub const TIME_REQUEST: WindowIndex = 0;
+
 /// Maximum number of VMs whose counts are kept.
 pub const MAX_VMS: usize = 1024;
 
@@ -115,7 +121,7 @@
     pub started: u64,
     /// Its wall clock when it sent the share.
     pub sent_unix: Duration,
-    /// The window.
+    /// The window; [`TIME_REQUEST`] in a share that only asks for the time.
     pub window: WindowIndex,
     /// First window in which the process can have counted.
     pub first: WindowIndex,
@@ -148,6 +154,9 @@
 pub struct UsageAck {
     /// The VM that received the share.
     pub receiver: VmHash,
+    /// When the receiver's process started; one that has restarted has lost what had
+    /// arrived.
+    pub receiver_started: u64,
     /// The VM that sent it.
     pub vm: VmHash,
     /// When the sender's process started.
@@ -161,6 +170,7 @@
     /// Sum of the counts of the share that came too late for the report. Only the
     /// holder that made the report knows them.
     pub dropped: u64,
-    /// True time according to the receiver, if it knows it.
+    /// True time according to the receiver, if it knows it. It is not returned to the
+    /// receiver itself, whose time would then follow itself.
     pub unix: Option<Duration>,
 }
--- a/crates/dewduty/src/usage/codec.rs
+++ b/crates/dewduty/src/usage/codec.rs
@@ -110,6 +110,7 @@
         let mut bytes = ACK_MAGIC.to_vec();
         let numbers = [
             self.receiver,
+            self.receiver_started,
             self.vm,
             self.started,
             self.window,
@@ -131,6 +132,7 @@
         let mut reader = ByteReader::after_magic(bytes, ACK_MAGIC)?;
         let ack = UsageAck {
             receiver: reader.u64()?,
+            receiver_started: reader.u64()?,
             vm: reader.u64()?,
             started: reader.u64()?,
             window: reader.u64()?,
--- a/crates/dewduty/src/usage/collector.rs
+++ b/crates/dewduty/src/usage/collector.rs
@@ -9,17 +9,15 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
+use super::fleet::FleetVms;
 use super::{
-    MAX_VMS, MAX_WORKSPACES, ShareState, UsageAck, UsagePolicy, UsageShare, VmHash, WindowIndex,
-    WorkspaceHash,
+    MAX_WORKSPACES, ShareState, TIME_REQUEST, UsageAck, UsagePolicy, UsageShare, VmHash,
+    WindowIndex, WorkspaceHash,
 };
 use crate::truetime::ClockEstimate;
 
-/// Maximum number of processes of a VM that are told apart.
-const MAX_STARTS: usize = 4;
-
 /// Maximum number of counts that are kept, over all windows and processes; about
 /// 80 MB.
 const MAX_COUNTS: usize = 1 << 21;
@@ -55,24 +53,6 @@
     pub skipped: Range<WindowIndex>,
 }
 
-/// A process of a VM.
-#[derive(Clone, Copy, Debug)]
-struct VmProcess {
-    started: u64,
-    first: WindowIndex,
-    /// Window after which it counts nothing.
-    last: Option<WindowIndex>,
-}
-
-/// A VM that is known or was heard.
-#[derive(Clone, Debug)]
-struct FleetVm {
-    is_listed: bool,
-    seen: Duration,
-    /// Its processes, in the order in which they were first heard.
-    processes: Vec<VmProcess>,
-}
-
 /// Counts of one process in one window.
 #[derive(Debug, Default)]
 struct CollectedShare {
@@ -105,7 +85,7 @@
 /// use std::time::Duration;
 ///
 /// let policy = UsagePolicy::new(Duration::from_secs(5), Duration::from_secs(10));
-/// let mut collector = UsageCollector::new(policy, 1);
+/// let mut collector = UsageCollector::new(policy, 1, 1_000_000);
 /// collector.set_vms([1, 2], Duration::from_secs(1_000));
 /// assert_eq!(collector.next_report(Duration::from_secs(1_020)), None);
 /// ```
@@ -113,7 +93,8 @@
 pub struct UsageCollector {
     policy: UsagePolicy,
     vm: VmHash,
-    vms: IndexMap<VmHash, FleetVm>,
+    started: u64,
+    fleet: FleetVms,
     windows: BTreeMap<WindowIndex, CollectedWindow>,
     counts: usize,
     /// Last window of which a report is known to be written.
@@ -128,12 +109,14 @@
 }
 
 impl UsageCollector {
-    /// Creates the collector of a VM.
-    pub fn new(policy: UsagePolicy, vm: VmHash) -> Self {
+    /// Creates the collector of a VM's process, with the Unix time in milliseconds at
+    /// which it started.
+    pub fn new(policy: UsagePolicy, vm: VmHash, started: u64) -> Self {
         UsageCollector {
             policy,
             vm,
-            vms: IndexMap::new(),
+            started,
+            fleet: FleetVms::default(),
             windows: BTreeMap::new(),
             counts: 0,
             reported: None,
@@ -149,16 +132,7 @@
     /// Sets the VMs that belong to the fleet.
     pub fn set_vms(&mut self, vms: impl IntoIterator<Item = VmHash>, unix: Duration) {
         self.observed_from.get_or_insert(unix);
-        for vm in self.vms.values_mut() {
-            vm.is_listed = false;
-        }
-        for vm in vms {
-            if let Some(vm) = self.vm_entry(vm, unix) {
-                vm.is_listed = true;
-            }
-        }
-        let oldest = unix.saturating_sub(self.policy.skip_age);
-        self.vms.retain(|_, vm| vm.is_listed || vm.seen >= oldest);
+        self.fleet.set_listed(vms, unix, self.policy.skip_age);
     }
 
     /// Begins to act as the holder, with the written report that the store holds. It
@@ -182,18 +156,24 @@
         let unix = clock.unix_at(now);
         let current = self.policy.window_at(unix);
         self.observed_from.get_or_insert(unix);
+        self.remove_old_windows(unix);
         self.learn_reported(share.reported.filter(|&window| window <= current));
-        self.note_process(share, unix);
+        let returned = clock.settled_at(now).map(|_| clock.median(now));
+        let returned = returned.filter(|_| share.vm != self.vm);
         let mut ack = UsageAck {
             receiver: self.vm,
+            receiver_started: self.started,
             vm: share.vm,
             started: share.started,
             window: share.window,
             state: ShareState::Incomplete,
             arrived: 0,
             dropped: 0,
-            unix: clock.settled_at(now),
+            unix: returned,
         };
+        if share.window == TIME_REQUEST || !self.fleet.note_share(share, unix) {
+            return ack;
+        }
         if Some(share.window) <= self.reported {
             ack.state = ShareState::Reported;
             let in_report = self.in_report(share);
@@ -203,7 +183,7 @@
         }
         // A window further ahead comes from a clock that is wrong.
         let is_open = share.window >= self.policy.oldest_at(unix) && share.window <= current + 1;
-        if is_open && self.vms.contains_key(&share.vm) {
+        if is_open {
             let merged = self.merge(share, unix);
             ack.arrived = merged.arrived;
             if merged.is_complete() {
@@ -297,44 +277,6 @@
         Some(arrived.copied().unwrap_or(0))
     }
 
-    fn vm_entry(&mut self, vm: VmHash, unix: Duration) -> Option<&mut FleetVm> {
-        if self.vms.len() >= MAX_VMS && !self.vms.contains_key(&vm) {
-            return None;
-        }
-        let entry = self.vms.entry(vm).or_insert(FleetVm {
-            is_listed: false,
-            seen: unix,
-            processes: Vec::new(),
-        });
-        entry.seen = entry.seen.max(unix);
-        Some(entry)
-    }
-
-    fn note_process(&mut self, share: &UsageShare, unix: Duration) {
-        let Some(vm) = self.vm_entry(share.vm, unix) else {
-            return;
-        };
-        let mut processes = vm.processes.iter_mut();
-        let process = match processes.find(|process| process.started == share.started) {
-            Some(process) => process,
-            None => {
-                if vm.processes.len() >= MAX_STARTS {
-                    vm.processes.remove(0);
-                }
-                vm.processes.push(VmProcess {
-                    started: share.started,
-                    first: share.first,
-                    last: None,
-                });
-                vm.processes.last_mut().expect("a process was added")
-            }
-        };
-        process.first = process.first.min(share.first);
-        if share.is_last {
-            process.last = process.last.max(Some(share.window));
-        }
-    }
-
     fn merge(&mut self, share: &UsageShare, unix: Duration) -> &CollectedShare {
         let is_early = !share.is_last && unix + CLOCK_TOLERANCE < self.policy.end_of(share.window);
         let window = self.windows.entry(share.window).or_default();
@@ -410,39 +352,30 @@
         let Some(collected) = self.windows.get(&window) else {
             return false;
         };
-        let has_share = |vm: VmHash| collected.shares.keys().any(|&(sender, _)| sender == vm);
-        let began_later = |vm: &FleetVm| {
-            let mut processes = vm.processes.iter();
-            !vm.processes.is_empty() && processes.all(|process| process.first > window)
-        };
-        let counting = self
-            .vms
-            .iter()
-            .filter(|(_, vm)| vm.is_listed && !began_later(vm));
-        let (known, expected) = counting.fold((0, 0), |(known, expected), (&vm, _)| {
-            (known + usize::from(has_share(vm)), expected + 1)
+        let senders = collected.shares.keys().map(|&(vm, _)| vm);
+        let senders = senders.collect::<IndexSet<_>>();
+        let counting = self.fleet.counting_vms(window);
+        let (known, expected) = counting.fold((0, 0), |(known, expected), vm| {
+            (known + usize::from(senders.contains(&vm)), expected + 1)
         });
-        2 * known > expected || (expected == 0 && !collected.shares.is_empty())
+        2 * known > expected || (expected == 0 && !senders.is_empty())
     }
 
     /// Returns the VMs of which the counts of a window may be incomplete.
     fn missing_vms(&self, window: WindowIndex, unix: Duration) -> Vec<VmHash> {
         let begin = self.policy.start_of(window);
         let gone_wait = self.policy.end_of(window) + 3 * self.policy.send_interval;
-        let is_awaited = |vm: &FleetVm| vm.is_listed || (vm.seen >= begin && unix < gone_wait);
-        let awaited = self.vms.iter().filter(|(_, vm)| is_awaited(vm));
-        let missing = awaited.filter(|&(&vm, entry)| !self.is_done(vm, entry, window));
-        missing.map(|(&vm, _)| vm).collect()
-    }
-
-    fn is_done(&self, vm: VmHash, entry: &FleetVm, window: WindowIndex) -> bool {
-        let Some(process) = entry.processes.last() else {
-            return false;
+        let seen_since = if unix < gone_wait {
+            begin
+        } else {
+            Duration::MAX
         };
-        let is_outside = process.first > window || process.last.is_some_and(|last| last < window);
         let shares = self.windows.get(&window).map(|collected| &collected.shares);
-        let share = shares.and_then(|shares| shares.get(&(vm, process.started)));
-        is_outside || share.is_some_and(CollectedShare::is_complete)
+        let is_complete = |vm, started| {
+            let share = shares.and_then(|shares| shares.get(&(vm, started)));
+            share.is_some_and(CollectedShare::is_complete)
+        };
+        self.fleet.missing_vms(window, seen_since, is_complete)
     }
 
     fn plan(&self, window: WindowIndex, skipped: Range<WindowIndex>, unix: Duration) -> ReportPlan {
@@ -465,7 +398,14 @@
     fn remove_old_windows(&mut self, unix: Duration) {
         let oldest = self.policy.oldest_at(unix);
         self.remove_windows_before(oldest);
-        self.closed = self.closed.split_off(&oldest);
+        while self
+            .closed
+            .keys()
+            .next()
+            .is_some_and(|&window| window < oldest)
+        {
+            self.closed.pop_first();
+        }
     }
 
     fn remove_windows_before(&mut self, window: WindowIndex) {
--- a/crates/dewduty/src/usage/meter.rs
+++ b/crates/dewduty/src/usage/meter.rs
@@ -9,8 +9,8 @@
 use indexmap::IndexMap;
 
 use super::{
-    MAX_WORKSPACES, ShareState, UsageAck, UsagePolicy, UsageShare, VmHash, WindowIndex,
-    WorkspaceHash,
+    MAX_VMS, MAX_WORKSPACES, ShareState, TIME_REQUEST, UsageAck, UsagePolicy, UsageShare, VmHash,
+    WindowIndex, WorkspaceHash,
 };
 use crate::truetime::ClockEstimate;
 
@@ -97,6 +97,7 @@
     first: Option<WindowIndex>,
     reported: Option<WindowIndex>,
     receivers: Vec<VmHash>,
+    receiver_starts: IndexMap<VmHash, u64>,
     sent_at: Option<Duration>,
     is_stopped: bool,
     late: u64,
@@ -115,6 +116,7 @@
             first: None,
             reported: None,
             receivers: Vec::new(),
+            receiver_starts: IndexMap::new(),
             sent_at: None,
             is_stopped: false,
             late: 0,
@@ -142,17 +144,24 @@
     /// sent again.
     pub fn set_receivers(&mut self, receivers: impl IntoIterator<Item = VmHash>) {
         self.receivers = receivers.into_iter().collect();
+        let receivers = &self.receivers;
+        let is_kept = |receiver: &VmHash| receivers.contains(receiver);
+        self.receiver_starts.retain(|receiver, _| is_kept(receiver));
+        for window in self.windows.values_mut() {
+            window.receivers.retain(|receiver, _| is_kept(receiver));
+        }
     }
 
-    /// Returns the shares that are to be sent to all receivers now. There are none
-    /// while true time isn't known.
+    /// Returns the shares that are to be sent to all receivers now. While true time
+    /// isn't known, the only one is a request for the time.
     pub fn next_report(&mut self, now: Duration, clock: &ClockEstimate) -> Vec<UsageShare> {
         if self.is_early(now) {
             return Vec::new();
         }
         let settled = clock.settled_at(now);
         let Some(unix) = settled.or_else(|| self.is_stopped.then(|| clock.unix_at(now))) else {
-            return Vec::new();
+            self.sent_at = Some(now);
+            return vec![self.time_request(clock.own_at(now))];
         };
         self.assign_records(now, unix);
         self.open_windows(unix);
@@ -169,26 +178,26 @@
         shares
     }
 
-    /// Returns when [`next_report`](Self::next_report) is to be called next, if true
-    /// time is known.
-    pub fn next_due(&self, now: Duration, clock: &ClockEstimate) -> Option<Duration> {
-        let unix = clock.settled_at(now)?;
-        let earliest = self
-            .sent_at
-            .map_or(now, |at| at + self.policy.send_interval);
+    /// Returns when [`next_report`](Self::next_report) is to be called next.
+    pub fn next_due(&self, now: Duration, clock: &ClockEstimate) -> Duration {
+        let interval = self.policy.send_interval;
+        let earliest = self.sent_at.map_or(now, |at| at + interval).max(now);
+        let Some(unix) = clock.settled_at(now) else {
+            return earliest;
+        };
+        let mut windows = self.windows.keys();
         let is_due = !self.slots.is_empty()
             || self.first.is_none()
-            || self.windows.keys().any(|&window| self.is_due(window, unix));
+            || windows.any(|&window| self.is_due(window, unix));
         if is_due {
-            return Some(earliest.max(now));
+            return earliest;
         }
         let current = self.policy.window_at(unix);
         let final_at = |window| self.policy.end_of(window) + self.final_delay();
-        let next = [current.saturating_sub(1), current]
-            .map(final_at)
-            .into_iter()
-            .find(|&at| at > unix)?;
-        Some((now + (next - unix)).max(earliest))
+        let next = Some(final_at(current.saturating_sub(1)))
+            .filter(|&at| at > unix)
+            .unwrap_or_else(|| final_at(current));
+        (now + next.saturating_sub(unix)).max(earliest)
     }
 
     /// Takes in a reply.
@@ -198,7 +207,18 @@
         }
         if ack.state == ShareState::Reported {
             self.forget_reported(ack.window);
-        } else if let Some(window) = self.windows.get_mut(&ack.window) {
+            return;
+        }
+        let is_receiver = if self.receivers.is_empty() {
+            self.receiver_starts.len() < MAX_VMS
+        } else {
+            self.receivers.contains(&ack.receiver)
+        };
+        if !is_receiver {
+            return;
+        }
+        self.note_receiver(ack);
+        if let Some(window) = self.windows.get_mut(&ack.window) {
             let state = ReceiverState {
                 arrived: ack.arrived,
                 is_complete: ack.state == ShareState::Complete,
@@ -232,6 +252,18 @@
             .is_some_and(|at| now.saturating_sub(at) < interval)
     }
 
+    /// Notices that a receiver has restarted, so that it knows nothing.
+    fn note_receiver(&mut self, ack: &UsageAck) {
+        let started = self
+            .receiver_starts
+            .insert(ack.receiver, ack.receiver_started);
+        if started != Some(ack.receiver_started) {
+            for window in self.windows.values_mut() {
+                window.receivers.shift_remove(&ack.receiver);
+            }
+        }
+    }
+
     /// Assigns the records to their windows.
     fn assign_records(&mut self, now: Duration, unix: Duration) {
         for slot in std::mem::take(&mut self.slots) {
@@ -292,6 +324,21 @@
         FINAL_DELAY + Duration::from_millis((u128::from(self.vm) % spread) as u64)
     }
 
+    fn time_request(&self, own_unix: Duration) -> UsageShare {
+        UsageShare {
+            vm: self.vm,
+            started: self.started,
+            sent_unix: own_unix,
+            window: TIME_REQUEST,
+            first: TIME_REQUEST,
+            reported: self.reported,
+            is_final: false,
+            is_last: false,
+            total: 0,
+            counts: IndexMap::new(),
+        }
+    }
+
     fn share(&self, window: WindowIndex, unix: Duration, own_unix: Duration) -> UsageShare {
         let counts = &self.windows[&window];
         UsageShare {
--- /dev/null
+++ b/crates/dewduty/tests/usage.rs
@@ -0,0 +1,630 @@
+//! Counts of usage over a fleet: merging, windows, the time of reports, datagrams.
+
+use std::time::Duration;
+
+use dewduty::truetime::ClockEstimate;
+use dewduty::usage::{
+    MAX_WORKSPACES, ShareState, UsageAck, UsageCollector, UsageMeter, UsagePolicy, UsageShare,
+    WrittenReport,
+};
+use indexmap::IndexMap;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+use model::{FleetEvent, FleetModel, FleetRun, PostedWindow};
+
+#[path = "usage/model.rs"]
+mod model;
+
+fn policy() -> UsagePolicy {
+    UsagePolicy::new(Duration::from_secs(5), Duration::from_secs(10))
+}
+
+fn quickcheck(tests: u64, property: impl quickcheck::Testable) {
+    QuickCheck::new()
+        .tests(tests)
+        .rng(Gen::from_size_and_seed(40, 0x05a6_e000))
+        .quickcheck(property);
+}
+
+/// Returns a clock whose estimate is true time, with Unix time as monotonic time.
+fn true_clock(unix: Duration) -> ClockEstimate {
+    let mut clock = ClockEstimate::new();
+    clock.observe_own(unix, unix);
+    clock.observe_fleet(unix, unix);
+    clock
+}
+
+/// Start of window 200.
+const BEGIN: Duration = Duration::from_secs(1_000);
+
+fn at(ms: u64) -> Duration {
+    BEGIN + Duration::from_millis(ms)
+}
+
+#[derive(Clone, Debug)]
+struct AnyShare(UsageShare);
+
+impl Arbitrary for AnyShare {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let counts = Vec::<(u64, u32)>::arbitrary(g).into_iter();
+        let copies = u64::from(u8::arbitrary(g) % 10);
+        let counts = counts.flat_map(|(workspace, count)| {
+            (0..=copies).map(move |copy| (workspace.wrapping_add(copy), count.max(1)))
+        });
+        let counts = counts.collect::<IndexMap<_, _>>();
+        let total = counts.values().copied().map(u64::from).sum();
+        let window = u64::arbitrary(g);
+        AnyShare(UsageShare {
+            vm: u64::arbitrary(g),
+            started: u64::arbitrary(g),
+            sent_unix: Duration::from_millis(u64::arbitrary(g) / 2),
+            window,
+            first: window / 2,
+            reported: Option::<u32>::arbitrary(g).map(u64::from),
+            is_final: bool::arbitrary(g),
+            is_last: bool::arbitrary(g),
+            total,
+            counts,
+        })
+    }
+}
+
+/// Guards against counts that get lost or changed between two VMs.
+#[test]
+fn shares_survive_encoding() {
+    fn property(AnyShare(share): AnyShare) -> bool {
+        let mut joined = share.clone();
+        joined.counts.clear();
+        let parts = share.encode().into_iter().map(|bytes| {
+            assert!(bytes.len() <= 1_400);
+            UsageShare::decode(&bytes).expect("a share decodes")
+        });
+        for part in parts {
+            joined.counts.extend(part.counts.clone());
+            let mut whole = share.clone();
+            whole.counts = part.counts.clone();
+            assert_eq!(part, whole);
+        }
+        joined == share
+    }
+    quickcheck(200, property as fn(AnyShare) -> bool);
+}
+
+/// Guards against malformed datagrams that panic or are taken for counts.
+#[test]
+fn malformed_datagrams_are_rejected() {
+    fn property(AnyShare(share): AnyShare, position: usize, garbage: Vec<u8>) -> bool {
+        let ack = UsageAck {
+            receiver: 1,
+            receiver_started: 2,
+            vm: share.vm,
+            started: share.started,
+            window: share.window,
+            state: ShareState::Reported,
+            arrived: share.total,
+            dropped: 3,
+            unix: Some(share.sent_unix),
+        };
+        assert_eq!(UsageAck::decode(&ack.encode()), Some(ack.clone()));
+        for bytes in share.encode().into_iter().chain([ack.encode()]) {
+            let is_rejected = |bytes: &[u8]| {
+                UsageShare::decode(bytes).is_none() && UsageAck::decode(bytes).is_none()
+            };
+            assert!(is_rejected(&bytes[..position % bytes.len()]));
+            assert!(is_rejected(&[&bytes[..], &[0]].concat()));
+            // One changed bit may give other numbers, and never a panic.
+            let mut changed = bytes.clone();
+            changed[position % bytes.len()] ^= 1 << (position % 8);
+            if let Some(decoded) = UsageShare::decode(&changed) {
+                let mut collector = UsageCollector::new(policy(), 1, 1);
+                collector.receive(&decoded, BEGIN, &true_clock(BEGIN));
+                collector.next_report(at(60_000));
+            }
+        }
+        UsageShare::decode(&garbage).is_none() && UsageAck::decode(&garbage).is_none()
+    }
+    quickcheck(300, property as fn(AnyShare, usize, Vec<u8>) -> bool);
+}
+
+/// Guards against counts that depend on the order, the loss or the repetition of
+/// datagrams.
+#[test]
+fn merged_counts_are_the_true_sum() {
+    fn property(records: Vec<(u8, u8)>, order: Vec<u8>) -> bool {
+        let clock = true_clock(at(0));
+        let mut meters = [1, 2, 3].map(|vm| UsageMeter::new(policy(), vm, vm));
+        let mut truth = IndexMap::<u64, u64>::new();
+        let mut sent = Vec::new();
+        for meter in &mut meters {
+            sent.extend(meter.next_report(at(0), &clock));
+        }
+        for (index, &(vm, workspace)) in records.iter().enumerate() {
+            let now = at(index as u64 * 20 % 5_000);
+            let workspace = u64::from(workspace % 5);
+            let meter = &mut meters[usize::from(vm % 3)];
+            meter.record(workspace, now);
+            *truth.entry(workspace).or_default() += 1;
+            sent.extend(meter.next_report(now, &clock));
+        }
+        let mut collector = UsageCollector::new(policy(), 9, 9);
+        collector.set_vms([1, 2, 3], at(0));
+        let mut receive = |share: &UsageShare| {
+            let mut acks = Vec::new();
+            for bytes in share.encode() {
+                let part = UsageShare::decode(&bytes).expect("a share decodes");
+                acks.push(collector.receive(&part, at(6_000), &true_clock(at(6_000))));
+            }
+            acks
+        };
+        // Any of the earlier shares, in any order and number.
+        for position in order {
+            if !sent.is_empty() {
+                receive(&sent[usize::from(position) % sent.len()]);
+            }
+        }
+        for meter in &mut meters {
+            let shares = meter.next_report(at(6_000), &clock);
+            shares.iter().for_each(|share| drop(receive(share)));
+            // What was lost is sent again, until it is acknowledged.
+            let again = meter.next_report(at(6_600), &clock);
+            assert_eq!(again.len(), shares.len());
+            for ack in again.iter().flat_map(&mut receive) {
+                meter.acknowledge(&ack);
+            }
+            let rest = meter.next_report(at(7_200), &clock);
+            assert!(rest.iter().all(|share| share.window > 200));
+        }
+        let plan = collector.next_report(at(7_200)).expect("all are final");
+        assert!(plan.missing.is_empty());
+        truth.sort_unstable_keys();
+        let mut totals = plan.totals;
+        totals.sort_unstable_keys();
+        plan.window == 200 && totals == truth
+    }
+    quickcheck(200, property as fn(Vec<(u8, u8)>, Vec<u8>) -> bool);
+}
+
+/// Guards against a table that grows with the names in requests.
+#[test]
+fn memory_is_bounded() {
+    let clock = true_clock(at(0));
+    let mut meter = UsageMeter::new(policy(), 1, 1);
+    let mut collector = UsageCollector::new(policy(), 1, 1);
+    for workspace in 0..2 * MAX_WORKSPACES as u64 {
+        meter.record(workspace, at(0));
+    }
+    let shares = meter.next_report(at(10), &clock);
+    assert_eq!(shares[0].counts.len(), MAX_WORKSPACES);
+    assert_eq!(meter.take_late(), MAX_WORKSPACES as u64);
+    for vm in 0..3_000 {
+        let share = UsageShare {
+            vm,
+            ..shares[0].clone()
+        };
+        collector.receive(&share, at(20), &clock);
+    }
+    let plan = collector.next_report(at(20_000)).expect("a window is due");
+    // 2^21 counts of one request each.
+    assert_eq!(plan.totals.values().sum::<u64>(), 1 << 21);
+}
+
+/// What a VM has sent by the time of the look.
+#[derive(Clone, Copy)]
+enum Sent {
+    Nothing,
+    /// Counts that may still grow.
+    Open,
+    Final,
+    /// Final counts of a process that has stopped within the window.
+    Last,
+    /// An empty share of the next window: it started after this one.
+    Later,
+}
+
+struct TimingCase {
+    name: &'static str,
+    sent: &'static [Sent],
+    /// VMs that are known, as numbers from 0.
+    known: &'static [u64],
+    /// When the collector began to listen, in milliseconds from the window's start.
+    observed: u64,
+    written: Option<u64>,
+    /// Time of the first plan after the end of the window, in milliseconds.
+    planned: Option<u64>,
+    missing: usize,
+}
+
+const TIMING: TimingCase = TimingCase {
+    name: "all final",
+    sent: &[Sent::Final; 3],
+    known: &[0, 1, 2],
+    observed: 0,
+    written: Some(199),
+    planned: Some(300),
+    missing: 0,
+};
+
+const TIMING_CASES: &[TimingCase] = &[
+    TIMING,
+    TimingCase {
+        name: "a VM that was killed is waited for",
+        sent: &[Sent::Final, Sent::Final, Sent::Open],
+        planned: Some(6_000),
+        missing: 1,
+        ..TIMING
+    },
+    TimingCase {
+        name: "a VM that has left the list is waited for briefly",
+        sent: &[Sent::Final, Sent::Final, Sent::Open],
+        known: &[0, 1],
+        planned: Some(1_500),
+        ..TIMING
+    },
+    TimingCase {
+        name: "a VM that stopped is not waited for",
+        sent: &[Sent::Final, Sent::Final, Sent::Last],
+        ..TIMING
+    },
+    TimingCase {
+        name: "a VM that started later is not waited for",
+        sent: &[Sent::Final, Sent::Final, Sent::Later],
+        ..TIMING
+    },
+    TimingCase {
+        name: "a minority is not reported",
+        sent: &[Sent::Final, Sent::Nothing, Sent::Nothing],
+        planned: None,
+        missing: 2,
+        ..TIMING
+    },
+    TimingCase {
+        name: "a first report needs the whole window",
+        sent: &[Sent::Final, Sent::Final, Sent::Nothing],
+        observed: 2_000,
+        written: None,
+        planned: None,
+        missing: 1,
+        ..TIMING
+    },
+    TimingCase {
+        name: "a first report of a part of a window needs all VMs",
+        observed: 2_000,
+        written: None,
+        ..TIMING
+    },
+    TimingCase {
+        name: "a first report of a whole window needs more than half of the VMs",
+        sent: &[Sent::Final, Sent::Final, Sent::Nothing],
+        written: None,
+        planned: Some(6_000),
+        missing: 1,
+        ..TIMING
+    },
+    TimingCase {
+        name: "a window of which a report is written is closed",
+        written: Some(200),
+        planned: None,
+        ..TIMING
+    },
+];
+
+/// Guards against reports that are late or leave out VMs that could be waited for.
+#[test]
+fn reports_wait_for_the_right_vms() {
+    for case in TIMING_CASES {
+        let mut collector = UsageCollector::new(policy(), 100, 1);
+        let known = || case.known.iter().copied();
+        collector.set_vms(0..case.sent.len() as u64, at(case.observed));
+        let written = case.written.map(|window| WrittenReport {
+            window,
+            token: 1,
+            counts: IndexMap::new(),
+        });
+        collector.take_over(written, at(case.observed));
+        collector.record_accepted(200);
+        for (vm, &sent) in (0..).zip(case.sent) {
+            let window = if matches!(sent, Sent::Later) {
+                201
+            } else {
+                200
+            };
+            let share = UsageShare {
+                vm,
+                started: 1,
+                sent_unix: at(5_200),
+                window,
+                first: window,
+                reported: None,
+                is_final: matches!(sent, Sent::Final | Sent::Last),
+                is_last: matches!(sent, Sent::Last),
+                total: 4,
+                counts: IndexMap::from([(7, 4)]),
+            };
+            if !matches!(sent, Sent::Nothing) {
+                collector.receive(&share, at(5_200), &true_clock(at(5_200)));
+            }
+        }
+        let looks = (300..10_000).step_by(100);
+        let planned = looks.into_iter().find_map(|after| {
+            collector.set_vms(known(), at(5_000 + after));
+            let plan = collector.next_report(at(5_000 + after));
+            plan.filter(|plan| plan.window == 200)
+                .map(|plan| (after, plan.missing.len()))
+        });
+        let expected = case.planned.map(|after| (after, case.missing));
+        assert_eq!(planned, expected, "{}", case.name);
+    }
+}
+
+/// Guards against a share that changes a report afterwards, and against its loss
+/// without a trace: a VM that was frozen sends it late.
+#[test]
+fn late_shares_are_dropped_and_named() {
+    let mut collector = UsageCollector::new(policy(), 1, 1);
+    collector.set_vms([1, 2], at(0));
+    let mut meters = [1, 2].map(|vm| UsageMeter::new(policy(), vm, 1));
+    for meter in &mut meters {
+        meter.record(7, at(100));
+        let shares = meter.next_report(at(200), &true_clock(at(0)));
+        collector.receive(&shares[0], at(200), &true_clock(at(0)));
+        meter.record(7, at(300));
+    }
+    let shares = meters[0].next_report(at(6_000), &true_clock(at(0)));
+    collector.receive(&shares[0], at(6_000), &true_clock(at(0)));
+    let plan = collector.next_report(at(11_000)).expect("the wait is over");
+    assert_eq!((plan.totals[&7], &plan.missing[..]), (3, &[2][..]));
+    let report = WrittenReport {
+        window: plan.window,
+        token: 1,
+        counts: IndexMap::from([("w".to_string(), 3)]),
+    };
+    collector.record_written(report.clone());
+    assert_eq!(collector.next_report(at(11_100)), None);
+    // An older copy of the store doesn't bring back a window.
+    let older = WrittenReport {
+        window: plan.window - 3,
+        ..report.clone()
+    };
+    collector.take_over(Some(older), at(11_100));
+    assert_eq!(collector.unaccepted(), Some(&report));
+    let late = meters[1].next_report(at(12_000), &true_clock(at(0)));
+    let ack = collector.receive(&late[0], at(12_000), &true_clock(at(0)));
+    assert_eq!((ack.state, ack.dropped), (ShareState::Reported, 1));
+    meters[1].acknowledge(&ack);
+    let rest = meters[1].next_report(at(12_600), &true_clock(at(0)));
+    assert!(rest.iter().all(|share| share.window > plan.window));
+    // Other VMs learn of the report from the shares.
+    let mut other = UsageCollector::new(policy(), 2, 1);
+    other.receive(&rest[0], at(12_600), &true_clock(at(0)));
+    assert_eq!(other.reported(), Some(plan.window));
+}
+
+/// Guards against counts that only a receiver knew that has restarted since.
+#[test]
+fn counts_are_sent_again_to_a_receiver_that_restarted() {
+    let clock = true_clock(at(0));
+    let mut meter = UsageMeter::new(policy(), 1, 1);
+    meter.set_receivers([5]);
+    meter.record(7, at(0));
+    let mut collector = UsageCollector::new(policy(), 5, 1);
+    for share in meter.next_report(at(5_600), &clock) {
+        meter.acknowledge(&collector.receive(&share, at(5_600), &clock));
+    }
+    assert!(meter.next_report(at(6_200), &clock).is_empty());
+    meter.record(8, at(6_300));
+    let mut restarted = UsageCollector::new(policy(), 5, 2);
+    for share in meter.next_report(at(6_800), &clock) {
+        meter.acknowledge(&restarted.receive(&share, at(6_800), &clock));
+    }
+    let windows = meter.next_report(at(7_400), &clock);
+    assert!(windows.iter().any(|share| share.window == 200));
+}
+
+/// Guards against requests that are counted into the wrong window because the clock
+/// of a new process is wrong until the fleet corrects it.
+#[test]
+fn records_wait_until_time_is_known() {
+    let mut clock = ClockEstimate::new();
+    let mut meter = UsageMeter::new(policy(), 1, 1);
+    clock.observe_own(at(4_000) + Duration::from_millis(2_400), at(4_000));
+    meter.record(7, at(4_000));
+    let request = meter.next_report(at(4_100), &clock);
+    assert_eq!(request[0].total, 0);
+    let collector = &mut UsageCollector::new(policy(), 5, 1);
+    let ack = collector.receive(&request[0], at(4_200), &true_clock(at(0)));
+    clock.observe_fleet(ack.unix.expect("the holder knows the time"), at(4_200));
+    let shares = meter.next_report(at(4_700), &clock);
+    assert_eq!((shares[0].window, shares[0].total), (200, 1));
+}
+
+struct FleetCase {
+    name: &'static str,
+    run: FleetRun,
+    /// Largest difference of a window's report to the truth.
+    off: f64,
+    /// Largest time from the end of a window to its report.
+    delay: Duration,
+}
+
+fn fleet_run(vms: usize, seconds: u64) -> FleetRun {
+    FleetRun {
+        vms,
+        seconds,
+        tick: Duration::from_millis(20),
+        loss: 1,
+        stepping: 0,
+        events: Vec::new(),
+        outage: 0..0,
+        seed: 1,
+    }
+}
+
+fn fleet_case(name: &'static str, run: FleetRun) -> FleetCase {
+    FleetCase {
+        name,
+        run,
+        off: 0.05,
+        delay: Duration::from_millis(1_500),
+    }
+}
+
+fn fleet_cases() -> Vec<FleetCase> {
+    use FleetEvent::{Freeze, Kill, Start, Stop, TakeOver};
+    let steps = |vms| FleetRun {
+        stepping: 28,
+        ..fleet_run(vms, 60)
+    };
+    let events = |vms, events: &[(u64, usize, FleetEvent)]| FleetRun {
+        events: events.to_vec(),
+        ..fleet_run(vms, 50)
+    };
+    let waiting = |case| FleetCase {
+        delay: Duration::from_secs(8),
+        ..case
+    };
+    vec![
+        fleet_case("one VM", fleet_run(1, 40)),
+        fleet_case("two VMs", fleet_run(2, 40)),
+        fleet_case(
+            "a fifth of the datagrams is lost",
+            FleetRun {
+                loss: 20,
+                ..steps(12)
+            },
+        ),
+        fleet_case("clocks of four VMs step", steps(4)),
+        fleet_case("clocks of 12 VMs step", steps(12)),
+        fleet_case("clocks of 40 VMs step", steps(40)),
+        fleet_case(
+            "many VMs",
+            FleetRun {
+                seconds: 21,
+                tick: Duration::from_millis(40),
+                ..steps(800)
+            },
+        ),
+        waiting(fleet_case(
+            "VMs are killed and start with wrong clocks",
+            events(
+                12,
+                &[
+                    (9_000, 5, Kill),
+                    (16_000, 5, Start(2_400)),
+                    (21_000, 6, Kill),
+                    (21_500, 6, Start(-2_400)),
+                ],
+            ),
+        )),
+        fleet_case(
+            "VMs stop and start",
+            events(
+                3,
+                &[
+                    (9_000, 2, Stop),
+                    (14_000, 2, Start(0)),
+                    (22_000, 1, Stop),
+                    (22_100, 1, Start(900)),
+                ],
+            ),
+        ),
+        waiting(fleet_case(
+            "a VM freezes",
+            events(8, &[(9_000, 5, Freeze(4_000)), (20_000, 5, Freeze(900))]),
+        )),
+        FleetCase {
+            delay: Duration::from_secs(10),
+            ..fleet_case(
+                "the holder freezes",
+                events(12, &[(12_000, 0, Freeze(9_000))]),
+            )
+        },
+        FleetCase {
+            delay: Duration::from_secs(10),
+            ..fleet_case("the holder is killed", events(12, &[(12_000, 0, Kill)]))
+        },
+        fleet_case(
+            "the duty moves to VMs that have received nothing",
+            events(
+                12,
+                &[
+                    (12_400, 6, TakeOver),
+                    (23_000, 11, TakeOver),
+                    (24_000, 3, TakeOver),
+                ],
+            ),
+        ),
+        FleetCase {
+            delay: Duration::from_secs(22),
+            ..fleet_case(
+                "the platform is down",
+                FleetRun {
+                    outage: 10..30,
+                    ..fleet_run(8, 50)
+                },
+            )
+        },
+    ]
+}
+
+/// Guards against reports that are wrong, late or missing while clocks step, VMs come
+/// and go and the duty moves.
+#[test]
+fn reports_are_accurate_and_in_time() {
+    let mut failures = Vec::new();
+    for case in fleet_cases() {
+        let windows = FleetModel::play(&case.run);
+        let off = |window: &PostedWindow| {
+            window.counted.abs_diff(window.truth) as f64 / window.truth.max(1) as f64
+        };
+        let worst = windows.iter().map(off).fold(0.0, f64::max);
+        let delay = windows.iter().map(|window| window.delay).max();
+        println!("{}: off by {worst:.4}, after {delay:?}", case.name);
+        if worst > case.off || delay > Some(case.delay) {
+            failures.push(format!("{}: {windows:#?}", case.name));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+#[derive(Clone, Debug)]
+struct AnyRun(FleetRun);
+
+impl Arbitrary for AnyRun {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let vms = 2 + usize::arbitrary(g) % 12;
+        let mut below = |limit: u64| u64::arbitrary(g) % limit;
+        let events = (0..below(12)).map(|_| {
+            let event = match below(6) {
+                0 => FleetEvent::Kill,
+                1 => FleetEvent::Freeze(below(15_000)),
+                2 => FleetEvent::Stop,
+                3 => FleetEvent::Start(below(5_000) as i64 - 2_500),
+                _ => FleetEvent::TakeOver,
+            };
+            (below(40_000), below(vms as u64) as usize, event)
+        });
+        let events = events.collect();
+        let outage = below(40);
+        AnyRun(FleetRun {
+            vms,
+            seconds: 45,
+            tick: Duration::from_millis(40),
+            loss: below(30),
+            stepping: 28,
+            events,
+            outage: outage..outage + below(12),
+            seed: below(u64::MAX),
+        })
+    }
+}
+
+/// Guards against a window that is reported twice with different counts, whatever
+/// happens to the holders. The model fails if it is.
+#[test]
+fn a_window_is_reported_once() {
+    fn property(AnyRun(run): AnyRun) -> bool {
+        FleetModel::play(&run);
+        true
+    }
+    quickcheck(60, property as fn(AnyRun) -> bool);
+}
