--- a/crates/dewduty/src/usage/fleet.rs
+++ b/crates/dewduty/src/usage/fleet.rs
@@ -45,8 +45,9 @@
         unix: Duration,
         forget_age: Duration,
     ) {
-        for vm in self.vms.values_mut() {
+        for vm in self.vms.values_mut().filter(|vm| vm.is_listed) {
             vm.is_listed = false;
+            vm.seen = vm.seen.max(unix);
         }
         for vm in listed {
             if let Some(vm) = self.entry(vm, unix) {
