Report a window on time when most VMs are silent

A report waited for more than half of the VMs until it was skipped, so that a fleet of two VMs with one frozen had no reports at all.

--- a/crates/dewduty/src/usage/collector.rs
+++ b/crates/dewduty/src/usage/collector.rs
@@ -13,7 +13,7 @@
 
 use super::fleet::FleetVms;
 use super::{
-    MAX_WORKSPACES, ShareState, TIME_REQUEST, UsageAck, UsagePolicy, UsageShare, VmHash,
+    MAX_VMS, MAX_WORKSPACES, ShareState, TIME_REQUEST, UsageAck, UsagePolicy, UsageShare, VmHash,
     WindowIndex, WorkspaceHash,
 };
 use crate::truetime::ClockEstimate;
@@ -22,12 +22,16 @@
 /// 80 MB.
 const MAX_COUNTS: usize = 1 << 21;
 
+/// Maximum number of processes whose counts in one window are kept.
+const MAX_PROCESSES: usize = 2 * MAX_VMS;
+
 /// Time by which the end of a window may come earlier for a VM than for the receiver.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(500);
 
-/// Share of the due time for which the report of a window waits beyond the usual
-/// time while counts still arrive, for example after a partition.
-const GROWTH_SHARE: f64 = 0.3;
+/// Share of the due time for which a report waits beyond the usual time while counts
+/// still arrive or half of the VMs are missing. The rest of the due time is for the
+/// store and the platform.
+const PATIENCE: f64 = 0.2;
 
 /// A report that is written to the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -101,7 +105,7 @@
     reported: Option<WindowIndex>,
     written: Option<WrittenReport>,
     is_accepted: bool,
-    /// What was in the last report of this holder, by process.
+    /// What was in the reports that this VM made, by process.
     closed: BTreeMap<WindowIndex, IndexMap<(VmHash, u64), u64>>,
     planned: Option<WindowIndex>,
     observed_from: Option<Duration>,
@@ -183,7 +187,7 @@
         }
         // A window further ahead comes from a clock that is wrong.
         let is_open = share.window >= self.policy.oldest_at(unix) && share.window <= current + 1;
-        if is_open {
+        if is_open && self.has_room(share) {
             let merged = self.merge(share, unix);
             ack.arrived = merged.arrived;
             if merged.is_complete() {
@@ -277,6 +281,15 @@
         Some(arrived.copied().unwrap_or(0))
     }
 
+    /// Returns whether the counts of a process can be kept.
+    fn has_room(&self, share: &UsageShare) -> bool {
+        let process = (share.vm, share.started);
+        let collected = self.windows.get(&share.window);
+        collected.is_none_or(|collected| {
+            collected.shares.len() < MAX_PROCESSES || collected.shares.contains_key(&process)
+        })
+    }
+
     fn merge(&mut self, share: &UsageShare, unix: Duration) -> &CollectedShare {
         let is_early = !share.is_last && unix + CLOCK_TOLERANCE < self.policy.end_of(share.window);
         let window = self.windows.entry(share.window).or_default();
@@ -329,21 +342,26 @@
             }
             (collected.grown_at, collected.majority_at)
         });
-        let changed_at = self.took_over_at.unwrap_or_default().max(grown_at);
-        let is_growing = unix < changed_at + 2 * self.policy.send_interval;
-        let patience = self.policy.due.mul_f64(GROWTH_SHARE);
-        let since = majority_at.unwrap_or(changed_at).max(waited_until);
-        if is_growing && unix < since + patience {
+        let took_over_at = self.took_over_at.unwrap_or_default();
+        let is_growing = unix < took_over_at.max(grown_at) + 2 * self.policy.send_interval;
+        let since = majority_at.unwrap_or(took_over_at).max(waited_until);
+        let deadline = since + self.policy.due.mul_f64(PATIENCE);
+        if unix < deadline && (is_growing || !has_majority) {
             return None;
         }
-        Some(has_majority && self.has_observed(window))
+        // VMs that are silent that long are rather frozen than unheard, and count
+        // nothing.
+        Some(match self.reported {
+            Some(_) => has_shares,
+            None => has_majority && self.has_observed(window),
+        })
     }
 
-    /// Returns whether this VM can know what the fleet has counted in a window. A
-    /// first report needs it; later ones follow a written report.
+    /// Returns whether this VM has listened during all of a window. A first report
+    /// needs it; later ones follow a written report.
     fn has_observed(&self, window: WindowIndex) -> bool {
         let begin = self.policy.start_of(window);
-        self.reported.is_some() || self.observed_from.is_some_and(|from| from <= begin)
+        self.observed_from.is_some_and(|from| from <= begin)
     }
 
     /// Returns whether shares of more than half of the VMs are there that can have
