Take in the usage collector that tells the processes of a VM apart

The collector now knows its own process, and only the holder's time is adopted. A process that ends sends its counts three times, since it can't wait for replies.

--- a/crates/dewedge/src/serve/duties/mod.rs
+++ b/crates/dewedge/src/serve/duties/mod.rs
@@ -146,7 +146,7 @@
         let times = [
             duties.leases.next_due(self.now),
             duties.api.next_due(),
-            usage.and_then(|usage| usage.next_due(self.now, &duties.clock)),
+            usage.map(|usage| usage.next_due(self.now, &duties.clock)),
         ];
         let latest = self.now + MAX_LOOK_INTERVAL;
         let next = times.into_iter().flatten().fold(latest, Moment::min);
--- a/crates/dewedge/src/serve/duties/usage.rs
+++ b/crates/dewedge/src/serve/duties/usage.rs
@@ -28,6 +28,9 @@
 /// Candidates beside the holder that receive the counts of each VM.
 const STANDBY_RECEIVERS: usize = 2;
 
+/// How often a process that ends sends its counts.
+const LAST_SENDS: u32 = 3;
+
 /// Names of VMs without counts that a log line has.
 const MAX_LOGGED_VMS: usize = 8;
 
@@ -60,7 +63,7 @@
         let started_ms = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
         Self {
             meter: UsageMeter::new(policy.clone(), vm, started_ms),
-            collector: UsageCollector::new(policy, vm),
+            collector: UsageCollector::new(policy, vm, started_ms),
             vm_names: IndexMap::new(),
             vms_changed: false,
             report_revision: None,
@@ -78,7 +81,7 @@
         self.vms_changed = true;
     }
 
-    pub(super) fn next_due(&self, now: Moment, clock: &ClockEstimate) -> Option<Moment> {
+    pub(super) fn next_due(&self, now: Moment, clock: &ClockEstimate) -> Moment {
         self.meter.next_due(now, clock)
     }
 
@@ -177,13 +180,16 @@
         }
     }
 
-    /// Sends the counts of a process that ends.
+    /// Sends the counts of a process that ends. It can't wait for replies, so it
+    /// sends them several times.
     pub(crate) fn send_last_usage(&mut self) {
         self.with_duties(|state, duties| {
-            if let Some(usage) = &mut duties.usage {
-                usage.meter.stop();
+            for _ in 0..LAST_SENDS {
+                if let Some(usage) = &mut duties.usage {
+                    usage.meter.stop();
+                }
+                state.send_usage(duties);
             }
-            state.send_usage(duties);
         });
     }
 
@@ -213,7 +219,10 @@
             // The sender repeats counts whose reply is lost.
             let _ = self.peer_socket.send_to(&ack.encode(), sender);
         } else if let Some(ack) = UsageAck::decode(bytes) {
-            if let Some(unix) = ack.unix {
+            let holder = duties.leases.holder(&DutySubject::Usage);
+            let is_holder =
+                holder.is_some_and(|holder| stable_hash(holder.vm.as_bytes()) == ack.receiver);
+            if is_holder && let Some(unix) = ack.unix {
                 duties.clock.observe_fleet(unix, self.now);
             }
             usage.meter.acknowledge(&ack);
