--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -264,28 +264,13 @@
         .map(|(index, _)| index)
 }
 
-/// Returns which engines are reserved for gap-sensitive streams.
-fn reserved_engines<K: Ord>(
+/// Returns which engines are reserved for gap-sensitive streams: the first ones
+/// in the order of a key that is the same on all VMs.
+pub(super) fn reserved_engines<K: Ord>(
     replicas: &[ReplicaView<'_>],
     model: &EngineModel,
     order_key: impl Fn(&ReplicaView<'_>) -> K,
 ) -> Vec<bool> {
-    let usable = reservation_order(replicas, order_key);
-    let streams = gap_sensitive_streams(replicas);
-    let count = reserved_count(streams, usable.len(), replicas, model);
-    let mut reserved = vec![false; replicas.len()];
-    for index in usable.into_iter().take(count) {
-        reserved[index] = true;
-    }
-    reserved
-}
-
-/// Returns the usable engines in the order in which they are reserved for
-/// gap-sensitive streams, by a key that is the same on all VMs.
-pub(super) fn reservation_order<K: Ord>(
-    replicas: &[ReplicaView<'_>],
-    order_key: impl Fn(&ReplicaView<'_>) -> K,
-) -> Vec<usize> {
     let mut usable: Vec<(K, usize)> = replicas
         .iter()
         .enumerate()
@@ -293,25 +278,11 @@
         .map(|(index, replica)| (order_key(replica), index))
         .collect();
     usable.sort_unstable();
-    usable.into_iter().map(|(_, index)| index).collect()
-}
-
-/// Returns the gap-sensitive streams at all engines.
-pub(super) fn gap_sensitive_streams(replicas: &[ReplicaView<'_>]) -> u32 {
-    let streams = replicas
+    let streams: u32 = replicas
         .iter()
-        .map(|replica| replica.load.gap_sensitive_streams);
-    streams.sum()
-}
-
-/// Returns how many of the usable engines are reserved for so many streams.
-pub(super) fn reserved_count(
-    streams: u32,
-    usable: usize,
-    replicas: &[ReplicaView<'_>],
-    model: &EngineModel,
-) -> usize {
-    let max_reserved = (usable as f64 * MAX_RESERVED_SHARE) as usize;
+        .map(|replica| replica.load.gap_sensitive_streams)
+        .sum();
+    let max_reserved = (usable.len() as f64 * MAX_RESERVED_SHARE) as usize;
     let slots = replicas
         .iter()
         .map(|replica| replica.slots)
@@ -320,7 +291,12 @@
     let by_slots = f64::from(slots) * RESERVED_SLOT_SHARE;
     let by_prefill = RESERVED_PREFILL_SHARE / model.stream_prefill_share();
     let streams_per_engine = (by_slots.min(by_prefill) as u32).max(1);
-    (streams.div_ceil(streams_per_engine) as usize).min(max_reserved)
+    let count = (streams.div_ceil(streams_per_engine) as usize).min(max_reserved);
+    let mut reserved = vec![false; replicas.len()];
+    for (_, index) in usable.into_iter().take(count) {
+        reserved[index] = true;
+    }
+    reserved
 }
 
 /// Returns the load up to which an engine meets the targets of its requests:
--- a/crates/dewedge/src/policy/reported_placement.rs
+++ b/crates/dewedge/src/policy/reported_placement.rs
@@ -17,10 +17,8 @@
 use super::engine_model::EngineModel;
 use super::placement::{
     MAX_PLAIN_QUEUED, PREFILL_WEIGHT, PlacementChoice, PlacementQuery, ReplicaView, SharedPrefix,
-    backlog_limit_ms, gap_sensitive_streams, has_capacity, home_key, max_requests,
-    rendezvous_weight, reservation_order, reserved_count,
+    backlog_limit_ms, has_capacity, home_key, max_requests, rendezvous_weight, reserved_engines,
 };
-use crate::clock::Moment;
 
 /// Engines that are drawn for a choice. Streams last longer than a report is
 /// stale, so the best of a few is a better choice than any of them.
@@ -46,72 +44,6 @@
 /// on all of them.
 const HOME_STEPS: f64 = 2.0;
 
-/// Engines beside the reserved ones that prompts avoid, as a share of the reserved
-/// ones. The VMs see slightly different numbers of streams, so that the last
-/// reserved engines aren't the same on all of them.
-const GUARD_SHARE: f64 = 0.25;
-
-/// Time for which the engines of past streams stay reserved. Streams come in
-/// waves, and each engine that changes sides delays the streams that it still
-/// runs and loses the prompt parts that it has read.
-const PEAK_HOLD: Duration = Duration::from_secs(3);
-
-/// Share of the streams that stays counted after each [`PEAK_HOLD`] in which there
-/// were fewer.
-const PEAK_DECAY: f64 = 0.8;
-
-/// Number of gap-sensitive streams for which engines are reserved: it follows a
-/// rise at once and a fall slowly.
-///
-/// # Examples
-///
-/// ```
-/// use dewedge::policy::reported_placement::StreamPeak;
-/// use std::time::Duration;
-///
-/// let mut peak = StreamPeak::default();
-/// peak.record(40, Duration::from_secs(1));
-/// peak.record(10, Duration::from_secs(2));
-/// assert_eq!(peak.streams(), 40);
-/// peak.record(10, Duration::from_secs(5));
-/// assert_eq!(peak.streams(), 32);
-/// ```
-#[derive(Clone, Copy, Debug, Default)]
-pub struct StreamPeak {
-    streams: u32,
-    since: Moment,
-}
-
-impl StreamPeak {
-    /// Returns the number that counts.
-    pub fn streams(&self) -> u32 {
-        self.streams
-    }
-
-    /// Records the current number.
-    pub fn record(&mut self, streams: u32, now: Moment) {
-        if streams >= self.streams {
-            self.streams = streams;
-            self.since = now;
-        } else if now >= self.since + PEAK_HOLD {
-            let decayed = (f64::from(self.streams) * PEAK_DECAY) as u32;
-            self.streams = decayed.max(streams);
-            self.since = now;
-        }
-    }
-}
-
-/// Which requests an engine is meant for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum EngineGroup {
-    /// Gap-sensitive streams.
-    Reserved,
-    /// Any, as long as it runs no gap-sensitive stream.
-    Guard,
-    /// Prompts.
-    Open,
-}
-
 /// Request whose server is chosen by reports.
 #[derive(Clone, Debug)]
 pub struct ReportedQuery<'a> {
@@ -119,9 +51,6 @@
     pub request: PlacementQuery<'a>,
     /// Target for the gap between two events, if it is a stream.
     pub event_gap_target: Option<Duration>,
-    /// Gap-sensitive streams that [`StreamPeak`] has counted before; engines are
-    /// reserved for these or the current ones, whichever are more.
-    pub peak_streams: u32,
     /// Random number of this choice.
     pub random: u64,
 }
@@ -278,7 +207,6 @@
 ///         now: Duration::ZERO,
 ///     },
 ///     event_gap_target: None,
-///     peak_streams: 0,
 ///     random: 7,
 /// };
 /// let model = EngineModel::default();
@@ -290,65 +218,38 @@
     replicas: &[ReplicaView<'_>],
     model: &EngineModel,
 ) -> PlacementChoice {
-    let groups = engine_groups(query, replicas, model);
+    let reserved = reserved_engines(replicas, model, |replica| {
+        (replica.slowness > MAX_RESERVED_SLOWNESS, replica.hash)
+    });
     let search = EngineSearch {
         query,
         replicas,
         model,
-        groups: &groups,
+        reserved: &reserved,
         limit_ms: backlog_limit_ms(&query.request, model),
         prefix: SharedPrefix::of(&query.request, model),
     };
-    let order = match query.request.gap_sensitive {
-        true => [EngineGroup::Reserved, EngineGroup::Guard, EngineGroup::Open],
-        false => [EngineGroup::Open, EngineGroup::Guard, EngineGroup::Reserved],
+    let gap_sensitive = query.request.gap_sensitive;
+    let first = search.group(gap_sensitive);
+    // As in `placement`, only gap-sensitive streams may go to any engine.
+    let may_go_on = gap_sensitive || !first.any_usable;
+    let second = match first.suitable.is_none() && may_go_on {
+        true => search.group(!gap_sensitive),
+        false => GroupResult::default(),
     };
-    let mut unsuitable = None;
-    let mut any_usable = false;
-    for group in order {
-        // As in `placement`, only gap-sensitive streams may go to any engine,
-        // unless no other one is usable.
-        let is_last = group == EngineGroup::Reserved && !query.request.gap_sensitive;
-        if is_last && any_usable {
-            continue;
-        }
-        let result = search.group(group);
-        if let Some(suitable) = result.suitable {
-            return suitable.choice(replicas);
-        }
-        unsuitable = unsuitable.or(result.unsuitable);
-        any_usable |= result.any_usable;
-    }
-    match unsuitable {
+    let best = first
+        .suitable
+        .or(second.suitable)
+        .or(first.unsuitable)
+        .or(second.unsuitable);
+    match best {
         Some(best) => best.choice(replicas),
-        None if any_usable => PlacementChoice::Busy,
+        None if first.any_usable || second.any_usable => PlacementChoice::Busy,
         None => PlacementChoice::Unavailable,
     }
 }
 
-/// Returns the group of each engine.
-fn engine_groups(
-    query: &ReportedQuery<'_>,
-    replicas: &[ReplicaView<'_>],
-    model: &EngineModel,
-) -> Vec<EngineGroup> {
-    let usable = reservation_order(replicas, |replica| {
-        (replica.slowness > MAX_RESERVED_SLOWNESS, replica.hash)
-    });
-    let streams = gap_sensitive_streams(replicas).max(query.peak_streams);
-    let reserved = reserved_count(streams, usable.len(), replicas, model);
-    let guard = (reserved as f64 * GUARD_SHARE).ceil() as usize;
-    let mut groups = vec![EngineGroup::Open; replicas.len()];
-    for (position, index) in usable.into_iter().take(reserved + guard).enumerate() {
-        groups[index] = match position < reserved {
-            true => EngineGroup::Reserved,
-            false => EngineGroup::Guard,
-        };
-    }
-    groups
-}
-
-/// Best engines of a group.
+/// Best engines among the reserved or the other ones.
 #[derive(Debug, Default)]
 struct GroupResult {
     /// The best engine on which prompts can't delay the stream's events beyond
@@ -364,27 +265,23 @@
     query: &'a ReportedQuery<'a>,
     replicas: &'a [ReplicaView<'a>],
     model: &'a EngineModel,
-    groups: &'a [EngineGroup],
+    reserved: &'a [bool],
     limit_ms: f64,
     prefix: SharedPrefix,
 }
 
 impl EngineSearch<'_> {
-    /// Searches the engines of a group.
-    fn group(&self, group: EngineGroup) -> GroupResult {
+    /// Searches the engines that are reserved, or those that aren't.
+    fn group(&self, from_reserved: bool) -> GroupResult {
         let request = &self.query.request;
-        let home = home_key(request.parts).and_then(|key| self.home(key, group));
+        let home = home_key(request.parts).and_then(|key| self.home(key, from_reserved));
         let mut result = GroupResult::default();
         let mut samples = [(); 2].map(|()| ServerSample::new(ENGINE_DRAWS));
         for (index, replica) in self.replicas.iter().enumerate() {
-            if !replica.usable || self.groups[index] != group {
+            if !replica.usable || self.reserved[index] != from_reserved {
                 continue;
             }
             result.any_usable = true;
-            let delays_streams = !request.gap_sensitive && replica.load.gap_sensitive_streams > 0;
-            if group == EngineGroup::Guard && delays_streams {
-                continue;
-            }
             let is_home = home == Some(index);
             let cached_tokens = replica
                 .cached_parts
@@ -418,7 +315,7 @@
 
     /// Returns the index of a key's home, by weighted rendezvous hashing: an
     /// engine is the home of fewer prompts if it is slow.
-    fn home(&self, key: u64, group: EngineGroup) -> Option<usize> {
+    fn home(&self, key: u64, from_reserved: bool) -> Option<usize> {
         let distance = |replica: &ReplicaView<'_>| {
             let unit = unit_of(rendezvous_weight(key, replica.hash));
             -unit.ln() * home_slowness(replica.slowness)
@@ -426,7 +323,7 @@
         self.replicas
             .iter()
             .enumerate()
-            .filter(|(index, replica)| replica.usable && self.groups[*index] == group)
+            .filter(|(index, replica)| replica.usable && self.reserved[*index] == from_reserved)
             .filter(|(_, replica)| !replica.warming_up)
             .map(|(index, replica)| (distance(replica), index))
             .min_by(|(first, _), (second, _)| first.total_cmp(second))
@@ -460,7 +357,7 @@
         let gap_ms = self.model.event_gap_ms(load.requests);
         let usual_ms = load.backlog_ms + interference + gap_ms + prefill_ms * PREFILL_WEIGHT;
         let excess_ms = match self.target_ms() {
-            Some(target_ms) if self.groups[index] == EngineGroup::Open => {
+            Some(target_ms) if !self.reserved[index] => {
                 (self.model.saturated_gap_ms() * replica.slowness - target_ms).max(0.0)
             }
             _ => 0.0,
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -16,7 +16,7 @@
 };
 use crate::policy::queue::{ServerRequirements, engine_rank};
 use crate::policy::reported_placement::{
-    ReportedQuery, StreamPeak, choose_reported_engine, choose_reported_server,
+    ReportedQuery, choose_reported_engine, choose_reported_server,
 };
 use crate::policy::retries::vm_slack;
 use crate::tables::{EngineSpec, RequestKind, RouteSpec};
@@ -125,24 +125,6 @@
     pub(super) fn refresh_peer_load(&mut self) {
         if std::mem::take(&mut self.peer_load_stale) {
             self.peers.apply_digests(&mut self.directory, self.now);
-            self.record_stream_peaks();
-        }
-    }
-
-    /// Records the gap-sensitive streams of each service that reports its load.
-    fn record_stream_peaks(&mut self) {
-        for service in self.queues.keys() {
-            if self.load_reports.get(service).is_none() {
-                continue;
-            }
-            let members = self.directory.in_service(service).iter();
-            let loads = members.map(|index| self.directory.get(*index));
-            let streams = loads.map(|replica| {
-                replica.own_load.gap_sensitive_streams + replica.peer_load.gap_sensitive_streams
-            });
-            let streams = streams.sum();
-            let peak = self.stream_peaks.entry(service.clone()).or_default();
-            peak.record(streams, self.now);
         }
     }
 
@@ -205,12 +187,10 @@
         if service.reports.is_none() {
             return choose_engine(&query, &views, model);
         }
-        let is_stream = exchange.route.kind == RequestKind::Streaming;
-        let peak = self.stream_peaks.get(&exchange.service);
+        let streams = exchange.route.kind == RequestKind::Streaming;
         let query = ReportedQuery {
             request: query,
-            event_gap_target: is_stream.then_some(exchange.route.event_gap_target),
-            peak_streams: peak.map_or(0, StreamPeak::streams),
+            event_gap_target: streams.then_some(exchange.route.event_gap_target),
             random,
         };
         choose_reported_engine(&query, &views, model)
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -183,7 +183,6 @@
             budgets: IndexMap::new(),
             models: ModelTable::default(),
             load_reports: ReportTable::default(),
-            stream_peaks: IndexMap::new(),
             pending_dispatches: VecDeque::new(),
             finished_callers: VecDeque::new(),
             timers: TimerHeap::default(),
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -26,7 +26,6 @@
 use crate::policy::engine_model::ModelTable;
 use crate::policy::load_reports::ReportTable;
 use crate::policy::queue::{ExchangeId, WaitingQueue};
-use crate::policy::reported_placement::StreamPeak;
 use crate::policy::retries::RetryBudget;
 use crate::settings::EdgeSettings;
 use crate::storage::StoreClient;
@@ -280,9 +279,6 @@
     pub(crate) budgets: IndexMap<String, RetryBudget>,
     pub(crate) models: ModelTable,
     pub(crate) load_reports: ReportTable,
-    /// Streams for which engines are reserved, for each service that reports its
-    /// load.
-    pub(crate) stream_peaks: IndexMap<String, StreamPeak>,
     /// Services whose queue is dispatched at the end of the iteration.
     pub(crate) pending_dispatches: VecDeque<String>,
     /// Callers whose last request has ended and who may have sent the next one.
--- a/crates/dewedge/tests/load_model/simulation.rs
+++ b/crates/dewedge/tests/load_model/simulation.rs
@@ -305,7 +305,6 @@
                 let query = ReportedQuery {
                     request: query,
                     event_gap_target: Some(Duration::from_millis(spec.event_gap_ms)),
-                    peak_streams: 0,
                     random,
                 };
                 choose_reported_engine(&query, &views, &self.engine_models[vm])
--- a/crates/dewedge/tests/load_reports.rs
+++ b/crates/dewedge/tests/load_reports.rs
@@ -512,7 +512,6 @@
                     &ReportedQuery {
                         request,
                         event_gap_target: Some(ms(if gap_sensitive { 200 } else { 1200 })),
-                        peak_streams: 0,
                         random: random.next(),
                     },
                     &views,
