Keep copies of earlier responses away from later requests

A server that breaks off a copy of an earlier response within its head and then answers the next request gave one head with the status of the copy and the fields and body of the answer: a request whose own response was 500 reached its caller as 200. A response head that contains a status line is now rejected.

A kept connection was also reused although its end, or a late copy, had arrived and its event was not handled yet; a request that may not be repeated was lost with 502. The connection is now looked at before its reuse, and closed if anything has arrived.

--- a/crates/dewedge/src/http/head.rs
+++ b/crates/dewedge/src/http/head.rs
@@ -238,6 +238,26 @@
     }))
 }
 
+/// Returns whether a reason phrase or a header's value contains a status line.
+///
+/// If a server breaks off a response within its head and sends the next one on the
+/// same connection, the broken line goes on with the status line of that one. The
+/// head would then have the status of one response and the body of the other.
+fn contains_status_line(text: &[u8]) -> bool {
+    (0..text.len()).any(|start| {
+        let Some(line) = text[start..].strip_prefix(b"HTTP/1.") else {
+            return false;
+        };
+        let is_status = |line: &[u8]| {
+            line[0].is_ascii_digit()
+                && line[1] == b' '
+                && line[2..5].iter().all(u8::is_ascii_digit)
+                && line.get(5).is_none_or(|byte| *byte == b' ')
+        };
+        line.len() >= 5 && is_status(line)
+    })
+}
+
 /// Parses the head of a response to a request with this method.
 ///
 /// Returns `None` while the head is incomplete.
@@ -272,6 +292,11 @@
     }
     let status = response.code.unwrap_or_default();
     let fields = HeaderFields::new(bytes, response.headers);
+    let reason = response.reason.unwrap_or_default().as_bytes();
+    let is_broken = |(_, value): (&str, &[u8])| contains_status_line(value);
+    if contains_status_line(reason) || fields.iter().any(is_broken) {
+        return Err(HeadError::Malformed("a response within a head"));
+    }
     let bodiless = method == "HEAD" || status < 200 || status == 204 || status == 304;
     let length = content_length(&fields)?;
     let body = match (length, is_chunked(&fields)?) {
--- a/crates/dewedge/src/net.rs
+++ b/crates/dewedge/src/net.rs
@@ -154,6 +154,14 @@
         self.read_state
     }
 
+    /// Returns whether the connection is open and has no unread byte, also none
+    /// that no event has announced yet.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let is_read = self.read_state == ReadState::Open && self.inbound.is_empty();
+        let peeked = self.stream.peek(&mut [0]);
+        is_read && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Returns whether the last [`Self::fill`] stopped at its limit, so that
     /// the socket may hold further bytes.
     pub(crate) fn may_have_more(&self) -> bool {
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -455,6 +455,9 @@
     }
 
     /// Takes a reusable idle connection to a server.
+    ///
+    /// A connection that the server has ended, or on which it has sent something
+    /// since its last response, is closed.
     fn take_idle_conn(&mut self, replica: ReplicaIndex, retryable: bool) -> Option<ServerConnId> {
         let now = self.now;
         while let Some(conn_id) = self.directory.get_mut(replica).idle_conns.pop() {
@@ -466,6 +469,10 @@
                 true => conn.idle_until,
                 false => conn.idle_since + idle.mul_f64(NON_RETRYABLE_IDLE_SHARE),
             };
+            if !conn.channel.is_quiet() {
+                self.close_server_conn(conn_id);
+                continue;
+            }
             if limit > now {
                 self.server_conns[conn_id].reused = true;
                 return Some(conn_id);
--- a/crates/dewedge/tests/http.rs
+++ b/crates/dewedge/tests/http.rs
@@ -123,6 +123,60 @@
     assert!(decoder.ends_with_connection());
 }
 
+struct BrokenHeadCase {
+    name: &'static str,
+    bytes: &'static str,
+    is_valid: bool,
+}
+
+/// Guards against a head that has the status of a response which its server broke
+/// off, and the fields and body of the next one on the connection.
+#[test]
+fn a_head_that_goes_on_with_another_response_is_rejected() {
+    let case = |name, bytes, is_valid| BrokenHeadCase {
+        name,
+        bytes,
+        is_valid,
+    };
+    let cases = [
+        case(
+            "reason",
+            "HTTP/1.1 200 OHTTP/1.1 500 X\r\nA: b\r\n\r\n",
+            false,
+        ),
+        case(
+            "value",
+            "HTTP/1.1 200 OK\r\nA: bHTTP/1.1 500 X\r\n\r\n",
+            false,
+        ),
+        case(
+            "no reason",
+            "HTTP/1.1 200 OK\r\nA: HTTP/1.1 500\r\n\r\n",
+            false,
+        ),
+        case(
+            "older version",
+            "HTTP/1.1 200 OK\r\nA: HTTP/1.0 200 OK\r\n\r\n",
+            false,
+        ),
+        case(
+            "proxy",
+            "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 cache\r\n\r\n",
+            true,
+        ),
+        case("short", "HTTP/1.1 200 OK\r\nVia: HTTP/1.\r\n\r\n", true),
+        case(
+            "number",
+            "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 8080\r\n\r\n",
+            true,
+        ),
+    ];
+    for case in cases {
+        let head = parse_response(case.bytes.as_bytes(), "GET", 1024);
+        assert_eq!(head.is_ok(), case.is_valid, "{}", case.name);
+    }
+}
+
 struct ChunkCase {
     name: &'static str,
     bytes: &'static str,
