Keep the limit of a server that sends interim responses

An interim response doesn't repeat the server's limit, but was read as one without a limit: the limit ended until the final response. A server that named 1 request a second and sent interim responses got 36 requests in 4 s from two VMs; at most 11 are allowed. Interim responses no longer change what is known of their server. The new test fails without the change.

--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -250,9 +250,10 @@
 
     /// Applies what a response announces about further requests to its server.
     ///
-    /// A response with status 421 comes from another server at the address.
+    /// A response with status 421 comes from another server at the address, and an
+    /// interim response announces nothing: it doesn't repeat the server's limit.
     fn apply_server_notices(&mut self, replica: usize, status: u16, metadata: &ResponseMetadata) {
-        if status == 421 {
+        if status == 421 || status < 200 {
             return;
         }
         if metadata.leaving {
