Answer a 503 without the mark of one not run with 502

Callers take a 503 as not run. A server's own 503 that doesn't say so reached them unchanged, so work that may have run was reported as not run. Such a response is now a failure of unknown outcome: it is retried where the route allows it, and the caller gets 502 otherwise.

--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -190,6 +190,8 @@
         let started = self.response_started(exchange_id);
         let has_standby = self.exchanges[exchange_id].standby.is_some();
         let succeeded = (200..300).contains(&head.status);
+        // Callers take a 503 as not run, and this one doesn't say so.
+        let misleads = head.status == 503;
         // The standby may still succeed, whatever the status of the hedge.
         let goes_on = match has_standby {
             true => !succeeded,
@@ -204,7 +206,7 @@
             let exchange = &mut self.exchanges[exchange_id];
             exchange.may_have_run = true;
             exchange.tried_replicas.push(replica);
-            if !started {
+            if !started && !misleads {
                 exchange.fallback = Some(FallbackResponse { head, body });
             }
             if self.restore_standby(exchange_id) {
@@ -217,6 +219,12 @@
             self.fail_request(exchange_id, "resume_failed");
             return;
         }
+        if misleads {
+            self.log_outcome(exchange_id, replica, "failed", u64::from(head.status));
+            self.exchanges[exchange_id].may_have_run = true;
+            self.fail_request(exchange_id, "outcome_unknown");
+            return;
+        }
         let status = u64::from(head.status);
         self.log_finished(exchange_id, replica, "answered", status);
         let method = self.exchanges[exchange_id].method.clone();
