Answer the requests of the last connections before a stop

When the balancer has removed a stopping VM, the program closed its listener with the connections that still waited in the kernel's queue, and closed each accepted connection whose first request hadn't arrived yet. Their requests ended without an answer, and so did the requests that were at their servers when the grace period ended.

A stream that has begun still ends without its last chunk.

--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -9,6 +9,7 @@
 //! - [`resumption`]: binds streams to the software version that began them.
 //! - [`silence`]: servers that fall silent while they run a request.
 //! - [`responses`]: writes responses to callers.
+//! - [`stopping`]: ends callers' connections while the process stops.
 //! - [`admin`]: readiness checks and metrics.
 //! - [`updates`]: applies updates from the store and load digests of the
 //!   other VMs.
@@ -32,6 +33,7 @@
 mod servers;
 mod silence;
 mod state;
+mod stopping;
 mod timers;
 mod updates;
 
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -26,7 +26,7 @@
 use crate::storage::StoreClient;
 
 use super::crashes::CrashWatch;
-use super::state::{CallerPhase, EdgeState, TokenKind, token_kind, token_of};
+use super::state::{EdgeState, TokenKind, token_kind, token_of};
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
 use super::updates::HOUSEKEEPING_INTERVAL;
 
@@ -243,6 +243,7 @@
             self.fire_timers();
             self.finish_iteration();
         }
+        self.state.end_remaining_requests();
         self.state.logs.system("process", "stopped");
         self.state.logs.flush();
         // Gives the log writer thread time to write the last lines.
@@ -279,11 +280,7 @@
             (TokenKind::Caller, caller) => self.state.on_caller_event(caller, closing),
             (TokenKind::Server, conn_id) => self.state.on_server_event(conn_id, closing),
             (TokenKind::Admin, conn_id) => self.state.on_admin_event(conn_id, closing),
-            (TokenKind::Fixed, ENTRY_TOKEN) => {
-                while let Some(Ok((stream, _))) = self.entry.as_ref().map(TcpListener::accept) {
-                    self.state.accept_caller(stream);
-                }
-            }
+            (TokenKind::Fixed, ENTRY_TOKEN) => self.accept_callers(),
             (TokenKind::Fixed, READY_TOKEN) => {
                 while let Ok((stream, _)) = self.ready.accept() {
                     self.state.accept_admin(stream);
@@ -397,9 +394,31 @@
             state.logs.flush();
         }
         if state.has_left_balancer() {
-            // The balancer no longer sends connections to this VM.
+            // The balancer no longer sends connections to this VM; the last ones
+            // may still be in the kernel's queue.
+            self.accept_callers();
             self.entry = None;
-            close_idle_callers(state);
+            self.state.close_idle_callers();
+        }
+    }
+
+    /// Accepts all connections in the kernel's queue.
+    fn accept_callers(&mut self) {
+        while let Some(entry) = &self.entry {
+            match entry.accept() {
+                Ok((stream, _)) => self.state.accept_caller(stream),
+                // The caller has gone; others may be in the queue behind it.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    self.state
+                        .logs
+                        .system("entry", "accept_failed")
+                        .text("reason", &error.to_string());
+                    return;
+                }
+            }
         }
     }
 
@@ -472,18 +491,6 @@
     timer.is_some_and(|timer| timer.fire(now, key, timers))
 }
 
-fn close_idle_callers<F: PlatformFormat>(state: &mut EdgeState<F>) {
-    let idle: Vec<usize> = state
-        .caller_conns
-        .iter()
-        .filter(|(_, conn)| matches!(conn.phase, CallerPhase::Head) && conn.read_since.is_none())
-        .map(|(caller, _)| caller)
-        .collect();
-    for caller in idle {
-        state.close_if_idle(caller);
-    }
-}
-
 fn initial_random_state(settings: &EdgeSettings, options: EdgeOptions, now: Moment) -> u64 {
     let seed = match options.seed {
         0 => now.as_nanos() as u64,
