Let a slow caller slow its server down instead of losing its stream

A caller that read a stream more slowly than its server sent it was cut off as soon as 4 MiB were buffered for it, and the rest of a response on a closing connection was cut after 4 s, although the caller read on.

--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -11,7 +11,7 @@
 use crate::http::{BodyDecoder, BodyLength, HeadError, RequestHead, parse_request};
 use crate::net::{ReadState, TcpChannel, set_caller_options};
 
-use super::responses::MAX_UNSENT;
+use super::backpressure::{STALL_CHECK_INTERVAL, SendProgress};
 use super::state::{CallerConn, CallerId, CallerPhase, EdgeState, TokenKind, token_of};
 use super::timers::LazyTimer;
 
@@ -21,12 +21,9 @@
 /// Maximum bytes that a caller may pipeline while its request is in progress.
 const MAX_PIPELINED: usize = 64 * 1024;
 
-/// Interval at which a closing connection with unsent bytes is checked.
-const LINGER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Maximum time for which a closing connection stays open so that the caller
-/// can take the rest of the last response.
-const MAX_LINGER_TIME: Duration = Duration::from_secs(4);
+/// can take the rest of the last response, also one that takes a little at a time.
+const MAX_LINGER_TIME: Duration = Duration::from_secs(60);
 
 /// Divisor of the process's memory limit that gives the memory for request
 /// bodies.
@@ -62,6 +59,7 @@
             read_since: None,
             idle_since: self.now,
             closing: false,
+            progress: SendProgress::start(self.now),
         });
         let due = self.now + self.limits().head_timeout.min(self.limits().idle_timeout);
         self.arm_caller(caller, due);
@@ -72,11 +70,13 @@
         let Some(conn) = self.caller_conns.get_mut(caller) else {
             return;
         };
-        let flushed = conn.channel.flush();
-        if flushed.is_err() || conn.channel.unsent() > MAX_UNSENT {
+        if conn.channel.flush().is_err() {
             self.close_caller(caller, "broken");
             return;
         }
+        if let CallerPhase::Busy(exchange_id) = conn.phase {
+            self.resume_if_taken(exchange_id);
+        }
         self.read_caller(caller, closing);
     }
 
@@ -188,9 +188,10 @@
         match &conn.phase {
             CallerPhase::Busy(_) => {}
             CallerPhase::Lingering => {
-                let last = conn.idle_since + MAX_LINGER_TIME;
-                if conn.channel.unsent() > 0 && now < last {
-                    self.arm_caller(caller, last.min(now + LINGER_CHECK_INTERVAL));
+                let is_open = conn.channel.flush().is_ok() && conn.channel.unsent() > 0;
+                let has_stalled = conn.progress.has_stalled(conn.channel.unsent(), now);
+                if is_open && !has_stalled && now < conn.idle_since + MAX_LINGER_TIME {
+                    self.arm_caller(caller, now + STALL_CHECK_INTERVAL);
                 } else {
                     self.close_caller(caller, "closed");
                 }
@@ -234,7 +235,8 @@
             // The caller is still taking its last response.
             conn.phase = CallerPhase::Lingering;
             conn.idle_since = now;
-            self.arm_caller(caller, now + LINGER_CHECK_INTERVAL);
+            conn.progress = SendProgress::start(now);
+            self.arm_caller(caller, now + STALL_CHECK_INTERVAL);
         } else {
             self.close_caller(caller, "idle");
         }
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -9,6 +9,7 @@
 //! - [`resumption`]: binds streams to the software version that began them.
 //! - [`silence`]: servers that fall silent while they run a request.
 //! - [`responses`]: writes responses to callers.
+//! - [`backpressure`]: slows servers down whose callers read slowly.
 //! - [`stopping`]: ends callers' connections while the process stops.
 //! - [`admin`]: readiness checks and metrics.
 //! - [`updates`]: applies updates from the store and load digests of the
@@ -22,6 +23,7 @@
 //! connection of its current attempt, and its caller gets one response.
 
 mod admin;
+mod backpressure;
 mod callers;
 mod crashes;
 mod dispatch;
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -203,6 +203,7 @@
             tried_replicas: Vec::new(),
             may_have_run: false,
             stream: None,
+            pause: None,
             fallback: None,
             sent_load: SentLoad::default(),
             standby: None,
--- a/crates/dewedge/src/serve/responses.rs
+++ b/crates/dewedge/src/serve/responses.rs
@@ -8,15 +8,13 @@
 use crate::format::PlatformFormat;
 use crate::http::{HeaderFields, ResponseHead};
 
+use super::backpressure::SendProgress;
 use super::state::{CallerId, CallerPhase, EdgeState};
 
 /// Time for which a closing connection stays open so that the caller can read
 /// the last response.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
-/// Maximum bytes buffered for a caller that doesn't read.
-pub(crate) const MAX_UNSENT: usize = 4 << 20;
-
 /// Hop-by-hop headers, and headers that are generated anew.
 const CONNECTION_HEADERS: [&str; 9] = [
     "connection",
@@ -203,6 +201,7 @@
         };
         conn.idle_since = now;
         conn.read_since = None;
+        conn.progress = SendProgress::start(now);
         let due = if conn.closing {
             conn.phase = CallerPhase::Lingering;
             if conn.channel.unsent() == 0 {
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -16,7 +16,6 @@
 
 use super::crashes::ServerTest;
 use super::outcomes::AttemptOutcome;
-use super::responses::MAX_UNSENT;
 use super::state::{CallerStream, EdgeState, ServerConnId};
 
 /// Maximum bytes of a response head.
@@ -75,6 +74,12 @@
             return false;
         };
         let flushed = conn.channel.flush();
+        if let Some(exchange_id) = conn.exchange_id
+            && self.is_paused(exchange_id, conn_id)
+        {
+            return false;
+        }
+        let conn = &mut self.server_conns[conn_id];
         let read_state = conn.channel.fill(MAX_INBOUND, closing);
         if conn.exchange_id.is_none() {
             if read_state != ReadState::Open || !conn.channel.inbound.is_empty() {
@@ -109,7 +114,10 @@
         self.read_server_response(conn_id, read_state);
         // The response may have ended, and the id may be in use again.
         let conn = self.server_conns.get(conn_id);
-        conn.is_some_and(|conn| conn.exchange_id.is_some() && conn.channel.may_have_more())
+        conn.is_some_and(|conn| {
+            let reads = |exchange_id| !self.is_paused(exchange_id, conn_id);
+            conn.exchange_id.is_some_and(reads) && conn.channel.may_have_more()
+        })
     }
 
     /// Checks whether a connection is established.
@@ -406,11 +414,7 @@
         }
         self.record_event(exchange_id, first_of_attempt);
         self.write_events(caller, &events);
-        let caller_conn = self.caller_conns.get(caller);
-        if caller_conn.is_some_and(|conn| conn.channel.unsent() > MAX_UNSENT) {
-            self.close_caller(caller, "caller too slow");
-            return Err("caller too slow");
-        }
+        self.pause_if_behind(exchange_id, caller);
         Ok(())
     }
 
--- a/crates/dewedge/src/serve/silence.rs
+++ b/crates/dewedge/src/serve/silence.rs
@@ -72,6 +72,8 @@
         } else if last <= now {
             self.exchanges[exchange_id].may_have_run = true;
             self.fail_request(exchange_id, "timeout");
+        } else if exchange.pause.is_some() {
+            self.check_paused(exchange_id);
         } else {
             let due = self.next_check_time(exchange_id);
             if due > now {
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -31,6 +31,7 @@
 use crate::stream::EventSplitter;
 use crate::tables::{CallerLimits, RouteSpec, RouteTable};
 
+use super::backpressure::SendProgress;
 use super::crashes::CrashWatch;
 use super::resumption::VersionBinding;
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
@@ -93,6 +94,8 @@
     pub(crate) idle_since: Moment,
     /// Whether the connection is closed after the response.
     pub(crate) closing: bool,
+    /// How the caller takes the last response of a closing connection.
+    pub(crate) progress: SendProgress,
 }
 
 /// State of a stream that is forwarded to its caller.
@@ -154,6 +157,8 @@
     /// Whether a server may have run it.
     pub(crate) may_have_run: bool,
     pub(crate) stream: Option<CallerStream>,
+    /// How the caller takes the stream while its server isn't read because of it.
+    pub(crate) pause: Option<SendProgress>,
     pub(crate) fallback: Option<FallbackResponse>,
     pub(crate) sent_load: SentLoad,
     pub(crate) standby: Option<StandbyAttempt>,
