Reset the connection of a caller without chunks if a response breaks off

A caller that speaks HTTP/1.0 gets a response without a length up to the end of its connection. dewspringd ended the connection of a response that had broken off in the usual way, so the half response was a complete success to its caller. Such connections now end with a reset unless they are shut down after the whole response, also if the process is killed.

--- a/crates/dewspring/src/entry/linger.rs
+++ b/crates/dewspring/src/entry/linger.rs
@@ -4,15 +4,22 @@
 //! discard the last response before a caller that is still sending reads it.
 //! A lingering close shuts down the write direction first and then reads and
 //! discards bytes, up to a limit of size and time. The handler never sees them.
+//!
+//! A caller without chunks takes the end of its connection for the end of a
+//! response without a length. Its connection therefore ends with a reset, unless
+//! the response is complete.
 
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
@@ -34,11 +41,26 @@
     bytes: usize,
 }
 
+/// Whether a connection must end with a reset, unless it is shut down.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ResetGuard(Arc<AtomicBool>);
+
+impl ResetGuard {
+    /// Lets the connection end with a reset from its next write on, also if the
+    /// process is killed.
+    pub(super) fn arm(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// A connection whose shutdown is a lingering close.
 #[derive(Debug)]
 pub(super) struct LingeringStream {
     stream: TokioIo<TcpStream>,
     budget: Option<LingerBudget>,
+    reset: ResetGuard,
+    /// Whether the kernel was told to end the connection with a reset.
+    resets: bool,
 }
 
 impl LingeringStream {
@@ -47,6 +69,35 @@
         Self {
             stream: TokioIo::new(stream),
             budget: None,
+            reset: ResetGuard::default(),
+            resets: false,
+        }
+    }
+
+    /// Returns the guard that lets the connection end with a reset.
+    pub(super) fn reset_guard(&self) -> ResetGuard {
+        self.reset.clone()
+    }
+
+    /// Tells the kernel how the connection ends if it is closed now.
+    fn set_reset(&mut self, resets: bool) -> io::Result<()> {
+        if self.resets == resets {
+            return Ok(());
+        }
+        self.resets = resets;
+        let stream = self.stream.inner();
+        if resets {
+            stream.set_zero_linger()
+        } else {
+            SockRef::from(stream).set_linger(None)
+        }
+    }
+
+    /// Applies the guard before a write.
+    fn apply_guard(&mut self) -> io::Result<()> {
+        match self.reset.0.load(Ordering::Relaxed) {
+            true => self.set_reset(true),
+            false => Ok(()),
         }
     }
 
@@ -87,6 +138,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.apply_guard()?;
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -96,6 +148,8 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.budget.is_none() {
+            // The response is complete.
+            self.set_reset(false)?;
             ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
         }
         self.poll_discard(context).map(Ok)
@@ -110,6 +164,7 @@
         context: &mut Context<'_>,
         pieces: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_guard()?;
         Pin::new(&mut self.stream).poll_write_vectored(context, pieces)
     }
 }
--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -13,7 +13,7 @@
 use hyper::rt::Write;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use tokio::io::AsyncWriteExt;
@@ -237,8 +237,13 @@
         log::debug!("entry: Setting TCP_NODELAY on a connection failed: {error}.");
     }
     let header_timeout = context.settings.header_timeout;
+    let stream = LingeringStream::new(stream);
+    let reset = stream.reset_guard();
     let service = service_fn(move |request: Request<Incoming>| {
         let context = Arc::clone(&context);
+        if request.version() < Version::HTTP_11 {
+            reset.arm();
+        }
         // The connection holds the memory of its service future even after the
         // future has completed. Boxing the handler releases its memory before
         // the response body is streamed.
@@ -249,7 +254,7 @@
         .header_read_timeout(header_timeout)
         .max_buf_size(MAX_HEADER_BYTES)
         .max_headers(MAX_HEADERS)
-        .serve_connection(LingeringStream::new(stream), service);
+        .serve_connection(stream, service);
     if let Err(error) = watcher.watch(connection).await {
         log::debug!("entry: A connection ended early: {error}.");
     }
