Keep the responses of callers that read slowly

The kernel grows the send buffer of a connection up to 4 MiB and accepts further bytes only once a third of it is free. A caller that read 0.8 MB/s therefore seemed to take nothing for 2 s and was cut off by the silence timeout, although it read on. The buffer of callers' connections is now 512 KiB, which also bounds the memory for them.

--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -16,6 +16,7 @@
 use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
@@ -45,6 +46,14 @@
 /// with a refusal.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(300);
 
+/// Size of the kernel's send buffer of a caller's connection, in bytes; the kernel
+/// doubles it.
+///
+/// A connection accepts further bytes once a third of the buffer is free. In the
+/// largest buffer of the kernel, a caller that reads slowly would seem to take
+/// nothing for longer than the silence timeout.
+const SEND_BUFFER_BYTES: usize = 256 * 1024;
+
 /// Timeout for sending the refusal to a connection and for its close.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -236,6 +245,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("entry: Setting TCP_NODELAY on a connection failed: {error}.");
     }
+    if let Err(error) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
+        log::debug!("entry: Setting the send buffer of a connection failed: {error}.");
+    }
     let header_timeout = context.settings.header_timeout;
     let stream = LingeringStream::new(stream);
     let reset = stream.reset_guard();
--- a/crates/dewspringd/tests/faults.rs
+++ b/crates/dewspringd/tests/faults.rs
@@ -1,5 +1,5 @@
 //! Servers that send late copies, break off, trickle or pause, and callers that
-//! can't see the end of a response.
+//! can't see the end of a response, or read slowly.
 
 mod common;
 
@@ -11,8 +11,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{DEFAULT_ROUTES, FleetPlan, TestFleet, wait_until};
-use socket2::SockRef;
+use common::{DEFAULT_ROUTES, FleetPlan, TestFleet, resident_bytes, wait_until};
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// Timeout of each route in these tests, and time for the response to arrive.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -105,8 +105,12 @@
 /// Starts one daemon whose pools of services and engines have the scripted server
 /// only.
 fn start(script: Script) -> (TestFleet, ScriptedServer) {
+    start_with_timeout(script, ROUTE_TIMEOUT)
+}
+
+fn start_with_timeout(script: Script, timeout: Duration) -> (TestFleet, ScriptedServer) {
     let service = ScriptedServer::spawn(script);
-    let timeout = format!("timeout = \"{}s\"", ROUTE_TIMEOUT.as_secs());
+    let timeout = format!("timeout = \"{}s\"", timeout.as_secs());
     let routes = DEFAULT_ROUTES
         .replace("timeout = \"60s\"", &timeout)
         .replace("timeout = \"10s\"", &timeout)
@@ -431,6 +435,90 @@
     assert_eq!(service.requests() - before, 1);
 }
 
+/// Bytes of a bulk response, and of what a caller takes each time.
+const BULK_BYTES: usize = 12 << 20;
+const BULK_PIECE: usize = 64 * 1024;
+
+/// Sends a large response as fast as it is taken.
+fn send_bulk(path: &str, writer: &mut TcpStream) {
+    if path == "/payment/probe" {
+        write_all(writer, "HTTP/1.1 200 X\r\ncontent-length: 2\r\n\r\nok");
+        return;
+    }
+    let piece = "x".repeat(BULK_PIECE);
+    let mut open = write_all(
+        writer,
+        &format!("HTTP/1.1 200 X\r\ncontent-length: {BULK_BYTES}\r\n\r\n"),
+    );
+    for _ in 0..BULK_BYTES / BULK_PIECE {
+        open = open && write_all(writer, &piece);
+    }
+}
+
+/// Connects with a small receive buffer.
+fn connect_small(entry: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_recv_buffer_size(64 * 1024)?;
+    socket.connect(&entry.into())?;
+    Ok(TcpStream::from(socket))
+}
+
+/// Pauses of callers between two pieces of [`BULK_PIECE`] bytes. The slowest needs
+/// the whole time of [`BULK_TIMEOUT`] less a margin.
+const READ_PAUSES: [Duration; 4] = [
+    Duration::from_millis(5),
+    Duration::from_millis(20),
+    Duration::from_millis(50),
+    Duration::from_millis(80),
+];
+const BULK_TIMEOUT: Duration = Duration::from_secs(25);
+
+/// Guards against a caller that is cut off although it reads on, one that has
+/// stalled and holds a server, and memory that is filled for both.
+#[test]
+fn a_caller_keeps_its_response_while_it_reads() {
+    let (fleet, service) = start_with_timeout(send_bulk, BULK_TIMEOUT);
+    let entry = fleet.daemons[0].entry;
+    let pid = fleet.daemons[0].process.pid();
+    let before = resident_bytes(pid);
+    let slow = READ_PAUSES.map(|pause| {
+        thread::spawn(move || {
+            let stream = send_request(connect_small(entry), "1.1", "/archive/a", "");
+            let answer = receive(stream, BULK_PIECE, pause);
+            (pause, answer.is_complete(), answer.bytes.len())
+        })
+    });
+    let stalled: Vec<_> = (0..8)
+        .map(|_| send_request(connect_small(entry), "1.1", "/archive/a", ""))
+        .collect();
+    let started = Instant::now();
+    wait_until("the stalled callers are given up", || {
+        in_flight(&fleet) <= READ_PAUSES.len() as u64
+    });
+    assert!(started.elapsed() < SILENCE_TIMEOUT * 3);
+    let growth = resident_bytes(pid).saturating_sub(before);
+    assert!(growth < 64 << 20, "{growth} bytes");
+    let cut: Vec<_> = slow
+        .into_iter()
+        .map(|caller| caller.join().expect("the caller ends"))
+        .filter(|(_, is_complete, _)| !is_complete)
+        .collect();
+    assert!(cut.is_empty(), "{cut:?}");
+    for stream in stalled {
+        let answer = receive(stream, usize::MAX, Duration::ZERO);
+        assert!(!answer.is_complete(), "{} bytes", answer.bytes.len());
+    }
+    assert!(service.requests() >= 12);
+}
+
+/// Returns the number of requests at servers.
+fn in_flight(fleet: &TestFleet) -> u64 {
+    let status = common::admin_json(&fleet.daemons[0], "/v1/status").body;
+    let pools = status["pools"].as_array().expect("pools are listed");
+    let counts = pools.iter().map(|pool| pool["in_flight"].as_u64());
+    counts.map(|count| count.unwrap_or(0)).sum()
+}
+
 /// Refuses with 503, without a promise that nothing ran.
 fn refuse(path: &str, writer: &mut TcpStream) {
     let status = if path == "/payment/probe" { 200 } else { 503 };
