Answer the last connections before dewspringd stops listening

A stopping daemon closed its listener with the connections that still waited in the kernel's queue, and then each connection whose first request hadn't arrived yet; their requests ended without an answer. The queue is now emptied first, and the last connections have 0.5 s for their request. Four of five connections that came last got no answer before, all get one after.

--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -46,6 +46,10 @@
 /// with a refusal.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(300);
 
+/// Time for the first request of a connection that was accepted as one of the
+/// last; a round trip takes a few ms, and packets may be lost.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
 /// Size of the kernel's send buffer of a caller's connection, in bytes; the kernel
 /// doubles it.
 ///
@@ -147,13 +151,15 @@
             }
         };
         let graceful = GracefulShutdown::new();
-        let shared = Arc::clone(&context);
-        let watcher = || graceful.watcher();
+        let acceptor = ConnectionAcceptor::new(Arc::clone(&context), || graceful.watcher());
         let limit = tokio::select! {
-            () = accept_connections(&listener, shared, watcher) => Duration::ZERO,
+            () = acceptor.accept_all(&listener) => Duration::ZERO,
             limit = drain_on_stop(&context, stopped) => limit,
         };
-        drop(listener);
+        acceptor.accept_queued(listener);
+        let started = Instant::now();
+        sleep(limit.min(FIRST_REQUEST_TIME)).await;
+        let limit = limit.saturating_sub(started.elapsed());
         match timeout(limit, graceful.shutdown()).await {
             Ok(()) => ShutdownOutcome::Finished,
             Err(_) => ShutdownOutcome::CutOff(context.in_flight()),
@@ -181,40 +187,89 @@
     limit.saturating_sub(started.elapsed())
 }
 
-async fn accept_connections<C: ConfigSource, G: GrantSource>(
-    listener: &tokio::net::TcpListener,
+/// Accepts connections up to their limit, and refuses those above it.
+struct ConnectionAcceptor<C, G, W> {
     context: Arc<EntryContext<C, G>>,
-    watcher: impl Fn() -> Watcher,
-) {
-    let limit = context.settings.max_connections;
-    let slots = Arc::new(Semaphore::new(limit));
-    // Pending refusals have the same limit; connections above it are closed
-    // without a response.
-    let refusals = Arc::new(Semaphore::new(limit));
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+    watcher: W,
+    limit: usize,
+    slots: Arc<Semaphore>,
+    /// Pending refusals have the same limit; connections above it are closed
+    /// without a response.
+    refusals: Arc<Semaphore>,
+}
+
+impl<C: ConfigSource, G: GrantSource, W: Fn() -> Watcher> ConnectionAcceptor<C, G, W> {
+    fn new(context: Arc<EntryContext<C, G>>, watcher: W) -> Self {
+        let limit = context.settings.max_connections;
+        Self {
+            context,
+            watcher,
+            limit,
+            slots: Arc::new(Semaphore::new(limit)),
+            refusals: Arc::new(Semaphore::new(limit)),
+        }
+    }
+
+    /// Accepts connections without end.
+    async fn accept_all(&self, listener: &tokio::net::TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.admit(stream),
+                Err(error) => {
+                    log::warn!("entry: Accepting a connection failed: {error}.");
+                    sleep(DRAIN_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    /// Accepts the connections in the kernel's queue and stops listening; closing
+    /// the listener would reset them.
+    fn accept_queued(&self, listener: tokio::net::TcpListener) {
+        let accept_one = |listener: &TcpListener| {
+            let (stream, _) = listener.accept()?;
+            stream.set_nonblocking(true)?;
+            TcpStream::from_std(stream)
+        };
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
             Err(error) => {
-                log::warn!("entry: Accepting a connection failed: {error}.");
-                sleep(DRAIN_INTERVAL).await;
-                continue;
+                log::warn!("entry: The last connections were not accepted: {error}.");
+                return;
             }
         };
-        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+        loop {
+            match accept_one(&listener) {
+                Ok(stream) => self.admit(stream),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // The caller has gone; others may be in the queue behind it.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    log::warn!("entry: Accepting a connection failed: {error}.");
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Serves a connection, or refuses it above the limit.
+    fn admit(&self, stream: TcpStream) {
+        let limit = self.limit;
+        let Ok(slot) = Arc::clone(&self.slots).try_acquire_owned() else {
             log::warn!("entry: A connection above the limit of {limit} was refused.");
-            if let Ok(slot) = Arc::clone(&refusals).try_acquire_owned() {
+            if let Ok(slot) = Arc::clone(&self.refusals).try_acquire_owned() {
                 tokio::spawn(async move {
                     refuse_connection(stream).await;
                     drop(slot);
                 });
             }
-            continue;
+            return;
         };
-        context
-            .metrics
-            .set_connections(limit - slots.available_permits());
-        let watcher = watcher();
-        let context = Arc::clone(&context);
+        let connections = limit - self.slots.available_permits();
+        self.context.metrics.set_connections(connections);
+        let watcher = (self.watcher)();
+        let context = Arc::clone(&self.context);
         tokio::spawn(async move {
             serve_connection(stream, context, watcher).await;
             drop(slot);
--- a/crates/dewspringd/tests/faults.rs
+++ b/crates/dewspringd/tests/faults.rs
@@ -1,5 +1,5 @@
 //! Servers that send late copies, break off, trickle or pause, and callers that
-//! can't see the end of a response, or read slowly.
+//! can't see the end of a response, read slowly or come last before a stop.
 
 mod common;
 
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{DEFAULT_ROUTES, FleetPlan, TestFleet, resident_bytes, wait_until};
+use common::{DEFAULT_ROUTES, FleetPlan, TestFleet, is_ready, resident_bytes, wait_until};
 use socket2::{Domain, SockRef, Socket, Type};
 
 /// Timeout of each route in these tests, and time for the response to arrive.
@@ -542,3 +542,68 @@
     }
     assert_eq!(service.requests() - before, 2);
 }
+
+/// A connection that a stopping daemon accepts as one of the last.
+struct LastConnection {
+    name: &'static str,
+    /// Time from the stop signal to the connection.
+    connected: Duration,
+    /// Time from the connection to its request.
+    sent: Duration,
+    /// Whether the daemon is frozen meanwhile, so that the connection waits in the
+    /// kernel's queue.
+    frozen: bool,
+}
+
+/// Guards against requests of connections that were established before the daemon
+/// stopped listening and that are cut off without an answer.
+#[test]
+fn the_requests_of_the_last_connections_are_answered() {
+    let ms = Duration::from_millis;
+    let cases =
+        [(250, 20), (250, 100), (280, 40), (200, 200)].map(|(connected, sent)| LastConnection {
+            name: "accepted",
+            connected: ms(connected),
+            sent: ms(sent),
+            frozen: false,
+        });
+    let queued = LastConnection {
+        name: "queued",
+        connected: ms(150),
+        sent: ms(300),
+        frozen: true,
+    };
+    let mut unanswered = Vec::new();
+    for case in cases.into_iter().chain([queued]) {
+        let mut fleet = TestFleet::start(FleetPlan {
+            daemons: 1,
+            ..FleetPlan::default()
+        });
+        assert!(is_ready(&fleet.daemons[0]));
+        let entry = fleet.daemons[0].entry;
+        let process = &mut fleet.daemons[0].process;
+        process.terminate();
+        thread::sleep(case.connected);
+        if case.frozen {
+            process.freeze();
+        }
+        let stream = TcpStream::connect(entry);
+        thread::sleep(case.sent);
+        if case.frozen {
+            process.resume();
+            thread::sleep(Duration::from_millis(20));
+        }
+        let answer = stream.and_then(|mut stream| {
+            stream.write_all(b"GET /v1/models HTTP/1.1\r\nhost: a\r\n\r\n")?;
+            Ok(receive(stream, usize::MAX, Duration::ZERO))
+        });
+        let status = answer.ok().and_then(|answer| answer.status());
+        if status != Some(503) {
+            let (name, at, sent) = (case.name, case.connected, case.sent);
+            unanswered.push(format!("{name} at {at:?}, sent after {sent:?}: {status:?}"));
+        }
+        let ended = process.wait_exit(Duration::from_secs(10));
+        assert!(ended.expect("the daemon ends").success());
+    }
+    assert!(unanswered.is_empty(), "{}", unanswered.join("\n"));
+}
