Test hand-overs between two processes of one VM

Neither a key that is repeated through the old process, its successor and another VM, nor a request without a key ran twice while both processes went on, the old one was frozen, or it shut down. The test fails if request ids lack the boot of their process, and if a claim of the same VM may be taken over.

--- a/crates/dewspringd/tests/at_most_once.rs
+++ b/crates/dewspringd/tests/at_most_once.rs
@@ -326,3 +326,84 @@
     );
     assert!(outcomes.served.load(Ordering::Relaxed) > 0);
 }
+
+/// What happens to a process while another one takes its VM's name over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HandOver {
+    /// Both go on.
+    Overlap,
+    /// The old one is frozen with requests in work, and goes on after the new one
+    /// has served their repetitions.
+    Frozen,
+    /// The old one shuts down.
+    ShutDown,
+}
+
+/// Number of keys that are sent during a hand-over.
+const HAND_OVER_KEYS: usize = 120;
+
+/// Guards against two processes of one VM that both act for a moment: neither a
+/// key that is repeated through both, nor a request without one, runs twice.
+#[test]
+fn a_hand_over_between_two_processes_runs_nothing_twice() {
+    for hand_over in [HandOver::Overlap, HandOver::Frozen, HandOver::ShutDown] {
+        let mut fleet = payment_fleet(2, "");
+        let successor = fleet.start_daemon(1);
+        wait_until("the new process is ready", || is_ready(&successor));
+        let mut old = std::mem::replace(&mut fleet.daemons[0], successor);
+        let entries = [old.entry, fleet.daemons[0].entry, fleet.daemons[1].entry];
+        let served: usize = thread::scope(|scope| {
+            let callers = entries.map(|entry| scope.spawn(move || send_all_keys(entry)));
+            thread::sleep(Duration::from_millis(150));
+            fleet.publish_vms();
+            match hand_over {
+                HandOver::Overlap => {}
+                HandOver::Frozen => {
+                    old.process.freeze();
+                    thread::sleep(Duration::from_millis(600));
+                    old.process.resume();
+                }
+                HandOver::ShutDown => {
+                    old.process.terminate();
+                    let ended = old.process.wait_exit(Duration::from_secs(10));
+                    assert!(ended.is_some_and(|status| status.success()));
+                }
+            }
+            let counts = callers.map(|caller| caller.join().expect("the caller ends"));
+            counts.into_iter().sum()
+        });
+        let counts = KeyExecutions::read(&fleet);
+        let runs: Vec<u64> = (0..HAND_OVER_KEYS)
+            .map(|number| counts.of(&format!("key-{number}")))
+            .collect();
+        assert!(
+            runs.iter().all(|count| *count <= 1),
+            "{hand_over:?}: {runs:?}"
+        );
+        let ran = runs.iter().sum::<u64>() as usize;
+        assert!(ran > HAND_OVER_KEYS / 2, "{hand_over:?}: {ran} keys ran");
+        assert!(
+            served >= ran,
+            "{hand_over:?}: {served} responses, {ran} keys ran"
+        );
+        for (request, count) in fleet.executions() {
+            assert_eq!(count, 1, "{hand_over:?}: {request}");
+        }
+    }
+}
+
+/// Sends all keys through a daemon, and a request without a key after each; returns
+/// the number of keys that it served.
+fn send_all_keys(entry: SocketAddr) -> usize {
+    let mut served = 0;
+    for number in 0..HAND_OVER_KEYS {
+        let response = send_payment(entry, &format!("key-{number}"), 1);
+        served += usize::from(response.is_ok_and(|response| response.status == 200));
+        let request = Request::post(format!("http://{entry}/payment/fee"))
+            .body(Body::from("amount=1"))
+            .expect("a valid request");
+        // The process may have ended; its requests aren't repeated.
+        let _ = send(request);
+    }
+    served
+}
