Check the leases of duties on fleets that fail

A store that returns from a copy gives out revisions and lease ids again. The model showed that a VM which did not know of the new era could remove the key of a new holder by a release that expects the same revision. A transaction is now returned only within a quarter of the TTL of a renewal, and dropped by the caller if it can't be sent within another.

--- a/crates/dewduty/src/lease/duty.rs
+++ b/crates/dewduty/src/lease/duty.rs
@@ -143,8 +143,8 @@
         self.releasing = None;
     }
 
-    /// Notes that the transaction in flight failed or has no result.
-    pub(crate) fn note_failure(&mut self, retry_at: Duration) {
+    /// Notes that the transaction in flight has ended or has no result.
+    pub(crate) fn end_transaction(&mut self, retry_at: Duration) {
         self.asked = None;
         self.retry_at = retry_at;
     }
--- a/crates/dewduty/src/lease/policy.rs
+++ b/crates/dewduty/src/lease/policy.rs
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Returns the time within which a store call must be sent after it was returned.
+    ///
+    /// A transaction is returned at most this time after the sending of a call that
+    /// confirmed the era. Half of the TTL is left for its way to the store.
+    pub fn send_window(&self) -> Duration {
+        self.ttl / 4
+    }
+
     /// Returns until when a lease is valid that was opened or renewed by a call sent
     /// at this time.
     pub(crate) fn valid_until(&self, sent: Duration) -> Duration {
--- a/crates/dewduty/src/lease/vm_lease.rs
+++ b/crates/dewduty/src/lease/vm_lease.rs
@@ -87,6 +87,11 @@
     /// Notes that this process was frozen; a renewal is due at once.
     pub(crate) fn record_thaw(&mut self, now: Duration) {
         self.thawed = now;
+        self.hasten_renewal(now);
+    }
+
+    /// Makes a renewal due at once.
+    pub(crate) fn hasten_renewal(&mut self, now: Duration) {
         if let Some(lease) = &mut self.open {
             lease.renew_at = now;
         }
