Let prompts wait for engines where they delay no streams

When the number of gap-sensitive streams falls, their reservation shrinks at once, while they run on for seconds: long prompts were then read beside them. A prompt that would delay two or more streams now waits for another engine, for up to a quarter of its latency target. Also passes a lease that the store doesn't know on to the lease table when an acquisition finds it so.

--- a/crates/dewedge/src/policy/engine_model.rs
+++ b/crates/dewedge/src/policy/engine_model.rs
@@ -343,6 +343,12 @@
         self.classes = classes;
     }
 
+    /// Returns the tightest target for the gap between two events, in ms; infinite
+    /// without streams.
+    pub fn tightest_target_ms(&self) -> f64 {
+        self.tightest_target_ms
+    }
+
     /// Returns the classes that are more urgent than a rank and share their
     /// engines with it, because they aren't gap-sensitive.
     pub fn more_urgent_classes(&self, priority: u8) -> impl Iterator<Item = &StreamClass> {
--- a/crates/dewedge/src/policy/reported_placement.rs
+++ b/crates/dewedge/src/policy/reported_placement.rs
@@ -44,6 +44,14 @@
 /// on all of them.
 const HOME_STEPS: f64 = 2.0;
 
+/// Gap-sensitive streams of an engine that a prompt may delay beyond their target.
+const MAX_DELAYED_STREAMS: u32 = 1;
+
+/// Share of the latency target for which a prompt waits for an engine where it
+/// delays no streams. It is less than the longest wait, so that prompts aren't
+/// refused for as long as only engines with streams have room.
+const STREAM_WAIT_SHARE: f64 = 0.25;
+
 /// Request whose server is chosen by reports.
 #[derive(Clone, Debug)]
 pub struct ReportedQuery<'a> {
@@ -295,6 +303,9 @@
                 continue;
             }
             let candidate = self.candidate(index, is_home, cached_tokens);
+            if self.delays_streams(&candidate) {
+                continue;
+            }
             let suits = self.suits(replica);
             if has_prefix && self.prefix.tokens > 0 {
                 let best = match suits {
@@ -376,6 +387,23 @@
         longest_ms * replica.slowness <= target_ms
     }
 
+    /// Returns whether a prompt must not be read at an engine yet, because the gaps
+    /// of the streams that run there would exceed their target.
+    ///
+    /// Streams outlast the reservation of their engine when their number falls.
+    fn delays_streams(&self, candidate: &Candidate) -> bool {
+        let request = &self.query.request;
+        let replica = &self.replicas[candidate.index];
+        if request.gap_sensitive || replica.load.gap_sensitive_streams <= MAX_DELAYED_STREAMS {
+            return false;
+        }
+        let gap_ms = self.model.event_gap_ms(replica.load.requests);
+        let read_ms = candidate.prefill_ms.min(self.model.saturated_gap_ms());
+        let delayed_ms = (gap_ms + read_ms) * replica.slowness;
+        delayed_ms > self.model.tightest_target_ms()
+            && request.waited < request.latency_target.mul_f64(STREAM_WAIT_SHARE)
+    }
+
     fn target_ms(&self) -> Option<f64> {
         let target = self.query.event_gap_target?;
         Some(target.as_secs_f64() * 1000.0)
--- a/crates/dewedge/src/serve/duties/holding.rs
+++ b/crates/dewedge/src/serve/duties/holding.rs
@@ -102,6 +102,13 @@
                 state.on_report_written(duties, report, response.as_ref());
                 return;
             }
+            if let (DutyCall::Acquire { holder, .. }, Some(StoreResponse::LeaseExpired)) =
+                (&call, &response)
+            {
+                let lease = holder.lease;
+                let event = LeaseEvent::LeaseExpired { lease };
+                duties.leases.apply(event, state.now);
+            }
             if let Some(event) = lease_event(call, sent, response, era) {
                 duties.leases.apply(event, state.now);
             }
--- a/crates/dewedge/tests/load_reports.rs
+++ b/crates/dewedge/tests/load_reports.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use dewedge::format::{LoadReport, PromptPart};
-use dewedge::policy::engine_model::EngineModel;
+use dewedge::policy::engine_model::{EngineModel, StreamClass};
 use dewedge::policy::load_reports::{ReportTable, ServerReports, ServiceReports};
 use dewedge::policy::placement::{
     PartCache, PlacementChoice, PlacementQuery, ReplicaView, ServerLoad, choose_engine,
@@ -561,6 +561,114 @@
     }
 }
 
+/// What callers get while the streams of a burst end and long prompts go on.
+#[derive(Debug, Default)]
+struct FallResult {
+    streams: u32,
+    /// Streams beside which a long prompt was read.
+    late: u32,
+    prompts: u32,
+    refused: u32,
+}
+
+/// Eight streams a round for 40 rounds of 60 ms, then one; each lasts 40 rounds,
+/// and there are three long prompts a round. A prompt that finds no engine waits
+/// for up to 8 rounds.
+fn play_falling_streams(seed: u64) -> FallResult {
+    const ENGINES: usize = 24;
+    let cache = PartCache::default();
+    let mut model = EngineModel::default();
+    model.set_classes(vec![StreamClass {
+        priority: 0,
+        latency_target: ms(1200),
+        event_gap_target: ms(120),
+    }]);
+    let mut random = RandomSource::new(seed);
+    let mut backlogs = [0.0f64; ENGINES];
+    // Of each stream, when it ends and whether a prompt has delayed it.
+    let mut streams: Vec<Vec<(u64, bool)>> = vec![Vec::new(); ENGINES];
+    let mut waiting: Vec<u64> = Vec::new();
+    let mut result = FallResult::default();
+    for round in 0..120u64 {
+        for engine in 0..ENGINES {
+            backlogs[engine] = (backlogs[engine] - 60.0).max(0.0);
+            streams[engine].retain(|(ends, _)| *ends > round);
+        }
+        waiting.extend([round; 3]);
+        let before = waiting.len();
+        waiting.retain(|since| round - since <= 8);
+        result.refused += (before - waiting.len()) as u32;
+        let new_streams = if round < 40 { 8 } else { 1 };
+        let arrivals = (0..new_streams).map(|_| None);
+        let prompts = std::mem::take(&mut waiting);
+        for since in arrivals.chain(prompts.into_iter().map(Some)) {
+            let views: Vec<_> = (0..ENGINES)
+                .map(|engine| {
+                    let running = streams[engine].len() as u32;
+                    ReplicaView {
+                        kv_cache_tokens: 500_000,
+                        load: ServerLoad {
+                            requests: running + u32::from(backlogs[engine] > 0.0),
+                            backlog_ms: backlogs[engine],
+                            tokens: 0,
+                            gap_sensitive_streams: running,
+                        },
+                        ..view(engine as u64 * 7919 + 1, 64, 0, &cache)
+                    }
+                })
+                .collect();
+            let tokens = if since.is_some() { 8000 } else { 100 };
+            let parts = [PromptPart {
+                id: random.next(),
+                tokens,
+            }];
+            let request = PlacementQuery {
+                parts: &parts,
+                prompt_tokens: tokens,
+                output_tokens: 50,
+                priority: if since.is_some() { 2 } else { 0 },
+                gap_sensitive: since.is_none(),
+                latency_target: ms(2000),
+                waited: ms(60 * (round - since.unwrap_or(round))),
+                now: ms(1000),
+            };
+            let query = ReportedQuery {
+                request,
+                event_gap_target: Some(ms(if since.is_none() { 120 } else { 1200 })),
+                random: random.next(),
+            };
+            let Some(hash) = chosen(choose_reported_engine(&query, &views, &model)) else {
+                waiting.extend(since);
+                continue;
+            };
+            let engine = hash as usize / 7919;
+            backlogs[engine] += model.prefill_ms(tokens);
+            if since.is_none() {
+                result.streams += 1;
+                streams[engine].push((round + 40, false));
+                continue;
+            }
+            result.prompts += 1;
+            for (_, is_late) in &mut streams[engine] {
+                result.late += u32::from(!std::mem::replace(is_late, true));
+            }
+        }
+    }
+    result
+}
+
+/// Guards against long prompts on engines whose reservation has ended while their
+/// streams still run, and against prompts that starve because of streams.
+#[test]
+fn prompts_wait_for_engines_where_they_delay_no_streams() {
+    for seed in [1, 2, 3] {
+        let result = play_falling_streams(seed);
+        println!("seed {seed}: {result:?}");
+        assert!(result.late * 20 <= result.streams, "{result:?}");
+        assert!(result.refused * 20 <= result.prompts, "{result:?}");
+    }
+}
+
 /// Guards against a changed choice for services whose servers don't report their
 /// slowness.
 #[test]
