Send digests also without load where servers are ordered

A VM sent digests only when its load changed or it had requests. On an idle fleet the holder of the orders so heard from no VM, took its input for out of date, and never ended a server: its decisions named an input age equal to the time since the start.

A VM with orders among its duties now sends a digest at least every second. The test failed before (no order for one of two servers within 40 s) and passes.

--- a/crates/dewedge/src/serve/duties/mod.rs
+++ b/crates/dewedge/src/serve/duties/mod.rs
@@ -133,6 +133,7 @@
             state.make_lease_calls(duties);
             state.send_usage(duties);
             state.send_demand(duties);
+            state.refresh_digest(duties);
             state.observe_servers(duties);
             state.call_api(duties);
             state.log_holder_changes(duties);
--- a/crates/dewedge/src/serve/duties/orders.rs
+++ b/crates/dewedge/src/serve/duties/orders.rs
@@ -29,6 +29,10 @@
 /// Interval at which unmet demand is told to the holders.
 const DEMAND_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval of the digests of a VM without load. A holder that hears of no VM for
+/// some seconds takes its input for out of date and ends no servers.
+const IDLE_DIGEST_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Age of the last response to a watch of the store up to which the list of
 /// servers counts as recent: a watch without changes lasts that long.
 const WATCH_AGE_ALLOWANCE: Duration = Duration::from_secs(12);
@@ -59,6 +63,12 @@
         }
     }
 
+    /// Lets the holders of the orders know that this VM has no load.
+    pub(super) fn refresh_digest(&mut self, duties: &DutyState<F>) {
+        let is_due = self.digest_sent + IDLE_DIGEST_INTERVAL <= self.now;
+        self.digest_due |= is_due && !duties.orders.is_empty();
+    }
+
     /// Tells the holders of the orders which requests found no server here.
     pub(super) fn send_demand(&mut self, duties: &mut DutyState<F>) {
         let (sent_at, had_demand) = duties.demand_sent;
