Pass the load reports of servers on to the other VMs

A VM saw only the reports in its own responses. With 75 VMs, 93 servers and 430 responses a second that is one every 15 s or so for each server, so slowness was learned slowly and the counts had nearly always expired.

Requests that have ended since a report's time, refusals after it, and the digests at its arrival are kept apart, so that nothing counts twice.

--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod http;
 pub mod keys;
 mod limit_notices;
+pub mod load_notices;
 mod logs;
 mod metrics;
 mod net;
--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -34,6 +34,11 @@
     pub(crate) outcome: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct NoticeLabels {
+    pub(crate) outcome: &'static str,
+}
+
 /// All metrics of a process.
 #[derive(Debug)]
 pub(crate) struct EdgeMetrics {
@@ -48,6 +53,7 @@
     pub(crate) malformed_duty_datagrams: Counter,
     pub(crate) uncounted_requests: Counter,
     pub(crate) reported_choices: Family<ServiceLabels, Counter>,
+    pub(crate) load_notices: Family<NoticeLabels, Counter>,
     pub(crate) connects: Counter,
     pub(crate) foreign_datagrams: Counter,
     pub(crate) server_crashes: Counter,
@@ -117,6 +123,12 @@
             "Sends to servers that were chosen by the load that they reported",
             reported_choices.clone(),
         );
+        let load_notices = Family::default();
+        registry.register(
+            "load_notices",
+            "Reports of servers that other VMs passed on, by what was done with them",
+            load_notices.clone(),
+        );
         let connects = Counter::default();
         registry.register(
             "server_connects",
@@ -177,6 +189,7 @@
             malformed_duty_datagrams,
             uncounted_requests,
             reported_choices,
+            load_notices,
             connects,
             foreign_datagrams,
             server_crashes,
@@ -200,6 +213,14 @@
         self.api_calls.get_or_create(&label).inc();
     }
 
+    /// Counts reports of servers that other VMs passed on.
+    pub(crate) fn count_load_notices(&self, outcome: &'static str, count: u64) {
+        if count > 0 {
+            let label = NoticeLabels { outcome };
+            self.load_notices.get_or_create(&label).inc_by(count);
+        }
+    }
+
     /// Returns all metrics in the text exposition format.
     pub(crate) fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::crash_notices::{CRASH_MAGIC, CrashNotice, decode_notices as decode_crash_notices};
 use crate::directory::{ReplicaDirectory, stable_hash};
 use crate::limit_notices::{LIMIT_MAGIC, LimitNotice, decode_notices};
+use crate::load_notices::{LOAD_NOTICE_MAGIC, NoticeReceiver, ReceivedNotices};
 use crate::origins::{StreamKey, StreamOrigin};
 use crate::policy::placement::ServerLoad;
 use crate::policy::rate_limit::FleetPlace;
@@ -78,6 +79,8 @@
     },
     /// Limits that servers have named.
     Limits(Vec<LimitNotice>),
+    /// Reports of servers about their load; `None` if they can't be read.
+    Reports(Option<ReceivedNotices>),
     /// What another VM knows of crashes.
     Crashes(Vec<CrashNotice>),
     /// A question for the origin of a stream.
@@ -104,6 +107,7 @@
     /// VMs whose entries were removed: their addresses, and when.
     departed: IndexMap<String, (SocketAddr, Moment)>,
     digests: IndexMap<u64, PeerDigest>,
+    load_notices: NoticeReceiver,
     next_target: usize,
     next_query_target: usize,
 }
@@ -203,6 +207,16 @@
         targets
     }
 
+    /// Returns the hash of this VM's name.
+    pub(crate) fn own_hash(&self) -> u64 {
+        self.own_hash
+    }
+
+    /// Returns in how many turns of `most` VMs each of the other VMs has its turn.
+    pub(crate) fn rounds(&self, most: usize) -> usize {
+        self.addresses.len().div_ceil(most)
+    }
+
     /// Returns the addresses that receive the next question, at most `most`.
     pub(crate) fn query_targets(&mut self, most: usize) -> Vec<SocketAddr> {
         let targets = self.targets_from(self.next_query_target, most);
@@ -290,6 +304,9 @@
                 None => PeerMessage::Invalid,
             };
         }
+        if let Some(notices) = bytes.strip_prefix(&LOAD_NOTICE_MAGIC) {
+            return PeerMessage::Reports(self.load_notices.receive(notices, now));
+        }
         if let Some(notices) = bytes.strip_prefix(&CRASH_MAGIC) {
             return match decode_crash_notices(notices, now) {
                 Some(notices) => PeerMessage::Crashes(notices),
--- a/crates/dewedge/src/policy/load_reports.rs
+++ b/crates/dewedge/src/policy/load_reports.rs
@@ -5,6 +5,19 @@
 //! happened since, and gradually replaced by the load that this VM and the other
 //! VMs' digests count.
 //!
+//! A report arrives with a response to this VM, or in a notice of another VM. The
+//! newest by the time at which a VM received it from the server counts; one that
+//! isn't newer than the last, or that is from before the server's last start,
+//! changes nothing. A request counts in one of three ways:
+//!
+//! - in the report, unless it is one of this VM's that has ended since;
+//! - as one of this VM's that was sent after the time of the report, until it
+//!   ends;
+//! - as an increase of the other VMs' digests after the arrival of the report. An
+//!   increase before the arrival doesn't count on top: digests and notices are sent
+//!   together, so such requests may be in the report. Those that aren't in it are
+//!   missing until the next one.
+//!
 //! The slowness in a report is that of the machine at one moment and changes many
 //! times a second. It is smoothed with a time constant that is learned from how
 //! much successive values differ: values that differ at random are averaged, and
@@ -244,10 +257,20 @@
 struct ReceivedReport {
     requests: u32,
     slots: u32,
+    /// When a VM received it from the server.
     received: Moment,
-    /// Requests of the other VMs according to their digests when the report was
-    /// received.
-    peer_requests: u32,
+    /// Whether that was another VM.
+    by_other_vm: bool,
+    /// Requests of the other VMs according to their digests when the report
+    /// arrived here; `None` until the digests are next summed.
+    peer_requests: Option<u32>,
+}
+
+/// A request of this VM that has left the server.
+#[derive(Clone, Copy, Debug)]
+struct EndedRequest {
+    sent: Moment,
+    ended: Moment,
 }
 
 /// A report that a choice takes into account.
@@ -255,8 +278,10 @@
 pub struct ReportAge {
     /// Requests that the server ran and that waited there.
     pub requests: u32,
-    /// Time since the report was received.
+    /// Time since a VM received the report from the server.
     pub age: Duration,
+    /// Whether that was another VM.
+    pub by_other_vm: bool,
 }
 
 /// What a server has reported, and what this VM knows to have happened since.
@@ -266,8 +291,14 @@
     /// Times of this VM's sends that the last report doesn't include; those of
     /// ended requests are removed.
     sends: VecDeque<Moment>,
-    /// Requests of this VM that the last report includes and that have ended.
+    /// Requests of this VM that have ended since the last report.
+    ends: VecDeque<EndedRequest>,
+    /// How many of these the last report includes.
     ended: u32,
+    /// When this VM learned of the server's last start. What is older concerns an
+    /// earlier run.
+    started: Moment,
+    refused: Moment,
     full_until: Moment,
     slowness: SlownessEstimate,
     /// Ratio of the measured to the reported slowness.
@@ -279,7 +310,10 @@
         Self {
             last: None,
             sends: VecDeque::new(),
+            ends: VecDeque::new(),
             ended: 0,
+            started: Moment::ZERO,
+            refused: Moment::ZERO,
             full_until: Moment::ZERO,
             slowness: SlownessEstimate::default(),
             residual: 1.0,
@@ -316,19 +350,80 @@
         service: &mut ServiceReports,
         now: Moment,
     ) {
-        let since_last = self.last.map(|last| now.saturating_sub(last.received));
+        self.apply(report, now, service);
+        self.begin_peer_count(peer_requests);
+    }
+
+    /// Records a report that another VM received from the server at `heard_at`;
+    /// returns whether it is newer than the last one and from the server's present
+    /// run. [`begin_peer_count`](Self::begin_peer_count) must follow.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewedge::format::LoadReport;
+    /// use dewedge::policy::load_reports::{ServerReports, ServiceReports};
+    /// use std::time::Duration;
+    ///
+    /// let heard_at = Duration::from_secs(9);
+    /// let mut service = ServiceReports::default();
+    /// let mut server = ServerReports::default();
+    /// let report = LoadReport { running: 6, waiting: 1, slots: 6, slowness: Some(1.2) };
+    /// assert!(server.record_notice(report, heard_at, &mut service));
+    /// assert!(!server.record_notice(report, heard_at, &mut service));
+    /// ```
+    pub fn record_notice(
+        &mut self,
+        report: LoadReport,
+        heard_at: Moment,
+        service: &mut ServiceReports,
+    ) -> bool {
+        let newest = self.last.map_or(self.started, |last| last.received);
+        if heard_at <= newest {
+            return false;
+        }
+        self.apply(report, heard_at, service);
+        if let Some(last) = &mut self.last {
+            last.by_other_vm = true;
+        }
+        true
+    }
+
+    /// Records the requests of the other VMs according to their digests, if that is
+    /// the first time since the last report.
+    pub fn begin_peer_count(&mut self, peer_requests: u32) {
+        if let Some(last) = &mut self.last {
+            last.peer_requests.get_or_insert(peer_requests);
+        }
+    }
+
+    /// Records that the server may have started, of which this VM learns at `now`.
+    /// If nothing has been reported since, older reports are ignored.
+    pub fn begin(&mut self, now: Moment) {
+        if self.last.is_none() {
+            self.started = now;
+        }
+    }
+
+    fn apply(&mut self, report: LoadReport, heard_at: Moment, service: &mut ServiceReports) {
+        let since_last = self.last.map(|last| heard_at.saturating_sub(last.received));
         if let Some(slowness) = report.slowness {
             self.slowness.record(slowness, since_last, service);
         }
-        let made_at = now.saturating_sub(ROUND_TRIP);
+        let made_at = heard_at.saturating_sub(ROUND_TRIP);
         self.sends.retain(|sent| *sent > made_at);
-        self.ended = 0;
-        self.full_until = Moment::ZERO;
+        self.ends.retain(|end| end.ended > heard_at);
+        let included = self.ends.iter().filter(|end| end.sent <= made_at);
+        self.ended = u32::try_from(included.count()).unwrap_or(u32::MAX);
+        if self.refused <= heard_at {
+            self.full_until = Moment::ZERO;
+        }
         self.last = Some(ReceivedReport {
             requests: report.running.saturating_add(report.waiting),
             slots: report.slots,
-            received: now,
-            peer_requests,
+            received: heard_at,
+            by_other_vm: false,
+            peer_requests: None,
         });
     }
 
@@ -345,18 +440,28 @@
     /// `left` is whether it is known to have left the server since the last
     /// report. The report of a response that isn't a stream may not include its
     /// request any more, and without a response the server may still run it.
-    pub fn record_end(&mut self, sent: Moment, left: bool) {
+    pub fn record_end(&mut self, sent: Moment, left: bool, now: Moment) {
+        if sent < self.started {
+            return;
+        }
         match self.sends.iter().position(|other| *other == sent) {
             Some(position) => {
                 self.sends.remove(position);
             }
             None => self.ended += u32::from(left),
         }
+        if left {
+            if self.ends.len() >= MAX_REMEMBERED_SENDS {
+                self.ends.pop_front();
+            }
+            self.ends.push_back(EndedRequest { sent, ended: now });
+        }
     }
 
     /// Records that the server refused a request. It counts as full until its
     /// next report, or for `retry_after`.
     pub fn record_refusal(&mut self, retry_after: Option<Duration>, now: Moment) {
+        self.refused = now;
         self.full_until = now + retry_after.unwrap_or(FULL_TIME);
     }
 
@@ -390,6 +495,7 @@
         (age < lifetime).then_some(ReportAge {
             requests: last.requests,
             age,
+            by_other_vm: last.by_other_vm,
         })
     }
 
@@ -406,7 +512,9 @@
             return counted;
         };
         let sent = u32::try_from(self.sends.len()).unwrap_or(u32::MAX);
-        let peer_sent = peer.saturating_sub(last.peer_requests);
+        let peer_sent = last
+            .peer_requests
+            .map_or(0, |before| peer.saturating_sub(before));
         let reported = last.requests.saturating_sub(self.ended);
         let reported = reported.saturating_add(sent).saturating_add(peer_sent);
         let weight = 1.0 - valid.age.as_secs_f64() / lifetime.as_secs_f64();
@@ -465,6 +573,11 @@
         self.services.get(service)
     }
 
+    /// Returns whether no server has reported its slowness.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
     /// Returns the mutable state of a service, if its servers report their
     /// slowness.
     pub fn get_mut(&mut self, service: &str) -> Option<&mut ServiceReports> {
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -125,6 +125,12 @@
     pub(super) fn refresh_peer_load(&mut self) {
         if std::mem::take(&mut self.peer_load_stale) {
             self.peers.apply_digests(&mut self.directory, self.now);
+            if self.load_reports.is_empty() {
+                return;
+            }
+            for replica in self.directory.iter_mut() {
+                replica.reports.begin_peer_count(replica.peer_load.requests);
+            }
         }
     }
 
@@ -480,8 +486,13 @@
         let Some(report) = report else {
             return;
         };
+        let source = match report.by_other_vm {
+            true => "other_vm",
+            false => "response",
+        };
         line.number("reported_load", report.requests)
-            .ms("report_age_ms", report.age);
+            .ms("report_age_ms", report.age)
+            .text("report_source", source);
         let label = crate::metrics::ServiceLabels {
             service: exchange.service.clone(),
         };
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -398,7 +398,7 @@
         let replica_state = self.directory.get_mut(load.replica);
         if self.load_reports.get(&service).is_some() {
             let left = load.first_event.is_some();
-            replica_state.reports.record_end(load.sent, left);
+            replica_state.reports.record_end(load.sent, left, self.now);
         }
         let own = &mut replica_state.own_load;
         own.requests = own.requests.saturating_sub(1);
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -17,6 +17,7 @@
 use crate::directory::{ReplicaDirectory, stable_hash};
 use crate::format::PlatformFormat;
 use crate::keys::KeyConfirmation;
+use crate::load_notices::NoticeQueue;
 use crate::logs::LogWriter;
 use crate::metrics::EdgeMetrics;
 use crate::origins::OriginTable;
@@ -183,6 +184,7 @@
             budgets: IndexMap::new(),
             models: ModelTable::default(),
             load_reports: ReportTable::default(),
+            load_notices: NoticeQueue::default(),
             pending_dispatches: VecDeque::new(),
             finished_callers: VecDeque::new(),
             timers: TimerHeap::default(),
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -18,6 +18,7 @@
 use super::outcomes::AttemptOutcome;
 use super::responses::MAX_UNSENT;
 use super::state::{CallerStream, EdgeState, ServerConnId};
+use super::updates::DIGEST_TARGETS;
 
 /// Maximum bytes of a response head.
 const MAX_HEAD: usize = 32 * 1024;
@@ -277,6 +278,10 @@
     /// Records the load that a server reports, and that it is full if it refused
     /// the request.
     fn apply_load_report(&mut self, replica: usize, metadata: &ResponseMetadata) {
+        if metadata.load.is_some_and(|load| load.slowness.is_some()) {
+            // Requests in digests that have arrived may be in the report.
+            self.refresh_peer_load();
+        }
         let replica_state = self.directory.get_mut(replica);
         let service = &replica_state.entry.service;
         if let Some(report) = metadata.load
@@ -286,6 +291,10 @@
             replica_state
                 .reports
                 .record_report(report, peer_requests, reports, self.now);
+            let rounds = self.peers.rounds(DIGEST_TARGETS);
+            self.load_notices
+                .announce(replica_state.hash, report, rounds, self.now);
+            self.digest_due |= !self.load_notices.is_empty();
         }
         if metadata.not_run && self.load_reports.get(service).is_some() {
             replica_state
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -18,6 +18,7 @@
 use crate::format::{PlatformFormat, RequestMetadata};
 use crate::http::{BodyDecoder, RequestHead, ResponseHead};
 use crate::keys::KeyConfirmation;
+use crate::load_notices::NoticeQueue;
 use crate::logs::LogWriter;
 use crate::metrics::EdgeMetrics;
 use crate::net::TcpChannel;
@@ -279,6 +280,8 @@
     pub(crate) budgets: IndexMap<String, RetryBudget>,
     pub(crate) models: ModelTable,
     pub(crate) load_reports: ReportTable,
+    /// Reports that the other VMs are to be told.
+    pub(crate) load_notices: NoticeQueue,
     /// Services whose queue is dispatched at the end of the iteration.
     pub(crate) pending_dispatches: VecDeque<String>,
     /// Callers whose last request has ended and who may have sent the next one.
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -7,6 +7,7 @@
 use crate::directory::DirectoryChange;
 use crate::format::{PlatformFormat, RecordKey, StoreEra, StoreRecord};
 use crate::limit_notices::{LimitNotice, encode_notices};
+use crate::load_notices::ReceivedNotices;
 use crate::origins::{StreamKey, StreamOrigin};
 use crate::peers::{MAX_ORIGINS, PeerMessage};
 use crate::storage::{StoreEvent, WATCH_CALL};
@@ -262,6 +263,10 @@
             for conn_id in idle {
                 self.close_server_conn(conn_id);
             }
+            self.load_notices.forget(self.directory.get(index).hash);
+        }
+        if let DirectoryChange::Started(_) | DirectoryChange::Restarted(_) = change {
+            self.directory.get_mut(index).reports.begin(self.now);
         }
         self.start_warmup(change);
         let replica = self.directory.get(index);
@@ -386,6 +391,7 @@
             match self.peers.receive(&buffer[..length], self.now) {
                 PeerMessage::Invalid => {}
                 PeerMessage::Limits(notices) => self.apply_limit_notices(&notices),
+                PeerMessage::Reports(notices) => self.apply_load_notices(notices),
                 PeerMessage::Crashes(notices) => self.apply_crash_notices(notices),
                 PeerMessage::OriginQuery(stream) => self.answer_origin_query(stream, sender),
                 PeerMessage::Digest { is_new, origins } => {
@@ -407,6 +413,39 @@
         }
     }
 
+    /// Applies the reports of servers that another VM has received.
+    fn apply_load_notices(&mut self, received: Option<ReceivedNotices>) {
+        let Some(received) = received else {
+            self.metrics.count_load_notices("malformed", 1);
+            return;
+        };
+        let (mut used, mut superseded, mut unknown) = (0, 0, 0);
+        for notice in &received.notices {
+            let Some(index) = self.directory.by_hash(notice.server) else {
+                unknown += 1;
+                continue;
+            };
+            let replica = self.directory.get_mut(index);
+            let service = &replica.entry.service;
+            let Some(service) = self.load_reports.enable(service, &notice.report) else {
+                continue;
+            };
+            let reports = &mut replica.reports;
+            match reports.record_notice(notice.report, notice.heard_at, service) {
+                true => used += 1,
+                false => superseded += 1,
+            }
+        }
+        // The increase of the digests counts from their next sum on.
+        self.peer_load_stale |= used > 0;
+        self.metrics.count_load_notices("used", used);
+        self.metrics.count_load_notices("superseded", superseded);
+        self.metrics.count_load_notices("unknown_server", unknown);
+        self.metrics
+            .count_load_notices("repeated", received.repeated);
+        self.metrics.count_load_notices("late", received.late);
+    }
+
     /// Answers the question of another VM for a stream, if its origin is known.
     fn answer_origin_query(&mut self, stream: StreamKey, sender: SocketAddr) {
         if let Some(version) = self.origins.version_of(stream) {
@@ -434,6 +473,10 @@
         let notices = self.limit_notices();
         self.digest_due |= !notices.is_empty();
         let notice_bytes = encode_notices(&notices, self.now);
+        let load_notices = self
+            .load_notices
+            .next_datagram(self.peers.own_hash(), self.now);
+        self.digest_due |= !self.load_notices.is_empty();
         let crash_datagrams = self.next_crash_datagrams();
         self.digest_due |= self.crashes.has_notices();
         for address in self.peers.next_targets(DIGEST_TARGETS) {
@@ -442,6 +485,9 @@
             if !notices.is_empty() {
                 let _ = self.peer_socket.send_to(&notice_bytes, address);
             }
+            if let Some(datagram) = &load_notices {
+                let _ = self.peer_socket.send_to(datagram, address);
+            }
             for datagram in &crash_datagrams {
                 let _ = self.peer_socket.send_to(datagram, address);
             }
--- a/crates/dewedge/tests/load_model/simulation.rs
+++ b/crates/dewedge/tests/load_model/simulation.rs
@@ -531,7 +531,9 @@
         own.requests -= 1;
         let took = Duration::from_millis(now - request.sent);
         self.services[vm].record_request(took);
-        self.reports[vm][engine].record_end(Duration::from_millis(request.sent), true);
+        let sent = Duration::from_millis(request.sent);
+        let ended = Duration::from_millis(now);
+        self.reports[vm][engine].record_end(sent, true, ended);
         let tokens: u32 = request.parts.iter().map(|part| part.tokens).sum();
         own.tokens -= u64::from(tokens);
         own.gap_sensitive_streams -= u32::from(request.gap_sensitive);
--- a/crates/dewedge/tests/load_reports.rs
+++ b/crates/dewedge/tests/load_reports.rs
@@ -146,7 +146,7 @@
             server.record_send(received + ms(u64::from(index) + 1));
         }
         for _ in 0..case.ends {
-            server.record_end(received - ms(100), true);
+            server.record_end(received - ms(100), true, received + ms(1));
         }
         let now = received + ms(case.age_ms);
         let effective = server.effective_requests(case.own, case.peer.1, ms(500), now);
@@ -164,7 +164,7 @@
     server.record_send(now - ms(1));
     server.record_report(report(0, 0, 1.0), 0, &mut service, now);
     assert_eq!(server.effective_requests(1, 0, ms(500), now), 1);
-    server.record_end(now - ms(1), false);
+    server.record_end(now - ms(1), false, now);
     assert_eq!(server.effective_requests(0, 0, ms(500), now), 0);
 }
 
