--- a/crates/dewedge/tests/load_notices.rs
+++ b/crates/dewedge/tests/load_notices.rs
@@ -158,13 +158,14 @@
         let mut receivers = vec![NoticeReceiver::default(); others];
         let mut got = vec![0; others];
         let mut repeated = 0;
-        let mut next_target = 0;
+        let (mut next_target, mut datagrams) = (0, 0);
         queue.announce(5, report(3, 1.2), others.div_ceil(24), ms(9000));
         for round in 0..60 {
             let now = ms(9005 + 100 * round);
             let Some(datagram) = queue.next_datagram(1, now) else {
                 break;
             };
+            datagrams += 1;
             for _ in 0..others.min(24) {
                 let target = next_target % others;
                 let received = receive(&mut receivers[target], &datagram, now);
@@ -173,6 +174,8 @@
                 next_target += 1;
             }
         }
+        // The report is 2 s old after 20 datagrams.
+        assert_eq!(datagrams, others.div_ceil(24).min(20), "{} VMs", case.vms);
         assert!(queue.is_empty(), "{} VMs", case.vms);
         assert!(got.iter().all(|count| *count <= 1), "{} VMs", case.vms);
         let reached = got.iter().sum::<usize>() as f64 / others as f64;
@@ -499,6 +502,87 @@
     assert!(!server.is_full(ms(5100)));
 }
 
+struct TrafficCase {
+    vms: u64,
+    /// Most bytes a second that a VM sends; it receives as many.
+    most_bytes: f64,
+    /// Least reports of a server that a VM gets each second.
+    least_reports: f64,
+}
+
+/// Guards against datagrams that grow with the fleet, and against large fleets in
+/// which reports don't arrive. Each VM gets 5.7 responses a second itself, and there
+/// are 1.2 servers for each.
+#[test]
+fn traffic_is_bounded_in_large_fleets() {
+    let cases = [
+        TrafficCase {
+            vms: 8,
+            most_bytes: 2_000.0,
+            least_reports: 4.0,
+        },
+        TrafficCase {
+            vms: 75,
+            most_bytes: 20_000.0,
+            least_reports: 4.0,
+        },
+        TrafficCase {
+            vms: 300,
+            most_bytes: 50_000.0,
+            least_reports: 4.0,
+        },
+        TrafficCase {
+            vms: 800,
+            most_bytes: 80_000.0,
+            least_reports: 2.0,
+        },
+    ];
+    for case in cases {
+        let mut random = RandomSource::new(case.vms);
+        let (others, servers) = (case.vms - 1, case.vms * 6 / 5);
+        let rounds = others.div_ceil(24) as usize;
+        let targets = others.min(24);
+        let mut queue = NoticeQueue::default();
+        let mut receivers = vec![NoticeReceiver::default(); others as usize];
+        let (mut datagrams, mut bytes, mut notices, mut next) = (0, 0, 0, 0);
+        let seconds = 60;
+        for step in 0..10 * seconds {
+            let now = ms(9000 + 100 * step);
+            if random.unit() < 0.57 {
+                queue.announce(
+                    random.next() % servers,
+                    report(4, 1.2),
+                    rounds,
+                    now - ms(50),
+                );
+            }
+            let Some(datagram) = queue.next_datagram(1, now) else {
+                continue;
+            };
+            for _ in 0..targets {
+                let target = (next % others) as usize;
+                let received = receive(&mut receivers[target], &datagram, now);
+                notices += received.notices.len();
+                next += 1;
+            }
+            datagrams += targets;
+            bytes += targets * datagram.len() as u64;
+        }
+        let a_second = |count: u64| count as f64 / seconds as f64;
+        // Each VM gets a share of what each other one has.
+        let reports = a_second(notices as u64) / servers as f64;
+        println!(
+            "{} VMs: {:.0} datagrams and {:.0} bytes a second from each, {reports:.1} reports a \
+             second of each server at each",
+            case.vms,
+            a_second(datagrams),
+            a_second(bytes)
+        );
+        assert!(a_second(bytes) <= case.most_bytes, "{} VMs", case.vms);
+        assert!(reports >= case.least_reports, "{} VMs: {reports}", case.vms);
+    }
+}
+
 /// Guards against a cost of notices that a VM with a tenth of a core notices. The
 /// bound leaves room for a build without optimization on a busy machine.
 #[test]
@@ -663,14 +747,20 @@
         self.digests[sender].extend_from_slice(load);
     }
 
-    fn receive_notices(&mut self, datagram: &[u8], now: u64) {
+    /// Returns how many notices were used, and how many were superseded.
+    fn receive_notices(&mut self, datagram: &[u8], now: u64) -> (u64, u64) {
         let now = self.clock(now);
         let received = receive(&mut self.receiver, datagram, now);
+        let mut counts = (0, 0);
         for notice in received.notices {
             let engine = notice.server as usize;
             let server = &mut self.reports[engine];
-            server.record_notice(notice.report, notice.heard_at, &mut self.service);
+            match server.record_notice(notice.report, notice.heard_at, &mut self.service) {
+                true => counts.0 += 1,
+                false => counts.1 += 1,
+            }
         }
+        counts
     }
 
     fn choose(&mut self, random: u64, now: u64) -> Option<usize> {
@@ -749,8 +839,10 @@
     parts: [PlayedPart; 2],
     /// Engines that became slow, and for each the time after which all VMs knew it.
     known_ms: Vec<Option<u64>>,
-    /// Datagrams with notices, their bytes, and notices in them.
+    /// Datagrams with notices, and their bytes.
     datagrams: (u64, u64),
+    /// Notices that were used, and that were superseded on arrival.
+    notices: (u64, u64),
 }
 
 struct FleetPlay {
@@ -921,7 +1013,9 @@
             self.result.datagrams.0 += 1;
             self.result.datagrams.1 += datagram.len() as u64;
             if self.random.unit() >= LOSS {
-                self.vms[target].receive_notices(datagram, now);
+                let (used, superseded) = self.vms[target].receive_notices(datagram, now);
+                self.result.notices.0 += used;
+                self.result.notices.1 += superseded;
             }
         }
     }
@@ -963,7 +1057,8 @@
             println!(
                 "seed {seed}, {name}: {} of {} slowed engines known by all VMs, median {:?} ms, \
                  last {:?} ms; in time {:.3} before, {:.3} after the change; largest to mean \
-                 {:.2}, {:.2}; {:.0} datagrams and {:.0} bytes a second from each VM",
+                 {:.2}, {:.2}; {:.0} datagrams and {:.0} bytes a second from each VM; \
+                 notices used and superseded {:?}",
                 known.len(),
                 result.known_ms.len(),
                 known.get(known.len() / 2),
@@ -974,6 +1069,7 @@
                 result.parts[1].largest_to_mean(),
                 result.datagrams.0 as f64 * 1000.0 / (END_MS as f64 * VMS as f64),
                 result.datagrams.1 as f64 * 1000.0 / (END_MS as f64 * VMS as f64),
+                result.notices,
             );
         }
         for known in &shared.known_ms {
