Abort calls to the platform's API at their deadline

A response that arrived byte by byte postponed the deadline of its call by 1.5 s each time, as for large responses of the store, so that a call could outlast its authority and keep the connection for ever. A call that failed by a closed connection, or whose process was killed, left its bytes to the kernel, which could deliver them after the next holder's. The time from which a call had its authority was that of the loop's iteration.

Connections to the API now end calls at the deadline, are reset whenever they are closed, and use the call's time-out as TCP user timeout. The time is read again before a call. An order that isn't sent for lack of authority has a result, so that its planner doesn't wait 5 s for one.

--- a/crates/dewedge/src/api.rs
+++ b/crates/dewedge/src/api.rs
@@ -13,7 +13,7 @@
 use dewduty::lease::{DutySubject, FencingToken};
 use mio::{Registry, Token};
 
-use crate::call_connection::{CallConnection, CallOutcome};
+use crate::call_connection::{CallConnection, CallOutcome, ConnectionKind};
 use crate::clock::Moment;
 use crate::format::{ApiCall, ApiResponse, PlatformFormat};
 
@@ -51,7 +51,7 @@
         Self {
             address,
             vm: vm.to_string(),
-            connection: CallConnection::new(token),
+            connection: CallConnection::new(ConnectionKind::Api, token),
             format: PhantomData,
         }
     }
@@ -89,7 +89,7 @@
         if due > now {
             return None;
         }
-        let outcome = self.connection.reset("timeout");
+        let outcome = self.connection.fail("timeout");
         self.result(outcome, now)
     }
 
--- a/crates/dewedge/src/call_connection.rs
+++ b/crates/dewedge/src/call_connection.rs
@@ -2,7 +2,8 @@
 //!
 //! The store client uses two of them, and the client of the platform's API one.
 //! The main invariant: a call that has failed delivers no response later, because
-//! its connection is closed.
+//! its connection is closed. On a connection of [`ConnectionKind::Api`], it isn't
+//! delivered later, either.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -30,12 +31,26 @@
 /// Maximum bytes buffered from a response.
 const MAX_RESPONSE: usize = 16 << 20;
 
+/// What a connection is for, which decides how it treats its calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ConnectionKind {
+    /// To the platform's API. A call ends at its deadline even while its response
+    /// arrives, because the authority for it ends. A closed connection is always
+    /// reset, also by the end of the process, so that the kernel doesn't deliver
+    /// bytes of a call that has ended.
+    Api,
+    /// To the store. A response that still arrives may take longer, because lists are
+    /// large.
+    Store,
+}
+
 /// A call in progress.
 #[derive(Debug)]
 pub(crate) struct PendingCall<C> {
     call: C,
     sent: Moment,
-    /// When the call times out if no further byte of its response arrives.
+    /// When the call times out. On a connection to the store, a response that has
+    /// begun postpones it.
     pub(crate) deadline: Moment,
     head: Option<(ResponseHead, BodyDecoder)>,
     body: Vec<u8>,
@@ -44,6 +59,7 @@
 /// A connection to a service of the platform, reopened as needed.
 #[derive(Debug)]
 pub(crate) struct CallConnection<C> {
+    kind: ConnectionKind,
     pub(crate) token: Token,
     channel: Option<TcpChannel>,
     pub(crate) pending: Option<PendingCall<C>>,
@@ -61,8 +77,9 @@
 }
 
 impl<C> CallConnection<C> {
-    pub(crate) fn new(token: Token) -> Self {
+    pub(crate) fn new(kind: ConnectionKind, token: Token) -> Self {
         Self {
+            kind,
             token,
             channel: None,
             pending: None,
@@ -92,7 +109,11 @@
             body: Vec::new(),
         });
         if self.channel.is_none() {
-            let opened = TcpChannel::connect_store(address).and_then(|mut channel| {
+            let opened = match self.kind {
+                ConnectionKind::Api => TcpChannel::connect_api(address),
+                ConnectionKind::Store => TcpChannel::connect_store(address),
+            };
+            let opened = opened.and_then(|mut channel| {
                 channel.register(registry, self.token)?;
                 Ok(channel)
             });
@@ -129,7 +150,7 @@
             }
             return CallOutcome::Pending;
         };
-        if received {
+        if received && self.kind == ConnectionKind::Store {
             // A large response takes longer than a call on a narrow link.
             pending.deadline = pending.deadline.max(now + PROGRESS_TIMEOUT);
         }
@@ -160,15 +181,6 @@
         CallOutcome::Completed(pending.call, pending.sent, head, pending.body)
     }
 
-    /// Fails the call in progress and resets its connection, so that bytes of it
-    /// that are still on their way aren't delivered.
-    pub(crate) fn reset(&mut self, reason: &'static str) -> CallOutcome<C> {
-        if let Some(channel) = &self.channel {
-            channel.reset_on_close();
-        }
-        self.fail(reason)
-    }
-
     /// Fails the call in progress and closes its connection.
     pub(crate) fn fail(&mut self, reason: &'static str) -> CallOutcome<C> {
         self.channel = None;
--- a/crates/dewedge/src/net.rs
+++ b/crates/dewedge/src/net.rs
@@ -23,6 +23,11 @@
 /// several times by then.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// TCP user timeout of connections to the platform's API: the time-out of a call. A
+/// process that is frozen can't abort its call, but the kernel stops retransmitting
+/// it.
+const API_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Idle time before the first keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -77,6 +82,14 @@
         Self::connect(address, STORE_TIMEOUT)
     }
 
+    /// Starts connecting to the platform's API. When the connection is closed, also
+    /// by the end of the process, bytes that the API hasn't received are discarded.
+    pub(crate) fn connect_api(address: SocketAddr) -> io::Result<Self> {
+        let channel = Self::connect(address, API_TIMEOUT)?;
+        SockRef::from(&channel.stream).set_linger(Some(Duration::ZERO))?;
+        Ok(channel)
+    }
+
     fn connect(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = TcpStream::connect(address)?;
         set_socket_options(&stream, timeout)?;
@@ -89,13 +102,6 @@
         registry.register(&mut self.stream, token, interest)
     }
 
-    /// Lets the connection be reset when it is dropped: bytes that the peer hasn't
-    /// received are discarded.
-    pub(crate) fn reset_on_close(&self) {
-        // Without the option the connection ends in order, which the peer may read.
-        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
-    }
-
     /// Queues bytes, which [`Self::flush`] sends.
     pub(crate) fn queue(&mut self, bytes: &[u8]) {
         self.outbound.extend_from_slice(bytes);
--- a/crates/dewedge/src/serve/duties/calls.rs
+++ b/crates/dewedge/src/serve/duties/calls.rs
@@ -8,7 +8,7 @@
 use dewduty::lease::{DutySubject, LeaseEvent};
 
 use crate::api::{ApiResult, DutyApiCall};
-use crate::clock::Moment;
+use crate::clock::{self, Moment};
 use crate::format::{ApiCall, ApiResponse, PlatformFormat};
 
 use super::super::state::EdgeState;
@@ -31,7 +31,19 @@
         let Some((subject, call)) = self.next_api_call(duties) else {
             return;
         };
-        let Some(authority) = duties.leases.begin_call(&subject, self.now) else {
+        // The time of this iteration of the loop may be long past by now.
+        let now = clock::now();
+        let Some(authority) = duties.leases.begin_call(&subject, now) else {
+            if let ApiCall::OrderServers {
+                count,
+                interruptible,
+                ..
+            } = call
+            {
+                // The planner waits for a result; nothing was sent.
+                let result = Ok(ApiResponse::Throttled);
+                self.on_order_answered(duties, &subject, (count, interruptible), result);
+            }
             return;
         };
         let call = DutyApiCall {
@@ -39,8 +51,8 @@
             token: authority.token,
             call,
         };
-        let deadline = (self.now + CALL_TIMEOUT).min(authority.valid_until);
-        duties.api.send(&self.registry, call, self.now, deadline);
+        let deadline = (now + CALL_TIMEOUT).min(authority.valid_until);
+        duties.api.send(&self.registry, call, now, deadline);
     }
 
     fn next_api_call(&mut self, duties: &mut DutyState<F>) -> Option<(DutySubject, ApiCall)> {
@@ -53,7 +65,8 @@
     /// Handles an I/O event on the connection to the API.
     pub(crate) fn on_api_event(&mut self, closing: bool) {
         self.with_duties(|state, duties| {
-            if let Some(result) = duties.api.on_event(closing, state.now) {
+            // The event may be the first chance to send the call.
+            if let Some(result) = duties.api.on_event(closing, clock::now()) {
                 state.apply_api_result(duties, result);
             }
         });
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -27,7 +27,7 @@
 use indexmap::IndexSet;
 use mio::{Registry, Token};
 
-use crate::call_connection::{CallConnection, CallOutcome, MIN_RETRY_DELAY};
+use crate::call_connection::{CallConnection, CallOutcome, ConnectionKind, MIN_RETRY_DELAY};
 use crate::clock::Moment;
 use crate::format::{
     DutyCall, PlatformFormat, RecordKey, ReplicaId, StoreCall, StoreEra, StoreRecord, StoreResponse,
@@ -147,8 +147,8 @@
             vm: settings.vm.clone(),
             peer_address: settings.peer_address,
             intervals: CallIntervals::new(settings),
-            call_connection: CallConnection::new(tokens.0),
-            watch_connection: CallConnection::new(tokens.1),
+            call_connection: CallConnection::new(ConnectionKind::Store, tokens.0),
+            watch_connection: CallConnection::new(ConnectionKind::Store, tokens.1),
             queue: VecDeque::new(),
             duty_queue: VecDeque::new(),
             era: None,
