Apply changed settings of duties without a restart

Settings were read again, but duties were only created at the start: a VM went on with calls that its settings no longer named. A changed VM name was written into holder records, although the leases and the other VMs know the earlier one.

The address of the API and orders are applied at once. Other changes end the duties (release, end of the lease) and begin anew after a reload of the store's records. Fields that need a restart are logged and keep their values. A stop is announced at once, and a process that stops waits up to 4 s from the request for its duties to be released. A VM without peers passes its own name to the leases.

--- a/crates/dewedge/src/api.rs
+++ b/crates/dewedge/src/api.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Makes the next calls to this address.
+    pub(crate) fn set_address(&mut self, address: SocketAddr) {
+        self.address = address;
+    }
+
     /// Returns whether a call can be made now.
     pub(crate) fn is_free(&self) -> bool {
         self.connection.pending.is_none()
--- a/crates/dewedge/src/call_connection.rs
+++ b/crates/dewedge/src/call_connection.rs
@@ -62,6 +62,8 @@
     kind: ConnectionKind,
     pub(crate) token: Token,
     channel: Option<TcpChannel>,
+    /// Address to which the channel was opened.
+    address: Option<SocketAddr>,
     pub(crate) pending: Option<PendingCall<C>>,
     pub(crate) retry_at: Moment,
     failures: u32,
@@ -82,6 +84,7 @@
             kind,
             token,
             channel: None,
+            address: None,
             pending: None,
             retry_at: Moment::ZERO,
             failures: 0,
@@ -108,6 +111,9 @@
             head: None,
             body: Vec::new(),
         });
+        if self.address.replace(address) != Some(address) {
+            self.channel = None;
+        }
         if self.channel.is_none() {
             let opened = match self.kind {
                 ConnectionKind::Api => TcpChannel::connect_api(address),
--- a/crates/dewedge/src/serve/duties/holding.rs
+++ b/crates/dewedge/src/serve/duties/holding.rs
@@ -22,11 +22,11 @@
 impl<F: PlatformFormat> EdgeState<F> {
     /// Passes the names of the VMs to the lease table if they have changed.
     pub(super) fn update_candidates(&mut self, duties: &mut DutyState<F>) {
-        let names: Vec<String> = self.peers.names().map(str::to_string).collect();
-        if names.len() == duties.vm_count && !self.peers.take_changed() {
+        let changed = self.peers.take_changed();
+        if std::mem::replace(&mut duties.knows_vms, true) && !changed {
             return;
         }
-        duties.vm_count = names.len();
+        let names = self.peers.names().map(str::to_string);
         let own = std::iter::once(self.settings.vm.clone());
         let vms: Vec<String> = own.chain(names).collect();
         if let Some(usage) = &mut duties.usage {
@@ -35,9 +35,11 @@
         duties.leases.apply(LeaseEvent::VmsChanged(vms), self.now);
     }
 
-    /// Gives the duties up when the process stops.
+    /// Gives the duties up when the process stops or the settings don't name them any
+    /// more.
     pub(super) fn announce_stop(&mut self, duties: &mut DutyState<F>) {
-        if self.stopping.is_some() && !std::mem::replace(&mut duties.is_stopping, true) {
+        let ends = self.stopping.is_some() || duties.is_ending;
+        if ends && !std::mem::replace(&mut duties.is_stopping, true) {
             duties.leases.apply(LeaseEvent::Stopping, self.now);
         }
     }
--- a/crates/dewedge/src/serve/duties/mod.rs
+++ b/crates/dewedge/src/serve/duties/mod.rs
@@ -34,7 +34,8 @@
 use crate::format::PlatformFormat;
 use crate::settings::{DutySettings, EdgeSettings};
 
-use super::state::EdgeState;
+use super::run::API_TOKEN;
+use super::state::{EdgeState, TokenKind, token_of};
 use super::timers::{LazyTimer, TimerKey};
 use orders::{OrderDesk, RefusedCounts};
 use usage::UsageDesk;
@@ -45,13 +46,17 @@
 /// Shortest time until the duties are looked at again without an event.
 const MIN_LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Longest time from the request to stop for which a process waits for its duties to
+/// be released.
+const RELEASE_TIME: Duration = Duration::from_secs(4);
+
 /// State of the duties on this VM.
 #[derive(Debug)]
 pub(crate) struct DutyState<F> {
     settings: DutySettings,
     leases: LeaseTable,
-    /// Names of the VMs that the candidates were last computed from.
-    vm_count: usize,
+    /// Whether the lease table knows the VMs.
+    knows_vms: bool,
     api: ApiClient<F>,
     /// Until when the API isn't called, because it was called too often or
     /// doesn't respond.
@@ -68,7 +73,9 @@
     /// was any.
     demand_sent: (Moment, bool),
     timer: LazyTimer,
-    /// Whether the other duties were told that the process stops.
+    /// Whether the duties end, because the settings have changed.
+    is_ending: bool,
+    /// Whether the leases were told that this VM gives up its duties.
     is_stopping: bool,
 }
 
@@ -83,7 +90,7 @@
         });
         Some(Self {
             leases: LeaseTable::new(policy),
-            vm_count: 0,
+            knows_vms: false,
             api: ApiClient::new(duties.api_address, &settings.vm, token),
             api_pause_until: Moment::ZERO,
             clock: ClockEstimate::new(),
@@ -94,6 +101,7 @@
             refused_seen: RefusedCounts::new(),
             demand_sent: (Moment::ZERO, false),
             timer: LazyTimer::default(),
+            is_ending: false,
             is_stopping: false,
             settings: duties,
         })
@@ -102,6 +110,22 @@
     pub(crate) fn timer_mut(&mut self) -> &mut LazyTimer {
         &mut self.timer
     }
+
+    /// Returns whether this VM holds nothing any more and waits for no response.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.leases.is_idle() && self.api.is_free()
+    }
+
+    /// Returns whether changed settings can be applied without giving up the duties.
+    /// A lease has its TTL from its opening, and counts belong to windows of one
+    /// length.
+    fn can_apply(&self, settings: &DutySettings) -> bool {
+        let kept = &self.settings;
+        settings.lease_time == kept.lease_time
+            && settings.usage_window == kept.usage_window
+            && settings.usage_due == kept.usage_due
+            && settings.reports_usage == kept.reports_usage
+    }
 }
 
 /// Returns the time of the wall clock since the Unix epoch, which may be wrong.
@@ -123,6 +147,62 @@
         Some(result)
     }
 
+    /// Brings the duties into line with changed settings. Duties that can't go on
+    /// with them are released first.
+    pub(crate) fn apply_duty_settings(&mut self) {
+        let wanted = self.settings.duties.clone();
+        let Some(duties) = &mut self.duties else {
+            self.start_duties();
+            return;
+        };
+        match wanted {
+            Some(settings) if !duties.is_ending && duties.can_apply(&settings) => {
+                duties.api.set_address(settings.api_address);
+                duties.settings = settings;
+                self.logs.system("duty", "settings_applied");
+            }
+            _ => {
+                duties.is_ending = true;
+                self.logs.system("duty", "ending");
+            }
+        }
+        self.run_duties();
+    }
+
+    /// Begins with the duties in the settings, if there are any.
+    fn start_duties(&mut self) {
+        let token = token_of(TokenKind::Fixed, API_TOKEN);
+        self.duties = DutyState::new(&self.settings, token).map(Box::new);
+        if self.duties.is_some() {
+            self.logs.system("duty", "started");
+            // The leases need to know all records, and begin with the era.
+            self.store.request_reload();
+            self.store_timer
+                .set(self.now, TimerKey::Store, &mut self.timers);
+            self.run_duties();
+        }
+    }
+
+    /// Begins anew once the duties have ended that the settings don't name any more.
+    fn replace_ended_duties(&mut self) {
+        let has_ended = |duties: &DutyState<F>| duties.is_ending && duties.is_idle();
+        if self.duties.as_deref().is_some_and(has_ended) {
+            self.send_last_usage();
+            self.duties = None;
+            self.logs.system("duty", "ended");
+            self.start_duties();
+        }
+    }
+
+    /// Returns whether a process that stops has released its duties, or has waited for
+    /// that long enough: without a release, the next holder waits for the lease to end.
+    pub(crate) fn has_released_duties(&self) -> bool {
+        let waited = self
+            .stopping
+            .is_some_and(|since| since + RELEASE_TIME <= self.now);
+        waited || self.duties.as_ref().is_none_or(|duties| duties.is_idle())
+    }
+
     /// Does what is due for the duties, and arms the timer for the next look.
     pub(crate) fn run_duties(&mut self) {
         self.with_duties(|state, duties| {
@@ -140,6 +220,7 @@
             let due = state.next_duty_look(duties);
             duties.timer.set(due, TimerKey::Duties, &mut state.timers);
         });
+        self.replace_ended_duties();
     }
 
     fn next_duty_look(&self, duties: &DutyState<F>) -> Moment {
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -41,7 +41,9 @@
 const RELOAD_TOKEN: usize = 5;
 const CALLS_TOKEN: usize = 6;
 const WATCH_TOKEN: usize = 7;
-const API_TOKEN: usize = 8;
+
+/// Token of the connection to the platform's API.
+pub(crate) const API_TOKEN: usize = 8;
 
 /// Maximum events handled in one iteration of the loop.
 const MAX_EVENTS: usize = 256;
@@ -447,11 +449,14 @@
                 .logs
                 .system("process", "stopping")
                 .number("in_flight", self.state.exchanges.len() as u64);
+            self.state.run_duties();
         }
     }
 
     fn is_finished(&self) -> bool {
-        let idle = self.state.has_left_balancer() && self.state.caller_conns.is_empty();
+        let idle = self.state.has_left_balancer()
+            && self.state.caller_conns.is_empty()
+            && self.state.has_released_duties();
         idle || self
             .state
             .cut_off_time()
@@ -479,8 +484,42 @@
 }
 
 impl<F: PlatformFormat> EdgeState<F> {
-    /// Applies changed settings; bound addresses stay as they are.
-    fn apply_settings(&mut self, settings: EdgeSettings) {
+    /// Applies changed settings; the VM's name, by which others know it, and the
+    /// addresses stay as they are until a restart.
+    fn apply_settings(&mut self, mut settings: EdgeSettings) {
+        let kept = &self.settings;
+        let needs_restart = [
+            ("vm", settings.vm != kept.vm),
+            (
+                "entry_address",
+                settings.entry_address != kept.entry_address,
+            ),
+            (
+                "ready_address",
+                settings.ready_address != kept.ready_address,
+            ),
+            (
+                "metrics_address",
+                settings.metrics_address != kept.metrics_address,
+            ),
+            ("peer_address", settings.peer_address != kept.peer_address),
+            (
+                "store_address",
+                settings.store_address != kept.store_address,
+            ),
+        ];
+        for (field, _) in needs_restart.iter().filter(|(_, changed)| *changed) {
+            self.logs
+                .system("settings", "needs_restart")
+                .text("field", field);
+        }
+        settings.vm = kept.vm.clone();
+        settings.entry_address = kept.entry_address;
+        settings.ready_address = kept.ready_address;
+        settings.metrics_address = kept.metrics_address;
+        settings.peer_address = kept.peer_address;
+        settings.store_address = kept.store_address;
+        let duties_changed = settings.duties != kept.duties;
         if settings.key_revocation_bound != self.settings.key_revocation_bound {
             // The new bound applies from the next confirmation.
             self.keys = KeyConfirmation::new(settings.key_revocation_bound);
@@ -494,6 +533,9 @@
         }
         self.store.apply_settings(&settings);
         self.settings = settings;
+        if duties_changed {
+            self.apply_duty_settings();
+        }
     }
 }
 
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -126,6 +126,8 @@
     /// Revision of the store when reading the lists began.
     list_revision: u64,
     listed_replicas: IndexSet<ReplicaId>,
+    /// Whether everything is to be read again.
+    reload_requested: bool,
     /// Whether all lists were read once since the process started.
     loaded: bool,
     tables_revision: Option<u64>,
@@ -159,6 +161,7 @@
             watch_answered: None,
             list_revision: 0,
             listed_replicas: IndexSet::new(),
+            reload_requested: false,
             loaded: false,
             tables_revision: None,
             confirm_at: Moment::ZERO,
@@ -223,6 +226,22 @@
         self.duty_queue.push_back((call, latest));
     }
 
+    /// Reads everything again once the lists in progress are complete, for a consumer
+    /// that has just begun.
+    pub(crate) fn request_reload(&mut self) {
+        self.reload_requested = true;
+    }
+
+    /// Begins with a requested reload unless lists are being read.
+    fn reload_if_requested(&mut self, now: Moment) {
+        if self.reload_requested && self.watch_revision.is_some() {
+            self.reload_requested = false;
+            self.events.push(StoreEvent::EraSeen { era: self.era });
+            self.restart_watch(now);
+            self.reload();
+        }
+    }
+
     /// Returns the next call to make.
     fn next_call(&mut self, now: Moment) -> Option<StoreCall> {
         while let Some((call, latest)) = self.duty_queue.pop_front() {
@@ -263,6 +282,7 @@
                 self.handle_outcome(is_watch, outcome, now);
             }
         }
+        self.reload_if_requested(now);
         self.enqueue_due(now);
         if self.call_connection.is_free(now)
             && let Some(call) = self.next_call(now)
