Replace a usage report record that is removed or unreadable

An absent record must be expected at revision 0, but the revision of its removal was used, and an unreadable one was ignored: each write then failed with a conflict, and was repeated without a pause and with two log lines. Failed writes now pause for 500 ms.

--- a/crates/dewedge/src/serve/duties/holding.rs
+++ b/crates/dewedge/src/serve/duties/holding.rs
@@ -137,7 +137,7 @@
                 .leases
                 .apply(LeaseEvent::Listed { revision }, state.now);
             if let Some(usage) = &mut duties.usage {
-                usage.on_listed();
+                usage.on_listed(revision);
             }
         });
     }
@@ -187,11 +187,17 @@
             }
             RecordKey::UsageReport => {
                 let report = record.value.as_deref().map(F::read_usage_report);
-                report.transpose().map(|report| {
-                    if let Some(usage) = &mut duties.usage {
-                        usage.on_stored_report(report, revision);
-                    }
-                })
+                // An absent record is expected at revision 0, whenever it was removed.
+                let revision = report.as_ref().map_or(0, |_| revision);
+                let (report, result) = match report.transpose() {
+                    Ok(report) => (report, Ok(())),
+                    // The next report replaces a record that can't be read.
+                    Err(error) => (None, Err(error)),
+                };
+                if let Some(usage) = &mut duties.usage {
+                    usage.on_stored_report(report, revision, as_of);
+                }
+                result
             }
             _ => Ok(()),
         };
--- a/crates/dewedge/src/serve/duties/usage.rs
+++ b/crates/dewedge/src/serve/duties/usage.rs
@@ -31,6 +31,9 @@
 /// How often a process that ends sends its counts.
 const LAST_SENDS: u32 = 3;
 
+/// Time after a failed attempt to write a report until the next one.
+const WRITE_PAUSE: Duration = Duration::from_millis(500);
+
 /// Names of VMs without counts that a log line has.
 const MAX_LOGGED_VMS: usize = 8;
 
@@ -49,10 +52,14 @@
     vms_changed: bool,
     /// Revision of the written report, once it is known; 0 if there is none.
     report_revision: Option<u64>,
+    /// Revision of the store as of which that is known.
+    report_as_of: u64,
     /// The written report as the store has it.
     stored: Option<WrittenReport>,
     /// Whether a report is being written.
     is_writing: bool,
+    /// Until when no report is written, because the last one couldn't be.
+    write_pause_until: Moment,
     /// Token of the authority under which this VM took over, if it holds the duty.
     holds: Option<u64>,
 }
@@ -67,8 +74,10 @@
             vm_names: IndexMap::new(),
             vms_changed: false,
             report_revision: None,
+            report_as_of: 0,
             stored: None,
             is_writing: false,
+            write_pause_until: Moment::ZERO,
             holds: None,
         }
     }
@@ -89,20 +98,31 @@
     /// returned from an older copy.
     pub(super) fn begin_era(&mut self) {
         self.report_revision = None;
+        self.report_as_of = 0;
         self.stored = None;
     }
 
-    /// Notes that the records of the store were read.
-    pub(super) fn on_listed(&mut self) {
-        self.report_revision.get_or_insert(0);
+    /// Notes that all records were read since this revision of the store; a report
+    /// that wasn't among them isn't there.
+    pub(super) fn on_listed(&mut self, revision: u64) {
+        if self.report_revision.is_none() || self.report_as_of < revision {
+            self.on_stored_report(None, 0, revision);
+        }
     }
 
-    /// Notes the report that the store has.
-    pub(super) fn on_stored_report(&mut self, report: Option<WrittenReport>, revision: u64) {
-        if self.report_revision.is_some_and(|known| known > revision) {
+    /// Notes the report that the store has, and the revision at which it was written.
+    /// A record that can't be read has a revision, but no report.
+    pub(super) fn on_stored_report(
+        &mut self,
+        report: Option<WrittenReport>,
+        revision: u64,
+        as_of: u64,
+    ) {
+        if self.report_revision.is_some() && self.report_as_of > as_of {
             return;
         }
         self.report_revision = Some(revision);
+        self.report_as_of = as_of;
         if let Some(report) = &report {
             self.meter.forget_reported(report.window);
             self.collector.record_written(report.clone());
@@ -248,6 +268,9 @@
         if let Some(report) = usage.collector.unaccepted() {
             return Some(report.clone());
         }
+        if usage.write_pause_until > self.now {
+            return None;
+        }
         let plan = usage.collector.next_report(unix)?;
         let report = self.name_report(&plan, &authority);
         self.log_plan(usage, &plan, &report);
@@ -305,8 +328,11 @@
         // under the revision that the store then has, so that at most one of both
         // is ever sent.
         usage.is_writing = false;
-        if let Some(StoreResponse::Committed(revision)) = response {
-            usage.on_stored_report(Some(report), *revision);
+        match response {
+            Some(StoreResponse::Committed(revision)) => {
+                usage.on_stored_report(Some(report), *revision, *revision);
+            }
+            _ => usage.write_pause_until = self.now + WRITE_PAUSE,
         }
     }
 
