Notice the store's era if the first responses don't name it

If the first response was an error without the era, the leases never learnt it: acquisitions were refused as superseded, and tokens would have begun below the era's. The first named era now begins an era.

--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -415,14 +415,16 @@
     /// Notes the era of a response, and returns whether it is a later one than
     /// before.
     fn begins_era(&mut self, era: Option<StoreEra>) -> bool {
-        if !std::mem::replace(&mut self.has_responded, true) {
+        let is_first = !std::mem::replace(&mut self.has_responded, true);
+        if is_first {
             self.events.push(StoreEvent::EraSeen { era });
         }
         let Some(era) = era else {
             return false;
         };
         let known = self.era.replace(era);
-        let begins = known.is_some_and(|known| known < era);
+        // The responses before may have been errors, which needn't name the era.
+        let begins = known.map_or(!is_first, |known| known < era);
         if begins {
             self.events.push(StoreEvent::EraSeen { era: Some(era) });
             self.events.push(StoreEvent::EraChanged { era });
