Observe servers only for orders that this VM holds

VMs that hold no orders now only take note of the data centres. Subjects are also withdrawn when none is left: the lease for a service that no longer scales was kept. Orders of data centres take turns, and go first after a report that failed, so that a call that keeps failing doesn't block the others. Sums of unmet demand don't overflow.

--- a/crates/dewedge/src/demand_notices.rs
+++ b/crates/dewedge/src/demand_notices.rs
@@ -128,7 +128,10 @@
                 known.map_or(0, |known| known.refused)
             });
             let since = demand.refused.saturating_sub(known);
-            *self.refused.entry(demand.service).or_insert(0) += since;
+            if since > 0 {
+                let refused = self.refused.entry(demand.service).or_insert(0);
+                *refused = refused.saturating_add(since);
+            }
         }
         let notice = SenderNotice {
             received: now,
@@ -148,8 +151,7 @@
         recent
             .flat_map(|notice| &notice.demands)
             .filter(|demand| demand.service == service)
-            .map(|demand| demand.waiting)
-            .sum()
+            .fold(0, |sum, demand| sum.saturating_add(demand.waiting))
     }
 
     /// Takes the requests that were refused at all VMs since the last call.
--- a/crates/dewedge/src/serve/duties/calls.rs
+++ b/crates/dewedge/src/serve/duties/calls.rs
@@ -1,7 +1,8 @@
 //! Makes the calls to the platform's API that the duties of this VM need.
 //!
-//! One call is in progress at a time. Reports go before orders, and the orders of
-//! several data centres take turns.
+//! One call is in progress at a time. Reports go before orders, except after a report
+//! that failed, and the orders of several data centres take turns, so that none keeps
+//! the others from being sent.
 
 use std::time::Duration;
 
@@ -56,6 +57,11 @@
     }
 
     fn next_api_call(&mut self, duties: &mut DutyState<F>) -> Option<(DutySubject, ApiCall)> {
+        if std::mem::take(&mut duties.orders_first)
+            && let Some(order) = self.next_order_call(duties)
+        {
+            return Some(order);
+        }
         if let Some(report) = self.next_usage_call(duties) {
             return Some((DutySubject::Usage, ApiCall::ReportUsage(report)));
         }
@@ -92,6 +98,7 @@
             Ok(_) => LeaseEvent::ApiAnswered { subject },
         };
         duties.leases.apply(event, self.now);
+        let is_report = call.subject == DutySubject::Usage;
         let outcome = outcome_name(response);
         self.metrics
             .count_api_call(duty_name(&call.subject), outcome);
@@ -101,6 +108,7 @@
             Ok(ApiResponse::Failed(_) | ApiResponse::Throttled) | Err(_)
         ) {
             duties.api_pause_until = self.now + RETRY_PAUSE;
+            duties.orders_first = is_report;
         }
         match call.call {
             ApiCall::ReportUsage(report) => self.on_usage_reported(duties, &report, response),
--- a/crates/dewedge/src/serve/duties/mod.rs
+++ b/crates/dewedge/src/serve/duties/mod.rs
@@ -61,16 +61,20 @@
     /// Until when the API isn't called, because it was called too often or
     /// doesn't respond.
     api_pause_until: Moment,
+    /// Whether an order goes before the next report, because the last report failed.
+    orders_first: bool,
     clock: ClockEstimate,
     usage: Option<UsageDesk>,
     orders: IndexMap<DutySubject, OrderDesk>,
+    /// When the servers were last observed.
+    observed_at: Option<Moment>,
     demand: DemandTable,
     /// Requests that were refused for lack of servers, by service.
     refused: RefusedCounts,
     /// The same counts as they were at the last look at the servers.
     refused_seen: RefusedCounts,
-    /// When this VM last told the holders about unmet demand, and whether there
-    /// was any.
+    /// When unmet demand was last looked at, and whether there was any; the holders
+    /// are told while there is, and once after that.
     demand_sent: (Moment, bool),
     timer: LazyTimer,
     /// Whether the duties end, because the settings have changed.
@@ -93,9 +97,11 @@
             knows_vms: false,
             api: ApiClient::new(duties.api_address, &settings.vm, token),
             api_pause_until: Moment::ZERO,
+            orders_first: false,
             clock: ClockEstimate::new(),
             usage,
             orders: IndexMap::new(),
+            observed_at: None,
             demand: DemandTable::default(),
             refused: RefusedCounts::new(),
             refused_seen: RefusedCounts::new(),
--- a/crates/dewedge/src/serve/duties/orders.rs
+++ b/crates/dewedge/src/serve/duties/orders.rs
@@ -42,7 +42,6 @@
 pub(super) struct OrderDesk {
     planner: ScalingPlanner,
     limits: ScalingLimits,
-    observed_at: Moment,
     /// The decision that was last logged.
     logged: (u32, u32),
 }
@@ -111,24 +110,28 @@
 
     /// Looks at the servers and lets the planners decide.
     pub(super) fn observe_servers(&mut self, duties: &mut DutyState<F>) {
-        let due = duties
-            .orders
-            .values()
-            .all(|desk| desk.observed_at + OBSERVE_INTERVAL <= self.now);
-        if !due {
+        let is_recent = |observed: Moment| self.now < observed + OBSERVE_INTERVAL;
+        if duties.observed_at.is_some_and(is_recent) {
             return;
         }
-        self.refresh_peer_load();
+        duties.observed_at = Some(self.now);
         self.update_subjects(duties);
         duties.demand.expire(self.now);
         let Some(table) = self.table.clone() else {
             return;
         };
+        if !duties.settings.orders_servers {
+            return;
+        }
         for (service, spec) in table.scaled_services() {
-            if !duties.settings.orders_servers {
-                return;
+            let refused = self.take_refused(duties, &service.name);
+            if !holds_orders(duties, &service.name, self.now) {
+                // A VM that becomes the holder begins with what is there.
+                reset_planners(duties, &service.name);
+                continue;
             }
-            let observation = self.observe_service(duties, &service.name, spec);
+            self.refresh_peer_load();
+            let observation = self.observe_service(duties, &service.name, spec, refused);
             let limits = scaling_limits(spec);
             for (subject, desk) in &mut duties.orders {
                 let DutySubject::Orders {
@@ -141,7 +144,6 @@
                 if *name != service.name {
                     continue;
                 }
-                desk.observed_at = self.now;
                 if duties.leases.authority(subject, self.now).is_none() {
                     // A VM that becomes the holder begins with what is there.
                     desk.planner = ScalingPlanner::new(data_centre.clone());
@@ -182,21 +184,19 @@
                 let entry = &self.directory.get(*index).entry;
                 entry.data_centre.as_str()
             });
-            for data_centre in data_centres.chain(spec.prices.keys().map(String::as_str)) {
+            let priced = spec.prices.keys().map(String::as_str);
+            let data_centres: IndexSet<&str> = data_centres.chain(priced).collect();
+            for data_centre in data_centres {
                 let subject = DutySubject::Orders {
                     service: service.name.clone(),
                     data_centre: data_centre.to_string(),
                 };
-                if subjects.contains(&subject) {
-                    continue;
-                }
                 duties
                     .orders
                     .entry(subject.clone())
                     .or_insert_with(|| OrderDesk {
                         planner: ScalingPlanner::new(data_centre.to_string()),
                         limits: scaling_limits(spec),
-                        observed_at: Moment::ZERO,
                         logged: (0, 0),
                     });
                 subjects.insert(subject);
@@ -205,16 +205,24 @@
         duties
             .orders
             .retain(|subject, _| subjects.contains(subject));
-        if !subjects.is_empty() {
-            duties.leases.set_subjects(subjects, self.now);
-        }
+        duties.leases.set_subjects(subjects, self.now);
+    }
+
+    /// Takes the requests that were refused at all VMs since the last look.
+    fn take_refused(&self, duties: &mut DutyState<F>, service: &str) -> f64 {
+        let own = duties.refused.get(service).copied().unwrap_or(0);
+        let seen = duties.refused_seen.entry(service.to_string()).or_insert(0);
+        let own_new = own.saturating_sub(std::mem::replace(seen, own));
+        let others = duties.demand.take_refused(stable_hash(service.as_bytes()));
+        f64::from(own_new) + f64::from(others)
     }
 
     fn observe_service(
         &self,
-        duties: &mut DutyState<F>,
+        duties: &DutyState<F>,
         service: &str,
         spec: &ScalingSpec,
+        refused: f64,
     ) -> FleetObservation {
         let mut observation = FleetObservation::default();
         for data_centre in spec.prices.keys() {
@@ -251,12 +259,9 @@
             *counter += 1;
         }
         let hash = stable_hash(service.as_bytes());
-        let own_refused = duties.refused.get(service).copied().unwrap_or(0);
-        let own_before = duties.refused_seen.insert(service.to_string(), own_refused);
-        let own_new = own_refused.saturating_sub(own_before.unwrap_or(0));
         observation.queued = f64::from(self.waiting_count(service))
             + f64::from(duties.demand.waiting(hash, self.now));
-        observation.refused = f64::from(own_new) + f64::from(duties.demand.take_refused(hash));
+        observation.refused = refused;
         let (requests, stream_requests, backlog_ms) = match &engine {
             Some(engine) => engine_capacity(engine.slots, model),
             None => (f64::from(slots), f64::from(slots), 0.0),
@@ -281,12 +286,15 @@
     ) -> Option<(DutySubject, ApiCall)> {
         let now = self.now;
         let leases = &duties.leases;
-        let found = duties.orders.iter_mut().find_map(|(subject, desk)| {
+        let mut desks = duties.orders.iter_mut().enumerate();
+        let found = desks.find_map(|(index, (subject, desk))| {
             leases.authority(subject, now)?;
             let order = desk.planner.next_order(now)?;
-            Some((subject.clone(), order))
+            Some((index, subject.clone(), order))
         });
-        let (subject, order) = found?;
+        let (index, subject, order) = found?;
+        // The others go first the next time.
+        duties.orders.move_index(index, duties.orders.len() - 1);
         let DutySubject::Orders {
             service,
             data_centre,
@@ -329,6 +337,29 @@
     }
 }
 
+/// Returns whether this VM may order servers of a service.
+fn holds_orders<F>(duties: &DutyState<F>, service: &str, now: Moment) -> bool {
+    let mut subjects = duties.orders.keys();
+    subjects.any(|subject| {
+        is_order_of(subject, service) && duties.leases.authority(subject, now).is_some()
+    })
+}
+
+/// Forgets what was observed of a service.
+fn reset_planners<F>(duties: &mut DutyState<F>, service: &str) {
+    for (subject, desk) in &mut duties.orders {
+        if let DutySubject::Orders { data_centre, .. } = subject
+            && is_order_of(subject, service)
+        {
+            desk.planner = ScalingPlanner::new(data_centre.clone());
+        }
+    }
+}
+
+fn is_order_of(subject: &DutySubject, service: &str) -> bool {
+    matches!(subject, DutySubject::Orders { service: name, .. } if name == service)
+}
+
 fn scaling_limits(spec: &ScalingSpec) -> ScalingLimits {
     ScalingLimits {
         min: spec.min,
