--- a/crates/dewedge/src/policy/reported_placement.rs
+++ b/crates/dewedge/src/policy/reported_placement.rs
@@ -398,7 +398,8 @@
             return false;
         }
         let gap_ms = self.model.event_gap_ms(replica.load.requests);
-        let read_ms = candidate.prefill_ms.min(self.model.saturated_gap_ms());
+        let unread_ms = replica.load.backlog_ms + candidate.prefill_ms;
+        let read_ms = unread_ms.min(self.model.saturated_gap_ms());
         let delayed_ms = (gap_ms + read_ms) * replica.slowness;
         delayed_ms > self.model.tightest_target_ms()
             && request.waited < request.latency_target.mul_f64(STREAM_WAIT_SHARE)
