Add dewctl duties

To find the holder of a duty, an operator had to ask each VM for /duties and compare. The command reads it from the given VMs, prints the current holders, the last usage report and the last decisions, and names VMs that disagree or don't answer.

The tests of dewctl pass (21, and 11 examples).

--- a/crates/dewctl/src/admin.rs
+++ b/crates/dewctl/src/admin.rs
@@ -12,6 +12,8 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use crate::duties::DutyReport;
+
 /// Maximum length of a response body; the rest is not read.
 const MAX_RESPONSE_BYTES: u64 = 16 << 20;
 
@@ -45,7 +47,8 @@
 }
 
 impl AdminClient {
-    /// Creates a client; no connection is opened before the first request.
+    /// Creates a client; no connection is opened before the first request. An empty
+    /// secret is not sent.
     ///
     /// # Examples
     ///
@@ -82,6 +85,12 @@
         self.call_all(|address| self.call_optional(address, Method::GET, &path))
     }
 
+    /// Fetches the duties that `dewnode` VMs show on their ready addresses, in the
+    /// order of the addresses.
+    pub fn fetch_duties(&self) -> Vec<DaemonAnswer<DutyReport>> {
+        self.call_all(|address| self.call(address, Method::GET, "/duties"))
+    }
+
     /// Starts the drain of one daemon.
     ///
     /// # Errors
@@ -129,10 +138,13 @@
         method: Method,
         path: &str,
     ) -> Result<Option<T>, AdminError> {
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
-            .uri(format!("http://{address}{path}"))
-            .header(AUTHORIZATION, format!("Bearer {}", self.secret))
+            .uri(format!("http://{address}{path}"));
+        if !self.secret.is_empty() {
+            request = request.header(AUTHORIZATION, format!("Bearer {}", self.secret));
+        }
+        let request = request
             .body(Body::empty())
             .map_err(|error| admin_error(address, error))?;
         let client = Client::new().with_global_timeout(self.timeout);
--- a/crates/dewctl/src/cli.rs
+++ b/crates/dewctl/src/cli.rs
@@ -29,6 +29,9 @@
         vm: String,
     },
     DrainServer(DrainArguments),
+    Duties {
+        nodes: Vec<SocketAddr>,
+    },
 }
 
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -181,6 +184,18 @@
 fn daemon_commands() -> Vec<Command> {
     vec![
         Command::new("status").about("Show all daemons with their revision and load"),
+        Command::new("duties")
+            .about("Show which VM of a dewnode fleet holds which duty")
+            .arg(
+                Arg::new("node")
+                    .long("node")
+                    .value_name("IP:PORT")
+                    .required(true)
+                    .action(ArgAction::Append)
+                    .value_delimiter(',')
+                    .value_parser(value_parser!(SocketAddr))
+                    .help("Ready address of each VM, comma-separated or repeated"),
+            ),
         Command::new("explain")
             .about("Explain why a request was routed, queued or refused")
             .arg(Arg::new("request").value_name("REQUEST_ID").required(true)),
@@ -267,6 +282,13 @@
         },
         ("history", _) => OperatorCommand::History,
         ("status", _) => OperatorCommand::Status,
+        ("duties", matches) => OperatorCommand::Duties {
+            nodes: matches
+                .get_many("node")
+                .unwrap_or_default()
+                .copied()
+                .collect(),
+        },
         ("explain", matches) => OperatorCommand::Explain {
             request: text(matches, "request"),
         },
--- a/crates/dewctl/src/lib.rs
+++ b/crates/dewctl/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`commit`]: changes the stored document at most once per change id.
 //! - [`apply`], [`drain`]: the commands that change the fleet.
 //! - [`admin`], [`wait`]: requests to the daemons' admin addresses.
+//! - [`duties`]: which VM of a `dewnode` fleet holds which duty.
 
 pub mod admin;
 pub mod apply;
@@ -15,6 +16,7 @@
 pub mod commit;
 pub mod conflict;
 pub mod drain;
+pub mod duties;
 pub mod error;
 pub mod explain;
 mod print;
--- a/crates/dewctl/src/run.rs
+++ b/crates/dewctl/src/run.rs
@@ -10,12 +10,14 @@
 use dewspring::tables::{ConfigDocument, TableDiff, config_key, random_change_id};
 use indicatif::{ProgressBar, ProgressStyle};
 
+use crate::admin::AdminClient;
 use crate::apply::{ApplyBase, ApplyRequest, apply_tables};
 use crate::cli::{
     ApplyArguments, DrainArguments, OperatorCommand, WaitArguments, command, operator_command,
 };
 use crate::commit::{ChangeOrigin, CommitLimits, CommitOutcome};
 use crate::drain::{ServerDrain, drain_server, drain_vm};
+use crate::duties::DutyTable;
 use crate::error::{CommandError, ExitStatus};
 use crate::explain::explain_request;
 use crate::print::ReportPrinter;
@@ -119,6 +121,7 @@
             }
             OperatorCommand::History => self.history()?,
             OperatorCommand::Status => return self.status(),
+            OperatorCommand::Duties { nodes } => return self.duties(nodes),
             OperatorCommand::Explain { request } => {
                 let explanation = explain_request(&self.settings.admin_client()?, request)?;
                 self.printer.report(&explanation)?;
@@ -192,6 +195,18 @@
         }
     }
 
+    fn duties(&mut self, nodes: &[SocketAddr]) -> Result<ExitStatus, CommandError> {
+        // The ready addresses need no secret.
+        let client = AdminClient::new(nodes.to_vec(), "", self.settings.timeout);
+        let table = DutyTable::fetch(&client);
+        self.printer.report(&table)?;
+        if table.is_consistent() {
+            Ok(ExitStatus::Success)
+        } else {
+            Ok(ExitStatus::Failed)
+        }
+    }
+
     fn apply(&mut self, arguments: &ApplyArguments) -> Result<(), CommandError> {
         let store = self.store()?;
         let dir = TablesDir::new(&arguments.dir);
--- a/crates/dewctl/tests/dewctl/main.rs
+++ b/crates/dewctl/tests/dewctl/main.rs
@@ -2,5 +2,6 @@
 
 mod command_line;
 mod commit;
+mod duties;
 mod races;
 mod support;
--- a/crates/dewctl/tests/dewctl/support/admin.rs
+++ b/crates/dewctl/tests/dewctl/support/admin.rs
@@ -68,6 +68,37 @@
     }
 }
 
+/// A `dewnode` VM whose ready address shows a text as its duties.
+pub struct FakeNode {
+    pub address: SocketAddr,
+    _server: ListeningServer,
+}
+
+impl FakeNode {
+    pub fn spawn(duties: &str) -> Self {
+        let address = unused_address();
+        let duties = duties.to_owned();
+        let answer = move |request: &mut Request<Body>| {
+            let is_secret_sent = request.headers().contains_key(AUTHORIZATION);
+            match (request.method(), request.uri().path()) {
+                (&Method::GET, "/duties") if !is_secret_sent => {
+                    Response::new(Body::from(duties.clone()))
+                }
+                _ => empty(StatusCode::NOT_FOUND),
+            }
+        };
+        let server = Server::new(answer)
+            .bind(address)
+            .with_global_timeout(Duration::from_secs(5))
+            .spawn()
+            .expect("the server starts");
+        Self {
+            address,
+            _server: server,
+        }
+    }
+}
+
 fn json(value: &impl Serialize) -> Response<Body> {
     Response::new(Body::from(serde_json::to_vec(value).expect("plain data")))
 }
