--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -17,6 +17,7 @@
 use crate::directory::{ReplicaDirectory, stable_hash};
 use crate::format::PlatformFormat;
 use crate::keys::KeyConfirmation;
+use crate::load_notices::NoticeQueue;
 use crate::logs::LogWriter;
 use crate::metrics::EdgeMetrics;
 use crate::origins::OriginTable;
@@ -28,7 +29,7 @@
 
 use super::crashes::CrashWatch;
 use super::duties::DutyState;
-use super::state::{CallerPhase, EdgeState, TokenKind, token_kind, token_of};
+use super::state::{EdgeState, TokenKind, token_kind, token_of};
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
 use super::updates::HOUSEKEEPING_INTERVAL;
 
@@ -183,7 +184,7 @@
             budgets: IndexMap::new(),
             models: ModelTable::default(),
             load_reports: ReportTable::default(),
-            stream_peaks: IndexMap::new(),
+            load_notices: NoticeQueue::default(),
             pending_dispatches: VecDeque::new(),
             finished_callers: VecDeque::new(),
             timers: TimerHeap::default(),
@@ -250,6 +251,7 @@
             self.fire_timers();
             self.finish_iteration();
         }
+        self.state.end_remaining_requests();
         self.state.send_last_usage();
         self.state.logs.system("process", "stopped");
         self.state.logs.flush();
@@ -287,11 +289,7 @@
             (TokenKind::Caller, caller) => self.state.on_caller_event(caller, closing),
             (TokenKind::Server, conn_id) => self.state.on_server_event(conn_id, closing),
             (TokenKind::Admin, conn_id) => self.state.on_admin_event(conn_id, closing),
-            (TokenKind::Fixed, ENTRY_TOKEN) => {
-                while let Some(Ok((stream, _))) = self.entry.as_ref().map(TcpListener::accept) {
-                    self.state.accept_caller(stream);
-                }
-            }
+            (TokenKind::Fixed, ENTRY_TOKEN) => self.accept_callers(),
             (TokenKind::Fixed, READY_TOKEN) => {
                 while let Ok((stream, _)) = self.ready.accept() {
                     self.state.accept_admin(stream);
@@ -412,9 +410,31 @@
             state.logs.flush();
         }
         if state.has_left_balancer() {
-            // The balancer no longer sends connections to this VM.
+            // The balancer no longer sends connections to this VM; the last ones
+            // may still be in the kernel's queue.
+            self.accept_callers();
             self.entry = None;
-            close_idle_callers(state);
+            self.state.close_idle_callers();
+        }
+    }
+
+    /// Accepts all connections in the kernel's queue.
+    fn accept_callers(&mut self) {
+        while let Some(entry) = &self.entry {
+            match entry.accept() {
+                Ok((stream, _)) => self.state.accept_caller(stream),
+                // The caller has gone; others may be in the queue behind it.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    self.state
+                        .logs
+                        .system("entry", "accept_failed")
+                        .text("reason", &error.to_string());
+                    return;
+                }
+            }
         }
     }
 
@@ -487,18 +507,6 @@
     timer.is_some_and(|timer| timer.fire(now, key, timers))
 }
 
-fn close_idle_callers<F: PlatformFormat>(state: &mut EdgeState<F>) {
-    let idle: Vec<usize> = state
-        .caller_conns
-        .iter()
-        .filter(|(_, conn)| matches!(conn.phase, CallerPhase::Head) && conn.read_since.is_none())
-        .map(|(caller, _)| caller)
-        .collect();
-    for caller in idle {
-        state.close_if_idle(caller);
-    }
-}
-
 fn initial_random_state(settings: &EdgeSettings, options: EdgeOptions, now: Moment) -> u64 {
     let seed = match options.seed {
         0 => now.as_nanos() as u64,
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -16,8 +16,8 @@
 
 use super::crashes::ServerTest;
 use super::outcomes::AttemptOutcome;
-use super::responses::MAX_UNSENT;
 use super::state::{CallerStream, EdgeState, ServerConnId};
+use super::updates::DIGEST_TARGETS;
 
 /// Maximum bytes of a response head.
 const MAX_HEAD: usize = 32 * 1024;
@@ -75,6 +75,12 @@
             return false;
         };
         let flushed = conn.channel.flush();
+        if let Some(exchange_id) = conn.exchange_id
+            && self.is_paused(exchange_id, conn_id)
+        {
+            return false;
+        }
+        let conn = &mut self.server_conns[conn_id];
         let read_state = conn.channel.fill(MAX_INBOUND, closing);
         if conn.exchange_id.is_none() {
             if read_state != ReadState::Open || !conn.channel.inbound.is_empty() {
@@ -109,7 +115,10 @@
         self.read_server_response(conn_id, read_state);
         // The response may have ended, and the id may be in use again.
         let conn = self.server_conns.get(conn_id);
-        conn.is_some_and(|conn| conn.exchange_id.is_some() && conn.channel.may_have_more())
+        conn.is_some_and(|conn| {
+            let reads = |exchange_id| !self.is_paused(exchange_id, conn_id);
+            conn.exchange_id.is_some_and(reads) && conn.channel.may_have_more()
+        })
     }
 
     /// Checks whether a connection is established.
@@ -250,9 +259,10 @@
 
     /// Applies what a response announces about further requests to its server.
     ///
-    /// A response with status 421 comes from another server at the address.
+    /// A response with status 421 comes from another server at the address, and an
+    /// interim response announces nothing: it doesn't repeat the server's limit.
     fn apply_server_notices(&mut self, replica: usize, status: u16, metadata: &ResponseMetadata) {
-        if status == 421 {
+        if status == 421 || status < 200 {
             return;
         }
         self.apply_load_report(replica, metadata);
@@ -277,6 +287,10 @@
     /// Records the load that a server reports, and that it is full if it refused
     /// the request.
     fn apply_load_report(&mut self, replica: usize, metadata: &ResponseMetadata) {
+        if metadata.load.is_some_and(|load| load.slowness.is_some()) {
+            // Requests in digests that have arrived may be in the report.
+            self.refresh_peer_load();
+        }
         let replica_state = self.directory.get_mut(replica);
         let service = &replica_state.entry.service;
         if let Some(report) = metadata.load
@@ -286,6 +300,10 @@
             replica_state
                 .reports
                 .record_report(report, peer_requests, reports, self.now);
+            let rounds = self.peers.rounds(DIGEST_TARGETS);
+            self.load_notices
+                .announce(replica_state.hash, report, rounds, self.now);
+            self.digest_due |= !self.load_notices.is_empty();
         }
         if metadata.not_run && self.load_reports.get(service).is_some() {
             replica_state
@@ -427,11 +445,7 @@
         }
         self.record_event(exchange_id, first_of_attempt);
         self.write_events(caller, &events);
-        let caller_conn = self.caller_conns.get(caller);
-        if caller_conn.is_some_and(|conn| conn.channel.unsent() > MAX_UNSENT) {
-            self.close_caller(caller, "caller too slow");
-            return Err("caller too slow");
-        }
+        self.pause_if_behind(exchange_id, caller);
         Ok(())
     }
 
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -18,6 +18,7 @@
 use crate::format::{PlatformFormat, RequestMetadata};
 use crate::http::{BodyDecoder, RequestHead, ResponseHead};
 use crate::keys::KeyConfirmation;
+use crate::load_notices::NoticeQueue;
 use crate::logs::LogWriter;
 use crate::metrics::EdgeMetrics;
 use crate::net::TcpChannel;
@@ -26,13 +27,13 @@
 use crate::policy::engine_model::ModelTable;
 use crate::policy::load_reports::ReportTable;
 use crate::policy::queue::{ExchangeId, WaitingQueue};
-use crate::policy::reported_placement::StreamPeak;
 use crate::policy::retries::RetryBudget;
 use crate::settings::EdgeSettings;
 use crate::storage::StoreClient;
 use crate::stream::EventSplitter;
 use crate::tables::{CallerLimits, RouteSpec, RouteTable};
 
+use super::backpressure::SendProgress;
 use super::crashes::CrashWatch;
 use super::duties::DutyState;
 use super::resumption::VersionBinding;
@@ -96,6 +97,8 @@
     pub(crate) idle_since: Moment,
     /// Whether the connection is closed after the response.
     pub(crate) closing: bool,
+    /// How the caller takes the last response of a closing connection.
+    pub(crate) progress: SendProgress,
 }
 
 /// State of a stream that is forwarded to its caller.
@@ -157,6 +160,8 @@
     /// Whether a server may have run it.
     pub(crate) may_have_run: bool,
     pub(crate) stream: Option<CallerStream>,
+    /// How the caller takes the stream while its server isn't read because of it.
+    pub(crate) pause: Option<SendProgress>,
     pub(crate) fallback: Option<FallbackResponse>,
     pub(crate) sent_load: SentLoad,
     pub(crate) standby: Option<StandbyAttempt>,
@@ -280,9 +285,8 @@
     pub(crate) budgets: IndexMap<String, RetryBudget>,
     pub(crate) models: ModelTable,
     pub(crate) load_reports: ReportTable,
-    /// Streams for which engines are reserved, for each service that reports its
-    /// load.
-    pub(crate) stream_peaks: IndexMap<String, StreamPeak>,
+    /// Reports that the other VMs are to be told.
+    pub(crate) load_notices: NoticeQueue,
     /// Services whose queue is dispatched at the end of the iteration.
     pub(crate) pending_dispatches: VecDeque<String>,
     /// Callers whose last request has ended and who may have sent the next one.
--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -13,9 +13,10 @@
 use hyper::rt::Write;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
@@ -45,6 +46,18 @@
 /// with a refusal.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(300);
 
+/// Time for the first request of a connection that was accepted as one of the
+/// last; a round trip takes a few ms, and packets may be lost.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
+/// Size of the kernel's send buffer of a caller's connection, in bytes; the kernel
+/// doubles it.
+///
+/// A connection accepts further bytes once a third of the buffer is free. In the
+/// largest buffer of the kernel, a caller that reads slowly would seem to take
+/// nothing for longer than the silence timeout.
+const SEND_BUFFER_BYTES: usize = 256 * 1024;
+
 /// Timeout for sending the refusal to a connection and for its close.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -138,13 +151,15 @@
             }
         };
         let graceful = GracefulShutdown::new();
-        let shared = Arc::clone(&context);
-        let watcher = || graceful.watcher();
+        let acceptor = ConnectionAcceptor::new(Arc::clone(&context), || graceful.watcher());
         let limit = tokio::select! {
-            () = accept_connections(&listener, shared, watcher) => Duration::ZERO,
+            () = acceptor.accept_all(&listener) => Duration::ZERO,
             limit = drain_on_stop(&context, stopped) => limit,
         };
-        drop(listener);
+        acceptor.accept_queued(listener);
+        let started = Instant::now();
+        sleep(limit.min(FIRST_REQUEST_TIME)).await;
+        let limit = limit.saturating_sub(started.elapsed());
         match timeout(limit, graceful.shutdown()).await {
             Ok(()) => ShutdownOutcome::Finished,
             Err(_) => ShutdownOutcome::CutOff(context.in_flight()),
@@ -172,40 +187,89 @@
     limit.saturating_sub(started.elapsed())
 }
 
-async fn accept_connections<C: ConfigSource, G: GrantSource>(
-    listener: &tokio::net::TcpListener,
+/// Accepts connections up to their limit, and refuses those above it.
+struct ConnectionAcceptor<C, G, W> {
     context: Arc<EntryContext<C, G>>,
-    watcher: impl Fn() -> Watcher,
-) {
-    let limit = context.settings.max_connections;
-    let slots = Arc::new(Semaphore::new(limit));
-    // Pending refusals have the same limit; connections above it are closed
-    // without a response.
-    let refusals = Arc::new(Semaphore::new(limit));
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+    watcher: W,
+    limit: usize,
+    slots: Arc<Semaphore>,
+    /// Pending refusals have the same limit; connections above it are closed
+    /// without a response.
+    refusals: Arc<Semaphore>,
+}
+
+impl<C: ConfigSource, G: GrantSource, W: Fn() -> Watcher> ConnectionAcceptor<C, G, W> {
+    fn new(context: Arc<EntryContext<C, G>>, watcher: W) -> Self {
+        let limit = context.settings.max_connections;
+        Self {
+            context,
+            watcher,
+            limit,
+            slots: Arc::new(Semaphore::new(limit)),
+            refusals: Arc::new(Semaphore::new(limit)),
+        }
+    }
+
+    /// Accepts connections without end.
+    async fn accept_all(&self, listener: &tokio::net::TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.admit(stream),
+                Err(error) => {
+                    log::warn!("entry: Accepting a connection failed: {error}.");
+                    sleep(DRAIN_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    /// Accepts the connections in the kernel's queue and stops listening; closing
+    /// the listener would reset them.
+    fn accept_queued(&self, listener: tokio::net::TcpListener) {
+        let accept_one = |listener: &TcpListener| {
+            let (stream, _) = listener.accept()?;
+            stream.set_nonblocking(true)?;
+            TcpStream::from_std(stream)
+        };
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
             Err(error) => {
-                log::warn!("entry: Accepting a connection failed: {error}.");
-                sleep(DRAIN_INTERVAL).await;
-                continue;
+                log::warn!("entry: The last connections were not accepted: {error}.");
+                return;
             }
         };
-        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+        loop {
+            match accept_one(&listener) {
+                Ok(stream) => self.admit(stream),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // The caller has gone; others may be in the queue behind it.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    log::warn!("entry: Accepting a connection failed: {error}.");
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Serves a connection, or refuses it above the limit.
+    fn admit(&self, stream: TcpStream) {
+        let limit = self.limit;
+        let Ok(slot) = Arc::clone(&self.slots).try_acquire_owned() else {
             log::warn!("entry: A connection above the limit of {limit} was refused.");
-            if let Ok(slot) = Arc::clone(&refusals).try_acquire_owned() {
+            if let Ok(slot) = Arc::clone(&self.refusals).try_acquire_owned() {
                 tokio::spawn(async move {
                     refuse_connection(stream).await;
                     drop(slot);
                 });
             }
-            continue;
+            return;
         };
-        context
-            .metrics
-            .set_connections(limit - slots.available_permits());
-        let watcher = watcher();
-        let context = Arc::clone(&context);
+        let connections = limit - self.slots.available_permits();
+        self.context.metrics.set_connections(connections);
+        let watcher = (self.watcher)();
+        let context = Arc::clone(&self.context);
         tokio::spawn(async move {
             serve_connection(stream, context, watcher).await;
             drop(slot);
@@ -236,9 +300,17 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("entry: Setting TCP_NODELAY on a connection failed: {error}.");
     }
+    if let Err(error) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES) {
+        log::debug!("entry: Setting the send buffer of a connection failed: {error}.");
+    }
     let header_timeout = context.settings.header_timeout;
+    let stream = LingeringStream::new(stream);
+    let reset = stream.reset_guard();
     let service = service_fn(move |request: Request<Incoming>| {
         let context = Arc::clone(&context);
+        if request.version() < Version::HTTP_11 {
+            reset.arm();
+        }
         // The connection holds the memory of its service future even after the
         // future has completed. Boxing the handler releases its memory before
         // the response body is streamed.
@@ -249,7 +321,7 @@
         .header_read_timeout(header_timeout)
         .max_buf_size(MAX_HEADER_BYTES)
         .max_headers(MAX_HEADERS)
-        .serve_connection(LingeringStream::new(stream), service);
+        .serve_connection(stream, service);
     if let Err(error) = watcher.watch(connection).await {
         log::debug!("entry: A connection ended early: {error}.");
     }
