Give up a call to the API whose response never ends

The connection moves a call's deadline while bytes of its response arrive, as it must for large responses of the store. A holder whose API sent a response byte by byte so waited without end: it made no further call, kept its duties, and couldn't hand over when it stopped.

The client of the API now keeps the deadline of the call. Two tests have the case of such a response; it failed before in both (not given up, and no other VM reporting, within 20 s) and passes.

--- a/crates/dewedge/src/api.rs
+++ b/crates/dewedge/src/api.rs
@@ -1,8 +1,8 @@
 //! Client of the platform's API, to which the holder of a duty makes calls.
 //!
 //! Calls are made one after the other on one connection. A call that gets no
-//! response in time is given up, and its connection is reset, so that no byte of
-//! it arrives later than that.
+//! complete response in time is given up, and its connection is reset, so that no
+//! byte of it arrives later than that.
 //!
 //! The main invariant: nothing of a call is sent after its deadline.
 
@@ -43,6 +43,9 @@
     address: SocketAddr,
     vm: String,
     connection: CallConnection<DutyApiCall>,
+    /// When the call in progress is given up. Unlike the connection's own deadline,
+    /// it doesn't move while a response arrives slowly.
+    deadline: Moment,
     format: PhantomData<F>,
 }
 
@@ -52,6 +55,7 @@
             address,
             vm: vm.to_string(),
             connection: CallConnection::new(token),
+            deadline: Moment::ZERO,
             format: PhantomData,
         }
     }
@@ -69,6 +73,7 @@
         now: Moment,
         deadline: Moment,
     ) {
+        self.deadline = deadline;
         let bytes = F::write_api_call(&call.call, &self.vm, call.token);
         self.connection
             .send(registry, self.address, call, &bytes, (now, deadline));
@@ -95,8 +100,7 @@
 
     /// Returns when the call in progress is given up.
     pub(crate) fn next_due(&self) -> Option<Moment> {
-        let pending = self.connection.pending.as_ref();
-        pending.map(|pending| pending.deadline)
+        (!self.is_free()).then_some(self.deadline)
     }
 
     fn result(&mut self, outcome: CallOutcome<DutyApiCall>, now: Moment) -> Option<ApiResult> {
