--- a/crates/dewedge/src/api.rs
+++ b/crates/dewedge/src/api.rs
@@ -1,8 +1,8 @@
 //! Client of the platform's API, to which the holder of a duty makes calls.
 //!
 //! Calls are made one after the other on one connection. A call that gets no
-//! response in time is given up, and its connection is reset, so that no byte of
-//! it arrives later than that.
+//! complete response in time is given up, and its connection is reset, so that no
+//! byte of it arrives later than that.
 //!
 //! The main invariant: nothing of a call is sent after its deadline.
 
