Tell the other VMs of servers that have certainly ended

When a quarter of the servers ends at once, each VM found it out by its own requests: a refused connection ejected the server for 0.4 s on this VM alone, and a response 421 counted as one of four failures. The store removes the entries only after 3 to 5 s.

For services whose servers report their slowness, a VM now sends nothing for 5 s to a server from whose address it got a 421, and for 2 s to one whose host refused a connection, unless the entry changes. It tells the other VMs in datagrams DWE1 beside the digests. They leave the server alone until 2 s after the sign was found, unless they have received bytes from it or learned of its start since. After that, one probe goes every 300 ms at most. One VM is believed for half of a service's servers. The clocks of senders, which load notices use as well, have a module of their own.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -14,6 +14,7 @@
 use crate::clock::Moment;
 use crate::format::{ReplicaEntry, ReplicaId, ReplicaStage};
 use crate::origins::{VersionId, version_id};
+use crate::policy::ended_servers::EndedState;
 use crate::policy::health::ReplicaHealth;
 use crate::policy::load_reports::ServerReports;
 use crate::policy::placement::{PartCache, ServerLoad};
@@ -51,6 +52,9 @@
     pub missing_until: Option<Moment>,
     /// Health according to the results of this VM's requests.
     pub health: ReplicaHealth,
+    /// Whether it has certainly ended, if its service's servers report their
+    /// slowness.
+    pub ended: EndedState,
     /// Limits on this VM's use of it after its latest start.
     pub warmup: WarmUp,
     /// Prompt parts of this VM's requests that are expected in its KV cache.
@@ -88,6 +92,7 @@
         self.backoff_until = Moment::ZERO;
         self.rate_limit = RateLimit::default();
         self.health = ReplicaHealth::default();
+        self.ended = EndedState::default();
         self.cached_parts.clear();
         self.slowness = 1.0;
         self.reports = ServerReports::default();
@@ -388,6 +393,7 @@
             gone_at: Moment::ZERO,
             missing_until: None,
             health: ReplicaHealth::default(),
+            ended: EndedState::default(),
             warmup: WarmUp::default(),
             cached_parts: PartCache::default(),
             own_load: ServerLoad::default(),
--- a/crates/dewedge/src/load_notices.rs
+++ b/crates/dewedge/src/load_notices.rs
@@ -22,6 +22,7 @@
 
 use crate::clock::Moment;
 use crate::format::LoadReport;
+use crate::sender_clocks::{SenderClocks, millis};
 
 /// First bytes of a datagram with load notices.
 pub const LOAD_NOTICE_MAGIC: [u8; 4] = *b"DWR1";
@@ -45,14 +46,6 @@
 /// Steps of slowness in a notice.
 const SLOWNESS_STEPS: f64 = 100.0;
 
-/// Time for which the fastest datagram of a sender is remembered, at least. It
-/// follows clocks that drift, and a clock that has stopped for a while delays
-/// notices for twice this time at most.
-const OFFSET_WINDOW: Duration = Duration::from_secs(5);
-
-/// Maximum number of VMs whose last datagrams are remembered.
-const MAX_SENDERS: usize = 1024;
-
 /// A report of a server that a VM has received.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadNotice {
@@ -162,10 +155,6 @@
     bytes.extend_from_slice(&saturating_u16(age).to_be_bytes());
 }
 
-fn millis(time: Moment) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn saturating_u16(value: u64) -> u16 {
     u16::try_from(value).unwrap_or(u16::MAX)
 }
@@ -181,48 +170,10 @@
     pub late: u64,
 }
 
-/// Differences between this VM's clock and the time in the datagrams of a sender,
-/// in ms.
-#[derive(Clone, Copy, Debug)]
-struct ClockOffsets {
-    /// Least difference in the window that has ended and in the current one.
-    least: [i64; 2],
-    window_began: Moment,
-}
-
-impl ClockOffsets {
-    fn new(offset: i64, now: Moment) -> Self {
-        Self {
-            least: [offset; 2],
-            window_began: now,
-        }
-    }
-
-    /// Records the difference of a datagram; returns by how much longer it took
-    /// than the fastest recent one.
-    fn record(&mut self, offset: i64, now: Moment) -> u64 {
-        if now.saturating_sub(self.window_began) >= OFFSET_WINDOW {
-            self.least = [self.least[1], offset];
-            self.window_began = now;
-        }
-        self.least[1] = self.least[1].min(offset);
-        let least = self.least[0].min(self.least[1]);
-        offset.saturating_sub(least).unsigned_abs()
-    }
-}
-
-/// Last datagram of another VM.
-#[derive(Clone, Copy, Debug)]
-struct NoticeSender {
-    sent_ms: u64,
-    received: Moment,
-    offsets: ClockOffsets,
-}
-
 /// Reads the datagrams of the other VMs.
 #[derive(Clone, Debug, Default)]
 pub struct NoticeReceiver {
-    senders: IndexMap<u64, NoticeSender>,
+    clocks: SenderClocks,
 }
 
 impl NoticeReceiver {
@@ -254,7 +205,7 @@
         let vm = u64::from_be_bytes(head[..8].try_into().ok()?);
         let sent_ms = u64::from_be_bytes(head[8..].try_into().ok()?);
         let mut received = ReceivedNotices::default();
-        let Some((known_until, delay_ms)) = self.record_datagram(vm, sent_ms, now) else {
+        let Some((known_until, delay_ms)) = self.clocks.record_datagram(vm, sent_ms, now) else {
             received.repeated = (entries.len() / NOTICE_BYTES) as u64;
             return Some(received);
         };
@@ -283,54 +234,4 @@
         }
         Some(received)
     }
-
-    /// Records a datagram; returns the time of the sender's datagram before it, and
-    /// by how many ms it was delayed. Returns `None` if it isn't newer than that.
-    fn record_datagram(
-        &mut self,
-        vm: u64,
-        sent_ms: u64,
-        now: Moment,
-    ) -> Option<(Option<u64>, u64)> {
-        let offset = (millis(now) as i64).wrapping_sub(sent_ms as i64);
-        let Some(sender) = self.senders.get_mut(&vm) else {
-            self.make_room();
-            self.insert(vm, sent_ms, offset, now);
-            return Some((None, 0));
-        };
-        if sent_ms <= sender.sent_ms {
-            // A VM that has booted again begins with an earlier time.
-            let booted = now.saturating_sub(sender.received) >= NOTICE_TTL;
-            return booted.then(|| {
-                self.insert(vm, sent_ms, offset, now);
-                (None, 0)
-            });
-        }
-        let known_until = std::mem::replace(&mut sender.sent_ms, sent_ms);
-        sender.received = now;
-        Some((Some(known_until), sender.offsets.record(offset, now)))
-    }
-
-    fn insert(&mut self, vm: u64, sent_ms: u64, offset: i64, now: Moment) {
-        let sender = NoticeSender {
-            sent_ms,
-            received: now,
-            offsets: ClockOffsets::new(offset, now),
-        };
-        self.senders.insert(vm, sender);
-    }
-
-    /// Forgets the sender that has been silent for longest if there are too many.
-    fn make_room(&mut self) {
-        if self.senders.len() < MAX_SENDERS {
-            return;
-        }
-        let silent = self
-            .senders
-            .iter()
-            .min_by_key(|(_, sender)| sender.received);
-        if let Some(vm) = silent.map(|(vm, _)| *vm) {
-            self.senders.swap_remove(&vm);
-        }
-    }
 }
--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -54,6 +54,7 @@
     pub(crate) uncounted_requests: Counter,
     pub(crate) reported_choices: Family<ServiceLabels, Counter>,
     pub(crate) load_notices: Family<NoticeLabels, Counter>,
+    pub(crate) ended_notices: Family<NoticeLabels, Counter>,
     pub(crate) connects: Counter,
     pub(crate) foreign_datagrams: Counter,
     pub(crate) server_crashes: Counter,
@@ -129,6 +130,12 @@
             "Reports of servers that other VMs passed on, by what was done with them",
             load_notices.clone(),
         );
+        let ended_notices = Family::default();
+        registry.register(
+            "ended_notices",
+            "Servers that other VMs reported as ended, by what was done with the notices",
+            ended_notices.clone(),
+        );
         let connects = Counter::default();
         registry.register(
             "server_connects",
@@ -190,6 +197,7 @@
             uncounted_requests,
             reported_choices,
             load_notices,
+            ended_notices,
             connects,
             foreign_datagrams,
             server_crashes,
@@ -221,6 +229,14 @@
         }
     }
 
+    /// Counts servers that other VMs reported as ended.
+    pub(crate) fn count_ended_notices(&self, outcome: &'static str, count: u64) {
+        if count > 0 {
+            let label = NoticeLabels { outcome };
+            self.ended_notices.get_or_create(&label).inc_by(count);
+        }
+    }
+
     /// Returns all metrics in the text exposition format.
     pub(crate) fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -17,6 +17,7 @@
 use crate::clock::Moment;
 use crate::crash_notices::{CRASH_MAGIC, CrashNotice, decode_notices as decode_crash_notices};
 use crate::directory::{ReplicaDirectory, stable_hash};
+use crate::ended_notices::{ENDED_NOTICE_MAGIC, EndedReceiver, ReceivedSigns};
 use crate::limit_notices::{LIMIT_MAGIC, LimitNotice, decode_notices};
 use crate::load_notices::{LOAD_NOTICE_MAGIC, NoticeReceiver, ReceivedNotices};
 use crate::origins::{StreamKey, StreamOrigin};
@@ -81,6 +82,8 @@
     Limits(Vec<LimitNotice>),
     /// Reports of servers about their load; `None` if they can't be read.
     Reports(Option<ReceivedNotices>),
+    /// Servers that have ended; `None` if they can't be read.
+    Ended(Option<ReceivedSigns>),
     /// What another VM knows of crashes.
     Crashes(Vec<CrashNotice>),
     /// A question for the origin of a stream.
@@ -108,6 +111,7 @@
     departed: IndexMap<String, (SocketAddr, Moment)>,
     digests: IndexMap<u64, PeerDigest>,
     load_notices: NoticeReceiver,
+    ended_notices: EndedReceiver,
     next_target: usize,
     next_query_target: usize,
 }
@@ -307,6 +311,9 @@
         if let Some(notices) = bytes.strip_prefix(&LOAD_NOTICE_MAGIC) {
             return PeerMessage::Reports(self.load_notices.receive(notices, now));
         }
+        if let Some(notices) = bytes.strip_prefix(&ENDED_NOTICE_MAGIC) {
+            return PeerMessage::Ended(self.ended_notices.receive(notices, now));
+        }
         if let Some(notices) = bytes.strip_prefix(&CRASH_MAGIC) {
             return match decode_crash_notices(notices, now) {
                 Some(notices) => PeerMessage::Crashes(notices),
--- a/crates/dewedge/src/policy/mod.rs
+++ b/crates/dewedge/src/policy/mod.rs
@@ -13,6 +13,7 @@
 //! - [`retries`] limits retries.
 //! - [`health`] tracks the health of servers by the results of this VM's
 //!   requests.
+//! - [`ended_servers`] leaves servers alone that have certainly ended.
 //! - [`rate_limit`] keeps the VMs' requests to a server within its limit.
 //! - [`warmup`] staggers the first use of a started server across the VMs.
 //!
@@ -20,6 +21,7 @@
 //! are arguments.
 
 pub mod admission;
+pub mod ended_servers;
 pub mod engine_model;
 pub mod health;
 pub mod load_reports;
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::directory::ReplicaIndex;
 use crate::format::{ForwardMetadata, PlatformFormat, RequestMetadata};
 use crate::net::TcpChannel;
+use crate::policy::ended_servers::EndedKind;
 use crate::policy::engine_model::EngineModel;
 use crate::policy::load_reports::{ReportAge, ServiceReports};
 use crate::policy::placement::{
@@ -59,8 +60,8 @@
     connection_limit: u32,
     /// Whether the VMs stagger the first use of a started server.
     staggers_starts: bool,
-    /// Whether ejected servers are used, because all that may serve the request
-    /// are ejected.
+    /// Whether servers are used that are ejected or seem to have ended, because all
+    /// that may serve the request do.
     ignores_health: bool,
     /// What is known of the service's reports, if its servers report their
     /// slowness.
@@ -153,7 +154,9 @@
         };
         let is_sound = |index: &ReplicaIndex| {
             let replica = self.directory.get(*index);
-            replica.is_listed() && replica.health.is_usable(self.now)
+            replica.is_listed()
+                && replica.health.is_usable(self.now)
+                && !replica.ended.is_left_alone(self.now)
         };
         let service = ServiceContext {
             engine: engine.as_ref(),
@@ -226,7 +229,8 @@
             && has_connection
             && replica.backoff_until <= self.now
             && replica.rate_limit.allows(self.now)
-            && (service.ignores_health || replica.health.is_usable(self.now))
+            && (service.ignores_health
+                || replica.health.is_usable(self.now) && !replica.ended.is_left_alone(self.now))
             && !exchange.tried_replicas.contains(&index)
             && self.fits_version(exchange, index);
         let warming_up = service.staggers_starts
@@ -296,7 +300,10 @@
             Some(conn_id) => conn_id,
             None => match self.connect(replica) {
                 Ok(conn_id) => conn_id,
-                Err(_) => {
+                Err(error) => {
+                    if ServerTest::of_error(&error) == ServerTest::Refused {
+                        self.record_ended(replica, EndedKind::Refused, now);
+                    }
                     if self.exchanges[exchange_id].sends > 0 {
                         self.give_retry_back(exchange_id, now);
                     }
@@ -429,6 +436,7 @@
         replica_state.own_load.tokens += tokens;
         replica_state.own_load.gap_sensitive_streams += u32::from(exchange.sent_load.gap_sensitive);
         replica_state.health.record_sent();
+        replica_state.ended.record_sent(now);
         if self.load_reports.get(&exchange.service).is_some() {
             replica_state.reports.record_send(now);
         }
@@ -588,6 +596,7 @@
             body: Vec::new(),
             is_stream: false,
             interim_responses: 0,
+            opened: self.now,
             idle_until: Moment::ZERO,
             idle_since: Moment::ZERO,
             timer: LazyTimer::default(),
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -29,6 +29,7 @@
 mod crashes;
 mod dispatch;
 mod duties;
+mod ended;
 mod outcomes;
 mod requests;
 mod responses;
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -9,6 +9,7 @@
 use crate::directory::ReplicaIndex;
 use crate::format::{PlatformFormat, PromptPart};
 use crate::http::ResponseHead;
+use crate::policy::ended_servers::EndedKind;
 use crate::policy::engine_model::{FirstEventSample, GapSample};
 use crate::policy::health::AttemptResult;
 
@@ -73,6 +74,8 @@
             AttemptOutcome::NotRun { replica, status } => {
                 self.exchanges[exchange_id].tried_replicas.push(replica);
                 if status == 421 {
+                    let sent = self.exchanges[exchange_id].sent_load.sent;
+                    self.record_ended(replica, EndedKind::Misdirected, sent);
                     self.record_attempt_result(replica, AttemptResult::Failed);
                 } else {
                     // A full server says nothing about its health.
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::{self, Moment};
 use crate::directory::{ReplicaDirectory, stable_hash};
+use crate::ended_notices::{EndedQueue, ReporterLimits};
 use crate::format::PlatformFormat;
 use crate::keys::KeyConfirmation;
 use crate::load_notices::NoticeQueue;
@@ -185,6 +186,8 @@
             models: ModelTable::default(),
             load_reports: ReportTable::default(),
             load_notices: NoticeQueue::default(),
+            ended_notices: EndedQueue::default(),
+            ended_reporters: ReporterLimits::default(),
             pending_dispatches: VecDeque::new(),
             finished_callers: VecDeque::new(),
             timers: TimerHeap::default(),
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -10,6 +10,7 @@
 use crate::format::{PlatformFormat, RateNotice, ResponseMetadata};
 use crate::http::{BodyDecoder, ResponseHead, parse_response};
 use crate::net::ReadState;
+use crate::policy::ended_servers::EndedKind;
 use crate::policy::health::AttemptResult;
 use crate::stream::{EventError, EventSplitter};
 use crate::tables::RequestKind;
@@ -150,8 +151,12 @@
     /// Closes a connection that couldn't be established.
     fn fail_connect(&mut self, conn_id: ServerConnId, test: ServerTest) {
         self.connect_failed = true;
+        let conn = &self.server_conns[conn_id];
+        let (replica, opened) = (conn.replica, conn.opened);
+        if test == ServerTest::Refused {
+            self.record_ended(replica, EndedKind::Refused, opened);
+        }
         let conn = &mut self.server_conns[conn_id];
-        let replica = conn.replica;
         if conn.is_test {
             self.close_server_conn(conn_id);
             self.end_server_test(replica, test);
@@ -249,10 +254,13 @@
                 });
             }
         }
-        let (replica, status) = (conn.replica, head.status);
+        let (replica, status, sent) = (conn.replica, head.status, exchange.sent_load.sent);
         conn.channel.consume(head.length);
         conn.decoder = Some(BodyDecoder::new(head.body));
         conn.head = Some(head);
+        if status >= 200 && status != 421 {
+            self.record_server_bytes(replica, sent);
+        }
         self.apply_server_notices(replica, status, &metadata);
         Ok(true)
     }
@@ -433,10 +441,11 @@
             return Ok(());
         }
         let first = !std::mem::replace(&mut stream.head_sent, true);
-        let caller = exchange.caller;
+        let (caller, load) = (exchange.caller, exchange.sent_load);
         if first && let Some(head) = conn.head.clone() {
             self.write_stream_head(caller, &head);
         }
+        self.record_server_bytes(load.replica, load.sent);
         self.drop_standby(exchange_id);
         let first_of_attempt = self.record_first_event(exchange_id);
         if first_of_attempt {
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::Moment;
 use crate::directory::{ReplicaDirectory, ReplicaIndex};
+use crate::ended_notices::{EndedQueue, ReporterLimits};
 use crate::format::{PlatformFormat, RequestMetadata};
 use crate::http::{BodyDecoder, RequestHead, ResponseHead};
 use crate::keys::KeyConfirmation;
@@ -237,6 +238,7 @@
     pub(crate) is_stream: bool,
     /// Interim responses to the request in progress.
     pub(crate) interim_responses: u32,
+    pub(crate) opened: Moment,
     pub(crate) idle_until: Moment,
     pub(crate) idle_since: Moment,
     pub(crate) timer: LazyTimer,
@@ -287,6 +289,10 @@
     pub(crate) load_reports: ReportTable,
     /// Reports that the other VMs are to be told.
     pub(crate) load_notices: NoticeQueue,
+    /// Servers of whose end the other VMs are to be told.
+    pub(crate) ended_notices: EndedQueue,
+    /// What the other VMs have reported as ended.
+    pub(crate) ended_reporters: ReporterLimits,
     /// Services whose queue is dispatched at the end of the iteration.
     pub(crate) pending_dispatches: VecDeque<String>,
     /// Callers whose last request has ended and who may have sent the next one.
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -272,9 +272,12 @@
                 self.close_server_conn(conn_id);
             }
             self.load_notices.forget(self.directory.get(index).hash);
+            self.ended_notices.forget(self.directory.get(index).hash);
         }
         if let DirectoryChange::Started(_) | DirectoryChange::Restarted(_) = change {
-            self.directory.get_mut(index).reports.begin(self.now);
+            let replica = self.directory.get_mut(index);
+            replica.reports.begin(self.now);
+            replica.ended.record_started(self.now);
         }
         self.start_warmup(change);
         let replica = self.directory.get(index);
@@ -312,6 +315,7 @@
             self.apply_directory_change(DirectoryChange::Gone(index));
         }
         self.peers.expire_departed(self.now);
+        self.ended_reporters.expire(self.now);
         self.refresh_fleet_places();
         self.refresh_blocks();
         self.test_reach();
@@ -400,6 +404,7 @@
                 PeerMessage::Invalid => {}
                 PeerMessage::Limits(notices) => self.apply_limit_notices(&notices),
                 PeerMessage::Reports(notices) => self.apply_load_notices(notices),
+                PeerMessage::Ended(received) => self.apply_ended_notices(received, sender),
                 PeerMessage::Crashes(notices) => self.apply_crash_notices(notices),
                 PeerMessage::OriginQuery(stream) => self.answer_origin_query(stream, sender),
                 PeerMessage::Digest { is_new, origins } => {
@@ -485,6 +490,10 @@
             .load_notices
             .next_datagram(self.peers.own_hash(), self.now);
         self.digest_due |= !self.load_notices.is_empty();
+        let ended_notices = self
+            .ended_notices
+            .next_datagram(self.peers.own_hash(), self.now);
+        self.digest_due |= !self.ended_notices.is_empty();
         let crash_datagrams = self.next_crash_datagrams();
         self.digest_due |= self.crashes.has_notices();
         for address in self.peers.next_targets(DIGEST_TARGETS) {
@@ -493,7 +502,7 @@
             if !notices.is_empty() {
                 let _ = self.peer_socket.send_to(&notice_bytes, address);
             }
-            if let Some(datagram) = &load_notices {
+            for datagram in load_notices.iter().chain(&ended_notices) {
                 let _ = self.peer_socket.send_to(datagram, address);
             }
             for datagram in &crash_datagrams {
