Keep the homes of prompts the same on all VMs where engines differ in speed

Homes were weighted by each VM's own estimate of slowness, so that VMs with slightly different estimates chose different homes and shared parts were read again. Only engines that are slow by the reports that all VMs have, with hysteresis, are homes of fewer prompts now. Refusals for causes other than a lack of servers no longer order servers.

--- a/crates/dewedge/src/policy/load_reports.rs
+++ b/crates/dewedge/src/policy/load_reports.rs
@@ -40,6 +40,12 @@
 use super::placement::{MAX_PLAIN_QUEUED, ReplicaView};
 
 /// Time before the arrival of a report in which requests were sent too late to
+/// Reported slowness from which a server is slow.
+const SLOW_SLOWNESS: f64 = 1.4;
+
+/// Reported slowness below which a slow server no longer is.
+const FAST_SLOWNESS: f64 = 1.15;
+
 /// be included in it; a round trip takes a few ms.
 const ROUND_TRIP: Duration = Duration::from_millis(4);
 
@@ -301,6 +307,8 @@
     refused: Moment,
     full_until: Moment,
     slowness: SlownessEstimate,
+    /// Whether the reported slowness is high; see [`Self::is_slow`].
+    is_slow: bool,
     /// Ratio of the measured to the reported slowness.
     residual: f64,
 }
@@ -316,6 +324,7 @@
             refused: Moment::ZERO,
             full_until: Moment::ZERO,
             slowness: SlownessEstimate::default(),
+            is_slow: false,
             residual: 1.0,
         }
     }
@@ -409,6 +418,11 @@
         let since_last = self.last.map(|last| heard_at.saturating_sub(last.received));
         if let Some(slowness) = report.slowness {
             self.slowness.record(slowness, since_last, service);
+            let bound = match self.is_slow {
+                true => FAST_SLOWNESS,
+                false => SLOW_SLOWNESS,
+            };
+            self.is_slow = self.slowness.mean >= bound;
         }
         let made_at = heard_at.saturating_sub(ROUND_TRIP);
         self.sends.retain(|sent| *sent > made_at);
@@ -477,6 +491,12 @@
         self.residual += RESIDUAL_WEIGHT * (residual - self.residual);
     }
 
+    /// Returns whether the server is slow, by its reports alone, which all VMs have.
+    /// Hysteresis keeps the answer the same on VMs whose estimates differ slightly.
+    pub fn is_slow(&self) -> bool {
+        self.is_slow
+    }
+
     /// Returns the smoothed slowness that the server reports; 1 is normal.
     pub fn reported_slowness(&self) -> f64 {
         self.slowness.mean
@@ -535,6 +555,7 @@
         let peer = view.load.requests.saturating_sub(own);
         view.load.requests = self.effective_requests(own, peer, lifetime, now);
         view.slowness = self.slowness();
+        view.is_slow = self.is_slow;
         if view.kv_cache_tokens == 0
             && let Some(last) = self.last
         {
--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -175,6 +175,8 @@
     pub load: ServerLoad,
     /// Ratio of its measured to its expected latency; 1 is normal.
     pub slowness: f64,
+    /// Whether it is slow according to reports that all VMs have.
+    pub is_slow: bool,
     /// Share of its recent requests that failed.
     pub failure_rate: f64,
     /// Prompt parts expected in its KV cache.
--- a/crates/dewedge/src/policy/reported_placement.rs
+++ b/crates/dewedge/src/policy/reported_placement.rs
@@ -39,10 +39,8 @@
 /// the others.
 const MAX_RESERVED_SLOWNESS: f64 = 1.25;
 
-/// Steps of slowness in each factor of two by which homes are distributed. The
-/// estimates of the VMs differ slightly, and a prompt should have the same home
-/// on all of them.
-const HOME_STEPS: f64 = 2.0;
+/// Factor by which a slow engine is the home of fewer prompts.
+const SLOW_HOME_FACTOR: f64 = 2.0;
 
 /// Gap-sensitive streams of an engine that a prompt may delay beyond their target.
 const MAX_DELAYED_STREAMS: u32 = 1;
@@ -325,11 +323,16 @@
     }
 
     /// Returns the index of a key's home, by weighted rendezvous hashing: an
-    /// engine is the home of fewer prompts if it is slow.
+    /// engine is the home of fewer prompts if it is slow. The weights are coarse,
+    /// because a prompt has to have the same home on all VMs.
     fn home(&self, key: u64, from_reserved: bool) -> Option<usize> {
         let distance = |replica: &ReplicaView<'_>| {
             let unit = unit_of(rendezvous_weight(key, replica.hash));
-            -unit.ln() * home_slowness(replica.slowness)
+            let factor = match replica.is_slow {
+                true => SLOW_HOME_FACTOR,
+                false => 1.0,
+            };
+            -unit.ln() * factor
         };
         self.replicas
             .iter()
@@ -424,7 +427,3 @@
     let scaled = (f64::from(limit) / replica.slowness).round() as u32;
     scaled.clamp(limit.min(1), replica.slots.max(1))
 }
-
-fn home_slowness(slowness: f64) -> f64 {
-    ((slowness.log2() * HOME_STEPS).round() / HOME_STEPS).exp2()
-}
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -248,6 +248,7 @@
             kv_cache_tokens: service.engine.map_or(0, |engine| engine.kv_cache_tokens),
             load,
             slowness: replica.slowness,
+            is_slow: false,
             failure_rate: replica.health.failure_rate(),
             cached_parts: &replica.cached_parts,
         };
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -49,6 +49,14 @@
     priority: u8,
 }
 
+/// Reasons of refusals that more servers would have prevented.
+const LACK_OF_SERVERS: [&str; 4] = [
+    "no_server",
+    "no_server_in_time",
+    "queue_blocked",
+    "server_full",
+];
+
 impl<F: PlatformFormat> EdgeState<F> {
     /// Authorizes a complete request, and queues or rejects it.
     pub(crate) fn begin_request(&mut self, caller: CallerId, head: RequestHead, body: Vec<u8>) {
@@ -282,8 +290,10 @@
             .number("waiting", waiting as u64)
             .ms("waited_ms", now.saturating_sub(exchange.arrived))
             .ms("retry_after_ms", after);
-        let service = self.exchanges[exchange_id].service.clone();
-        self.count_unserved(&service);
+        if LACK_OF_SERVERS.contains(&code) {
+            let service = self.exchanges[exchange_id].service.clone();
+            self.count_unserved(&service);
+        }
         self.finish(exchange_id, code, |state, caller| {
             state.respond(caller, 503, code, Some(after));
         });
--- a/crates/dewedge/tests/ended_notices.rs
+++ b/crates/dewedge/tests/ended_notices.rs
@@ -730,6 +730,7 @@
                 ..ServerLoad::default()
             },
             slowness: 1.0,
+            is_slow: false,
             failure_rate: vm.health[server].failure_rate(),
             cached_parts: &cache,
         };
--- a/crates/dewedge/tests/load_model/simulation.rs
+++ b/crates/dewedge/tests/load_model/simulation.rs
@@ -285,6 +285,7 @@
                 kv_cache_tokens: self.deployment.kind.kv_cache_tokens,
                 load: self.load(vm, engine),
                 slowness: 1.0,
+                is_slow: false,
                 failure_rate: 0.0,
                 cached_parts: &self.part_caches[vm][engine],
             })
--- a/crates/dewedge/tests/load_notices.rs
+++ b/crates/dewedge/tests/load_notices.rs
@@ -782,6 +782,7 @@
                     ..ServerLoad::default()
                 },
                 slowness: 1.0,
+                is_slow: false,
                 failure_rate: 0.0,
                 cached_parts: &cache,
             };
--- a/crates/dewedge/tests/load_reports.rs
+++ b/crates/dewedge/tests/load_reports.rs
@@ -59,6 +59,7 @@
             ..ServerLoad::default()
         },
         slowness: 1.0,
+        is_slow: false,
         failure_rate: 0.0,
         cached_parts,
     }
--- a/crates/dewedge/tests/placement.rs
+++ b/crates/dewedge/tests/placement.rs
@@ -24,6 +24,7 @@
         kv_cache_tokens: 300_000,
         load,
         slowness: 1.0,
+        is_slow: false,
         failure_rate: 0.0,
         cached_parts,
     }
