--- a/crates/dewedge/tests/load_notices.rs
+++ b/crates/dewedge/tests/load_notices.rs
@@ -1,6 +1,8 @@
 //! The reports of servers that the VMs tell each other, and a play of a fleet with
 //! and without them.
 
+mod random;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -18,6 +20,7 @@
 };
 use dewedge::policy::reported_placement::{ReportedQuery, choose_reported_engine};
 use quickcheck::QuickCheck;
+use random::RandomSource;
 
 /// Maximum bytes of a datagram.
 const MAX_BYTES: usize = 1400;
@@ -631,31 +634,6 @@
     assert!(took[took.len() / 2] < ms(1), "{took:?}");
 }
 
-/// Random numbers, by xorshift.
-struct RandomSource {
-    state: u64,
-}
-
-impl RandomSource {
-    fn new(seed: u64) -> Self {
-        Self {
-            state: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
-        }
-    }
-
-    fn next(&mut self) -> u64 {
-        self.state ^= self.state << 13;
-        self.state ^= self.state >> 7;
-        self.state ^= self.state << 17;
-        self.state
-    }
-
-    /// Returns a number from 0 to 1.
-    fn unit(&mut self) -> f64 {
-        (self.next() >> 11) as f64 / (1u64 << 53) as f64
-    }
-}
-
 const VMS: usize = 75;
 const ENGINES: usize = 90;
 const ARRIVALS_PER_SECOND: f64 = 430.0;
--- a/crates/dewedge/tests/load_reports.rs
+++ b/crates/dewedge/tests/load_reports.rs
@@ -2,6 +2,8 @@
 //!
 //! Each play gives servers as numbers and counts what arrives there.
 
+mod random;
+
 use std::time::Duration;
 
 use dewedge::format::{LoadReport, PromptPart};
@@ -14,36 +16,17 @@
 use dewedge::policy::reported_placement::{
     ReportedQuery, choose_reported_engine, choose_reported_server,
 };
+use random::RandomSource;
 
 const VMS: u64 = 75;
 
-const fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
+/// Returns a number between -1 and 1.
+fn noise(random: &mut RandomSource) -> f64 {
+    2.0 * random.unit() - 1.0
 }
 
-/// Random numbers, by xorshift.
-struct RandomSource {
-    state: u64,
-}
-
-impl RandomSource {
-    fn new(seed: u64) -> Self {
-        Self {
-            state: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
-        }
-    }
-
-    fn next(&mut self) -> u64 {
-        self.state ^= self.state << 13;
-        self.state ^= self.state >> 7;
-        self.state ^= self.state << 17;
-        self.state
-    }
-
-    /// Returns a number between -1 and 1.
-    fn noise(&mut self) -> f64 {
-        (self.next() >> 11) as f64 / (1u64 << 52) as f64 - 1.0
-    }
+const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
 }
 
 fn view(hash: u64, slots: u32, requests: u32, cached_parts: &PartCache) -> ReplicaView<'_> {
@@ -392,7 +375,7 @@
                         true => case.level,
                         false => 1.0,
                     };
-                    let slowness = level + case.noise * random.noise();
+                    let slowness = level + case.noise * noise(&mut random);
                     let now = ms(5000 + 400 * step);
                     server.record_report(report(1, 0, slowness), 0, &mut service, now);
                     if step >= 20 && index > 0 {
@@ -427,10 +410,10 @@
         for step in 0..600u64 {
             let slowness = match drifts {
                 true => {
-                    level = f64::clamp(level + 0.1 * random.noise(), 0.5, 3.0);
+                    level = f64::clamp(level + 0.1 * noise(&mut random), 0.5, 3.0);
                     level
                 }
-                false => 1.0 + 0.3 * random.noise(),
+                false => 1.0 + 0.3 * noise(&mut random),
             };
             let now = ms(5000 + 400 * step);
             server.record_report(report(1, 0, slowness), 0, &mut service, now);
