--- a/crates/dewedge/src/policy/load_reports.rs
+++ b/crates/dewedge/src/policy/load_reports.rs
@@ -40,12 +40,6 @@
 use super::placement::{MAX_PLAIN_QUEUED, ReplicaView};
 
 /// Time before the arrival of a report in which requests were sent too late to
-/// Reported slowness from which a server is slow.
-const SLOW_SLOWNESS: f64 = 1.4;
-
-/// Reported slowness below which a slow server no longer is.
-const FAST_SLOWNESS: f64 = 1.15;
-
 /// be included in it; a round trip takes a few ms.
 const ROUND_TRIP: Duration = Duration::from_millis(4);
 
@@ -73,6 +67,12 @@
 /// Bounds of a reported slowness.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.2, 10.0);
 
+/// Reported slowness from which a server is slow.
+const SLOW_SLOWNESS: f64 = 1.4;
+
+/// Reported slowness below which a slow server no longer is.
+const FAST_SLOWNESS: f64 = 1.15;
+
 /// Bounds of the ratio of a server's measured to its reported slowness.
 const RESIDUAL_BOUNDS: (f64, f64) = (0.5, 4.0);
 
