Reword comments of the lease events and of true time

Readers of the tree met figurative verbs there: a table that is told, clocks that are looked at and heard. Comments only; the tests of dewduty pass (37, with their examples).

--- a/crates/dewduty/src/lease/messages.rs
+++ b/crates/dewduty/src/lease/messages.rs
@@ -1,4 +1,5 @@
-//! What the table is told, what it asks for, and what it shows.
+//! Events that the lease table takes, actions that it returns, and its views for
+//! operators and logs.
 
 use std::time::Duration;
 
@@ -26,7 +27,7 @@
     pub revision: StoreRevision,
 }
 
-/// What the table is told.
+/// An event that the lease table takes.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LeaseEvent {
     /// The store responded. Each response is announced before its content is passed
--- a/crates/dewduty/src/truetime.rs
+++ b/crates/dewduty/src/truetime.rs
@@ -1,6 +1,6 @@
 //! Estimates true time from the clocks of several VMs.
 //!
-//! Each VM looks at its own wall clock, and hears readings of the wall clocks of
+//! Each VM reads its own wall clock, and receives readings of the wall clocks of
 //! other VMs and the median that the holder of the usage duty returns. The
 //! [`usage`](crate::usage) module assigns counts to windows by this estimate.
 //!
@@ -19,7 +19,7 @@
 /// and never offsets.
 pub type ClockOffset = i64;
 
-/// Change of the own offset between two looks from which it is a step.
+/// Change of the own offset between two readings from which it is a step.
 const MIN_STEP_MS: ClockOffset = 250;
 
 /// Clocks from which the median decides: the median of two can't tell which of
@@ -43,12 +43,12 @@
 /// before their median replaces it. All VMs send within this time.
 const GATHER_TIME: Duration = Duration::from_secs(1);
 
-/// Time after the first look at the own clock from which it is used, if the fleet
-/// has not been heard by then.
+/// Time after the first reading of the own clock from which it is used, if no
+/// reading of another VM has arrived by then.
 const START_TIME: Duration = Duration::from_secs(3);
 
 /// Time between two calls from which the process is taken to have been frozen.
-/// Looks at the own clock come every 100 ms.
+/// The own clock is read every 100 ms.
 const FREEZE_TIME: Duration = Duration::from_secs(1);
 
 /// Time after a freeze in which readings of others don't count, because they waited
@@ -122,7 +122,7 @@
         Self::default()
     }
 
-    /// Records a look at the own wall clock.
+    /// Records a reading of the own wall clock.
     pub fn observe_own(&mut self, unix: Duration, now: Duration) {
         self.note_call(now);
         let offset = offset_of(unix, now);
@@ -182,7 +182,7 @@
     }
 
     /// Returns the best estimate of true time, unless it is the clock of a process
-    /// that has just started and has not heard the fleet.
+    /// that has just started and has received no reading of another VM.
     pub fn settled_at(&self, now: Duration) -> Option<Duration> {
         let is_settled = self.fleet_decision(now).is_some()
             || self
--- a/crates/dewduty/tests/lease_model/store.rs
+++ b/crates/dewduty/tests/lease_model/store.rs
@@ -19,7 +19,7 @@
 }
 
 impl StoreRequest {
-    /// Returns what the table is told if the call fails.
+    /// Returns the event for the table if the call fails.
     pub fn failure(&self) -> Vec<LeaseEvent> {
         let StoreRequest::Action(action) = self else {
             return vec![];
