Wait with readiness until the revision of the peers is applied

Cause: a new daemon opened its readiness gate once the configuration keeper held the revision that its peers reported. The entry serves by the applied revision, which the follower thread installs a moment later. Beside load a daemon was ready while it still served by the older revision of a restored store; the test a_new_daemon_ignores_an_older_revision_of_a_restored_store failed once (revision 1 in force, 4 expected).

Change: the gate also requires that the keeper's newest revision is applied. The peers are asked first, so that their revision is among those that must be applied.

Result: with a delay of 300 ms before a revision is applied the test failed with the same message without the change, and passed three times of three with it.

--- a/crates/dewspring/src/daemon/applied.rs
+++ b/crates/dewspring/src/daemon/applied.rs
@@ -39,6 +39,11 @@
         self.applied.store(Arc::clone(&config));
         config
     }
+
+    /// Returns whether the newest configuration of the keeper has been applied.
+    pub(super) fn is_up_to_date(&self) -> bool {
+        self.applied.load().revision >= self.keeper.current().revision
+    }
 }
 
 impl ConfigSource for AppliedConfig {
--- a/crates/dewspring/src/daemon/readiness.rs
+++ b/crates/dewspring/src/daemon/readiness.rs
@@ -2,7 +2,7 @@
 //!
 //! The store alone doesn't determine the newest configuration: it may have
 //! been restored with older data, while the other VMs follow a newer revision.
-//! So a new VM first catches up with its peers. Main invariant: once open, the
+//! So a new VM first catches up with its peers and applies what they have. Main invariant: once open, the
 //! gate stays open, and it opens within a time limit even if the platform's
 //! list, which names the peers, can't be read.
 
--- a/crates/dewspring/src/daemon/state.rs
+++ b/crates/dewspring/src/daemon/state.rs
@@ -37,7 +37,9 @@
 
 impl AdminSource for DaemonState {
     fn is_ready(&self) -> bool {
-        let is_caught_up = || self.peers.is_caught_up();
+        // The keeper has a revision shortly before it is applied. The peers are asked
+        // first, so that the revision with which this VM caught up is applied, too.
+        let is_caught_up = || self.peers.is_caught_up() && self.context.config.is_up_to_date();
         self.context.config.is_ready()
             && self.gate.is_open(Instant::now(), is_caught_up)
             && !self.context.is_draining()
