--- a/crates/dewedge/tests/ended_notices.rs
+++ b/crates/dewedge/tests/ended_notices.rs
@@ -80,6 +80,28 @@
     ));
 }
 
+/// Guards against bytes that earlier builds can't read or read differently.
+#[test]
+fn the_bytes_of_a_datagram_stay_as_earlier_builds_read_them() {
+    let mut queue = EndedQueue::default();
+    queue.announce(0x1112_1314_1516_1718, EndedKind::Refused, 2, ms(9000));
+    queue.announce(5, EndedKind::Misdirected, 1, ms(9039));
+    let expected: Vec<u8> = [
+        &b"DWE1"[..],
+        &[1, 2, 3, 4, 5, 6, 7, 8],
+        &[0, 0, 0, 0, 0, 0, 0x23, 0x50],
+        &[0x11, 0x12, 0x13, 0x14, 0x15, 0x16, 0x17, 0x18, 1, 0, 40],
+        &[0, 0, 0, 0, 0, 0, 0, 5, 2, 0, 1],
+    ]
+    .concat();
+    let datagram = queue.next_datagram(0x0102_0304_0506_0708, ms(9040));
+    assert_eq!(datagram, Some(expected));
+    // The first sign has another round; its age has grown.
+    let datagram = queue.next_datagram(1, ms(9300)).expect("a notice");
+    let rest = [0x11, 0x12, 0x13, 0x14, 0x15, 0x16, 0x17, 0x18, 1, 1, 44];
+    assert_eq!(datagram[20..], rest);
+}
+
 /// Guards against a panic, and against applying a part of a damaged datagram.
 #[test]
 fn a_malformed_datagram_is_rejected() {
