Give load and ended notices one queue and one receiver

A report without slowness can't be made into a notice any more, where the queue ignored it before.

The tests of both keep their checks; only the calls follow the new types, and the expected notices now name their sender too.

--- a/crates/dewedge/src/ended_notices.rs
+++ b/crates/dewedge/src/ended_notices.rs
@@ -6,11 +6,10 @@
 //! [`ended_servers`](crate::policy::ended_servers) says what is certain and how
 //! notices are used. Only services whose servers name their slowness have them.
 //!
-//! A notice carries its age and a datagram the time of its sender, as those with
-//! the load of servers do ([`load_notices`](crate::load_notices)).
+//! [`fact_notices`](crate::fact_notices) has the queue, the datagrams and the
+//! receiver.
 //!
-//! The main invariants: a VM passes on only what it has found itself, and
-//! [`EndedReceiver`] returns each notice at most once.
+//! The main invariant: a VM is believed only for half of the servers of a service.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,120 +17,49 @@
 use indexmap::IndexMap;
 
 use crate::clock::Moment;
+use crate::fact_notices::{FactQueue, FactReceiver, NoticeFact, ReceivedFacts};
 use crate::policy::ended_servers::{ENDED_HOLD, EndedKind};
-use crate::sender_clocks::{SenderClocks, millis};
-
-/// First bytes of a datagram with notices.
-pub const ENDED_NOTICE_MAGIC: [u8; 4] = *b"DWE1";
-
-/// Length of the header after the first bytes: sender, time.
-const HEAD_BYTES: usize = 16;
-
-/// Length of a notice: server, kind, age.
-const NOTICE_BYTES: usize = 11;
-
-/// Maximum bytes of a datagram, so that it fits in a packet.
-const MAX_BYTES: usize = 1400;
 
 /// Maximum notices of a datagram; older ones are dropped first.
-pub const MAX_NOTICES: usize = (MAX_BYTES - ENDED_NOTICE_MAGIC.len() - HEAD_BYTES) / NOTICE_BYTES;
+pub const MAX_NOTICES: usize = EndedNotice::MAX_FACTS;
 
 /// Minimum interval between two log lines about a VM that isn't believed.
 const DOUBT_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
-/// A sign that a server has ended.
+/// A sign that a server has ended, as a VM has found it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EndedNotice {
     /// Hash of the server's id.
     pub server: u64,
     /// The sign.
     pub kind: EndedKind,
-    /// When a VM found it.
-    pub found_at: Moment,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct PendingNotice {
-    kind: EndedKind,
-    found_at: Moment,
-    /// Datagrams that still carry it.
-    rounds: usize,
-}
+impl NoticeFact for EndedNotice {
+    /// The newest sign of a server replaces the one before it.
+    type Key = u64;
 
-/// The signs that this VM has yet to pass on, oldest first.
-#[derive(Clone, Debug, Default)]
-pub struct EndedQueue {
-    pending: IndexMap<u64, PendingNotice>,
-}
+    const MAGIC: [u8; 4] = *b"DWE1";
 
-impl EndedQueue {
-    /// Adds a sign that this VM has found; it replaces an earlier one of the
-    /// server. Each of the next `rounds` datagrams carries it, so that each VM
-    /// receives it once.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use dewedge::ended_notices::EndedQueue;
-    /// use dewedge::policy::ended_servers::EndedKind;
-    /// use std::time::Duration;
-    ///
-    /// let now = Duration::from_secs(9);
-    /// let mut queue = EndedQueue::default();
-    /// queue.announce(5, EndedKind::Refused, 1, now);
-    /// assert!(queue.next_datagram(1, now).is_some());
-    /// assert!(queue.next_datagram(1, now).is_none());
-    /// ```
-    pub fn announce(&mut self, server: u64, kind: EndedKind, rounds: usize, now: Moment) {
-        if rounds == 0 {
-            return;
-        }
-        self.pending.shift_remove(&server);
-        if self.pending.len() >= MAX_NOTICES {
-            self.pending.shift_remove_index(0);
-        }
-        let notice = PendingNotice {
-            kind,
-            found_at: now,
-            rounds,
-        };
-        self.pending.insert(server, notice);
-    }
+    /// Server, kind.
+    const BYTES: usize = 9;
+
+    const TTL: Duration = ENDED_HOLD;
 
-    /// Forgets the sign of a server, which is heard again or whose entry has
-    /// changed.
-    pub fn forget(&mut self, server: u64) {
-        self.pending.shift_remove(&server);
+    fn key(&self) -> u64 {
+        self.server
     }
 
-    /// Returns whether no datagram is to be sent.
-    pub fn is_empty(&self) -> bool {
-        self.pending.is_empty()
+    fn write(&self, bytes: &mut Vec<u8>) {
+        bytes.extend_from_slice(&self.server.to_be_bytes());
+        bytes.push(kind_byte(self.kind));
     }
 
-    /// Returns the next datagram of this VM, if there is anything to send.
-    pub fn next_datagram(&mut self, vm: u64, now: Moment) -> Option<Vec<u8>> {
-        self.pending
-            .retain(|_, notice| now.saturating_sub(notice.found_at) < ENDED_HOLD);
-        if self.pending.is_empty() {
-            return None;
-        }
-        let length = ENDED_NOTICE_MAGIC.len() + HEAD_BYTES + self.pending.len() * NOTICE_BYTES;
-        let mut bytes = Vec::with_capacity(length);
-        bytes.extend_from_slice(&ENDED_NOTICE_MAGIC);
-        bytes.extend_from_slice(&vm.to_be_bytes());
-        bytes.extend_from_slice(&millis(now).to_be_bytes());
-        for (server, notice) in &mut self.pending {
-            // Whole milliseconds on both sides make the time of the sign the same
-            // in each datagram.
-            let age = millis(now).saturating_sub(millis(notice.found_at));
-            bytes.extend_from_slice(&server.to_be_bytes());
-            bytes.push(kind_byte(notice.kind));
-            bytes.extend_from_slice(&u16::try_from(age).unwrap_or(u16::MAX).to_be_bytes());
-            notice.rounds -= 1;
-        }
-        self.pending.retain(|_, notice| notice.rounds > 0);
-        Some(bytes)
+    fn read(bytes: &[u8]) -> Option<Self> {
+        Some(Self {
+            server: u64::from_be_bytes(bytes[..8].try_into().ok()?),
+            kind: kind_of(bytes[8])?,
+        })
     }
 }
 
@@ -150,83 +78,14 @@
     }
 }
 
-/// The new signs in a datagram, and how many others it held.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct ReceivedSigns {
-    /// Signs that weren't in an earlier datagram of the sender.
-    pub notices: Vec<EndedNotice>,
-    /// Notices that were, or that came after a later datagram.
-    pub repeated: u64,
-    /// Notices that are older than [`ENDED_HOLD`].
-    pub late: u64,
-}
+/// The signs that this VM has yet to pass on.
+pub type EndedQueue = FactQueue<EndedNotice>;
 
-/// Reads the datagrams of the other VMs.
-#[derive(Clone, Debug, Default)]
-pub struct EndedReceiver {
-    clocks: SenderClocks,
-}
+/// Reads the signs that other VMs have found.
+pub type EndedReceiver = FactReceiver<EndedNotice>;
 
-impl EndedReceiver {
-    /// Reads what follows the first bytes of a datagram; `None` if it is malformed.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use dewedge::ended_notices::{ENDED_NOTICE_MAGIC, EndedQueue, EndedReceiver};
-    /// use dewedge::policy::ended_servers::EndedKind;
-    /// use std::time::Duration;
-    ///
-    /// let mut queue = EndedQueue::default();
-    /// queue.announce(5, EndedKind::Refused, 1, Duration::from_millis(9000));
-    /// let datagram = queue.next_datagram(1, Duration::from_millis(9040)).unwrap();
-    ///
-    /// let rest = datagram.strip_prefix(&ENDED_NOTICE_MAGIC).unwrap();
-    /// let now = Duration::from_millis(500);
-    /// let received = EndedReceiver::default().receive(rest, now).unwrap();
-    /// assert_eq!(received.notices[0].found_at, Duration::from_millis(460));
-    /// ```
-    pub fn receive(&mut self, bytes: &[u8], now: Moment) -> Option<ReceivedSigns> {
-        let (head, entries) = bytes.split_at_checked(HEAD_BYTES)?;
-        if !entries.len().is_multiple_of(NOTICE_BYTES) {
-            return None;
-        }
-        let vm = u64::from_be_bytes(head[..8].try_into().ok()?);
-        let sent_ms = u64::from_be_bytes(head[8..].try_into().ok()?);
-        let entries = entries
-            .chunks_exact(NOTICE_BYTES)
-            .map(decode_entry)
-            .collect::<Option<Vec<_>>>()?;
-        let mut received = ReceivedSigns::default();
-        let Some((known_until, delay_ms)) = self.clocks.record_datagram(vm, sent_ms, now) else {
-            received.repeated = entries.len() as u64;
-            return Some(received);
-        };
-        for (server, kind, age_ms) in entries {
-            if known_until.is_some_and(|known| sent_ms.saturating_sub(age_ms) <= known) {
-                received.repeated += 1;
-                continue;
-            }
-            let age = Duration::from_millis(age_ms.saturating_add(delay_ms));
-            if age >= ENDED_HOLD {
-                received.late += 1;
-                continue;
-            }
-            received.notices.push(EndedNotice {
-                server,
-                kind,
-                found_at: now.saturating_sub(age),
-            });
-        }
-        Some(received)
-    }
-}
-
-fn decode_entry(entry: &[u8]) -> Option<(u64, EndedKind, u64)> {
-    let server = u64::from_be_bytes(entry[..8].try_into().ok()?);
-    let age = u16::from_be_bytes([entry[9], entry[10]]);
-    Some((server, kind_of(entry[8])?, u64::from(age)))
-}
+/// The new signs in a datagram.
+pub type ReceivedSigns = ReceivedFacts<EndedNotice>;
 
 /// Whether a notice of another VM is believed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod demand_notices;
 pub mod directory;
 pub mod ended_notices;
+pub mod fact_notices;
 pub mod format;
 pub mod http;
 pub mod keys;
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -17,9 +17,10 @@
 use crate::clock::Moment;
 use crate::crash_notices::{CRASH_MAGIC, CrashNotice, decode_notices as decode_crash_notices};
 use crate::directory::{ReplicaDirectory, stable_hash};
-use crate::ended_notices::{ENDED_NOTICE_MAGIC, EndedReceiver, ReceivedSigns};
+use crate::ended_notices::{EndedNotice, EndedReceiver, ReceivedSigns};
+use crate::fact_notices::NoticeFact;
 use crate::limit_notices::{LIMIT_MAGIC, LimitNotice, decode_notices};
-use crate::load_notices::{LOAD_NOTICE_MAGIC, NoticeReceiver, ReceivedNotices};
+use crate::load_notices::{LoadNotice, NoticeReceiver, ReceivedNotices};
 use crate::origins::{StreamKey, StreamOrigin};
 use crate::policy::placement::ServerLoad;
 use crate::policy::rate_limit::FleetPlace;
@@ -308,10 +309,10 @@
                 None => PeerMessage::Invalid,
             };
         }
-        if let Some(notices) = bytes.strip_prefix(&LOAD_NOTICE_MAGIC) {
+        if let Some(notices) = bytes.strip_prefix(&LoadNotice::MAGIC) {
             return PeerMessage::Reports(self.load_notices.receive(notices, now));
         }
-        if let Some(notices) = bytes.strip_prefix(&ENDED_NOTICE_MAGIC) {
+        if let Some(notices) = bytes.strip_prefix(&EndedNotice::MAGIC) {
             return PeerMessage::Ended(self.ended_notices.receive(notices, now));
         }
         if let Some(notices) = bytes.strip_prefix(&CRASH_MAGIC) {
--- a/crates/dewedge/src/serve/ended.rs
+++ b/crates/dewedge/src/serve/ended.rs
@@ -8,6 +8,7 @@
 use crate::clock::Moment;
 use crate::directory::ReplicaIndex;
 use crate::ended_notices::{EndedNotice, NoticeTrust, ReceivedSigns};
+use crate::fact_notices::DatedFact;
 use crate::format::PlatformFormat;
 use crate::policy::ended_servers::{EndedEffect, EndedKind};
 
@@ -28,7 +29,8 @@
         let server = replica_state.hash;
         if let EndedEffect::Began | EndedEffect::Renewed = effect {
             let rounds = self.peers.rounds(DIGEST_TARGETS);
-            self.ended_notices.announce(server, kind, rounds, now);
+            let notice = EndedNotice { server, kind };
+            self.ended_notices.announce(notice, rounds, now);
             self.digest_due |= !self.ended_notices.is_empty();
         }
         if effect == EndedEffect::Began {
@@ -59,14 +61,19 @@
         self.metrics
             .count_ended_notices("repeated", received.repeated);
         self.metrics.count_ended_notices("late", received.late);
-        for notice in received.notices {
+        for notice in received.facts {
             let outcome = self.apply_ended_notice(notice, sender);
             self.metrics.count_ended_notices(outcome, 1);
         }
     }
 
     /// Applies a sign; returns what was done with it.
-    fn apply_ended_notice(&mut self, notice: EndedNotice, sender: SocketAddr) -> &'static str {
+    fn apply_ended_notice(
+        &mut self,
+        dated: DatedFact<EndedNotice>,
+        sender: SocketAddr,
+    ) -> &'static str {
+        let notice = dated.fact;
         let known = self.directory.by_hash(notice.server);
         let Some(index) = known.filter(|index| self.directory.get(*index).is_listed()) else {
             return "unknown_server";
@@ -94,9 +101,9 @@
             return "not_believed";
         }
         let ended = &mut self.directory.get_mut(index).ended;
-        match ended.record_notice(notice.kind, notice.found_at, now) {
+        match ended.record_notice(notice.kind, dated.heard_at, now) {
             EndedEffect::Began => {
-                self.log_ended(index, notice.kind, "other_vm", notice.found_at);
+                self.log_ended(index, notice.kind, "other_vm", dated.heard_at);
                 "used"
             }
             EndedEffect::Renewed => "used",
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -9,6 +9,7 @@
 use crate::clock::Moment;
 use crate::format::{PlatformFormat, RateNotice, ResponseMetadata};
 use crate::http::{BodyDecoder, ResponseHead, parse_response};
+use crate::load_notices::LoadNotice;
 use crate::net::ReadState;
 use crate::policy::ended_servers::EndedKind;
 use crate::policy::health::AttemptResult;
@@ -308,9 +309,10 @@
             replica_state
                 .reports
                 .record_report(report, peer_requests, reports, self.now);
-            let rounds = self.peers.rounds(DIGEST_TARGETS);
-            self.load_notices
-                .announce(replica_state.hash, report, rounds, self.now);
+            if let Some(notice) = LoadNotice::new(replica_state.hash, report) {
+                let rounds = self.peers.rounds(DIGEST_TARGETS);
+                self.load_notices.announce(notice, rounds, self.now);
+            }
             self.digest_due |= !self.load_notices.is_empty();
         }
         if metadata.not_run && self.load_reports.get(service).is_some() {
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -435,18 +435,19 @@
             return;
         };
         let (mut used, mut superseded, mut unknown) = (0, 0, 0);
-        for notice in &received.notices {
-            let Some(index) = self.directory.by_hash(notice.server) else {
+        for dated in &received.facts {
+            let notice = dated.fact;
+            let Some(index) = self.directory.by_hash(notice.server()) else {
                 unknown += 1;
                 continue;
             };
             let replica = self.directory.get_mut(index);
             let service = &replica.entry.service;
-            let Some(service) = self.load_reports.enable(service, &notice.report) else {
+            let Some(service) = self.load_reports.enable(service, &notice.report()) else {
                 continue;
             };
             let reports = &mut replica.reports;
-            match reports.record_notice(notice.report, notice.heard_at, service) {
+            match reports.record_notice(notice.report(), dated.heard_at, service) {
                 true => used += 1,
                 false => superseded += 1,
             }
--- a/crates/dewedge/tests/ended_notices.rs
+++ b/crates/dewedge/tests/ended_notices.rs
@@ -9,9 +9,9 @@
 
 use dewedge::clock::Moment;
 use dewedge::ended_notices::{
-    ENDED_NOTICE_MAGIC, EndedNotice, EndedQueue, EndedReceiver, MAX_NOTICES, NoticeTrust,
-    ReceivedSigns, ReporterLimits,
+    EndedNotice, EndedQueue, EndedReceiver, MAX_NOTICES, NoticeTrust, ReceivedSigns, ReporterLimits,
 };
+use dewedge::fact_notices::{DatedFact, NoticeFact};
 use dewedge::policy::ended_servers::{
     ENDED_HOLD, EndedEffect, EndedKind, EndedState, MISDIRECTED_HOLD, PROBE_TIME,
 };
@@ -29,9 +29,13 @@
     Duration::from_millis(count)
 }
 
+const fn sign(server: u64, kind: EndedKind) -> EndedNotice {
+    EndedNotice { server, kind }
+}
+
 fn receive(receiver: &mut EndedReceiver, datagram: &[u8], now: Moment) -> ReceivedSigns {
     let rest = datagram
-        .strip_prefix(&ENDED_NOTICE_MAGIC)
+        .strip_prefix(&EndedNotice::MAGIC)
         .expect("the first bytes");
     receiver.receive(rest, now).expect("a datagram can be read")
 }
@@ -53,17 +57,17 @@
     fn property(signs: Vec<WrittenSign>) -> bool {
         let now = ms(70_000);
         let mut queue = EndedQueue::default();
-        let mut expected: Vec<EndedNotice> = Vec::new();
+        let mut expected: Vec<DatedFact<EndedNotice>> = Vec::new();
         let mut found_at = now - ms(1999);
         for (server, misdirected, wait) in signs {
             found_at = (found_at + ms(u64::from(wait))).min(now);
             let kind = kind_of(misdirected);
-            queue.announce(server, kind, 1, found_at);
-            expected.retain(|notice| notice.server != server);
-            expected.push(EndedNotice {
-                server,
-                kind,
-                found_at,
+            queue.announce(sign(server, kind), 1, found_at);
+            expected.retain(|dated| dated.fact.server != server);
+            expected.push(DatedFact {
+                fact: sign(server, kind),
+                sender: 1,
+                heard_at: found_at,
             });
         }
         // The newest ones are kept.
@@ -72,7 +76,7 @@
             return expected.is_empty();
         };
         let received = receive(&mut EndedReceiver::default(), &datagram, now);
-        datagram.len() <= MAX_BYTES && received.notices == expected && queue.is_empty()
+        datagram.len() <= MAX_BYTES && received.facts == expected && queue.is_empty()
     }
     QuickCheck::new().quickcheck(property as fn(Vec<WrittenSign>) -> bool);
     assert!(property(
@@ -84,8 +88,8 @@
 #[test]
 fn the_bytes_of_a_datagram_stay_as_earlier_builds_read_them() {
     let mut queue = EndedQueue::default();
-    queue.announce(0x1112_1314_1516_1718, EndedKind::Refused, 2, ms(9000));
-    queue.announce(5, EndedKind::Misdirected, 1, ms(9039));
+    queue.announce(sign(0x1112_1314_1516_1718, EndedKind::Refused), 2, ms(9000));
+    queue.announce(sign(5, EndedKind::Misdirected), 1, ms(9039));
     let expected: Vec<u8> = [
         &b"DWE1"[..],
         &[1, 2, 3, 4, 5, 6, 7, 8],
@@ -106,9 +110,9 @@
 #[test]
 fn a_malformed_datagram_is_rejected() {
     let mut queue = EndedQueue::default();
-    queue.announce(5, EndedKind::Refused, 1, ms(9000));
+    queue.announce(sign(5, EndedKind::Refused), 1, ms(9000));
     let datagram = queue.next_datagram(1, ms(9000)).expect("a notice");
-    let rest = &datagram[ENDED_NOTICE_MAGIC.len()..];
+    let rest = &datagram[EndedNotice::MAGIC.len()..];
     for length in (0..rest.len()).filter(|length| *length != 16) {
         let received = EndedReceiver::default().receive(&rest[..length], ms(9000));
         assert_eq!(received, None, "{length}");
@@ -121,7 +125,7 @@
     }
     fn property(bytes: Vec<u8>, now_ms: u64) -> bool {
         let received = EndedReceiver::default().receive(&bytes, ms(now_ms));
-        received.is_none_or(|received| received.notices.len() * 11 <= bytes.len())
+        received.is_none_or(|received| received.facts.len() * 11 <= bytes.len())
     }
     QuickCheck::new().quickcheck(property as fn(Vec<u8>, u64) -> bool);
 }
@@ -164,10 +168,10 @@
         let mut counts = [0; 3];
         for (sent, arrived) in case.sent.into_iter().zip(case.arrived) {
             let mut queue = EndedQueue::default();
-            queue.announce(7, EndedKind::Refused, 1, ms(9000));
+            queue.announce(sign(7, EndedKind::Refused), 1, ms(9000));
             let datagram = queue.next_datagram(1, ms(sent)).expect("a notice");
             let received = receive(&mut receiver, &datagram, ms(arrived));
-            counts[0] += received.notices.len();
+            counts[0] += received.facts.len();
             counts[1] += received.repeated as usize;
             counts[2] += received.late as usize;
         }
@@ -176,15 +180,15 @@
     // A VM that was frozen reads a datagram 2.5 s after it arrived.
     let mut receiver = EndedReceiver::default();
     let mut queue = EndedQueue::default();
-    queue.announce(6, EndedKind::Refused, 1, ms(8000));
+    queue.announce(sign(6, EndedKind::Refused), 1, ms(8000));
     let datagram = queue.next_datagram(1, ms(8000)).expect("a notice");
-    assert_eq!(receive(&mut receiver, &datagram, ms(8000)).notices.len(), 1);
-    queue.announce(7, EndedKind::Refused, 1, ms(9000));
+    assert_eq!(receive(&mut receiver, &datagram, ms(8000)).facts.len(), 1);
+    queue.announce(sign(7, EndedKind::Refused), 1, ms(9000));
     let datagram = queue.next_datagram(1, ms(9050)).expect("a notice");
     let received = receive(&mut receiver, &datagram, ms(11_550));
-    assert_eq!((received.notices.len(), received.late), (0, 1));
+    assert_eq!((received.facts.len(), received.late), (0, 1));
     // A sign that has waited for too long isn't sent at all.
-    queue.announce(7, EndedKind::Refused, 1, ms(9000));
+    queue.announce(sign(7, EndedKind::Refused), 1, ms(9000));
     assert_eq!(queue.next_datagram(1, ms(9000) + ENDED_HOLD), None);
 }
 
@@ -193,16 +197,16 @@
 #[test]
 fn each_round_carries_a_sign_once() {
     let mut queue = EndedQueue::default();
-    queue.announce(1, EndedKind::Refused, 4, ms(9000));
+    queue.announce(sign(1, EndedKind::Refused), 4, ms(9000));
     let mut datagrams = 0;
     while queue.next_datagram(1, ms(9000 + 100 * datagrams)).is_some() {
         datagrams += 1;
     }
     assert_eq!(datagrams, 4);
-    queue.announce(1, EndedKind::Refused, 4, ms(9500));
+    queue.announce(sign(1, EndedKind::Refused), 4, ms(9500));
     queue.forget(1);
     assert!(queue.is_empty());
-    queue.announce(1, EndedKind::Refused, 0, ms(9500));
+    queue.announce(sign(1, EndedKind::Refused), 0, ms(9500));
     assert!(queue.is_empty(), "there are no other VMs");
 }
 
@@ -674,11 +678,11 @@
             let listed = self.listed().count();
             let vm = &mut self.vms[target];
             let now = vm.clock(self.now);
-            for notice in receive(&mut vm.receiver, &datagram, now).notices {
-                let server = notice.server;
+            for notice in receive(&mut vm.receiver, &datagram, now).facts {
+                let server = notice.fact.server;
                 let trust = vm.limits.judge(address, "draft", server, listed, now);
                 if trust == NoticeTrust::Believed {
-                    vm.ended[server as usize].record_notice(notice.kind, notice.found_at, now);
+                    vm.ended[server as usize].record_notice(notice.fact.kind, notice.heard_at, now);
                 }
             }
         }
@@ -783,7 +787,7 @@
                 && let EndedEffect::Began | EndedEffect::Renewed =
                     vm.ended[server].record_own(kind, now, now)
             {
-                vm.queue.announce(server as u64, kind, 4, now);
+                vm.queue.announce(sign(server as u64, kind), 4, now);
             }
             if request.sends >= MAX_ATTEMPTS || request.connect_failures > MAX_CONNECT_FAILURES {
                 return Some(false);
--- a/crates/dewedge/tests/load_notices.rs
+++ b/crates/dewedge/tests/load_notices.rs
@@ -8,10 +8,10 @@
 
 use dewedge::clock::Moment;
 use dewedge::directory::ReplicaDirectory;
+use dewedge::fact_notices::{DatedFact, NoticeFact};
 use dewedge::format::{LoadReport, PromptPart, ReplicaEntry, ReplicaStage};
 use dewedge::load_notices::{
-    LOAD_NOTICE_MAGIC, LoadNotice, MAX_NOTICES, NOTICE_TTL, NoticeQueue, NoticeReceiver,
-    ReceivedNotices,
+    LoadNotice, MAX_NOTICES, NOTICE_TTL, NoticeQueue, NoticeReceiver, ReceivedNotices,
 };
 use dewedge::policy::engine_model::EngineModel;
 use dewedge::policy::load_reports::{ReportTable, ServerReports, ServiceReports};
@@ -38,9 +38,13 @@
     }
 }
 
+fn notice(server: u64, report: LoadReport) -> LoadNotice {
+    LoadNotice::new(server, report).expect("the report names the slowness")
+}
+
 fn receive(receiver: &mut NoticeReceiver, datagram: &[u8], now: Moment) -> ReceivedNotices {
     let rest = datagram
-        .strip_prefix(&LOAD_NOTICE_MAGIC)
+        .strip_prefix(&LoadNotice::MAGIC)
         .expect("the first bytes");
     receiver.receive(rest, now).expect("a datagram can be read")
 }
@@ -56,7 +60,7 @@
     fn property(reports: Vec<WrittenReport>) -> bool {
         let now = ms(70_000);
         let mut queue = NoticeQueue::default();
-        let mut expected: Vec<LoadNotice> = Vec::new();
+        let mut expected: Vec<DatedFact<LoadNotice>> = Vec::new();
         let mut heard_at = now - ms(1999);
         for (server, (running, waiting, slots), slowness, wait) in reports {
             heard_at = (heard_at + ms(u64::from(wait))).min(now);
@@ -66,11 +70,11 @@
                 slots: u32::from(slots),
                 slowness: Some(f64::from(slowness) / 100.0),
             };
-            queue.announce(server, report, 1, heard_at);
-            expected.retain(|notice| notice.server != server);
-            expected.push(LoadNotice {
-                server,
-                report,
+            queue.announce(notice(server, report), 1, heard_at);
+            expected.retain(|dated| dated.fact.server() != server);
+            expected.push(DatedFact {
+                fact: notice(server, report),
+                sender: 1,
                 heard_at,
             });
         }
@@ -81,7 +85,7 @@
         };
         let mut receiver = NoticeReceiver::default();
         let received = receive(&mut receiver, &datagram, now);
-        datagram.len() <= MAX_BYTES && received.notices == expected && queue.is_empty()
+        datagram.len() <= MAX_BYTES && received.facts == expected && queue.is_empty()
     }
     QuickCheck::new().quickcheck(property as fn(Vec<WrittenReport>) -> bool);
     let many = (0..500).map(|server| (server, (1, 0, 8), 100, 1)).collect();
@@ -104,8 +108,8 @@
         slots: 16,
         slowness: Some(0.6),
     };
-    queue.announce(0x1112_1314_1516_1718, older, 2, ms(9000));
-    queue.announce(5, newer, 1, ms(9039));
+    queue.announce(notice(0x1112_1314_1516_1718, older), 2, ms(9000));
+    queue.announce(notice(5, newer), 1, ms(9039));
     let expected: Vec<u8> = [
         &b"DWR1"[..],
         &[1, 2, 3, 4, 5, 6, 7, 8],
@@ -132,9 +136,9 @@
 #[test]
 fn a_malformed_datagram_is_rejected() {
     let mut queue = NoticeQueue::default();
-    queue.announce(5, report(3, 1.2), 1, ms(9000));
+    queue.announce(notice(5, report(3, 1.2)), 1, ms(9000));
     let datagram = queue.next_datagram(1, ms(9000)).expect("a notice");
-    let rest = &datagram[LOAD_NOTICE_MAGIC.len()..];
+    let rest = &datagram[LoadNotice::MAGIC.len()..];
     for length in (0..rest.len()).filter(|length| *length != 16) {
         let mut receiver = NoticeReceiver::default();
         assert_eq!(
@@ -146,7 +150,7 @@
     fn property(bytes: Vec<u8>, now_ms: u64) -> bool {
         let mut receiver = NoticeReceiver::default();
         let received = receiver.receive(&bytes, ms(now_ms));
-        received.is_none_or(|received| received.notices.len() * 18 <= bytes.len())
+        received.is_none_or(|received| received.facts.len() * 18 <= bytes.len())
     }
     QuickCheck::new().quickcheck(property as fn(Vec<u8>, u64) -> bool);
 }
@@ -160,8 +164,8 @@
         slowness: None,
         ..report(3, 1.0)
     };
-    queue.announce(5, plain, 4, ms(9000));
-    queue.announce(6, report(3, 1.0), 0, ms(9000));
+    assert_eq!(LoadNotice::new(5, plain), None);
+    queue.announce(notice(6, report(3, 1.0)), 0, ms(9000));
     assert!(queue.is_empty());
     assert_eq!(queue.next_datagram(1, ms(9000)), None);
 }
@@ -202,7 +206,7 @@
         let mut got = vec![0; others];
         let mut repeated = 0;
         let (mut next_target, mut datagrams) = (0, 0);
-        queue.announce(5, report(3, 1.2), others.div_ceil(24), ms(9000));
+        queue.announce(notice(5, report(3, 1.2)), others.div_ceil(24), ms(9000));
         for round in 0..60 {
             let now = ms(9005 + 100 * round);
             let Some(datagram) = queue.next_datagram(1, now) else {
@@ -212,7 +216,7 @@
             for _ in 0..others.min(24) {
                 let target = next_target % others;
                 let received = receive(&mut receivers[target], &datagram, now);
-                got[target] += received.notices.len();
+                got[target] += received.facts.len();
                 repeated += received.repeated;
                 next_target += 1;
             }
@@ -236,7 +240,7 @@
     times
         .filter_map(|(index, at)| {
             if index < 5 {
-                queue.announce(index, report(index as u32, 1.2), rounds, at);
+                queue.announce(notice(index, report(index as u32, 1.2)), rounds, at);
             }
             queue.next_datagram(1, at + ms(10))
         })
@@ -299,9 +303,9 @@
         let mut used = Vec::new();
         for (index, delay) in case.arrivals {
             let now = ms(9010 + 100 * *index as u64 + delay);
-            for notice in receive(&mut receiver, &datagrams[*index], now).notices {
-                let server = notice.server;
-                assert_eq!(notice.report, report(server as u32, 1.2));
+            for notice in receive(&mut receiver, &datagrams[*index], now).facts {
+                let server = notice.fact.server();
+                assert_eq!(notice.fact.report(), report(server as u32, 1.2));
                 // The transit of the fastest datagram is ignored.
                 let heard_at = ms(9000 + 100 * server + 2);
                 let late = heard_at.abs_diff(notice.heard_at);
@@ -351,10 +355,10 @@
         let mut used = Vec::new();
         for (index, offset) in case.offsets.iter().enumerate() {
             let sent = began + 300 * index as u64;
-            queue.announce(7, report(1, 1.2), 1, ms(sent - 20));
+            queue.announce(notice(7, report(1, 1.2)), 1, ms(sent - 20));
             let datagram = queue.next_datagram(1, ms(sent)).expect("a notice");
             let arrived = ms(sent.saturating_add_signed(*offset));
-            for notice in receive(&mut receiver, &datagram, arrived).notices {
+            for notice in receive(&mut receiver, &datagram, arrived).facts {
                 let age = arrived - notice.heard_at;
                 assert!((ms(20)..ms(150)).contains(&age), "{}: {age:?}", case.name);
                 used.push(index);
@@ -378,12 +382,9 @@
         for step in 0..300u64 {
             let arrived = ms(1_000_000 + 300 * step + if step < 100 { 0 } else { 60_000 });
             let sent = ms(300 * step + if step < 100 { before } else { after });
-            queue.announce(7, report(1, 1.2), 1, sent);
+            queue.announce(notice(7, report(1, 1.2)), 1, sent);
             let datagram = queue.next_datagram(1, sent).expect("a notice");
-            if !receive(&mut receiver, &datagram, arrived)
-                .notices
-                .is_empty()
-            {
+            if !receive(&mut receiver, &datagram, arrived).facts.is_empty() {
                 heard.push(step);
             }
         }
@@ -447,7 +448,7 @@
     server.begin(ms(5400));
     assert!(server.record_notice(report(2, 1.0), ms(5350), &mut service));
     let mut queue = NoticeQueue::default();
-    queue.announce(7, report(12, 3.0), 4, ms(5000));
+    queue.announce(notice(7, report(12, 3.0)), 4, ms(5000));
     queue.forget(7);
     assert!(queue.is_empty());
 }
@@ -593,8 +594,7 @@
             let now = ms(9000 + 100 * step);
             if random.unit() < 0.57 {
                 queue.announce(
-                    random.next() % servers,
-                    report(4, 1.2),
+                    notice(random.next() % servers, report(4, 1.2)),
                     rounds,
                     now - ms(50),
                 );
@@ -605,7 +605,7 @@
             for _ in 0..targets {
                 let target = (next % others) as usize;
                 let received = receive(&mut receivers[target], &datagram, now);
-                notices += received.notices.len();
+                notices += received.facts.len();
                 next += 1;
             }
             datagrams += targets;
@@ -653,21 +653,21 @@
         let now = ms(9000 + 100 * step);
         let mut queue = NoticeQueue::default();
         for hash in &hashes[..60] {
-            queue.announce(*hash, report(4, 1.2), 1, now - ms(40));
+            queue.announce(notice(*hash, report(4, 1.2)), 1, now - ms(40));
         }
         let datagram = queue.next_datagram(step % 74, now).expect("notices");
         let began = std::time::Instant::now();
         let received = receive(&mut receiver, &datagram, now);
-        for notice in &received.notices {
-            let index = directory.by_hash(notice.server).expect("a server");
+        for notice in &received.facts {
+            let index = directory.by_hash(notice.fact.server()).expect("a server");
             let replica = directory.get_mut(index);
-            let service = services.enable(&replica.entry.service, &notice.report);
+            let service = services.enable(&replica.entry.service, &notice.fact.report());
             let service = service.expect("reports of slowness");
             let reports = &mut replica.reports;
-            assert!(reports.record_notice(notice.report, notice.heard_at, service));
+            assert!(reports.record_notice(notice.fact.report(), notice.heard_at, service));
         }
         took.push(began.elapsed());
-        assert_eq!(received.notices.len(), 60);
+        assert_eq!(received.facts.len(), 60);
     }
     took.sort_unstable();
     println!("60 notices take {:?} (median)", took[took.len() / 2]);
@@ -770,10 +770,10 @@
         let now = self.clock(now);
         let received = receive(&mut self.receiver, datagram, now);
         let mut counts = (0, 0);
-        for notice in received.notices {
-            let engine = notice.server as usize;
+        for notice in received.facts {
+            let engine = notice.fact.server() as usize;
             let server = &mut self.reports[engine];
-            match server.record_notice(notice.report, notice.heard_at, &mut self.service) {
+            match server.record_notice(notice.fact.report(), notice.heard_at, &mut self.service) {
                 true => counts.0 += 1,
                 false => counts.1 += 1,
             }
@@ -1009,7 +1009,8 @@
         vm.reports[engine].record_report(report, vm.peer[engine], &mut vm.service, now);
         if self.shares {
             let rounds = (VMS - 1).div_ceil(24);
-            vm.queue.announce(engine as u64, report, rounds, now);
+            vm.queue
+                .announce(notice(engine as u64, report), rounds, now);
         }
     }
 
