Announce long shared prefixes to all VMs

A VM knew only which prompts it had sent itself. A VM now announces in datagrams DWP1 when it sends a long shared prefix to an engine for which no announcement is known from the last 3 s. A VM that receives this counts the prefix as cached there, with its true age. Only services whose servers report their slowness have such notices; engine models learn from own requests as before.

PartCache moves to a module of its own.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -17,7 +17,8 @@
 use crate::policy::ended_servers::EndedState;
 use crate::policy::health::ReplicaHealth;
 use crate::policy::load_reports::ServerReports;
-use crate::policy::placement::{PartCache, ServerLoad};
+use crate::policy::part_cache::{PartCache, PartLimits};
+use crate::policy::placement::ServerLoad;
 use crate::policy::rate_limit::RateLimit;
 use crate::policy::warmup::WarmUp;
 
@@ -57,7 +58,7 @@
     pub ended: EndedState,
     /// Limits on this VM's use of it after its latest start.
     pub warmup: WarmUp,
-    /// Prompt parts of this VM's requests that are expected in its KV cache.
+    /// Prompt parts and shared prefixes that are expected in its KV cache.
     pub cached_parts: PartCache,
     /// Load from this VM.
     pub own_load: ServerLoad,
@@ -226,6 +227,7 @@
         }
         replica.gone = true;
         replica.gone_at = now;
+        replica.cached_parts.clear_limited();
         DirectoryChange::Gone(index)
     }
 
@@ -257,6 +259,7 @@
                 replica.gone = true;
                 replica.gone_at = now;
                 replica.missing_until = None;
+                replica.cached_parts.clear_limited();
                 expired.push(index);
             }
         }
@@ -372,6 +375,18 @@
             .count()
     }
 
+    /// Bounds what is remembered of the KV caches of the servers of services that
+    /// report their slowness, and removes what has expired.
+    pub fn evict_parts(&mut self, is_reporting: impl Fn(&str) -> bool, now: Moment) {
+        let limits = PartLimits::share(self.listed_count());
+        for replica in &mut self.replicas {
+            if is_reporting(&replica.entry.service) {
+                replica.cached_parts.set_limits(limits);
+                replica.cached_parts.evict(now);
+            }
+        }
+    }
+
     fn insert(&mut self, id: ReplicaId, entry: ReplicaEntry, revision: u64) -> DirectoryChange {
         let index = self.replicas.len();
         let hash = stable_hash(id.as_bytes());
--- a/crates/dewedge/src/fact_notices.rs
+++ b/crates/dewedge/src/fact_notices.rs
@@ -1,8 +1,9 @@
 //! Facts that the VMs announce to each other, together with their digests.
 //!
 //! A module for each kind of fact implements [`NoticeFact`]; queue, datagram and
-//! receiver are the same for all: [`load_notices`](crate::load_notices) and
-//! [`ended_notices`](crate::ended_notices).
+//! receiver are the same for all: [`load_notices`](crate::load_notices),
+//! [`ended_notices`](crate::ended_notices) and
+//! [`prefix_notices`](crate::prefix_notices).
 //!
 //! A datagram has the first bytes of its kind (4), the hash of the sender's name
 //! (8), the sender's monotonic time in ms (8), and entries. Each entry is a fact
--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod origins;
 mod peers;
 pub mod policy;
+pub mod prefix_notices;
 mod sender_clocks;
 mod serve;
 pub mod settings;
--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -55,6 +55,7 @@
     pub(crate) reported_choices: Family<ServiceLabels, Counter>,
     pub(crate) load_notices: Family<NoticeLabels, Counter>,
     pub(crate) ended_notices: Family<NoticeLabels, Counter>,
+    pub(crate) prefix_notices: Family<NoticeLabels, Counter>,
     pub(crate) connects: Counter,
     pub(crate) foreign_datagrams: Counter,
     pub(crate) server_crashes: Counter,
@@ -136,6 +137,12 @@
             "Servers that other VMs reported as ended, by what was done with the notices",
             ended_notices.clone(),
         );
+        let prefix_notices = Family::default();
+        registry.register(
+            "prefix_notices",
+            "Shared prefixes that other VMs announced, by what was done with the notices",
+            prefix_notices.clone(),
+        );
         let connects = Counter::default();
         registry.register(
             "server_connects",
@@ -198,6 +205,7 @@
             reported_choices,
             load_notices,
             ended_notices,
+            prefix_notices,
             connects,
             foreign_datagrams,
             server_crashes,
@@ -237,6 +245,14 @@
         }
     }
 
+    /// Counts shared prefixes that other VMs announced.
+    pub(crate) fn count_prefix_notices(&self, outcome: &'static str, count: u64) {
+        if count > 0 {
+            let label = NoticeLabels { outcome };
+            self.prefix_notices.get_or_create(&label).inc_by(count);
+        }
+    }
+
     /// Returns all metrics in the text exposition format.
     pub(crate) fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/dewedge/src/policy/mod.rs
+++ b/crates/dewedge/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! routes them to servers.
 //!
 //! - [`placement`] chooses a server.
+//! - [`part_cache`] keeps what is expected in the KV caches of engines.
 //! - [`engine_model`] learns the speed of the engines that placement chooses
 //!   from.
 //! - [`load_reports`] keeps the load that servers report.
@@ -25,6 +26,7 @@
 pub mod engine_model;
 pub mod health;
 pub mod load_reports;
+pub mod part_cache;
 pub mod placement;
 pub mod queue;
 pub mod rate_limit;
--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -19,13 +19,13 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use crate::clock::Moment;
 use crate::format::PromptPart;
 
 use super::engine_model::EngineModel;
 
+pub use super::part_cache::PartCache;
+
 /// Cost of a millisecond of prefill relative to a millisecond of waiting;
 /// prefill delays all requests on the engine.
 pub(super) const PREFILL_WEIGHT: f64 = 3.0;
@@ -88,9 +88,6 @@
 /// Cost of a server in another data centre, as a share of a busy slot.
 const REMOTE_COST: f64 = 0.15;
 
-/// Prompt parts that are remembered for each server.
-const MAX_CACHED_PARTS: usize = 4096;
-
 /// Load on a server, from this VM or summed over several VMs.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerLoad {
@@ -114,48 +111,6 @@
     }
 }
 
-/// Prompt parts expected in a server's KV cache, with the time of their last
-/// use.
-#[derive(Clone, Debug, Default)]
-pub struct PartCache {
-    parts: IndexMap<u64, Moment>,
-}
-
-impl PartCache {
-    /// Records that a request with these parts was sent.
-    pub fn record_use(&mut self, parts: &[PromptPart], now: Moment) {
-        if self.parts.len() + parts.len() > MAX_CACHED_PARTS {
-            let half = now.saturating_sub(PART_TTL / 2);
-            self.parts.retain(|_, used| *used >= half);
-        }
-        for part in parts {
-            self.parts.insert(part.id, now);
-        }
-    }
-
-    /// Returns the leading tokens of a prompt that are expected in the cache.
-    ///
-    /// A part counts only if all parts before it count.
-    pub fn cached_tokens(&self, parts: &[PromptPart], now: Moment) -> u32 {
-        parts
-            .iter()
-            .take_while(|part| {
-                let used = self.parts.get(&part.id);
-                used.is_some_and(|used| now.saturating_sub(*used) < PART_TTL)
-            })
-            .map(|part| part.tokens)
-            .sum()
-    }
-
-    /// Removes all parts, because the server restarted.
-    pub fn clear(&mut self) {
-        self.parts.clear();
-    }
-}
-
-/// Time for which a part is expected to stay in an engine's KV cache.
-const PART_TTL: Duration = Duration::from_secs(10);
-
 /// State of one server that placement depends on.
 #[derive(Clone, Debug)]
 pub struct ReplicaView<'a> {
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -404,7 +404,8 @@
         let gap_sensitive = is_gap_sensitive(&exchange.route, &exchange.metadata, model);
         let replica_state = self.directory.get_mut(replica);
         let parts = &exchange.metadata.prompt_parts;
-        let cached_tokens = replica_state.cached_parts.cached_tokens(parts, now);
+        // The model learns only from what this VM knows by its own requests.
+        let cached_tokens = replica_state.cached_parts.own_cached_tokens(parts, now);
         let unread_tokens = (cached_tokens >= shared_prefix_tokens(parts)).then(|| {
             exchange
                 .metadata
@@ -445,11 +446,12 @@
         replica_state
             .cached_parts
             .record_use(&exchange.metadata.prompt_parts, now);
-        self.digest_due = true;
         let label = crate::metrics::ServiceLabels {
             service: exchange.service.clone(),
         };
         let waited = now.saturating_sub(exchange.queued).as_secs_f64();
+        self.digest_due = true;
+        self.record_prefix_use(exchange_id, replica);
         self.metrics
             .queue_wait
             .get_or_create(&label)
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -3,6 +3,7 @@
 //! - [`callers`]: connections from callers, parsed into requests.
 //! - [`requests`]: authorizes requests, and queues or refuses them.
 //! - [`dispatch`]: sends waiting requests to servers.
+//! - [`prefixes`]: shared prefixes, which the VMs announce to each other.
 //! - [`servers`]: connections to servers, parsed into attempt outcomes.
 //! - [`crashes`]: servers that crash, and requests that crash them.
 //! - [`duties`]: what one VM at a time does for the fleet.
@@ -31,6 +32,7 @@
 mod duties;
 mod ended;
 mod outcomes;
+mod prefixes;
 mod requests;
 mod responses;
 mod resumption;
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -25,6 +25,7 @@
 use crate::peers::PeerTable;
 use crate::policy::engine_model::ModelTable;
 use crate::policy::load_reports::ReportTable;
+use crate::prefix_notices::PrefixQueue;
 use crate::settings::EdgeSettings;
 use crate::storage::StoreClient;
 
@@ -189,6 +190,7 @@
             load_reports: ReportTable::default(),
             load_notices: NoticeQueue::default(),
             ended_notices: EndedQueue::default(),
+            prefix_notices: PrefixQueue::default(),
             ended_reporters: ReporterLimits::default(),
             pending_dispatches: VecDeque::new(),
             finished_callers: VecDeque::new(),
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -29,6 +29,7 @@
 use crate::policy::load_reports::ReportTable;
 use crate::policy::queue::{ExchangeId, WaitingQueue};
 use crate::policy::retries::RetryBudget;
+use crate::prefix_notices::PrefixQueue;
 use crate::settings::EdgeSettings;
 use crate::storage::StoreClient;
 use crate::stream::EventSplitter;
@@ -291,6 +292,8 @@
     pub(crate) load_notices: NoticeQueue,
     /// Servers of whose end the other VMs are to be told.
     pub(crate) ended_notices: EndedQueue,
+    /// Prefixes at engines that the other VMs are to be told.
+    pub(crate) prefix_notices: PrefixQueue,
     /// What the other VMs have reported as ended.
     pub(crate) ended_reporters: ReporterLimits,
     /// Services whose queue is dispatched at the end of the iteration.
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -275,11 +275,14 @@
             }
             self.load_notices.forget(self.directory.get(index).hash);
             self.ended_notices.forget(self.directory.get(index).hash);
+            let server = self.directory.get(index).hash;
+            self.prefix_notices.retain(|notice| notice.server != server);
         }
         if let DirectoryChange::Started(_) | DirectoryChange::Restarted(_) = change {
             let replica = self.directory.get_mut(index);
             replica.reports.begin(self.now);
             replica.ended.record_started(self.now);
+            replica.cached_parts.begin(self.now);
         }
         self.start_warmup(change);
         let replica = self.directory.get(index);
@@ -318,6 +321,9 @@
         }
         self.peers.expire_departed(self.now);
         self.ended_reporters.expire(self.now);
+        let load_reports = &self.load_reports;
+        self.directory
+            .evict_parts(|service| load_reports.get(service).is_some(), self.now);
         self.refresh_fleet_places();
         self.refresh_blocks();
         self.test_reach();
@@ -407,6 +413,7 @@
                 PeerMessage::Limits(notices) => self.apply_limit_notices(&notices),
                 PeerMessage::Reports(notices) => self.apply_load_notices(notices),
                 PeerMessage::Ended(received) => self.apply_ended_notices(received, sender),
+                PeerMessage::Prefixes(received) => self.apply_prefix_notices(received),
                 PeerMessage::Crashes(notices) => self.apply_crash_notices(notices),
                 PeerMessage::OriginQuery(stream) => self.answer_origin_query(stream, sender),
                 PeerMessage::Digest { is_new, origins } => {
@@ -497,6 +504,10 @@
             .ended_notices
             .next_datagram(self.peers.own_hash(), self.now);
         self.digest_due |= !self.ended_notices.is_empty();
+        let prefix_notices = self
+            .prefix_notices
+            .next_datagram(self.peers.own_hash(), self.now);
+        self.digest_due |= !self.prefix_notices.is_empty();
         let crash_datagrams = self.next_crash_datagrams();
         self.digest_due |= self.crashes.has_notices();
         for address in self.peers.next_targets(DIGEST_TARGETS) {
@@ -505,7 +516,8 @@
             if !notices.is_empty() {
                 let _ = self.peer_socket.send_to(&notice_bytes, address);
             }
-            for datagram in load_notices.iter().chain(&ended_notices) {
+            let datagrams = load_notices.iter().chain(&ended_notices);
+            for datagram in datagrams.chain(&prefix_notices) {
                 let _ = self.peer_socket.send_to(datagram, address);
             }
             for datagram in &crash_datagrams {
