Merge the announcements of shared prefixes

Cause: two kinds of notices had the same queue and receiver twice, and a VM knew only of the prompt parts that it had sent itself. Change: one implementation of notices, and announcements of shared prefixes to all VMs.

--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -17,12 +17,14 @@
 use crate::clock::Moment;
 use crate::crash_notices::{CRASH_MAGIC, CrashNotice, decode_notices as decode_crash_notices};
 use crate::directory::{ReplicaDirectory, stable_hash};
-use crate::ended_notices::{ENDED_NOTICE_MAGIC, EndedReceiver, ReceivedSigns};
+use crate::ended_notices::{EndedNotice, EndedReceiver, ReceivedSigns};
+use crate::fact_notices::NoticeFact;
 use crate::limit_notices::{LIMIT_MAGIC, LimitNotice, decode_notices};
-use crate::load_notices::{LOAD_NOTICE_MAGIC, NoticeReceiver, ReceivedNotices};
+use crate::load_notices::{LoadNotice, NoticeReceiver, ReceivedNotices};
 use crate::origins::{StreamKey, StreamOrigin};
 use crate::policy::placement::ServerLoad;
 use crate::policy::rate_limit::FleetPlace;
+use crate::prefix_notices::{PrefixNotice, PrefixReceiver, ReceivedPrefixes};
 
 /// First bytes of a digest; the last one is the format version.
 const MAGIC: [u8; 4] = *b"DWD2";
@@ -84,6 +86,8 @@
     Reports(Option<ReceivedNotices>),
     /// Servers that have ended; `None` if they can't be read.
     Ended(Option<ReceivedSigns>),
+    /// Shared prefixes at engines; `None` if they can't be read.
+    Prefixes(Option<ReceivedPrefixes>),
     /// What another VM knows of crashes.
     Crashes(Vec<CrashNotice>),
     /// A question for the origin of a stream.
@@ -112,6 +116,7 @@
     digests: IndexMap<u64, PeerDigest>,
     load_notices: NoticeReceiver,
     ended_notices: EndedReceiver,
+    prefix_notices: PrefixReceiver,
     next_target: usize,
     next_query_target: usize,
 }
@@ -308,12 +313,15 @@
                 None => PeerMessage::Invalid,
             };
         }
-        if let Some(notices) = bytes.strip_prefix(&LOAD_NOTICE_MAGIC) {
+        if let Some(notices) = bytes.strip_prefix(&LoadNotice::MAGIC) {
             return PeerMessage::Reports(self.load_notices.receive(notices, now));
         }
-        if let Some(notices) = bytes.strip_prefix(&ENDED_NOTICE_MAGIC) {
+        if let Some(notices) = bytes.strip_prefix(&EndedNotice::MAGIC) {
             return PeerMessage::Ended(self.ended_notices.receive(notices, now));
         }
+        if let Some(notices) = bytes.strip_prefix(&PrefixNotice::MAGIC) {
+            return PeerMessage::Prefixes(self.prefix_notices.receive(notices, now));
+        }
         if let Some(notices) = bytes.strip_prefix(&CRASH_MAGIC) {
             return match decode_crash_notices(notices, now) {
                 Some(notices) => PeerMessage::Crashes(notices),
