Count prompts as unread unless a VM has sent them, and spread streams

Cause: in the first 2 s of a burst 685 long prompts met 90 engines with empty caches. A home was assumed to hold the prefix of its prompts before anyone had sent it, so their expected prefill was a third of the true one, and engines were overfilled: the first event came after three times the expected time. And streams with tight gaps were packed on as few engines as possible also while the others were nearly idle, so that their own prompts delayed each other.

Change: every leading shared prefix of a long prompt is announced, and the choice by reports takes as cached only what some VM has sent. Both apply only to services whose servers report their slowness.

--- a/crates/dewedge/src/policy/mod.rs
+++ b/crates/dewedge/src/policy/mod.rs
@@ -16,6 +16,7 @@
 //!   requests.
 //! - [`ended_servers`] leaves servers alone that have certainly ended.
 //! - [`rate_limit`] keeps the VMs' requests to a server within its limit.
+//! - [`stream_engines`] reserves engines for streams whose events must not be far apart.
 //! - [`warmup`] staggers the first use of a started server across the VMs.
 //!
 //! The main invariant: nothing here reads a clock or a socket; time and state
@@ -32,4 +33,5 @@
 pub mod rate_limit;
 pub mod reported_placement;
 pub mod retries;
+pub mod stream_engines;
 pub mod warmup;
--- a/crates/dewedge/src/policy/part_cache.rs
+++ b/crates/dewedge/src/policy/part_cache.rs
@@ -16,8 +16,6 @@
 use crate::clock::Moment;
 use crate::format::PromptPart;
 
-use super::placement::{home_key, shared_prefix_tokens};
-
 /// Time for which a part is expected to stay in an engine's KV cache.
 pub const PART_TTL: Duration = Duration::from_secs(10);
 
@@ -39,6 +37,27 @@
 /// 88 MB has for them.
 pub const MAX_VM_PREFIXES: usize = 12_288;
 
+/// Returns the keys and tokens of the prefixes of a prompt that other prompts may
+/// share, shortest first. The key of a prefix is the id of its last part.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::format::PromptPart;
+/// use dewedge::policy::part_cache::shared_prefixes;
+///
+/// let parts = [(7, 2500), (8, 3800), (9, 2890)].map(|(id, tokens)| PromptPart { id, tokens });
+/// let prefixes: Vec<(u64, u32)> = shared_prefixes(&parts).collect();
+/// assert_eq!(prefixes, [(7, 2500), (8, 6300)]);
+/// ```
+pub fn shared_prefixes(parts: &[PromptPart]) -> impl Iterator<Item = (u64, u32)> + '_ {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().scan(0_u32, |tokens, part| {
+        *tokens = tokens.saturating_add(part.tokens);
+        Some((part.id, *tokens))
+    })
+}
+
 /// How many entries the cache of one server may have.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PartLimits {
@@ -203,11 +222,14 @@
     /// requests of all VMs.
     pub fn cached_tokens(&self, parts: &[PromptPart], now: Moment) -> u32 {
         let own = self.own_cached_tokens(parts, now);
-        let prefix = home_key(parts).and_then(|key| self.prefixes.get(&key));
-        let known = prefix.filter(|prefix| prefix.is_recent(now));
-        // A notice can't make more of the prompt shared than is.
-        let shared = known.map_or(0, |prefix| prefix.tokens.min(shared_prefix_tokens(parts)));
-        own.max(shared)
+        let known = shared_prefixes(parts).filter(|(key, _)| {
+            self.prefixes
+                .get(key)
+                .is_some_and(|known| known.is_recent(now))
+        });
+        // The tokens of the prompt count, so that a wrong notice can't make more of it
+        // shared than is.
+        own.max(known.map(|(_, tokens)| tokens).max().unwrap_or(0))
     }
 
     /// Returns the leading tokens of a prompt that are expected in the cache, by the
--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -23,6 +23,7 @@
 use crate::format::PromptPart;
 
 use super::engine_model::EngineModel;
+use super::stream_engines::{first_engines, packed_count, packed_streams};
 
 pub use super::part_cache::PartCache;
 
@@ -30,17 +31,6 @@
 /// prefill delays all requests on the engine.
 pub(super) const PREFILL_WEIGHT: f64 = 3.0;
 
-/// Gap-sensitive streams on each reserved engine, as a share of its slots; the
-/// rest is left for bursts.
-const RESERVED_SLOT_SHARE: f64 = 0.625;
-
-/// Share of a reserved engine's time that the prefill of gap-sensitive streams
-/// may take, so that their prompts seldom wait for each other.
-const RESERVED_PREFILL_SHARE: f64 = 0.4;
-
-/// Largest share of the engines that may be reserved for gap-sensitive streams.
-const MAX_RESERVED_SHARE: f64 = 0.5;
-
 /// Prefill backlog of an engine up to which requests are sent to it, as a share
 /// of the latency target that is left after the fixed time to the first event,
 /// by rank; the most urgent rank comes first.
@@ -221,41 +211,6 @@
         .map(|(index, _)| index)
 }
 
-/// Returns which engines are reserved for gap-sensitive streams: the first ones
-/// in the order of a key that is the same on all VMs.
-pub(super) fn reserved_engines<K: Ord>(
-    replicas: &[ReplicaView<'_>],
-    model: &EngineModel,
-    order_key: impl Fn(&ReplicaView<'_>) -> K,
-) -> Vec<bool> {
-    let mut usable: Vec<(K, usize)> = replicas
-        .iter()
-        .enumerate()
-        .filter(|(_, replica)| replica.usable)
-        .map(|(index, replica)| (order_key(replica), index))
-        .collect();
-    usable.sort_unstable();
-    let streams: u32 = replicas
-        .iter()
-        .map(|replica| replica.load.gap_sensitive_streams)
-        .sum();
-    let max_reserved = (usable.len() as f64 * MAX_RESERVED_SHARE) as usize;
-    let slots = replicas
-        .iter()
-        .map(|replica| replica.slots)
-        .max()
-        .unwrap_or(0);
-    let by_slots = f64::from(slots) * RESERVED_SLOT_SHARE;
-    let by_prefill = RESERVED_PREFILL_SHARE / model.stream_prefill_share();
-    let streams_per_engine = (by_slots.min(by_prefill) as u32).max(1);
-    let count = (streams.div_ceil(streams_per_engine) as usize).min(max_reserved);
-    let mut reserved = vec![false; replicas.len()];
-    for (_, index) in usable.into_iter().take(count) {
-        reserved[index] = true;
-    }
-    reserved
-}
-
 /// Returns the load up to which an engine meets the targets of its requests:
 /// requests that read prompts, gap-sensitive streams if it has only such, and the
 /// prefill backlog in ms up to which first events are in time.
@@ -271,9 +226,7 @@
 /// ```
 pub fn engine_capacity(slots: u32, model: &EngineModel) -> (f64, f64, f64) {
     let requests = f64::from(MAX_ENGINE_REQUESTS.min(slots).max(1));
-    let by_slots = f64::from(slots) * RESERVED_SLOT_SHARE;
-    let by_prefill = RESERVED_PREFILL_SHARE / model.stream_prefill_share();
-    let streams = by_slots.min(by_prefill).max(1.0);
+    let streams = packed_streams(slots, model).max(1.0);
     let limits = model
         .more_urgent_classes(u8::MAX)
         .map(|class| class_limit_ms(class.priority, class.latency_target, model));
@@ -311,7 +264,8 @@
     replicas: &[ReplicaView<'_>],
     model: &EngineModel,
 ) -> PlacementChoice {
-    let reserved = reserved_engines(replicas, model, |replica| replica.hash);
+    let count = packed_count(replicas, model);
+    let reserved = first_engines(replicas, count, |replica| replica.hash);
     let choice = choose_among(query, replicas, model, &reserved, query.gap_sensitive);
     match choice {
         PlacementChoice::Chosen { .. } => choice,
--- a/crates/dewedge/src/policy/reported_placement.rs
+++ b/crates/dewedge/src/policy/reported_placement.rs
@@ -8,6 +8,11 @@
 //! - Servers differ in speed. A slow engine gets fewer requests and is the home
 //!   of fewer prompts, and streams avoid engines on which prompts could delay
 //!   their events beyond the target.
+//! - All VMs know which prefixes an engine was sent
+//!   ([`part_cache`](super::part_cache)). So no engine is assumed to hold a prefix,
+//!   not even its home, and the backlog of a burst on empty caches counts in full.
+//! - Streams are spread over engines that are free
+//!   ([`stream_engines`](super::stream_engines)).
 //!
 //! The main invariant: the views hold the effective load and slowness of
 //! [`load_reports`](super::load_reports), and nothing else decides.
@@ -17,8 +22,9 @@
 use super::engine_model::EngineModel;
 use super::placement::{
     MAX_PLAIN_QUEUED, PREFILL_WEIGHT, PlacementChoice, PlacementQuery, ReplicaView, SharedPrefix,
-    backlog_limit_ms, has_capacity, home_key, max_requests, rendezvous_weight, reserved_engines,
+    backlog_limit_ms, has_capacity, home_key, max_requests, rendezvous_weight,
 };
+use super::stream_engines::{first_engines, spread_count};
 
 /// Engines that are drawn for a choice. Streams last longer than a report is
 /// stale, so the best of a few is a better choice than any of them.
@@ -224,7 +230,8 @@
     replicas: &[ReplicaView<'_>],
     model: &EngineModel,
 ) -> PlacementChoice {
-    let reserved = reserved_engines(replicas, model, |replica| {
+    let count = spread_count(replicas, model);
+    let reserved = first_engines(replicas, count, |replica| {
         (replica.slowness > MAX_RESERVED_SLOWNESS, replica.hash)
     });
     let search = EngineSearch {
@@ -300,7 +307,7 @@
             if replica.warming_up || !has_capacity(request, replica, self.limit_ms, limit) {
                 continue;
             }
-            let candidate = self.candidate(index, is_home, cached_tokens);
+            let candidate = self.candidate(index, cached_tokens);
             if self.delays_streams(&candidate) {
                 continue;
             }
@@ -344,13 +351,11 @@
             .map(|(_, index)| index)
     }
 
-    fn candidate(&self, index: usize, is_home: bool, cached_tokens: u32) -> Candidate {
-        let expected_tokens = match is_home {
-            true => cached_tokens.max(self.prefix.tokens),
-            false => cached_tokens,
-        };
+    /// Returns a candidate with the tokens that no VM has sent to it as unread. A home
+    /// is no exception: at the beginning of a burst it has yet to read the prefix.
+    fn candidate(&self, index: usize, cached_tokens: u32) -> Candidate {
         let request = &self.query.request;
-        let unread_tokens = request.prompt_tokens.saturating_sub(expected_tokens);
+        let unread_tokens = request.prompt_tokens.saturating_sub(cached_tokens);
         let prefill_ms = self.model.prefill_ms(unread_tokens);
         Candidate {
             index,
--- a/crates/dewedge/src/serve/prefixes.rs
+++ b/crates/dewedge/src/serve/prefixes.rs
@@ -7,15 +7,19 @@
 use crate::directory::ReplicaIndex;
 use crate::fact_notices::DatedFact;
 use crate::format::PlatformFormat;
-use crate::policy::placement::{long_prefix_key, shared_prefix_tokens};
+use crate::policy::part_cache::shared_prefixes;
+use crate::policy::placement::long_prefix_key;
 use crate::prefix_notices::{PrefixNotice, ReceivedPrefixes, is_announcement_due};
 
 use super::state::EdgeState;
 use super::updates::DIGEST_TARGETS;
 
 impl<F: PlatformFormat> EdgeState<F> {
-    /// Records that the long shared prefix of a request, if it has one, was sent to
-    /// a server, and announces it to the other VMs unless they know.
+    /// Records that the shared prefixes of a request, if the whole one is long, were
+    /// sent to a server, and announces them to the other VMs unless they know.
+    ///
+    /// Each is announced, because prompts that share only the first parts find these
+    /// in the cache, too.
     pub(crate) fn record_prefix_use(&mut self, exchange_id: usize, replica: ReplicaIndex) {
         let exchange = &self.exchanges[exchange_id];
         if self.load_reports.get(&exchange.service).is_none() {
@@ -23,24 +27,25 @@
         }
         let parts = &exchange.metadata.prompt_parts;
         let model = self.models.get(&exchange.service);
-        let Some(key) = long_prefix_key(parts, model) else {
+        if long_prefix_key(parts, model).is_none() {
             return;
-        };
-        let (tokens, now) = (shared_prefix_tokens(parts), self.now);
+        }
+        let now = self.now;
+        let rounds = self.peers.rounds(DIGEST_TARGETS);
         let replica_state = self.directory.get_mut(replica);
-        let cache = &mut replica_state.cached_parts;
-        let is_due = is_announcement_due(cache.prefix_use(key), now);
-        cache.record_prefix(key, tokens, now);
-        if is_due {
-            cache.record_announced(key, now);
-            let server = replica_state.hash;
-            let rounds = self.peers.rounds(DIGEST_TARGETS);
-            let notice = PrefixNotice {
-                server,
-                key,
-                tokens,
-            };
-            self.prefix_notices.announce(notice, rounds, now);
+        let (server, cache) = (replica_state.hash, &mut replica_state.cached_parts);
+        for (key, tokens) in shared_prefixes(parts) {
+            let is_due = is_announcement_due(cache.prefix_use(key), now);
+            cache.record_prefix(key, tokens, now);
+            if is_due {
+                cache.record_announced(key, now);
+                let notice = PrefixNotice {
+                    server,
+                    key,
+                    tokens,
+                };
+                self.prefix_notices.announce(notice, rounds, now);
+            }
         }
     }
 
