Keep the rule for prefix notices in one place, and describe them

The event loop and the play of the fleet each had the rule that decides whether a use of a prefix is announced. It is now record_own_prefix and record_notice, which both use.

--- a/crates/dewedge/src/prefix_notices.rs
+++ b/crates/dewedge/src/prefix_notices.rs
@@ -16,8 +16,8 @@
 use std::time::Duration;
 
 use crate::clock::Moment;
-use crate::fact_notices::{FactQueue, FactReceiver, NoticeFact, ReceivedFacts};
-use crate::policy::part_cache::{PART_TTL, PrefixUse};
+use crate::fact_notices::{DatedFact, FactQueue, FactReceiver, NoticeFact, ReceivedFacts};
+use crate::policy::part_cache::{PART_TTL, PartCache};
 
 /// Maximum notices that wait to be sent; older ones are dropped first.
 pub const MAX_NOTICES: usize = 60;
@@ -79,28 +79,60 @@
 /// The new prefixes in a datagram.
 pub type ReceivedPrefixes = ReceivedFacts<PrefixNotice>;
 
-/// Returns whether a use of a prefix at an engine is to be announced, given the
-/// uses that this VM knows of.
-///
-/// Uses that weren't announced don't count: otherwise a VM that uses a prefix all
-/// the time would announce it once, and the others would forget it.
+/// Records in a server's cache that this VM has sent it a prefix, and returns whether
+/// this is to be announced.
 ///
 /// # Examples
 ///
 /// ```
 /// use dewedge::policy::part_cache::PartCache;
-/// use dewedge::prefix_notices::{ANNOUNCE_INTERVAL, is_announcement_due};
+/// use dewedge::prefix_notices::{ANNOUNCE_INTERVAL, PrefixNotice, record_own_prefix};
 /// use std::time::Duration;
 ///
 /// let now = Duration::from_secs(9);
+/// let notice = PrefixNotice { server: 5, key: 7, tokens: 6300 };
 /// let mut cache = PartCache::default();
-/// assert!(is_announcement_due(cache.prefix_use(7), now));
-/// cache.record_prefix(7, 6300, now);
-/// cache.record_announced(7, now);
-/// assert!(!is_announcement_due(cache.prefix_use(7), now));
-/// assert!(is_announcement_due(cache.prefix_use(7), now + ANNOUNCE_INTERVAL));
+/// assert!(record_own_prefix(&mut cache, notice, now));
+/// assert!(!record_own_prefix(&mut cache, notice, now + ANNOUNCE_INTERVAL / 2));
+/// assert!(record_own_prefix(&mut cache, notice, now + ANNOUNCE_INTERVAL));
 /// ```
-pub fn is_announcement_due(known: Option<PrefixUse>, now: Moment) -> bool {
+pub fn record_own_prefix(cache: &mut PartCache, notice: PrefixNotice, now: Moment) -> bool {
+    let known = cache.prefix_use(notice.key);
+    cache.record_prefix(notice.key, notice.tokens, now);
+    // Uses that weren't announced don't count: otherwise a VM that uses a prefix all
+    // the time would announce it once, and the others would forget it.
     let announced = known.and_then(|prefix| prefix.announced);
-    announced.is_none_or(|announced| now.saturating_sub(announced) >= ANNOUNCE_INTERVAL)
+    let is_due =
+        announced.is_none_or(|announced| now.saturating_sub(announced) >= ANNOUNCE_INTERVAL);
+    if is_due {
+        cache.record_announced(notice.key, now);
+    }
+    is_due
+}
+
+/// Records a notice of another VM in a server's cache, and returns whether it counts:
+/// not if this VM has learned since that the server started.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::fact_notices::DatedFact;
+/// use dewedge::policy::part_cache::PartCache;
+/// use dewedge::prefix_notices::{PrefixNotice, record_notice, record_own_prefix};
+/// use std::time::Duration;
+///
+/// let now = Duration::from_secs(9);
+/// let notice = PrefixNotice { server: 5, key: 7, tokens: 6300 };
+/// let mut cache = PartCache::default();
+/// assert!(record_notice(&mut cache, &DatedFact { fact: notice, sender: 1, heard_at: now }));
+/// // The other VMs know the prefix already.
+/// assert!(!record_own_prefix(&mut cache, notice, now));
+/// ```
+pub fn record_notice(cache: &mut PartCache, dated: &DatedFact<PrefixNotice>) -> bool {
+    let notice = dated.fact;
+    let counts = cache.record_prefix(notice.key, notice.tokens, dated.heard_at);
+    if counts {
+        cache.record_announced(notice.key, dated.heard_at);
+    }
+    counts
 }
--- a/crates/dewedge/src/serve/prefixes.rs
+++ b/crates/dewedge/src/serve/prefixes.rs
@@ -8,7 +8,7 @@
 use crate::fact_notices::DatedFact;
 use crate::format::PlatformFormat;
 use crate::policy::placement::{long_prefix_key, shared_prefix_tokens};
-use crate::prefix_notices::{PrefixNotice, ReceivedPrefixes, is_announcement_due};
+use crate::prefix_notices::{PrefixNotice, ReceivedPrefixes, record_notice, record_own_prefix};
 
 use super::state::EdgeState;
 use super::updates::DIGEST_TARGETS;
@@ -26,21 +26,15 @@
         let Some(key) = long_prefix_key(parts, model) else {
             return;
         };
-        let (tokens, now) = (shared_prefix_tokens(parts), self.now);
         let replica_state = self.directory.get_mut(replica);
-        let cache = &mut replica_state.cached_parts;
-        let is_due = is_announcement_due(cache.prefix_use(key), now);
-        cache.record_prefix(key, tokens, now);
-        if is_due {
-            cache.record_announced(key, now);
-            let server = replica_state.hash;
+        let notice = PrefixNotice {
+            server: replica_state.hash,
+            key,
+            tokens: shared_prefix_tokens(parts),
+        };
+        if record_own_prefix(&mut replica_state.cached_parts, notice, self.now) {
             let rounds = self.peers.rounds(DIGEST_TARGETS);
-            let notice = PrefixNotice {
-                server,
-                key,
-                tokens,
-            };
-            self.prefix_notices.announce(notice, rounds, now);
+            self.prefix_notices.announce(notice, rounds, self.now);
         }
     }
 
@@ -61,8 +55,7 @@
 
     /// Applies a notice; returns what was done with it.
     fn apply_prefix_notice(&mut self, dated: DatedFact<PrefixNotice>) -> &'static str {
-        let notice = dated.fact;
-        let known = self.directory.by_hash(notice.server);
+        let known = self.directory.by_hash(dated.fact.server);
         let Some(index) = known.filter(|index| self.directory.get(*index).is_listed()) else {
             return "unknown_server";
         };
@@ -74,11 +67,9 @@
         {
             return "not_reporting";
         }
-        let cache = &mut replica_state.cached_parts;
-        if !cache.record_prefix(notice.key, notice.tokens, dated.heard_at) {
-            return "before_start";
+        match record_notice(&mut replica_state.cached_parts, &dated) {
+            true => "used",
+            false => "before_start",
         }
-        cache.record_announced(notice.key, dated.heard_at);
-        "used"
     }
 }
--- a/crates/dewedge/tests/prefix_notices.rs
+++ b/crates/dewedge/tests/prefix_notices.rs
@@ -10,10 +10,11 @@
 use dewedge::fact_notices::NoticeFact;
 use dewedge::format::{PromptPart, ReplicaEntry, ReplicaStage};
 use dewedge::policy::part_cache::{
-    MAX_CACHED_PARTS, MAX_VM_PARTS, MAX_VM_PREFIXES, PART_TTL, PartCache, PartLimits,
+    MAX_CACHED_PARTS, MAX_VM_PARTS, MAX_VM_PREFIXES, PART_TTL, PartCache, PartLimits, PrefixUse,
 };
 use dewedge::prefix_notices::{
-    MAX_NOTICES, PrefixNotice, PrefixQueue, PrefixReceiver, ReceivedPrefixes, is_announcement_due,
+    MAX_NOTICES, PrefixNotice, PrefixQueue, PrefixReceiver, ReceivedPrefixes, record_notice,
+    record_own_prefix,
 };
 use indexmap::IndexMap;
 use quickcheck::QuickCheck;
@@ -229,9 +230,14 @@
 }
 
 /// Guards against caches that grow with the number of servers, of VMs that announce,
-/// or of parts that requests have, and against dropping the newest.
+/// or of parts that requests have, against dropping the newest, and against over 8 MB
+/// for the caches of a VM with 88 MB.
 #[test]
 fn the_entries_of_all_servers_are_bounded() {
+    // An entry has a hash, a key, a value and its index; a map grows by doubling.
+    let bytes = |count: usize, value: usize| 2 * count * (16 + value + 11);
+    let parts_bytes = bytes(MAX_VM_PARTS, size_of::<Moment>());
+    assert!(parts_bytes + bytes(MAX_VM_PREFIXES, size_of::<PrefixUse>()) < 8_000_000);
     let is_within = |cache: &PartCache, limits: PartLimits| {
         let (parts, prefixes) = cache.entry_counts();
         parts <= limits.parts && prefixes <= limits.prefixes
@@ -279,15 +285,12 @@
 }
 
 impl PlayedVm {
-    /// Sends a prompt, as `record_prefix_use` of the event loop does.
+    /// Sends a prompt.
     fn send(&mut self, server: usize, key: u64, now: Moment) {
-        let cache = &mut self.caches[server];
-        let is_due = is_announcement_due(cache.prefix_use(key), now);
-        cache.record_prefix(key, 6300, now);
-        if is_due {
-            cache.record_announced(key, now);
+        let notice = notice(server as u64, key);
+        if record_own_prefix(&mut self.caches[server], notice, now) {
             let rounds = (VMS - 1).div_ceil(24);
-            self.queue.announce(notice(server as u64, key), rounds, now);
+            self.queue.announce(notice, rounds, now);
         }
     }
 }
@@ -305,9 +308,7 @@
         for target in targets.filter(|_| random.unit() >= LOSS) {
             let vm = &mut vms[(sender + 1 + target % (VMS - 1)) % VMS];
             for dated in receive(&mut vm.receiver, &datagram, ms(now)).facts {
-                let cache = &mut vm.caches[dated.fact.server as usize];
-                cache.record_prefix(dated.fact.key, dated.fact.tokens, dated.heard_at);
-                cache.record_announced(dated.fact.key, dated.heard_at);
+                record_notice(&mut vm.caches[dated.fact.server as usize], &dated);
             }
         }
     }
@@ -345,9 +346,9 @@
             }
             exchange(&mut vms, &mut random, now);
             let knowing = |server: usize, key| {
-                let tokens =
-                    |vm: &PlayedVm| vm.caches[server].cached_tokens(&prompt(key, 0), ms(now));
-                vms.iter().filter(|vm| tokens(vm) > 0).count()
+                let caches = vms.iter().map(|vm| &vm.caches[server]);
+                let tokens = caches.map(|cache| cache.cached_tokens(&prompt(key, 0), ms(now)));
+                tokens.filter(|tokens| *tokens > 0).count()
             };
             for ((server, key), (used, all_at)) in &mut first_uses {
                 let since = now - *used;
