--- a/crates/dewedge/src/serve/prefixes.rs
+++ b/crates/dewedge/src/serve/prefixes.rs
@@ -9,7 +9,7 @@
 use crate::format::PlatformFormat;
 use crate::policy::part_cache::shared_prefixes;
 use crate::policy::placement::long_prefix_key;
-use crate::prefix_notices::{PrefixNotice, ReceivedPrefixes, is_announcement_due};
+use crate::prefix_notices::{PrefixNotice, ReceivedPrefixes, record_notice, record_own_prefix};
 
 use super::state::EdgeState;
 use super::updates::DIGEST_TARGETS;
@@ -30,21 +30,16 @@
         if long_prefix_key(parts, model).is_none() {
             return;
         }
-        let now = self.now;
         let rounds = self.peers.rounds(DIGEST_TARGETS);
         let replica_state = self.directory.get_mut(replica);
-        let (server, cache) = (replica_state.hash, &mut replica_state.cached_parts);
         for (key, tokens) in shared_prefixes(parts) {
-            let is_due = is_announcement_due(cache.prefix_use(key), now);
-            cache.record_prefix(key, tokens, now);
-            if is_due {
-                cache.record_announced(key, now);
-                let notice = PrefixNotice {
-                    server,
-                    key,
-                    tokens,
-                };
-                self.prefix_notices.announce(notice, rounds, now);
+            let notice = PrefixNotice {
+                server: replica_state.hash,
+                key,
+                tokens,
+            };
+            if record_own_prefix(&mut replica_state.cached_parts, notice, self.now) {
+                self.prefix_notices.announce(notice, rounds, self.now);
             }
         }
     }
@@ -66,8 +61,7 @@
 
     /// Applies a notice; returns what was done with it.
     fn apply_prefix_notice(&mut self, dated: DatedFact<PrefixNotice>) -> &'static str {
-        let notice = dated.fact;
-        let known = self.directory.by_hash(notice.server);
+        let known = self.directory.by_hash(dated.fact.server);
         let Some(index) = known.filter(|index| self.directory.get(*index).is_listed()) else {
             return "unknown_server";
         };
@@ -79,11 +73,9 @@
         {
             return "not_reporting";
         }
-        let cache = &mut replica_state.cached_parts;
-        if !cache.record_prefix(notice.key, notice.tokens, dated.heard_at) {
-            return "before_start";
+        match record_notice(&mut replica_state.cached_parts, &dated) {
+            true => "used",
+            false => "before_start",
         }
-        cache.record_announced(notice.key, dated.heard_at);
-        "used"
     }
 }
