Reserve the ports of programs that tests start

A test looks for unused ports and gives them to a program, which binds them later. The path suite chose ports from 20,000 to 32,000 by its pid and the other suites from 10,000 to 32,000, so two runs on one machine could choose the same ones before either program had bound them; the look itself also bound a port for a moment. Shown with a temporary start of the range that was the same in three runs of the suite at once: 7 programs failed with "address in use" and 5 tests with them, of 105. Within one run each port is given out once, ephemeral ports begin above the range, and a socket in TIME_WAIT doesn't hinder a listener with SO_REUSEADDR, so these aren't the cause. Who held port 27723 in the listed case stays unknown.

standins::ports now gives ports out of blocks that a test process holds by a listener until it ends, and all suites use it. Stand-ins of servers also take their ports from there: an ephemeral port of a server that is down, or of a listener that was dropped in order to refuse connections, could go to another test's listener meanwhile.

--- a/crates/dewctl/tests/dewctl/command_line.rs
+++ b/crates/dewctl/tests/dewctl/command_line.rs
@@ -4,10 +4,11 @@
 
 use crate::support::{
     FakeDaemon, RunResult, SECRET, StoreFault, TestDir, TestStore, first_document, run,
-    run_with_arguments, texts, unused_address, with_slots,
+    run_with_arguments, texts, with_slots,
 };
 use dewctl::ExitStatus;
 use dewctl::tables_dir::BASE_FILE;
+use standins::ports::free_address;
 
 fn assert_status(result: &RunResult, status: ExitStatus) {
     assert_eq!(result.status, status, "{result:?}");
@@ -297,7 +298,7 @@
 fn status_shows_each_daemon() {
     let store = TestStore::default();
     let daemon = FakeDaemon::spawn("vm-1", 4, 0);
-    let silent = unused_address().to_string();
+    let silent = free_address().to_string();
     let result = run(&store, &[&daemon], &["status"]);
     assert_status(&result, ExitStatus::Success);
     let lines: Vec<Vec<&str>> = result
--- a/crates/dewctl/tests/dewctl/duties.rs
+++ b/crates/dewctl/tests/dewctl/duties.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use dewctl::ExitStatus;
+use standins::ports::free_address;
 
-use crate::support::{FakeNode, RunResult, TestStore, run_with_arguments, unused_address};
+use crate::support::{FakeNode, RunResult, TestStore, run_with_arguments};
 
 /// A VM that holds the usage reports, and one duty of orders.
 const HOLDER: &str = r#"{"holders":[
@@ -110,7 +111,7 @@
 #[test]
 fn duties_names_vms_that_do_not_answer() {
     let node = FakeNode::spawn(HOLDER);
-    let unused = unused_address();
+    let unused = free_address();
     let result = run_duties(&[node.address, unused], &["--json"]);
     assert_eq!(result.status, ExitStatus::Failed, "{result:?}");
     let holder =
--- a/crates/dewctl/tests/dewctl/support/admin.rs
+++ b/crates/dewctl/tests/dewctl/support/admin.rs
@@ -1,6 +1,6 @@
 //! Fake of a daemon's admin interface.
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -13,15 +13,10 @@
 use oxhttp::model::{Body, Method, Request, Response, StatusCode};
 use oxhttp::{ListeningServer, Server};
 use serde::Serialize;
+use standins::ports::free_address;
 
 pub const SECRET: &str = "a-shared-secret-of-the-fleet";
 
-/// Returns a local address on which nothing listens.
-pub fn unused_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    listener.local_addr().expect("a bound address")
-}
-
 /// A daemon that has a new revision in force after some status requests.
 pub struct FakeDaemon {
     pub address: SocketAddr,
@@ -46,7 +41,7 @@
 
     /// Starts a daemon that reports the change id of its revision.
     pub fn spawn_with_change(vm: &str, revision: u64, lag: u64, change_id: &str) -> Self {
-        let address = unused_address();
+        let address = free_address();
         let drains = Arc::new(AtomicU64::new(0));
         let state = DaemonState {
             vm: vm.to_owned(),
@@ -76,7 +71,7 @@
 
 impl FakeNode {
     pub fn spawn(duties: &str) -> Self {
-        let address = unused_address();
+        let address = free_address();
         let duties = duties.to_owned();
         let answer = move |request: &mut Request<Body>| {
             let is_secret_sent = request.headers().contains_key(AUTHORIZATION);
--- a/crates/dewctl/tests/dewctl/support/mod.rs
+++ b/crates/dewctl/tests/dewctl/support/mod.rs
@@ -10,7 +10,7 @@
 use dewctl::ExitStatus;
 use dewspring::tables::{ConfigDocument, DocumentChange, TableTexts};
 
-pub use admin::{FakeDaemon, FakeNode, SECRET, unused_address};
+pub use admin::{FakeDaemon, FakeNode, SECRET};
 pub use store::{SplitMix, StoreFault, TestStore};
 
 pub const KEY: &str = "/dewspring/default/config";
--- a/crates/dewload/tests/commands.rs
+++ b/crates/dewload/tests/commands.rs
@@ -6,7 +6,8 @@
 use std::process::{Command, Output};
 
 use serde_json::Value;
-use standins::process::{RunningProcess, free_address};
+use standins::ports::free_address;
+use standins::process::RunningProcess;
 
 const WORKLOAD: &str = r#"
 duration_seconds = 1
--- a/crates/dewspring/src/store/tests/gateway.rs
+++ b/crates/dewspring/src/store/tests/gateway.rs
@@ -6,8 +6,9 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::json;
+use standins::ports::free_address;
 
-use super::servers::{ScriptedServer, free_address, serve_raw};
+use super::servers::{ScriptedServer, serve_raw};
 use crate::store::{
     ExpectedVersion, GatewayDirectory, GatewayStore, MAX_VALUE_BYTES, PlatformStore, StoreEntry,
     StoreError, SwapOutcome, VmDirectory, VmState,
--- a/crates/dewspring/src/store/tests/servers.rs
+++ b/crates/dewspring/src/store/tests/servers.rs
@@ -9,6 +9,7 @@
 use oxhttp::Server;
 use oxhttp::model::{Body, Response, StatusCode};
 use serde_json::Value;
+use standins::ports::free_address;
 
 /// A call that the server received.
 #[derive(Clone, Debug)]
@@ -71,10 +72,3 @@
     });
     address
 }
-
-/// Returns a loopback address on which nothing listens.
-pub fn free_address() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-        .and_then(|listener| listener.local_addr())
-        .expect("a free port")
-}
--- a/crates/dewspringd/tests/common/mod.rs
+++ b/crates/dewspringd/tests/common/mod.rs
@@ -18,7 +18,8 @@
 use oxhttp::Client;
 use oxhttp::model::{Body, Request, Response};
 use serde_json::{Value, json};
-use standins::process::{JsonResponse, RunningProcess, free_address, post_json, send_json};
+use standins::ports::free_address;
+use standins::process::{JsonResponse, RunningProcess, post_json, send_json};
 
 pub const SECRET: &str = "the-secret-of-the-test-fleet";
 pub const FLEET: &str = "test";
--- a/crates/dewspringd/tests/settings.rs
+++ b/crates/dewspringd/tests/settings.rs
@@ -13,7 +13,8 @@
 use common::{DEFAULT_ROUTES, SECRET, wait_until};
 use oxhttp::model::Method;
 use serde_json::Value;
-use standins::process::{free_address, get_json, send_json};
+use standins::ports::free_address;
+use standins::process::{get_json, send_json};
 
 const EXIT_TIMEOUT: Duration = Duration::from_secs(5);
 const IDLE_EXIT_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,7 +3,7 @@
 //! Three programs are built from this library: `fake-engine`, `fake-service`
 //! and `fake-platform`. Their protocol is described in `docs/BACKENDS.md`.
 //! The [`process`] module runs the workspace's programs as child processes of
-//! tests.
+//! tests, and [`ports`] hands out the ports that they bind.
 
 pub mod crash;
 pub mod engine;
@@ -12,6 +12,7 @@
 mod lag;
 mod load;
 pub mod platform;
+pub mod ports;
 pub mod process;
 mod race;
 pub mod service;
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -4,10 +4,9 @@
 
 use std::env;
 use std::io::{self, BufRead, BufReader};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,52 +21,6 @@
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 const HTTP_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// First port that [`free_address`] returns; lower ports are for fixed
-/// addresses.
-const FIRST_PORT: u32 = 10_000;
-
-/// Number of ports that [`free_address`] chooses from. The range ends below
-/// the system's ephemeral ports, so that no outgoing connection can occupy a
-/// port between its choice and its use.
-const PORT_COUNT: u32 = 22_000;
-
-/// Distance between the first ports of processes with consecutive pids.
-const PORTS_PER_PROCESS: u32 = 100;
-
-/// Number of ports that this process has tried.
-static TRIED_PORTS: AtomicU32 = AtomicU32::new(0);
-
-/// Returns a loopback address whose port is free now and is returned only once
-/// in this process.
-///
-/// # Panics
-///
-/// Panics if no port is free.
-///
-/// # Examples
-///
-/// ```
-/// let address = standins::process::free_address();
-/// assert!(address.ip().is_loopback());
-/// ```
-#[must_use]
-pub fn free_address() -> SocketAddr {
-    let start = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
-    for _ in 0..PORT_COUNT {
-        let tried = TRIED_PORTS.fetch_add(1, Ordering::Relaxed);
-        let offset = start.wrapping_add(tried) % PORT_COUNT;
-        let port = u16::try_from(FIRST_PORT + offset).expect("the range ends below 65,536");
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        // Probes with a connection: the socket of a listener could be inherited
-        // by a child process that another thread starts, and stay open there
-        // for a moment.
-        if TcpStream::connect(address).is_err() {
-            return address;
-        }
-    }
-    panic!("no port is free");
-}
-
 /// Returns the path of a program built into the target directory of the
 /// current test.
 ///
@@ -270,7 +223,7 @@
 /// # Examples
 ///
 /// ```
-/// let unused = standins::process::free_address();
+/// let unused = standins::ports::free_address();
 /// assert!(standins::process::get_json(unused, "/load").is_err());
 /// ```
 pub fn get_json(address: SocketAddr, path: &str) -> io::Result<JsonResponse> {
@@ -287,7 +240,7 @@
 ///
 /// ```
 /// use serde_json::json;
-/// let unused = standins::process::free_address();
+/// let unused = standins::ports::free_address();
 /// assert!(standins::process::post_json(unused, "/control", &json!({})).is_err());
 /// ```
 pub fn post_json(address: SocketAddr, path: &str, body: &Value) -> io::Result<JsonResponse> {
@@ -309,7 +262,7 @@
 ///
 /// ```
 /// use oxhttp::model::Method;
-/// let unused = standins::process::free_address();
+/// let unused = standins::ports::free_address();
 /// let headers = [("x-request-id", "1")];
 /// assert!(standins::process::send_json(Method::PUT, unused, "/a", &headers, None).is_err());
 /// ```
