Test that sums of demand saturate

The holder of the orders adds what VMs tell it of unmet demand, and the minimums of the data centres; nothing tested the ends of these numbers.

--- a/crates/dewedge/tests/demand_notices.rs
+++ b/crates/dewedge/tests/demand_notices.rs
@@ -62,6 +62,18 @@
         waiting: 1,
         refused: 0,
     },
+    Case {
+        name: "sums beyond the largest number stay there",
+        notices: &[
+            notice(1, 10, 100, u32::MAX, 0),
+            notice(2, 10, 100, 1, 0),
+            notice(1, 510, 600, u32::MAX, u32::MAX),
+            notice(2, 510, 600, u32::MAX, u32::MAX),
+        ],
+        now_ms: 700,
+        waiting: u32::MAX,
+        refused: u32::MAX,
+    },
     Case {
         name: "a silent VM has no waiting requests",
         notices: &[notice(1, 10, 100, 3, 0)],
