Keep a server's limit when a restart is read late

A limit now outlasts a restart, and ends with the first response of the new start that doesn't name it, as any limit does. The new test of the directory fails without the change. The suites of dewduty, dewedge and dewplatform passed.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -87,10 +87,13 @@
         self.backoff_until = self.backoff_until.max(until);
     }
 
+    /// Forgets what was known of the server before its latest start.
+    ///
+    /// Its limit stays until a response of the new start names another or none: the
+    /// new start may have named it before its entry was read.
     fn reset(&mut self) {
         self.leaving = false;
         self.backoff_until = Moment::ZERO;
-        self.rate_limit = RateLimit::default();
         self.health = ReplicaHealth::default();
         self.ended = EndedState::default();
         self.cached_parts.clear();
--- a/crates/dewedge/tests/directory.rs
+++ b/crates/dewedge/tests/directory.rs
@@ -91,6 +91,21 @@
     assert_eq!(directory.get(0).slowness, 1.0);
 }
 
+/// Guards against a limit that is forgotten, and so exceeded, because a VM reads of
+/// a restart after it has learnt the limit of the new start.
+#[test]
+fn a_restart_that_is_read_late_ends_no_limit() {
+    let mut directory = directory(1);
+    let limit = &mut directory.get_mut(0).rate_limit;
+    assert!(limit.set(Some(0.4), NOW));
+    let change = directory.apply("i-0".to_string(), entry(0, ReplicaStage::Ready, 2), 2);
+    assert_eq!(change, DirectoryChange::Restarted(0));
+    assert_eq!(directory.get(0).rate_limit.rate(), Some(0.4));
+    // A response without a limit ends it.
+    assert!(directory.get_mut(0).rate_limit.set(None, NOW));
+    assert_eq!(directory.get(0).rate_limit.rate(), None);
+}
+
 struct OutageCase {
     name: &'static str,
     lost: u16,
