Let an operator's lift end a block in the crash ledger

An operator who finds that a block is wrong can't lift it, because the other VMs announce the block again every second and write it to the store again. A crash before the lift at which the cause was present counts for nothing, so that its neighbours aren't blocked instead.

--- a/crates/dewguard/src/ledger.rs
+++ b/crates/dewguard/src/ledger.rs
@@ -1,13 +1,15 @@
 //! The crashes of servers and what may have caused them.
 //!
 //! The main invariant: a cause that a server has survived since its last crash is
-//! not blocked.
+//! not blocked, and crashes from before the lift of a cause don't count.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
+use crate::lifts::{LiftEffect, LiftEntry, LiftTable, UnixMs};
+
 /// Hash of a part of a prompt, the same on all VMs.
 pub type PartHash = u64;
 
@@ -162,12 +164,13 @@
     /// When a server last survived a cause, as far as this VM has seen.
     own_survivals: IndexMap<CrashCause, Duration>,
     blocks: IndexMap<CrashCause, CauseBlock>,
+    lifts: LiftTable,
 }
 
 impl CrashLedger {
-    /// Returns whether there were crashes or blocks.
+    /// Returns whether there were crashes, blocks or lifts.
     pub fn is_active(&self) -> bool {
-        !self.crashes.is_empty() || !self.blocks.is_empty()
+        !self.crashes.is_empty() || !self.blocks.is_empty() || !self.lifts.is_empty()
     }
 
     /// Returns whether any cause is blocked.
@@ -266,6 +269,34 @@
         None
     }
 
+    /// Records a lift that was read from the store. It ends the block of its cause,
+    /// unless the store's entry of the block, whose last crash was at `stored_ms`, is
+    /// newer.
+    pub fn read_lift(
+        &mut self,
+        cause: CrashCause,
+        entry: LiftEntry,
+        stored_ms: Option<UnixMs>,
+        now: Duration,
+    ) -> LiftEffect {
+        if !self.lifts.read(cause, entry, now) {
+            return LiftEffect::Unchanged;
+        }
+        let is_newer = stored_ms.is_some_and(|ms| self.lifts.accepts_entry(cause, ms));
+        let ended_block = !is_newer && self.blocks.shift_remove(&cause).is_some();
+        LiftEffect::Applied { ended_block }
+    }
+
+    /// Returns the lifts that this VM knows.
+    pub fn lifts(&self) -> &LiftTable {
+        &self.lifts
+    }
+
+    /// Returns the lifts that this VM knows, to change them.
+    pub fn lifts_mut(&mut self) -> &mut LiftTable {
+        &mut self.lifts
+    }
+
     /// Returns for how long a request is blocked, if it is.
     pub fn blocked_for(&self, request: &CrashSuspect, now: Duration) -> Option<Duration> {
         request
@@ -291,6 +322,7 @@
         self.blocks.retain(|_, block| now < block.ends_at);
         self.own_survivals.retain(|_, at| is_recent(*at));
         self.last_crashes.retain(|_, at| is_recent(*at));
+        self.lifts.expire(now);
     }
 
     /// Adds a report to the crash that it is about.
@@ -324,7 +356,7 @@
         let mut times = Vec::new();
         let mut requests = Vec::new();
         for crash in &self.crashes {
-            if survived.is_some_and(|survived| crash.at <= survived) {
+            if survived.is_some_and(|survived| crash.at <= survived) || self.is_settled(crash) {
                 continue;
             }
             let suspects: Vec<_> = self
@@ -351,6 +383,14 @@
         times.last().map(|(at, _)| *at).filter(|_| is_convicted)
     }
 
+    /// Returns whether a crash counts for nothing: a cause that has been lifted since
+    /// was present. Its neighbours weren't blamed before, and must not be because of
+    /// the lift.
+    fn is_settled(&self, crash: &CrashReport) -> bool {
+        let mut causes = crash.suspects.iter().flat_map(CrashSuspect::causes);
+        !self.lifts.is_empty() && causes.any(|cause| self.lifts.settles(cause, crash.at))
+    }
+
     /// Returns the suspects of a crash that may have caused it: those with a
     /// blocked cause, which explains the crash, or all.
     fn blamed<'a>(&'a self, crash: &'a CrashReport) -> impl Iterator<Item = &'a CrashSuspect> {
