Apply lifts of blocks from the store on each dewnode

VMs read records under `dewspring/lifted-block/` with the lists and watches that they have already, so no store call is added. A lift ends the block, is logged and counted; notices and entries of before are ignored, and unreadable records are logged once.

A block is now written on condition that its lift has the revision that the VM knows. So a VM that was cut off can't write the old block after the lift, whatever its clock says.

--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -8,7 +8,7 @@
 
 use dewduty::lease::{DutySubject, FencingToken, LeaseId, StoreRevision, VmName};
 use dewduty::usage::WrittenReport;
-use dewguard::CrashCause;
+use dewguard::{CrashCause, EntryRevision, UnixMs};
 use thiserror::Error;
 
 use crate::http::HeaderFields;
@@ -171,6 +171,10 @@
     Peer(String),
     /// A blocked cause of crashes.
     Block(CrashCause),
+    /// The lift of a blocked cause by an operator.
+    Lift(CrashCause),
+    /// An entry among the lifts whose key names no cause.
+    UnreadableLift,
     /// The holder of a duty.
     DutyHolder(DutySubject),
     /// The last fencing token of a duty.
@@ -201,7 +205,7 @@
     ReadTables,
     /// Lists servers, starting after a key.
     ListReplicas(Option<String>),
-    /// Lists VMs and blocked causes, starting after a key.
+    /// Lists VMs, blocked causes and lifts, starting after a key.
     ListPeers(Option<String>),
     /// Waits for changes after a revision.
     Watch {
@@ -225,15 +229,32 @@
         /// Lease of the entry.
         lease: u64,
     },
-    /// Writes that a cause of crashes is blocked.
+    /// Writes that a cause of crashes is blocked, if its lift has this revision.
     PublishBlock {
         /// The cause.
         cause: CrashCause,
         /// Unix time of its last crash, in ms.
-        last_crash_ms: u64,
+        last_crash_ms: UnixMs,
+        /// Revision of the lift that is known; 0 if there is none.
+        lift_revision: EntryRevision,
     },
     /// Removes the entry of a blocked cause.
     RemoveBlock(CrashCause),
+    /// Writes that an operator lifts the block of a cause, and removes the block's
+    /// entry.
+    LiftBlock {
+        /// The cause.
+        cause: CrashCause,
+        /// Unix time of the lift, in ms.
+        lifted_ms: UnixMs,
+    },
+    /// Removes the lift of a cause, if it has this revision.
+    RemoveLift {
+        /// The cause.
+        cause: CrashCause,
+        /// Revision of the lift.
+        revision: EntryRevision,
+    },
     /// A call about duties.
     Duty(DutyCall),
 }
@@ -432,7 +453,15 @@
     /// # Errors
     ///
     /// Returns an error if the entry is malformed.
-    fn read_block(value: &[u8]) -> Result<u64, FormatError>;
+    fn read_block(value: &[u8]) -> Result<UnixMs, FormatError>;
+
+    /// Parses the lift of a blocked cause: the Unix time at which an operator lifted
+    /// the block, in ms.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the entry is malformed.
+    fn read_lift(value: &[u8]) -> Result<UnixMs, FormatError>;
 
     /// Parses the record of the holder of a duty.
     ///
--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -59,6 +59,7 @@
     pub(crate) foreign_datagrams: Counter,
     pub(crate) server_crashes: Counter,
     pub(crate) blocked_causes: Gauge,
+    block_lifts: Family<NoticeLabels, Counter>,
     pub(crate) in_flight: Gauge,
     pub(crate) table_version: Gauge,
     pub(crate) key_age_ms: Gauge,
@@ -160,6 +161,12 @@
             "Causes of crashes whose requests aren't sent",
             blocked_causes.clone(),
         );
+        let block_lifts = Family::default();
+        registry.register(
+            "block_lifts",
+            "Lifts of blocks by operators that were read, and blocks from before that were ignored",
+            block_lifts.clone(),
+        );
         let in_flight = Gauge::default();
         registry.register(
             "requests_in_flight",
@@ -202,6 +209,7 @@
             foreign_datagrams,
             server_crashes,
             blocked_causes,
+            block_lifts,
             in_flight,
             table_version,
             key_age_ms,
@@ -237,6 +245,12 @@
         }
     }
 
+    /// Counts a lift of a block, or a block that is ignored because of one.
+    pub(crate) fn count_lift(&self, outcome: &'static str) {
+        let label = NoticeLabels { outcome };
+        self.block_lifts.get_or_create(&label).inc();
+    }
+
     /// Returns all metrics in the text exposition format.
     pub(crate) fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/dewedge/src/serve/crashes.rs
+++ b/crates/dewedge/src/serve/crashes.rs
@@ -14,13 +14,16 @@
 use std::io;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use dewguard::{BLOCK_TIME, CrashCause, CrashLedger, CrashReport, CrashSuspect, RequestHash};
+use dewguard::{
+    BLOCK_TIME, CrashCause, CrashLedger, CrashReport, CrashSuspect, RequestHash, UnixMs,
+};
 use indexmap::{IndexMap, IndexSet};
 
 use crate::clock::Moment;
 use crate::crash_notices::{CrashNotice, encode_notices, report_notices};
 use crate::directory::{ReplicaIndex, stable_hash};
 use crate::format::{PlatformFormat, PromptPart, StoreCall};
+use crate::logs::LogLine;
 use crate::policy::queue::ExchangeId;
 
 use super::state::{EdgeState, Exchange, SentLoad};
@@ -99,14 +102,16 @@
 /// This VM's knowledge of crashes.
 #[derive(Debug, Default)]
 pub(crate) struct CrashWatch {
-    ledger: CrashLedger,
+    pub(super) ledger: CrashLedger,
     suspected: IndexMap<ReplicaIndex, SuspectedCrash>,
     /// Servers to be tested, the earliest first.
     tests: VecDeque<(Moment, ReplicaIndex)>,
     timer: LazyTimer,
     notices: VecDeque<PendingNotice>,
-    /// Blocked causes that the store has.
-    stored: IndexSet<CrashCause>,
+    /// Blocked causes that the store has, each with the time of its last crash.
+    pub(super) stored: IndexMap<CrashCause, UnixMs>,
+    /// Keys and revisions of records of lifts that couldn't be read.
+    pub(super) unreadable_lifts: IndexSet<(String, u64)>,
     refresh_due: Moment,
 }
 
@@ -282,9 +287,12 @@
             self.digest_due = true;
         }
         self.log_cause("blocked", cause, source);
-        self.metrics
-            .blocked_causes
-            .set(self.crashes.ledger.blocks().count() as i64);
+        self.update_blocked_count();
+    }
+
+    pub(super) fn update_blocked_count(&self) {
+        let count = self.crashes.ledger.blocks().count();
+        self.metrics.blocked_causes.set(count as i64);
     }
 
     /// Writes a block to the store, for VMs that start while no other VM runs.
@@ -293,32 +301,41 @@
     fn publish_block(&mut self, cause: CrashCause, last_crash: Moment) {
         let age = self.now.saturating_sub(last_crash);
         let rank = self.peers.rank_for(stable_hash(&cause_bytes(cause)));
-        if self.crashes.stored.contains(&cause) || u64::from(rank) > age.as_secs() {
+        let lifts = self.crashes.ledger.lifts();
+        let stored = self.crashes.stored.get(&cause);
+        let is_stored = stored.is_some_and(|stored| lifts.accepts_entry(cause, *stored));
+        if is_stored || u64::from(rank) > age.as_secs() {
             return;
         }
         let last_crash_ms = unix_ms().saturating_sub(millis(age));
+        let (last_crash_ms, lift_revision) = (
+            lifts.entry_time(cause, last_crash_ms),
+            lifts.revision(cause),
+        );
         self.write_block(StoreCall::PublishBlock {
             cause,
             last_crash_ms,
+            lift_revision,
         });
     }
 
-    fn remove_stored_block(&mut self, cause: CrashCause) {
-        if self.crashes.stored.swap_remove(&cause) {
+    pub(super) fn remove_stored_block(&mut self, cause: CrashCause) {
+        if self.crashes.stored.swap_remove(&cause).is_some() {
             self.write_block(StoreCall::RemoveBlock(cause));
         }
     }
 
-    fn write_block(&mut self, call: StoreCall) {
+    pub(super) fn write_block(&mut self, call: StoreCall) {
         self.store.write_block(call);
         self.store_timer
             .set(self.now, TimerKey::Store, &mut self.timers);
     }
 
-    /// Forgets which blocks the store has; they are written again if it has lost
-    /// them.
+    /// Forgets which blocks and lifts the store has; blocks are written again if it
+    /// has lost them.
     pub(crate) fn forget_stored_blocks(&mut self) {
         self.crashes.stored.clear();
+        self.crashes.ledger.lifts_mut().forget_revisions();
     }
 
     /// Records that the entry of a blocked cause was removed from the store.
@@ -328,22 +345,27 @@
 
     /// Applies the entry of a blocked cause in the store, and removes it if the
     /// block is over.
-    pub(crate) fn apply_stored_block(&mut self, cause: CrashCause, last_crash_ms: u64) {
+    pub(crate) fn apply_stored_block(&mut self, cause: CrashCause, last_crash_ms: UnixMs) {
         let age = Duration::from_millis(unix_ms().saturating_sub(last_crash_ms));
-        self.crashes.stored.insert(cause);
+        self.crashes.stored.insert(cause, last_crash_ms);
         if age >= BLOCK_TIME {
             self.remove_stored_block(cause);
-        } else if !self.is_cause_blocked(cause) {
+        } else if !self.is_cause_blocked(cause) && !self.is_lifted_entry(cause, last_crash_ms) {
             let last_crash = self.now.saturating_sub(age);
             match self.crashes.ledger.adopt_block(cause, last_crash) {
-                None => self.log_cause("blocked", cause, "store"),
+                None => drop(self.log_cause("blocked", cause, "store")),
                 // A server has survived it since.
                 Some(_) => self.remove_stored_block(cause),
             }
         }
     }
 
-    fn log_cause(&mut self, event: &str, cause: CrashCause, source: &'static str) {
+    pub(super) fn log_cause(
+        &mut self,
+        event: &str,
+        cause: CrashCause,
+        source: &'static str,
+    ) -> LogLine<'_> {
         let (kind, hash) = match cause {
             CrashCause::Part(hash) => ("prompt_part", hash),
             CrashCause::Request(hash) => ("request", hash),
@@ -352,7 +374,7 @@
             .system("crash", event)
             .text("cause", kind)
             .text("id", &format!("{hash:x}"))
-            .text("source", source);
+            .text("source", source)
     }
 
     /// Records that a server survived a request.
@@ -393,7 +415,7 @@
         }
     }
 
-    fn is_cause_blocked(&self, cause: CrashCause) -> bool {
+    pub(super) fn is_cause_blocked(&self, cause: CrashCause) -> bool {
         let mut blocks = self.crashes.ledger.blocks();
         blocks.any(|(other, _)| other == cause)
     }
@@ -427,6 +449,9 @@
     }
 
     fn adopt_block(&mut self, cause: CrashCause, last_crash: Moment) {
+        if self.is_lifted_notice(cause) {
+            return;
+        }
         let was_blocked = self.is_cause_blocked(cause);
         let refuted = self.crashes.ledger.adopt_block(cause, last_crash);
         if let Some(survived) = refuted {
@@ -451,6 +476,7 @@
         self.crashes.refresh_due = self.now + BLOCK_REFRESH;
         let blocked = |watch: &CrashWatch| -> Vec<_> { watch.ledger.blocks().collect() };
         let before = blocked(&self.crashes);
+        self.remove_old_lifts();
         self.crashes.ledger.expire(self.now);
         let blocks = blocked(&self.crashes);
         for (cause, _) in before {
@@ -482,7 +508,7 @@
 }
 
 /// Returns bytes that differ for each cause.
-fn cause_bytes(cause: CrashCause) -> [u8; 9] {
+pub(super) fn cause_bytes(cause: CrashCause) -> [u8; 9] {
     let (kind, hash) = match cause {
         CrashCause::Part(id) => (0, id),
         CrashCause::Request(hash) => (1, hash),
@@ -497,7 +523,7 @@
 }
 
 /// Returns the Unix time, in ms; VMs may differ by seconds.
-fn unix_ms() -> u64 {
+pub(super) fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     since_epoch.map_or(0, millis)
 }
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -30,6 +30,7 @@
 mod dispatch;
 mod duties;
 mod ended;
+mod lifts;
 mod outcomes;
 mod requests;
 mod responses;
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -183,6 +183,7 @@
                 }
                 None => self.forget_stored_block(cause),
             },
+            RecordKey::Lift(_) | RecordKey::UnreadableLift => self.apply_lift_record(&record, call),
             RecordKey::DutyHolder(_) | RecordKey::DutyToken(_) | RecordKey::UsageReport => {
                 self.on_duty_record(record, as_of);
             }
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -23,7 +23,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dewguard::CrashCause;
 use indexmap::IndexSet;
 use mio::{Registry, Token};
 
@@ -209,13 +208,13 @@
         self.renew_at = now;
     }
 
-    /// Writes that a cause of crashes is blocked, or no longer is; the last word
-    /// about a cause replaces earlier ones that weren't sent.
+    /// Writes that a cause of crashes is blocked, or no longer is, or removes a lift;
+    /// the last call about an entry replaces earlier ones that weren't sent.
     pub(crate) fn write_block(&mut self, call: StoreCall) {
-        let cause = blocked_cause(&call);
+        let entry = written_entry(&call);
         self.queue.retain(|queued| {
-            let other = blocked_cause(queued);
-            other.is_none() || other != cause
+            let other = written_entry(queued);
+            other.is_none() || other != entry
         });
         self.queue.push_back(call);
     }
@@ -500,8 +499,11 @@
             StoreCall::RenewLease(_) | StoreCall::OpenLease(_) => {
                 self.renew_at = now + Duration::from_secs(1);
             }
-            // Blocks that the store doesn't have are written again shortly.
-            StoreCall::PublishBlock { .. } | StoreCall::RemoveBlock(_) => {}
+            // Blocks that the store doesn't have are written again shortly, and lifts
+            // that are over are removed again.
+            StoreCall::PublishBlock { .. }
+            | StoreCall::RemoveBlock(_)
+            | StoreCall::RemoveLift { .. } => {}
             call @ StoreCall::Duty(_) => self.fail_duty(call, sent),
             call => self.queue.push_front(call),
         }
@@ -676,10 +678,15 @@
     }
 }
 
-/// Returns the cause of crashes that a call is about.
-fn blocked_cause(call: &StoreCall) -> Option<CrashCause> {
+/// Returns the entry of a block or a lift that a call changes.
+fn written_entry(call: &StoreCall) -> Option<RecordKey> {
     match call {
-        StoreCall::PublishBlock { cause, .. } | StoreCall::RemoveBlock(cause) => Some(*cause),
+        StoreCall::PublishBlock { cause, .. } | StoreCall::RemoveBlock(cause) => {
+            Some(RecordKey::Block(*cause))
+        }
+        StoreCall::LiftBlock { cause, .. } | StoreCall::RemoveLift { cause, .. } => {
+            Some(RecordKey::Lift(*cause))
+        }
         _ => None,
     }
 }
@@ -692,6 +699,8 @@
             | StoreCall::RenewLease(_)
             | StoreCall::PublishBlock { .. }
             | StoreCall::RemoveBlock(_)
+            | StoreCall::LiftBlock { .. }
+            | StoreCall::RemoveLift { .. }
     )
 }
 
@@ -710,6 +719,8 @@
         StoreCall::PublishPeer { .. } => "publish_peer",
         StoreCall::PublishBlock { .. } => "publish_block",
         StoreCall::RemoveBlock(_) => "remove_block",
+        StoreCall::LiftBlock { .. } => "lift_block",
+        StoreCall::RemoveLift { .. } => "remove_lift",
         StoreCall::Duty(DutyCall::OpenLease(_)) => "open_duty_lease",
         StoreCall::Duty(DutyCall::RenewLease(_)) => "renew_duty_lease",
         StoreCall::Duty(DutyCall::EndLease(_)) => "end_duty_lease",
