--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -31,6 +31,7 @@
 mod dispatch;
 mod duties;
 mod ended;
+mod lifts;
 mod outcomes;
 mod prefixes;
 mod requests;
