Add a crate that decides from the queues of all VMs

Requests wait at each VM, but the engines are shared, and a VM that knows only its own queue rejects late and gives retry times at random. The crate sums what waits at other VMs, forecasts when engines have capacity by the limits that placement uses, and decides on waiting, retry times and the order of classes.

--- /dev/null
+++ b/crates/dewbacklog/tests/decisions.rs
@@ -0,0 +1,343 @@
+//! What the forecast, the return policy and the start order decide.
+
+use std::time::Duration;
+
+use dewbacklog::{
+    EngineRoom, FACT_TTL, FleetBacklog, QueuePlace, RejectCause, ReturnPolicy, RoomDecision,
+    RoomForecast, StartOrder, WaitingFact, WaitingPrompt, WaitingSum,
+};
+use quickcheck::{QuickCheck, TestResult};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn engine() -> EngineRoom {
+    EngineRoom {
+        backlog_ms: 0.0,
+        slowness: 1.0,
+        limit_ms: 500.0,
+        requests: 0,
+        max_requests: 12,
+        request_ms: 2000.0,
+        opens_in: Duration::ZERO,
+    }
+}
+
+fn waiting(requests: f64) -> WaitingSum {
+    WaitingSum {
+        requests,
+        prefill_ms: requests * 100.0,
+    }
+}
+
+struct ForecastCase {
+    what: &'static str,
+    engines: Vec<EngineRoom>,
+    ahead: f64,
+    expected_ms: (u64, u64),
+}
+
+/// Guards against a forecast that ignores a limit of placement, or that sees a
+/// limit where an engine accepts prompts.
+#[test]
+fn the_forecast_follows_the_limits_of_placement() {
+    let full = EngineRoom {
+        requests: 12,
+        ..engine()
+    };
+    let cases = [
+        ForecastCase {
+            what: "an engine just below its backlog limit accepts one prompt now",
+            engines: vec![EngineRoom {
+                backlog_ms: 499.0,
+                ..engine()
+            }],
+            ahead: 0.0,
+            expected_ms: (0, 0),
+        },
+        ForecastCase {
+            what: "the first of the engines that drains below its limit",
+            engines: [800.0, 600.0]
+                .map(|backlog_ms| EngineRoom {
+                    backlog_ms,
+                    ..engine()
+                })
+                .into(),
+            ahead: 0.0,
+            expected_ms: (100, 102),
+        },
+        ForecastCase {
+            what: "a slow engine drains its backlog in more time",
+            engines: vec![EngineRoom {
+                backlog_ms: 600.0,
+                slowness: 1.5,
+                ..engine()
+            }],
+            ahead: 0.0,
+            expected_ms: (400, 402),
+        },
+        ForecastCase {
+            what: "an engine with as many requests as it may have waits for the first to end",
+            engines: vec![full],
+            ahead: 0.0,
+            expected_ms: (166, 168),
+        },
+        ForecastCase {
+            what: "ten idle engines accept five prompts of 100 ms each",
+            engines: vec![engine(); 10],
+            ahead: 49.0,
+            expected_ms: (0, 0),
+        },
+        ForecastCase {
+            what: "the next prompt after those waits for one to be read",
+            engines: vec![engine()],
+            ahead: 6.0,
+            expected_ms: (100, 102),
+        },
+        ForecastCase {
+            what: "an engine that has to read the prefix again opens later",
+            engines: vec![EngineRoom {
+                opens_in: ms(150),
+                ..engine()
+            }],
+            ahead: 0.0,
+            expected_ms: (150, 151),
+        },
+        ForecastCase {
+            what: "no engine at all",
+            engines: vec![],
+            ahead: 0.0,
+            expected_ms: (60_000, 60_000),
+        },
+    ];
+    for case in cases {
+        let forecast = RoomForecast::new(case.engines);
+        let room_ms = forecast.when_room(&waiting(case.ahead), 100.0).as_millis() as u64;
+        let (least, most) = case.expected_ms;
+        assert!(
+            (least..=most).contains(&room_ms),
+            "{}: {room_ms}",
+            case.what
+        );
+    }
+}
+
+struct DecisionCase {
+    what: &'static str,
+    waited: Duration,
+    caller_retry: bool,
+    room_in: Duration,
+    expected: RoomDecision,
+}
+
+/// Guards against rejections of requests that could be in time, and against late
+/// ones of requests that can't.
+#[test]
+fn requests_wait_only_for_capacity_in_time() {
+    let reject = RoomDecision::Reject(RejectCause::Forecast);
+    let case = |what, waited, caller_retry, room_in, expected| DecisionCase {
+        what,
+        waited: ms(waited),
+        caller_retry,
+        room_in: ms(room_in),
+        expected,
+    };
+    let cases = [
+        case("capacity in time", 0, false, 1100, RoomDecision::Wait),
+        case("capacity too late", 0, false, 1300, reject),
+        case("forecast grown while it waited", 600, false, 700, reject),
+        case(
+            "a retry has no other chance",
+            0,
+            true,
+            1300,
+            RoomDecision::Wait,
+        ),
+        case("a retry whose deadline is earlier", 0, true, 5800, reject),
+        case(
+            "waited for as long as it may",
+            1200,
+            true,
+            0,
+            RoomDecision::Reject(RejectCause::Waited),
+        ),
+    ];
+    for case in cases {
+        let prompt = WaitingPrompt {
+            waited: case.waited,
+            time_left: ms(6000) - case.waited,
+            latency_target: ms(2000),
+            first_event: ms(800),
+            least_wait: ms(700),
+            caller_retry: case.caller_retry,
+            prefill_ms: 283.0,
+        };
+        let decision = ReturnPolicy::decide(&prompt, case.room_in);
+        assert_eq!(decision, case.expected, "{}", case.what);
+    }
+}
+
+/// Guards against retry times that callers don't honour, for any forecast.
+#[test]
+fn retry_times_are_within_a_third_of_the_remaining_time() {
+    let property = |left: u16, room: u16, prefill: u16, waited: bool, rejections: u8| {
+        if left < 300 {
+            return TestResult::discard();
+        }
+        let prompt = WaitingPrompt {
+            time_left: ms(left.into()),
+            prefill_ms: prefill.into(),
+            ..WaitingPrompt::default()
+        };
+        let cause = match waited {
+            true => RejectCause::Waited,
+            false => RejectCause::Forecast,
+        };
+        let forecast = RoomForecast::new([engine()]);
+        let mut policy = ReturnPolicy::new(f64::from(rejections) / 256.0);
+        TestResult::from_bool((0..=rejections).all(|_| {
+            let room_in = ms(room.into());
+            let after = policy.reject(&prompt, cause, room_in, &forecast, 75, ms(9000));
+            after >= ms(100) && after <= prompt.time_left / 3
+        }))
+    };
+    QuickCheck::new().quickcheck(property as fn(u16, u16, u16, bool, u8) -> TestResult);
+}
+
+/// Guards against callers that are rejected together and retry together: at no
+/// time come more than twice as many as the engines serve.
+#[test]
+fn callers_rejected_together_retry_one_after_the_other() {
+    let prompt = WaitingPrompt {
+        time_left: ms(12_000),
+        prefill_ms: 100.0,
+        ..WaitingPrompt::default()
+    };
+    // Twelve requests of 2 s on each engine are 15 in 250 ms.
+    let forecast = RoomForecast::new(vec![engine(); 10]);
+    let room_in = ms(500);
+    let mut retries = Vec::new();
+    for vm in 0..20 {
+        let mut policy = ReturnPolicy::new(f64::from(vm) * 0.37);
+        for _ in 0..10 {
+            let cause = RejectCause::Forecast;
+            let after = policy.reject(&prompt, cause, room_in, &forecast, 20, ms(9000));
+            assert!(after >= room_in, "{after:?} is before capacity");
+            retries.push(after);
+        }
+    }
+    for start in (500..4000).step_by(50).map(ms) {
+        let within = |at: &&Duration| **at >= start && **at < start + ms(250);
+        let count = retries.iter().filter(within).count();
+        assert!(count <= 30, "{count} of 200 retries from {start:?}");
+    }
+}
+
+struct OrderCase {
+    what: &'static str,
+    fact_class: u8,
+    fact_age: u64,
+    oldest_waited: u64,
+    waited: u64,
+    room_now: f64,
+    held: bool,
+}
+
+/// Guards against less urgent requests that take the capacity others wait for,
+/// and against requests that are held back for facts that say no such thing.
+#[test]
+fn less_urgent_requests_are_held_back_for_a_limited_time() {
+    let held = OrderCase {
+        what: "more urgent requests wait elsewhere",
+        fact_class: 0,
+        fact_age: 300,
+        oldest_waited: 250,
+        waited: 0,
+        room_now: 4.0,
+        held: true,
+    };
+    let cases = [
+        OrderCase {
+            what: "of the same class",
+            fact_class: 2,
+            held: false,
+            ..held
+        },
+        OrderCase {
+            what: "an old fact",
+            fact_age: 600,
+            held: false,
+            ..held
+        },
+        OrderCase {
+            what: "waited briefly",
+            oldest_waited: 80,
+            held: false,
+            ..held
+        },
+        OrderCase {
+            what: "capacity for all",
+            room_now: 5.0,
+            held: false,
+            ..held
+        },
+        OrderCase {
+            what: "held for long enough",
+            waited: 600,
+            held: false,
+            ..held
+        },
+        held,
+    ];
+    for case in cases {
+        let now = ms(9000);
+        let as_of = now - ms(case.fact_age);
+        let fact = WaitingFact {
+            class: case.fact_class,
+            requests: 5,
+            prefill_ms: 500.0,
+            oldest: as_of - ms(case.oldest_waited),
+            as_of,
+        };
+        let mut backlog = FleetBacklog::default();
+        backlog.record(1, fact, now);
+        let order = StartOrder {
+            class: 2,
+            waited: ms(case.waited),
+            permitted_wait: ms(1200),
+        };
+        let held = order.holds_back(&backlog, case.room_now, now);
+        assert_eq!(held, case.held, "{}", case.what);
+    }
+}
+
+/// Guards against facts of a frozen VM that count for ever, against a reordered
+/// fact that brings sent requests back, and against retries behind new requests.
+#[test]
+fn facts_expire_and_only_the_newest_counts() {
+    let fact = |requests, as_of| WaitingFact {
+        class: 1,
+        requests,
+        prefill_ms: 100.0,
+        oldest: ms(8000),
+        as_of,
+    };
+    let now = ms(9000);
+    let mut backlog = FleetBacklog::default();
+    backlog.record(1, fact(0, now), now);
+    backlog.record(1, fact(8, now - ms(100)), now);
+    backlog.record(2, fact(4, now), now);
+    assert_eq!(backlog.total(now).requests, 4.0);
+    let mut place = QueuePlace {
+        class: 1,
+        joined: now,
+        caller_retry: false,
+    };
+    assert_eq!(backlog.ahead_of(&place, now).requests, 4.0);
+    place.caller_retry = true;
+    assert_eq!(backlog.ahead_of(&place, now).requests, 0.0);
+    assert_eq!(backlog.total(now + FACT_TTL).requests, 0.0);
+    backlog.expire(now + FACT_TTL);
+    assert!(backlog.is_empty());
+}
