--- a/crates/dewbacklog/src/lib.rs
+++ b/crates/dewbacklog/src/lib.rs
@@ -4,8 +4,8 @@
 //! Each VM queues its own requests, but the engines are shared by all VMs.
 //! [`FleetBacklog`] sums what waits at the other VMs, [`RoomForecast`] derives
 //! the time at which an engine has capacity, [`ReturnPolicy`] decides between
-//! waiting and rejection and spreads the retries, and [`StartOrder`] holds less
-//! urgent requests back while more urgent ones wait at other VMs.
+//! waiting and rejection and spreads the retries, and [`StartOrder`] holds
+//! requests back for those of other VMs.
 //!
 //! This handles bursts that exceed the capacity of the engines for seconds, on
 //! VMs whose knowledge of each other is some 100 ms old.
@@ -21,5 +21,5 @@
 
 pub use backlog::{FACT_TTL, FleetBacklog, QueuePlace, RankClass, VmHash, WaitingFact, WaitingSum};
 pub use forecast::{EngineRoom, FORECAST_HORIZON, RoomForecast};
-pub use order::StartOrder;
+pub use order::{StartOrder, StartRequest};
 pub use returns::{RejectCause, ReturnPolicy, RoomDecision, WaitingPrompt};
--- a/crates/dewbacklog/src/returns.rs
+++ b/crates/dewbacklog/src/returns.rs
@@ -210,8 +210,7 @@
         if room_in + before <= latest {
             return (room_in + before).max(earliest);
         }
-        let drain = forecast.drain_time(&rejected);
-        let spread = drain.min(latest / LATE_SPREAD_PART);
+        let spread = latest / LATE_SPREAD_PART;
         (latest - spread.mul_f64(self.position)).max(earliest)
     }
 
