Reject by the queues of all VMs, and tell callers when there is capacity

For services whose engines report their slowness, a request that no engine takes is rejected at once when capacity is forecast after its permitted wait, which is now as long as its first event can be in time. The retry time is the forecast plus a spread.

--- a/crates/dewbacklog/src/forecast.rs
+++ b/crates/dewbacklog/src/forecast.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Returns whether it knows no engine.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
     /// Returns the time until a request can be sent that has others ahead.
     ///
     /// # Examples
--- a/crates/dewbacklog/src/order.rs
+++ b/crates/dewbacklog/src/order.rs
@@ -7,6 +7,10 @@
 //!   prompts would wait at the engines beyond their targets. Each VM therefore uses
 //!   a share of the capacity, in proportion to its part of the waiting requests.
 //!
+//! A caller's retry goes before the new requests of its VM, but uses the same share:
+//! in a play where retries were not held back, they met at the same engines, and
+//! half of them were in time, in place of two thirds.
+//!
 //! Requests for one home are assumed to be the same part of the waiting requests
 //! at all VMs, so that the share also holds for the capacity of a home.
 //!
@@ -44,9 +48,6 @@
     pub class: RankClass,
     /// The home of its prompt, if it has a long shared prefix.
     pub home: Option<u64>,
-    /// Whether it is a caller's retry, which shares only with more urgent
-    /// requests.
-    pub caller_retry: bool,
     /// Time for which it has waited.
     pub waited: Duration,
     /// Time for which it may wait.
@@ -124,10 +125,11 @@
         if urgent.requests > room_now {
             return true;
         }
+        // All requests of the class that wait elsewhere share the capacity.
         let place = QueuePlace {
             class: request.class,
             joined: now,
-            caller_retry: request.caller_retry,
+            caller_retry: false,
         };
         let others = backlog.ahead_of(&place, now).requests;
         let own = own_waiting.max(1) as f64;
--- a/crates/dewbacklog/src/returns.rs
+++ b/crates/dewbacklog/src/returns.rs
@@ -195,14 +195,14 @@
         self.record(prompt.prefill_ms, now);
         let latest = prompt.time_left / HONOURED_PART;
         let earliest = MIN_RETRY_AFTER.min(latest);
-        if prompt.is_hopeless(room_in) {
-            return FACT_RENEWAL.min(latest);
-        }
         let room_in = match cause {
             RejectCause::Forecast => room_in,
             RejectCause::Waited => room_in.max(FACT_RENEWAL),
         };
         self.position = (self.position + POSITION_STEP).fract();
+        if prompt.is_hopeless(room_in) {
+            return FACT_RENEWAL.mul_f64(1.0 + self.position).min(latest);
+        }
         let rejected = self.rejected().scaled(vms as f64);
         // The share of the newest rejections of all VMs, at a random place in it.
         let newest = (1.0 - self.position) / self.recent.len() as f64;
--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -38,5 +38,6 @@
 mod storage;
 pub mod stream;
 pub mod tables;
+pub mod waiting_notices;
 
 pub use serve::{EdgeLoop, EdgeOptions, ServeError, SettingsSource};
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -24,6 +24,7 @@
 use crate::origins::{StreamKey, StreamOrigin};
 use crate::policy::placement::ServerLoad;
 use crate::policy::rate_limit::FleetPlace;
+use crate::waiting_notices::{ReceivedWaiting, WaitingNotice, WaitingReceiver};
 
 /// First bytes of a digest; the last one is the format version.
 const MAGIC: [u8; 4] = *b"DWD2";
@@ -85,6 +86,8 @@
     Reports(Option<ReceivedNotices>),
     /// Servers that have ended; `None` if they can't be read.
     Ended(Option<ReceivedSigns>),
+    /// Requests that wait at another VM; `None` if they can't be read.
+    Waiting(Option<ReceivedWaiting>),
     /// What another VM knows of crashes.
     Crashes(Vec<CrashNotice>),
     /// A question for the origin of a stream.
@@ -113,6 +116,7 @@
     digests: IndexMap<u64, PeerDigest>,
     load_notices: NoticeReceiver,
     ended_notices: EndedReceiver,
+    waiting_notices: WaitingReceiver,
     next_target: usize,
     next_query_target: usize,
 }
@@ -315,6 +319,9 @@
         if let Some(notices) = bytes.strip_prefix(&EndedNotice::MAGIC) {
             return PeerMessage::Ended(self.ended_notices.receive(notices, now));
         }
+        if let Some(notices) = bytes.strip_prefix(&WaitingNotice::MAGIC) {
+            return PeerMessage::Waiting(self.waiting_notices.receive(notices, now));
+        }
         if let Some(notices) = bytes.strip_prefix(&CRASH_MAGIC) {
             return match decode_crash_notices(notices, now) {
                 Some(notices) => PeerMessage::Crashes(notices),
--- a/crates/dewedge/src/policy/mod.rs
+++ b/crates/dewedge/src/policy/mod.rs
@@ -13,6 +13,7 @@
 //! - [`retries`] limits retries.
 //! - [`health`] tracks the health of servers by the results of this VM's
 //!   requests.
+//! - [`room`] forecasts when engines have capacity for a request.
 //! - [`ended_servers`] leaves servers alone that have certainly ended.
 //! - [`rate_limit`] keeps the VMs' requests to a server within its limit.
 //! - [`warmup`] staggers the first use of a started server across the VMs.
@@ -30,4 +31,5 @@
 pub mod rate_limit;
 pub mod reported_placement;
 pub mod retries;
+pub mod room;
 pub mod warmup;
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -28,6 +28,7 @@
 use crate::settings::EdgeSettings;
 use crate::storage::StoreClient;
 
+use super::backlog::WaitingState;
 use super::crashes::CrashWatch;
 use super::duties::DutyState;
 use super::state::{EdgeState, TokenKind, token_kind, token_of};
@@ -189,6 +190,7 @@
             load_reports: ReportTable::default(),
             load_notices: NoticeQueue::default(),
             ended_notices: EndedQueue::default(),
+            waiting: WaitingState::default(),
             ended_reporters: ReporterLimits::default(),
             pending_dispatches: VecDeque::new(),
             finished_callers: VecDeque::new(),
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -34,6 +34,7 @@
 use crate::stream::EventSplitter;
 use crate::tables::{CallerLimits, RouteSpec, RouteTable};
 
+use super::backlog::WaitingState;
 use super::backpressure::SendProgress;
 use super::crashes::CrashWatch;
 use super::duties::DutyState;
@@ -153,6 +154,8 @@
     pub(crate) phase: ExchangePhase,
     /// Whether it is a caller's retry after a refusal.
     pub(crate) caller_retry: bool,
+    /// Whether it was held back for requests of other VMs.
+    pub(crate) was_held: bool,
     /// Attempts so far.
     pub(crate) sends: u32,
     /// Failed connections so far.
@@ -291,6 +294,8 @@
     pub(crate) load_notices: NoticeQueue,
     /// Servers of whose end the other VMs are to be told.
     pub(crate) ended_notices: EndedQueue,
+    /// What waits at all VMs, for services whose engines report their slowness.
+    pub(crate) waiting: WaitingState,
     /// What the other VMs have reported as ended.
     pub(crate) ended_reporters: ReporterLimits,
     /// Services whose queue is dispatched at the end of the iteration.
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -318,6 +318,7 @@
         }
         self.peers.expire_departed(self.now);
         self.ended_reporters.expire(self.now);
+        self.waiting.expire(self.now);
         self.refresh_fleet_places();
         self.refresh_blocks();
         self.test_reach();
@@ -407,6 +408,7 @@
                 PeerMessage::Limits(notices) => self.apply_limit_notices(&notices),
                 PeerMessage::Reports(notices) => self.apply_load_notices(notices),
                 PeerMessage::Ended(received) => self.apply_ended_notices(received, sender),
+                PeerMessage::Waiting(received) => self.apply_waiting_notices(received),
                 PeerMessage::Crashes(notices) => self.apply_crash_notices(notices),
                 PeerMessage::OriginQuery(stream) => self.answer_origin_query(stream, sender),
                 PeerMessage::Digest { is_new, origins } => {
@@ -497,15 +499,20 @@
             .ended_notices
             .next_datagram(self.peers.own_hash(), self.now);
         self.digest_due |= !self.ended_notices.is_empty();
+        let waiting_notices = self.next_waiting_datagram();
         let crash_datagrams = self.next_crash_datagrams();
         self.digest_due |= self.crashes.has_notices();
+        let fact_datagrams = load_notices
+            .iter()
+            .chain(&ended_notices)
+            .chain(&waiting_notices);
         for address in self.peers.next_targets(DIGEST_TARGETS) {
             // The next digest replaces a lost one.
             let _ = self.peer_socket.send_to(&bytes, address);
             if !notices.is_empty() {
                 let _ = self.peer_socket.send_to(&notice_bytes, address);
             }
-            for datagram in load_notices.iter().chain(&ended_notices) {
+            for datagram in fact_datagrams.clone() {
                 let _ = self.peer_socket.send_to(datagram, address);
             }
             for datagram in &crash_datagrams {
