Shorten the tables of the forecast's cases

The cases repeated the fields of each engine, and the plays summed tallies in a function of their own.

--- a/crates/dewbacklog/tests/decisions.rs
+++ b/crates/dewbacklog/tests/decisions.rs
@@ -31,95 +31,52 @@
     }
 }
 
-struct ForecastCase {
-    what: &'static str,
-    engines: Vec<EngineRoom>,
-    ahead: f64,
-    expected_ms: (u64, u64),
-}
+/// Engines and requests ahead, and the least and most ms until there is room.
+struct ForecastCase(&'static str, Vec<EngineRoom>, f64, (u64, u64));
 
 /// Guards against a forecast that ignores a limit of placement, or that sees a
 /// limit where an engine accepts prompts.
 #[test]
 fn the_forecast_follows_the_limits_of_placement() {
-    let full = EngineRoom {
-        requests: 12,
+    let loaded = |backlog_ms, slowness, requests, opens_in_ms| EngineRoom {
+        backlog_ms,
+        slowness,
+        requests,
+        opens_in: ms(opens_in_ms),
         ..engine()
     };
+    let (full, slow) = (loaded(0.0, 1.0, 12, 0), loaded(600.0, 1.5, 0, 0));
+    let two = vec![loaded(800.0, 1.0, 0, 0), loaded(600.0, 1.0, 0, 0)];
+    let case = ForecastCase;
     let cases = [
-        ForecastCase {
-            what: "an engine just below its backlog limit accepts one prompt now",
-            engines: vec![EngineRoom {
-                backlog_ms: 499.0,
-                ..engine()
-            }],
-            ahead: 0.0,
-            expected_ms: (0, 0),
-        },
-        ForecastCase {
-            what: "the first of the engines that drains below its limit",
-            engines: [800.0, 600.0]
-                .map(|backlog_ms| EngineRoom {
-                    backlog_ms,
-                    ..engine()
-                })
-                .into(),
-            ahead: 0.0,
-            expected_ms: (100, 102),
-        },
-        ForecastCase {
-            what: "a slow engine drains its backlog in more time",
-            engines: vec![EngineRoom {
-                backlog_ms: 600.0,
-                slowness: 1.5,
-                ..engine()
-            }],
-            ahead: 0.0,
-            expected_ms: (400, 402),
-        },
-        ForecastCase {
-            what: "an engine with as many requests as it may have waits for the first to end",
-            engines: vec![full],
-            ahead: 0.0,
-            expected_ms: (166, 168),
-        },
-        ForecastCase {
-            what: "ten idle engines accept five prompts of 100 ms each",
-            engines: vec![engine(); 10],
-            ahead: 49.0,
-            expected_ms: (0, 0),
-        },
-        ForecastCase {
-            what: "the next prompt after those waits for one to be read",
-            engines: vec![engine()],
-            ahead: 6.0,
-            expected_ms: (100, 102),
-        },
-        ForecastCase {
-            what: "an engine that has to read the prefix again opens later",
-            engines: vec![EngineRoom {
-                opens_in: ms(150),
-                ..engine()
-            }],
-            ahead: 0.0,
-            expected_ms: (150, 151),
-        },
-        ForecastCase {
-            what: "no engine at all",
-            engines: vec![],
-            ahead: 0.0,
-            expected_ms: (60_000, 60_000),
-        },
+        case(
+            "just below the limit",
+            vec![loaded(499.0, 1.0, 0, 0)],
+            0.0,
+            (0, 0),
+        ),
+        case("the first of two that drains", two, 0.0, (100, 102)),
+        case(
+            "a slow engine drains in more time",
+            vec![slow],
+            0.0,
+            (400, 402),
+        ),
+        case("the first request that ends", vec![full], 0.0, (166, 168)),
+        case("five prompts each", vec![engine(); 10], 49.0, (0, 0)),
+        case("the prompt after those", vec![engine()], 6.0, (100, 102)),
+        case(
+            "to be read again",
+            vec![loaded(0.0, 1.0, 0, 150)],
+            0.0,
+            (150, 151),
+        ),
+        case("no engine", vec![], 0.0, (60_000, 60_000)),
     ];
-    for case in cases {
-        let forecast = RoomForecast::new(case.engines);
-        let room_ms = forecast.when_room(&waiting(case.ahead), 100.0).as_millis() as u64;
-        let (least, most) = case.expected_ms;
-        assert!(
-            (least..=most).contains(&room_ms),
-            "{}: {room_ms}",
-            case.what
-        );
+    for ForecastCase(what, engines, ahead, (least, most)) in cases {
+        let forecast = RoomForecast::new(engines);
+        let room_ms = forecast.when_room(&waiting(ahead), 100.0).as_millis() as u64;
+        assert!((least..=most).contains(&room_ms), "{what}: {room_ms}");
     }
 }
 
--- a/crates/dewedge/tests/backlog_play/fleet.rs
+++ b/crates/dewedge/tests/backlog_play/fleet.rs
@@ -96,22 +96,6 @@
 }
 
 impl Tally {
-    pub fn add(&mut self, other: &Self) {
-        self.callers += other.callers;
-        self.in_time += other.in_time;
-        self.late += other.late;
-        self.failed += other.failed;
-        self.first_rejections += other.first_rejections;
-        self.rejected_after_ms += other.rejected_after_ms;
-        self.final_rejections += other.final_rejections;
-        self.retries_in_time += other.retries_in_time;
-        let most = other.most_retries_per_100_ms;
-        self.most_retries_per_100_ms = self.most_retries_per_100_ms.max(most);
-        let longest = other.longest_retry_share;
-        self.longest_retry_share = self.longest_retry_share.max(longest);
-        self.longest_wait_ms = self.longest_wait_ms.max(other.longest_wait_ms);
-    }
-
     pub fn share_in_time(&self) -> f64 {
         f64::from(self.in_time) / f64::from(self.callers.max(1))
     }
@@ -194,8 +178,8 @@
 }
 
 impl Fleet {
-    /// Plays to the end and returns the tally of each kind.
-    pub fn play(play: Play, rule: Rule, seed: u64) -> Vec<Tally> {
+    /// Plays to the end and adds to the tally of each kind.
+    pub fn play(play: &Play, rule: Rule, seed: u64, tallies: Vec<Tally>) -> Vec<Tally> {
         let speeds = [0.6, 1.0, 1.6];
         let engine = |index: usize| Engine {
             slowness: speeds[index % 3],
@@ -219,8 +203,8 @@
             loads: VecDeque::new(),
             facts: VecDeque::new(),
             returns: Vec::new(),
-            tallies: vec![Tally::default(); play.kinds.len()],
-            play,
+            tallies,
+            play: play.clone(),
         };
         let end = fleet.now + fleet.play.end_ms;
         while fleet.now < end {
--- a/crates/dewedge/tests/backlog_play/main.rs
+++ b/crates/dewedge/tests/backlog_play/main.rs
@@ -73,9 +73,7 @@
 fn play(play: &Play, rule: Rule) -> Vec<Tally> {
     let mut sums = vec![Tally::default(); play.kinds.len()];
     for seed in SEEDS {
-        for (sum, tally) in sums.iter_mut().zip(Fleet::play(play.clone(), rule, seed)) {
-            sum.add(&tally);
-        }
+        sums = Fleet::play(play, rule, seed, sums);
     }
     for (kind, tally) in play.kinds.iter().zip(&sums) {
         println!("{rule:?} {} {}: {tally:?}", kind.workspace, kind.class);
