--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -65,6 +65,7 @@
     pub(crate) room_forecast: Family<ClassLabels, Histogram>,
     pub(crate) held_requests: Family<ServiceLabels, Counter>,
     pub(crate) capacity_rejections: Family<OutcomeLabels, Counter>,
+    pub(crate) prefix_notices: Family<NoticeLabels, Counter>,
     pub(crate) connects: Counter,
     pub(crate) foreign_datagrams: Counter,
     pub(crate) server_crashes: Counter,
@@ -170,6 +171,12 @@
             "Rejections for lack of capacity, by whether they followed a forecast or the wait",
             capacity_rejections.clone(),
         );
+        let prefix_notices = Family::default();
+        registry.register(
+            "prefix_notices",
+            "Shared prefixes that other VMs announced, by what was done with the notices",
+            prefix_notices.clone(),
+        );
         let connects = Counter::default();
         registry.register(
             "server_connects",
@@ -236,6 +243,7 @@
             room_forecast,
             held_requests,
             capacity_rejections,
+            prefix_notices,
             connects,
             foreign_datagrams,
             server_crashes,
@@ -283,6 +291,14 @@
         }
     }
 
+    /// Counts shared prefixes that other VMs announced.
+    pub(crate) fn count_prefix_notices(&self, outcome: &'static str, count: u64) {
+        if count > 0 {
+            let label = NoticeLabels { outcome };
+            self.prefix_notices.get_or_create(&label).inc_by(count);
+        }
+    }
+
     /// Returns all metrics in the text exposition format.
     pub(crate) fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -24,6 +24,7 @@
 use crate::origins::{StreamKey, StreamOrigin};
 use crate::policy::placement::ServerLoad;
 use crate::policy::rate_limit::FleetPlace;
+use crate::prefix_notices::{PrefixNotice, PrefixReceiver, ReceivedPrefixes};
 use crate::waiting_notices::{ReceivedWaiting, WaitingNotice, WaitingReceiver};
 
 /// First bytes of a digest; the last one is the format version.
@@ -88,6 +89,8 @@
     Ended(Option<ReceivedSigns>),
     /// Requests that wait at another VM; `None` if they can't be read.
     Waiting(Option<ReceivedWaiting>),
+    /// Shared prefixes at engines; `None` if they can't be read.
+    Prefixes(Option<ReceivedPrefixes>),
     /// What another VM knows of crashes.
     Crashes(Vec<CrashNotice>),
     /// A question for the origin of a stream.
@@ -117,6 +120,7 @@
     load_notices: NoticeReceiver,
     ended_notices: EndedReceiver,
     waiting_notices: WaitingReceiver,
+    prefix_notices: PrefixReceiver,
     next_target: usize,
     next_query_target: usize,
 }
@@ -322,6 +326,9 @@
         if let Some(notices) = bytes.strip_prefix(&WaitingNotice::MAGIC) {
             return PeerMessage::Waiting(self.waiting_notices.receive(notices, now));
         }
+        if let Some(notices) = bytes.strip_prefix(&PrefixNotice::MAGIC) {
+            return PeerMessage::Prefixes(self.prefix_notices.receive(notices, now));
+        }
         if let Some(notices) = bytes.strip_prefix(&CRASH_MAGIC) {
             return match decode_crash_notices(notices, now) {
                 Some(notices) => PeerMessage::Crashes(notices),
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -275,11 +275,14 @@
             }
             self.load_notices.forget(self.directory.get(index).hash);
             self.ended_notices.forget(self.directory.get(index).hash);
+            let server = self.directory.get(index).hash;
+            self.prefix_notices.retain(|notice| notice.server != server);
         }
         if let DirectoryChange::Started(_) | DirectoryChange::Restarted(_) = change {
             let replica = self.directory.get_mut(index);
             replica.reports.begin(self.now);
             replica.ended.record_started(self.now);
+            replica.cached_parts.begin(self.now);
         }
         self.start_warmup(change);
         let replica = self.directory.get(index);
@@ -319,6 +322,9 @@
         self.peers.expire_departed(self.now);
         self.ended_reporters.expire(self.now);
         self.waiting.expire(self.now);
+        let load_reports = &self.load_reports;
+        self.directory
+            .evict_parts(|service| load_reports.get(service).is_some(), self.now);
         self.refresh_fleet_places();
         self.refresh_blocks();
         self.test_reach();
@@ -409,6 +415,7 @@
                 PeerMessage::Reports(notices) => self.apply_load_notices(notices),
                 PeerMessage::Ended(received) => self.apply_ended_notices(received, sender),
                 PeerMessage::Waiting(received) => self.apply_waiting_notices(received),
+                PeerMessage::Prefixes(received) => self.apply_prefix_notices(received),
                 PeerMessage::Crashes(notices) => self.apply_crash_notices(notices),
                 PeerMessage::OriginQuery(stream) => self.answer_origin_query(stream, sender),
                 PeerMessage::Digest { is_new, origins } => {
@@ -500,11 +507,16 @@
             .next_datagram(self.peers.own_hash(), self.now);
         self.digest_due |= !self.ended_notices.is_empty();
         let waiting_notices = self.next_waiting_datagram();
+        let prefix_notices = self
+            .prefix_notices
+            .next_datagram(self.peers.own_hash(), self.now);
+        self.digest_due |= !self.prefix_notices.is_empty();
         let crash_datagrams = self.next_crash_datagrams();
         self.digest_due |= self.crashes.has_notices();
         let fact_datagrams = load_notices
             .iter()
             .chain(&ended_notices)
+            .chain(&prefix_notices)
             .chain(&waiting_notices);
         for address in self.peers.next_targets(DIGEST_TARGETS) {
             // The next digest replaces a lost one.
