--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -39,6 +39,5 @@
 mod storage;
 pub mod stream;
 pub mod tables;
-pub mod waiting_notices;
 
 pub use serve::{EdgeLoop, EdgeOptions, ServeError, SettingsSource};
--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -39,12 +39,6 @@
     pub(crate) outcome: &'static str,
 }
 
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub(crate) struct ClassLabels {
-    pub(crate) service: String,
-    pub(crate) class: u32,
-}
-
 /// All metrics of a process.
 #[derive(Debug)]
 pub(crate) struct EdgeMetrics {
@@ -61,10 +55,6 @@
     pub(crate) reported_choices: Family<ServiceLabels, Counter>,
     pub(crate) load_notices: Family<NoticeLabels, Counter>,
     pub(crate) ended_notices: Family<NoticeLabels, Counter>,
-    pub(crate) waiting_notices: Family<NoticeLabels, Counter>,
-    pub(crate) room_forecast: Family<ClassLabels, Histogram>,
-    pub(crate) held_requests: Family<ServiceLabels, Counter>,
-    pub(crate) capacity_rejections: Family<OutcomeLabels, Counter>,
     pub(crate) prefix_notices: Family<NoticeLabels, Counter>,
     pub(crate) connects: Counter,
     pub(crate) foreign_datagrams: Counter,
@@ -148,30 +138,6 @@
             "Servers that other VMs reported as ended, by what was done with the notices",
             ended_notices.clone(),
         );
-        let waiting_notices = Family::default();
-        registry.register(
-            "waiting_notices",
-            "Facts about the queues of other VMs, by what was done with them",
-            waiting_notices.clone(),
-        );
-        let room_forecast = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
-        registry.register(
-            "room_forecast_seconds",
-            "Forecast time until a waiting request can be sent",
-            room_forecast.clone(),
-        );
-        let held_requests = Family::default();
-        registry.register(
-            "held_requests",
-            "Requests that were held back for those of other VMs",
-            held_requests.clone(),
-        );
-        let capacity_rejections = Family::default();
-        registry.register(
-            "capacity_rejections",
-            "Rejections for lack of capacity, by whether they followed a forecast or the wait",
-            capacity_rejections.clone(),
-        );
         let prefix_notices = Family::default();
         registry.register(
             "prefix_notices",
@@ -246,10 +212,6 @@
             reported_choices,
             load_notices,
             ended_notices,
-            waiting_notices,
-            room_forecast,
-            held_requests,
-            capacity_rejections,
             prefix_notices,
             connects,
             foreign_datagrams,
@@ -291,14 +253,6 @@
         }
     }
 
-    /// Counts facts about the queues of other VMs.
-    pub(crate) fn count_waiting_notices(&self, outcome: &'static str, count: u64) {
-        if count > 0 {
-            let label = NoticeLabels { outcome };
-            self.waiting_notices.get_or_create(&label).inc_by(count);
-        }
-    }
-
     /// Counts shared prefixes that other VMs announced.
     pub(crate) fn count_prefix_notices(&self, outcome: &'static str, count: u64) {
         if count > 0 {
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -25,7 +25,6 @@
 use crate::policy::placement::ServerLoad;
 use crate::policy::rate_limit::FleetPlace;
 use crate::prefix_notices::{PrefixNotice, PrefixReceiver, ReceivedPrefixes};
-use crate::waiting_notices::{ReceivedWaiting, WaitingNotice, WaitingReceiver};
 
 /// First bytes of a digest; the last one is the format version.
 const MAGIC: [u8; 4] = *b"DWD2";
@@ -87,8 +86,6 @@
     Reports(Option<ReceivedNotices>),
     /// Servers that have ended; `None` if they can't be read.
     Ended(Option<ReceivedSigns>),
-    /// Requests that wait at another VM; `None` if they can't be read.
-    Waiting(Option<ReceivedWaiting>),
     /// Shared prefixes at engines; `None` if they can't be read.
     Prefixes(Option<ReceivedPrefixes>),
     /// What another VM knows of crashes.
@@ -119,7 +116,6 @@
     digests: IndexMap<u64, PeerDigest>,
     load_notices: NoticeReceiver,
     ended_notices: EndedReceiver,
-    waiting_notices: WaitingReceiver,
     prefix_notices: PrefixReceiver,
     next_target: usize,
     next_query_target: usize,
@@ -323,9 +319,6 @@
         if let Some(notices) = bytes.strip_prefix(&EndedNotice::MAGIC) {
             return PeerMessage::Ended(self.ended_notices.receive(notices, now));
         }
-        if let Some(notices) = bytes.strip_prefix(&WaitingNotice::MAGIC) {
-            return PeerMessage::Waiting(self.waiting_notices.receive(notices, now));
-        }
         if let Some(notices) = bytes.strip_prefix(&PrefixNotice::MAGIC) {
             return PeerMessage::Prefixes(self.prefix_notices.receive(notices, now));
         }
--- a/crates/dewedge/src/policy/load_reports.rs
+++ b/crates/dewedge/src/policy/load_reports.rs
@@ -127,11 +127,6 @@
         self.request_ms.record(took.as_secs_f64() * 1000.0);
     }
 
-    /// Returns the mean duration of a request.
-    pub fn request_time(&self) -> Duration {
-        Duration::from_secs_f64(self.request_ms.mean(PRIOR_REQUEST_MS) / 1000.0)
-    }
-
     /// Returns the age at which the counts in a report expire.
     ///
     /// # Examples
--- a/crates/dewedge/src/policy/mod.rs
+++ b/crates/dewedge/src/policy/mod.rs
@@ -14,7 +14,6 @@
 //! - [`retries`] limits retries.
 //! - [`health`] tracks the health of servers by the results of this VM's
 //!   requests.
-//! - [`room`] forecasts when engines have capacity for a request.
 //! - [`ended_servers`] leaves servers alone that have certainly ended.
 //! - [`rate_limit`] keeps the VMs' requests to a server within its limit.
 //! - [`stream_engines`] reserves engines for streams whose events must not be far apart.
@@ -35,7 +34,6 @@
 pub mod rate_limit;
 pub mod reported_placement;
 pub mod retries;
-pub mod room;
 pub mod stream_engines;
 pub mod unread;
 pub mod warmup;
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -103,9 +103,6 @@
                 PlacementChoice::Unavailable if requirements.version.is_some() => {}
                 PlacementChoice::Unavailable => return,
                 PlacementChoice::Busy => busy.push(requirements),
-                PlacementChoice::Chosen { .. } if self.holds_back(exchange_id) => {
-                    busy.push(requirements);
-                }
                 PlacementChoice::Chosen {
                     hash,
                     prefill_ms,
@@ -115,7 +112,6 @@
                         queue.remove(exchange_id);
                     }
                     if let Some(replica) = self.directory.by_hash(hash) {
-                        self.record_start(service, requirements.home);
                         self.send(exchange_id, replica, prefill_ms, cost);
                     }
                 }
@@ -151,34 +147,6 @@
             return PlacementChoice::Unavailable;
         };
         let engine = self.engine_spec(&exchange.service);
-        let views = self.considered_views(exchange, engine.as_ref());
-        let reports = self.load_reports.get(&exchange.service);
-        if engine.is_none() {
-            return match reports {
-                Some(_) => choose_reported_server(&views, random),
-                None => choose_plain_server(&views, random),
-            };
-        }
-        let model = self.models.get(&exchange.service);
-        let query = self.placement_query(exchange);
-        if reports.is_none() {
-            return choose_engine(&query, &views, model);
-        }
-        let streams = exchange.route.kind == RequestKind::Streaming;
-        let query = ReportedQuery {
-            request: query,
-            event_gap_target: streams.then_some(exchange.route.event_gap_target),
-            random,
-        };
-        choose_reported_engine(&query, &views, model)
-    }
-
-    /// Returns the servers that are considered for a request.
-    pub(super) fn considered_views<'a>(
-        &'a self,
-        exchange: &'a Exchange,
-        engine: Option<&'a EngineSpec>,
-    ) -> Vec<ReplicaView<'a>> {
         let members = self.directory.in_service(&exchange.service);
         let use_missing = self.directory.may_use_missing();
         let is_considered = |index: &ReplicaIndex| {
@@ -191,7 +159,7 @@
                 && !replica.ended.is_left_alone(self.now)
         };
         let service = ServiceContext {
-            engine,
+            engine: engine.as_ref(),
             connection_limit: self.connection_limit(&exchange.service),
             staggers_starts: self.directory.has_warm_majority(
                 &exchange.service,
@@ -203,17 +171,19 @@
             }),
             reports: self.load_reports.get(&exchange.service),
         };
-        members
+        let views: Vec<ReplicaView<'_>> = members
             .iter()
             .filter(|index| is_considered(index))
             .map(|index| self.replica_view(*index, exchange, &service))
-            .collect()
-    }
-
-    /// Returns the properties of a request that placement depends on.
-    pub(super) fn placement_query<'a>(&self, exchange: &'a Exchange) -> PlacementQuery<'a> {
+            .collect();
+        if engine.is_none() {
+            return match service.reports {
+                Some(_) => choose_reported_server(&views, random),
+                None => choose_plain_server(&views, random),
+            };
+        }
         let model = self.models.get(&exchange.service);
-        PlacementQuery {
+        let query = PlacementQuery {
             parts: &exchange.metadata.prompt_parts,
             prompt_tokens: exchange.metadata.prompt_tokens,
             output_tokens: exchange.metadata.max_output_tokens,
@@ -222,7 +192,17 @@
             latency_target: exchange.route.latency_target,
             waited: self.now.saturating_sub(exchange.queued),
             now: self.now,
+        };
+        if service.reports.is_none() {
+            return choose_engine(&query, &views, model);
         }
+        let streams = exchange.route.kind == RequestKind::Streaming;
+        let query = ReportedQuery {
+            request: query,
+            event_gap_target: streams.then_some(exchange.route.event_gap_target),
+            random,
+        };
+        choose_reported_engine(&query, &views, model)
     }
 
     /// Returns how many connections this VM may have to a server of a service:
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -14,7 +14,6 @@
 //! - [`backpressure`]: slows servers down whose callers read slowly.
 //! - [`stopping`]: ends callers' connections while the process stops.
 //! - [`admin`]: readiness checks and metrics.
-//! - [`backlog`]: decides by what waits at all VMs.
 //! - [`updates`]: applies updates from the store and load digests of the
 //!   other VMs.
 //!
@@ -26,7 +25,6 @@
 //! connection of its current attempt, and its caller gets one response.
 
 mod admin;
-mod backlog;
 mod backpressure;
 mod callers;
 mod crashes;
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -17,7 +17,6 @@
 use crate::policy::retries::RetryBudget;
 use crate::tables::{RouteSpec, pick_share};
 
-use super::backlog::{JUDGE_INTERVAL, NO_CAPACITY};
 use super::dispatch::server_requirements;
 use super::responses::is_connection_header;
 use super::resumption::VersionBinding;
@@ -51,8 +50,7 @@
 }
 
 /// Reasons of refusals that more servers would have prevented.
-const LACK_OF_SERVERS: [&str; 5] = [
-    NO_CAPACITY,
+const LACK_OF_SERVERS: [&str; 4] = [
     "no_server",
     "no_server_in_time",
     "queue_blocked",
@@ -184,7 +182,6 @@
             let oldest = queue.oldest_blocker(authorized.priority, &requirements);
             (!caller_retry && is_queue_blocked(oldest, wait, now)).then_some(queue.len())
         });
-        let uses_forecast = self.uses_forecast(&service);
         let (ratio, window) = (self.settings.retry_ratio, self.settings.retry_window);
         self.budgets
             .entry(service.clone())
@@ -209,7 +206,6 @@
             wait_until: now + wait,
             phase: ExchangePhase::Waiting,
             caller_retry,
-            was_held: false,
             sends: 0,
             connect_failures: 0,
             tried_replicas: Vec::new(),
@@ -227,12 +223,6 @@
         if let Some(conn) = self.caller_conns.get_mut(caller) {
             conn.phase = CallerPhase::Busy(exchange_id);
         }
-        if uses_forecast {
-            self.permit_wait(exchange_id);
-            self.enqueue_new(exchange_id);
-            self.judge_waiting(exchange_id);
-            return;
-        }
         self.enqueue_new(exchange_id);
         let waits = |exchange: &Exchange| exchange.phase == ExchangePhase::Waiting;
         if let Some(waiting) = blocked
@@ -269,10 +259,7 @@
             cost: u64::from(exchange.metadata.prompt_tokens / TOKENS_PER_COST_UNIT + 1),
             arrived: exchange.queued,
         };
-        let mut due = exchange.wait_until.min(exchange.deadline);
-        if self.uses_forecast(&service) {
-            due = due.min(self.now + JUDGE_INTERVAL);
-        }
+        let due = exchange.wait_until.min(exchange.deadline);
         self.queues
             .entry(service.clone())
             .or_default()
@@ -290,19 +277,11 @@
         };
         let left = exchange.deadline.saturating_sub(now);
         // A blocked request would be rejected again any sooner.
-        let blocked = self.blocked_for(exchange_id);
-        let outlook = match blocked {
-            Some(_) => None,
-            None => self.rejection_outlook(exchange_id, code),
-        };
-        let after = match (blocked, &outlook) {
-            (Some(blocked), _) => blocked,
-            (None, Some(outlook)) => outlook.retry_after,
-            (None, None) => retry_after(left, jitter),
+        let after = match self.blocked_for(exchange_id) {
+            Some(blocked) => blocked,
+            None => retry_after(left, jitter),
         };
-        let exchange = &self.exchanges[exchange_id];
-        let line = self
-            .logs
+        self.logs
             .request("entry", "refused")
             .text("request", &exchange.metadata.attempt)
             .text("route", &exchange.route.name)
@@ -311,13 +290,6 @@
             .number("waiting", waiting as u64)
             .ms("waited_ms", now.saturating_sub(exchange.arrived))
             .ms("retry_after_ms", after);
-        match outlook {
-            Some(outlook) => drop(
-                line.ms("room_in_ms", outlook.room_in)
-                    .number("fleet_waiting", outlook.fleet_waiting),
-            ),
-            None => drop(line),
-        }
         if LACK_OF_SERVERS.contains(&code) {
             let service = self.exchanges[exchange_id].service.clone();
             self.count_unserved(&service);
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -30,7 +30,6 @@
 use crate::settings::EdgeSettings;
 use crate::storage::StoreClient;
 
-use super::backlog::WaitingState;
 use super::crashes::CrashWatch;
 use super::duties::DutyState;
 use super::state::{EdgeState, TokenKind, token_kind, token_of};
@@ -192,7 +191,6 @@
             load_reports: ReportTable::default(),
             load_notices: NoticeQueue::default(),
             ended_notices: EndedQueue::default(),
-            waiting: WaitingState::default(),
             prefix_notices: PrefixQueue::default(),
             ended_reporters: ReporterLimits::default(),
             pending_dispatches: VecDeque::new(),
--- a/crates/dewedge/src/serve/silence.rs
+++ b/crates/dewedge/src/serve/silence.rs
@@ -68,7 +68,7 @@
         if matches!(exchange.binding, VersionBinding::Awaited { .. }) {
             self.resolve_binding(exchange_id);
         } else if exchange.phase == ExchangePhase::Waiting {
-            self.on_waiting_timer(exchange_id);
+            self.expire(exchange_id);
         } else if last <= now {
             self.exchanges[exchange_id].may_have_run = true;
             self.fail_request(exchange_id, "timeout");
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -36,7 +36,6 @@
 use crate::stream::EventSplitter;
 use crate::tables::{CallerLimits, RouteSpec, RouteTable};
 
-use super::backlog::WaitingState;
 use super::backpressure::SendProgress;
 use super::crashes::CrashWatch;
 use super::duties::DutyState;
@@ -156,8 +155,6 @@
     pub(crate) phase: ExchangePhase,
     /// Whether it is a caller's retry after a refusal.
     pub(crate) caller_retry: bool,
-    /// Whether it was held back for requests of other VMs.
-    pub(crate) was_held: bool,
     /// Attempts so far.
     pub(crate) sends: u32,
     /// Failed connections so far.
@@ -296,8 +293,6 @@
     pub(crate) load_notices: NoticeQueue,
     /// Servers of whose end the other VMs are to be told.
     pub(crate) ended_notices: EndedQueue,
-    /// What waits at all VMs, for services whose engines report their slowness.
-    pub(crate) waiting: WaitingState,
     /// Prefixes at engines that the other VMs are to be told.
     pub(crate) prefix_notices: PrefixQueue,
     /// What the other VMs have reported as ended.
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -322,7 +322,6 @@
         }
         self.peers.expire_departed(self.now);
         self.ended_reporters.expire(self.now);
-        self.waiting.expire(self.now);
         let load_reports = &self.load_reports;
         self.directory
             .evict_parts(|service| load_reports.get(service).is_some(), self.now);
@@ -415,7 +414,6 @@
                 PeerMessage::Limits(notices) => self.apply_limit_notices(&notices),
                 PeerMessage::Reports(notices) => self.apply_load_notices(notices),
                 PeerMessage::Ended(received) => self.apply_ended_notices(received, sender),
-                PeerMessage::Waiting(received) => self.apply_waiting_notices(received),
                 PeerMessage::Prefixes(received) => self.apply_prefix_notices(received),
                 PeerMessage::Crashes(notices) => self.apply_crash_notices(notices),
                 PeerMessage::OriginQuery(stream) => self.answer_origin_query(stream, sender),
@@ -507,25 +505,20 @@
             .ended_notices
             .next_datagram(self.peers.own_hash(), self.now);
         self.digest_due |= !self.ended_notices.is_empty();
-        let waiting_notices = self.next_waiting_datagram();
         let prefix_notices = self
             .prefix_notices
             .next_datagram(self.peers.own_hash(), self.now);
         self.digest_due |= !self.prefix_notices.is_empty();
         let crash_datagrams = self.next_crash_datagrams();
         self.digest_due |= self.crashes.has_notices();
-        let fact_datagrams = load_notices
-            .iter()
-            .chain(&ended_notices)
-            .chain(&prefix_notices)
-            .chain(&waiting_notices);
         for address in self.peers.next_targets(DIGEST_TARGETS) {
             // The next digest replaces a lost one.
             let _ = self.peer_socket.send_to(&bytes, address);
             if !notices.is_empty() {
                 let _ = self.peer_socket.send_to(&notice_bytes, address);
             }
-            for datagram in fact_datagrams.clone() {
+            let datagrams = load_notices.iter().chain(&ended_notices);
+            for datagram in datagrams.chain(&prefix_notices) {
                 let _ = self.peer_socket.send_to(datagram, address);
             }
             for datagram in &crash_datagrams {
