Split connections and announcements off two long files

Change: opening and keeping connections to servers, and what responses announce about their servers, have files of their own; nothing else changes.

--- /dev/null
+++ b/crates/dewedge/src/serve/connections.rs
@@ -0,0 +1,106 @@
+//! Opens connections to servers, and takes kept ones that can still carry a
+//! request.
+//!
+//! The main invariant: a request never goes to a kept connection that its server
+//! has closed, or on which it has sent something since its last response.
+
+use std::io;
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::directory::ReplicaIndex;
+use crate::format::PlatformFormat;
+use crate::net::TcpChannel;
+
+use super::crashes::ServerTest;
+use super::state::{EdgeState, ServerConn, ServerConnId, TokenKind, token_of};
+use super::timers::LazyTimer;
+
+/// Timeout of a new connection to a server; a round trip takes a few ms.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Share of a connection's idle timeout after which only retryable requests are
+/// sent on it; the server may close it before it has received the request.
+const NON_RETRYABLE_IDLE_SHARE: f64 = 0.5;
+
+impl<F: PlatformFormat> EdgeState<F> {
+    /// Takes a reusable idle connection to a server.
+    ///
+    /// A connection that the server has ended, or on which it has sent something
+    /// since its last response, is closed.
+    pub(super) fn take_idle_conn(
+        &mut self,
+        replica: ReplicaIndex,
+        retryable: bool,
+    ) -> Option<ServerConnId> {
+        let now = self.now;
+        while let Some(conn_id) = self.directory.get_mut(replica).idle_conns.pop() {
+            let Some(conn) = self.server_conns.get(conn_id) else {
+                continue;
+            };
+            let idle = conn.idle_until.saturating_sub(conn.idle_since);
+            let limit = match retryable {
+                true => conn.idle_until,
+                false => conn.idle_since + idle.mul_f64(NON_RETRYABLE_IDLE_SHARE),
+            };
+            if !conn.channel.is_quiet() {
+                self.close_server_conn(conn_id);
+                continue;
+            }
+            if limit > now {
+                self.server_conns[conn_id].reused = true;
+                return Some(conn_id);
+            }
+            if conn.idle_until <= now {
+                self.close_server_conn(conn_id);
+            } else {
+                // It can still carry retryable requests.
+                self.directory.get_mut(replica).idle_conns.push(conn_id);
+                return None;
+            }
+        }
+        None
+    }
+
+    /// Opens a connection to a server that only tests whether it runs.
+    pub(crate) fn open_test_connection(&mut self, replica: ReplicaIndex) {
+        match self.connect(replica) {
+            Ok(conn_id) => {
+                self.server_conns[conn_id].is_test = true;
+                self.arm_server(conn_id, self.now + CONNECT_TIMEOUT);
+            }
+            Err(error) => self.end_server_test(replica, ServerTest::of_error(&error)),
+        }
+    }
+
+    /// Opens a connection to a server.
+    pub(crate) fn connect(&mut self, replica: ReplicaIndex) -> io::Result<ServerConnId> {
+        let address = self.directory.get(replica).entry.address;
+        let mut channel =
+            TcpChannel::connect_server(address).inspect_err(|_| self.connect_failed = true)?;
+        let entry = self.server_conns.vacant_entry();
+        let conn_id = entry.key();
+        let token = token_of(TokenKind::Server, conn_id);
+        channel.register(&self.registry, token)?;
+        entry.insert(ServerConn {
+            channel,
+            replica,
+            connected: false,
+            reused: false,
+            is_test: false,
+            exchange_id: None,
+            head: None,
+            decoder: None,
+            body: Vec::new(),
+            is_stream: false,
+            interim_responses: 0,
+            opened: self.now,
+            idle_until: Moment::ZERO,
+            idle_since: Moment::ZERO,
+            timer: LazyTimer::default(),
+        });
+        self.metrics.connects.inc();
+        self.directory.get_mut(replica).open_connections += 1;
+        Ok(conn_id)
+    }
+}
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -1,13 +1,11 @@
 //! Sends waiting requests to servers.
 
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use crate::clock::Moment;
 use crate::directory::ReplicaIndex;
 use crate::format::{ForwardMetadata, PlatformFormat, RequestMetadata};
-use crate::net::TcpChannel;
 use crate::policy::ended_servers::EndedKind;
 use crate::policy::engine_model::EngineModel;
 use crate::policy::load_reports::{ReportAge, ServiceReports};
@@ -22,16 +20,11 @@
 use crate::policy::retries::vm_slack;
 use crate::tables::{EngineSpec, RequestKind, RouteSpec};
 
+use super::announcements::limit_text;
+use super::connections::CONNECT_TIMEOUT;
 use super::crashes::ServerTest;
 use super::resumption::VersionBinding;
-use super::servers::limit_text;
-use super::state::{
-    EdgeState, Exchange, ExchangePhase, SentLoad, ServerConn, ServerConnId, TokenKind, token_of,
-};
-use super::timers::LazyTimer;
-
-/// Timeout of a new connection to a server; a round trip takes a few ms.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+use super::state::{EdgeState, Exchange, ExchangePhase, SentLoad, ServerConnId};
 
 /// Share of a server's connections that the known VMs use, so that some are
 /// left for VMs that join.
@@ -43,10 +36,6 @@
 /// Remaining time below which a request isn't sent.
 pub(crate) const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
-/// Share of a connection's idle timeout after which only retryable requests are
-/// sent on it; the server may close it before it has received the request.
-const NON_RETRYABLE_IDLE_SHARE: f64 = 0.5;
-
 /// Number of distinct requirements without a free server after which the rest
 /// of a queue is skipped; each costs a scan of all servers of the service.
 const MAX_BUSY_REQUIREMENTS: usize = 12;
@@ -532,82 +521,6 @@
         bytes.extend_from_slice(b"\r\n");
         bytes
     }
-
-    /// Takes a reusable idle connection to a server.
-    ///
-    /// A connection that the server has ended, or on which it has sent something
-    /// since its last response, is closed.
-    fn take_idle_conn(&mut self, replica: ReplicaIndex, retryable: bool) -> Option<ServerConnId> {
-        let now = self.now;
-        while let Some(conn_id) = self.directory.get_mut(replica).idle_conns.pop() {
-            let Some(conn) = self.server_conns.get(conn_id) else {
-                continue;
-            };
-            let idle = conn.idle_until.saturating_sub(conn.idle_since);
-            let limit = match retryable {
-                true => conn.idle_until,
-                false => conn.idle_since + idle.mul_f64(NON_RETRYABLE_IDLE_SHARE),
-            };
-            if !conn.channel.is_quiet() {
-                self.close_server_conn(conn_id);
-                continue;
-            }
-            if limit > now {
-                self.server_conns[conn_id].reused = true;
-                return Some(conn_id);
-            }
-            if conn.idle_until <= now {
-                self.close_server_conn(conn_id);
-            } else {
-                // It can still carry retryable requests.
-                self.directory.get_mut(replica).idle_conns.push(conn_id);
-                return None;
-            }
-        }
-        None
-    }
-
-    /// Opens a connection to a server that only tests whether it runs.
-    pub(crate) fn open_test_connection(&mut self, replica: ReplicaIndex) {
-        match self.connect(replica) {
-            Ok(conn_id) => {
-                self.server_conns[conn_id].is_test = true;
-                self.arm_server(conn_id, self.now + CONNECT_TIMEOUT);
-            }
-            Err(error) => self.end_server_test(replica, ServerTest::of_error(&error)),
-        }
-    }
-
-    /// Opens a connection to a server.
-    pub(crate) fn connect(&mut self, replica: ReplicaIndex) -> io::Result<ServerConnId> {
-        let address = self.directory.get(replica).entry.address;
-        let mut channel =
-            TcpChannel::connect_server(address).inspect_err(|_| self.connect_failed = true)?;
-        let entry = self.server_conns.vacant_entry();
-        let conn_id = entry.key();
-        let token = token_of(TokenKind::Server, conn_id);
-        channel.register(&self.registry, token)?;
-        entry.insert(ServerConn {
-            channel,
-            replica,
-            connected: false,
-            reused: false,
-            is_test: false,
-            exchange_id: None,
-            head: None,
-            decoder: None,
-            body: Vec::new(),
-            is_stream: false,
-            interim_responses: 0,
-            opened: self.now,
-            idle_until: Moment::ZERO,
-            idle_since: Moment::ZERO,
-            timer: LazyTimer::default(),
-        });
-        self.metrics.connects.inc();
-        self.directory.get_mut(replica).open_connections += 1;
-        Ok(conn_id)
-    }
 }
 
 /// Returns what a request requires of its server.
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -3,9 +3,12 @@
 //! - [`callers`]: connections from callers, parsed into requests.
 //! - [`requests`]: authorizes requests, and queues or refuses them.
 //! - [`dispatch`]: sends waiting requests to servers.
+//! - [`connections`]: opens connections to servers, or takes kept ones.
 //! - [`prefixes`]: shared prefixes, which the VMs announce to each other.
 //! - [`servers`]: connections to servers, parsed into attempt outcomes.
+//! - [`announcements`]: what responses say of their servers.
 //! - [`crashes`]: servers that crash, and requests that crash them.
+//! - [`lifts`]: blocks of such requests that operators have lifted.
 //! - [`duties`]: what one VM at a time does for the fleet.
 //! - [`outcomes`]: retries or completes a request after an attempt.
 //! - [`resumption`]: binds streams to the software version that began them.
@@ -25,8 +28,10 @@
 //! connection of its current attempt, and its caller gets one response.
 
 mod admin;
+mod announcements;
 mod backpressure;
 mod callers;
+mod connections;
 mod crashes;
 mod dispatch;
 mod duties;
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -13,7 +13,7 @@
 use crate::storage::{StoreEvent, WATCH_CALL};
 use crate::tables::RouteTable;
 
-use super::dispatch::CONNECT_TIMEOUT;
+use super::connections::CONNECT_TIMEOUT;
 use super::state::EdgeState;
 use super::timers::TimerKey;
 
