Log and count how the version of a resumed stream was found

Cause: `placement sent` names the version at which a stream goes on, but not whether the VM knew the stream, got it from another VM, or inferred it from its list of servers. The hypotheses on the joined streams can't be told apart by it. Change: a log line `resumption resolved` and the metric `dewspring_resumptions_total` for each stream that is taken up: known, answered, sole_version or unknown, with the VMs asked and the wait. No logic is changed.

--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -45,6 +45,7 @@
     registry: Registry,
     pub(crate) requests: Family<OutcomeLabels, Counter>,
     pub(crate) attempts: Family<OutcomeLabels, Counter>,
+    pub(crate) resumptions: Family<OutcomeLabels, Counter>,
     pub(crate) first_byte: Family<ServiceLabels, Histogram>,
     pub(crate) queue_wait: Family<ServiceLabels, Histogram>,
     pub(crate) store_calls: Family<StoreCallLabels, Counter>,
@@ -82,6 +83,12 @@
             "Sends to servers by their outcome",
             attempts.clone(),
         );
+        let resumptions = Family::default();
+        registry.register(
+            "resumptions",
+            "Streams that callers took up, by how their software version was found",
+            resumptions.clone(),
+        );
         let first_byte = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
         registry.register(
             "first_byte_seconds",
@@ -202,6 +209,7 @@
             registry,
             requests,
             attempts,
+            resumptions,
             first_byte,
             queue_wait,
             store_calls,
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -233,6 +233,11 @@
         targets
     }
 
+    /// Returns how many VMs a question reaches that goes to at most `most`.
+    pub(crate) fn query_size(&self, most: usize) -> usize {
+        self.addresses.len().min(most)
+    }
+
     fn targets_from(&self, start: usize, most: usize) -> Vec<SocketAddr> {
         let count = self.addresses.len();
         (0..count.min(most))
--- a/crates/dewedge/src/serve/resumption.rs
+++ b/crates/dewedge/src/serve/resumption.rs
@@ -11,6 +11,7 @@
 
 use crate::directory::ReplicaIndex;
 use crate::format::PlatformFormat;
+use crate::metrics::OutcomeLabels;
 use crate::origins::{StreamKey, StreamOrigin, VersionId, stream_key};
 use crate::tables::RequestKind;
 
@@ -56,6 +57,31 @@
     }
 }
 
+/// How the version of a stream that its caller takes up was found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum OriginSource {
+    /// This VM knew the stream when the request arrived.
+    Known,
+    /// It became known while the other VMs were asked.
+    Answered,
+    /// The service has had only one version of late.
+    SoleVersion,
+    /// No VM knows it, and several versions may have begun it.
+    Unknown,
+}
+
+impl OriginSource {
+    /// Returns its name in log lines and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Known => "known",
+            Self::Answered => "answered",
+            Self::SoleVersion => "sole_version",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 impl<F: PlatformFormat> EdgeState<F> {
     /// Queues a new request; one that takes a stream up is bound first.
     pub(crate) fn enqueue_new(&mut self, exchange_id: usize) {
@@ -78,7 +104,14 @@
         }
         let stream = resumed_stream(exchange);
         match stream.and_then(|stream| self.origins.version_of(stream)) {
-            Some(version) => self.queue_bound(exchange_id, version),
+            Some(version) => {
+                let source = match is_asked {
+                    true => OriginSource::Answered,
+                    false => OriginSource::Known,
+                };
+                self.record_resumption(exchange_id, source);
+                self.queue_bound(exchange_id, version);
+            }
             None if !is_asked && stream.is_some_and(|stream| self.ask_origin(stream)) => {
                 self.await_binding(exchange_id, true);
             }
@@ -140,18 +173,42 @@
     /// Queues a request whose stream no VM knows, if only one version can have
     /// begun it, or refuses it.
     fn queue_unknown(&mut self, exchange_id: usize) {
-        let ttl = self.origin_ttl();
-        let exchange = &mut self.exchanges[exchange_id];
-        let recent = self.now.saturating_sub(ttl);
-        match self.directory.sole_version(&exchange.service, recent) {
+        let recent = self.now.saturating_sub(self.origin_ttl());
+        let service = &self.exchanges[exchange_id].service;
+        match self.directory.sole_version(service, recent) {
             Some(version) => {
-                exchange.binding = VersionBinding::Bound(version);
+                self.record_resumption(exchange_id, OriginSource::SoleVersion);
+                self.exchanges[exchange_id].binding = VersionBinding::Bound(version);
                 self.enqueue(exchange_id);
             }
-            None => self.refuse(exchange_id, "version_unknown", 0),
+            None => {
+                self.record_resumption(exchange_id, OriginSource::Unknown);
+                self.refuse(exchange_id, "version_unknown", 0);
+            }
         }
     }
 
+    /// Logs and counts how the version of a stream was found.
+    fn record_resumption(&mut self, exchange_id: usize, source: OriginSource) {
+        let exchange = &self.exchanges[exchange_id];
+        let resumed = exchange.metadata.resumed_attempt.as_deref();
+        let asked = match exchange.binding {
+            VersionBinding::Awaited { is_asked: true } => self.peers.query_size(QUERY_TARGETS),
+            _ => 0,
+        };
+        self.logs
+            .request("resumption", "resolved")
+            .text("request", &exchange.metadata.attempt)
+            .text("resumes", resumed.unwrap_or(""))
+            .text("origin", source.name())
+            .number("asked_vms", asked as u64)
+            .ms("waited_ms", self.now.saturating_sub(exchange.arrived));
+        let service = exchange.service.clone();
+        let outcome = source.name();
+        let label = OutcomeLabels { service, outcome };
+        self.metrics.resumptions.get_or_create(&label).inc();
+    }
+
     /// Binds a stream by its first event, and records its origin if its caller
     /// may resume it.
     pub(crate) fn bind_stream(&mut self, exchange_id: usize) {
