Keep versions and origins of streams in the store, so that they outlive all VMs

What callers saw: streams joined from two software versions, or refused though servers of their version were there, after all VMs were killed around a release. Cause: which version began a stream was kept in the memory of VMs alone. VMs that had just started took the only version they listed for it, or refused.

Change: the VMs record in the store which versions a service has. A record is removed by a VM that hasn't listed the version for as long as its streams can be taken up, by its own clock, so a version counts until then even if all VMs are lost. While a service has several versions, one VM, the recorder, writes the origins of the streams of all VMs in batches of 100 ms, attached to a lease; a batch without an acknowledgement goes to the next VM. A VM that starts reads both with its lists. In calm times nothing is written.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -322,15 +322,20 @@
             .any(|index| self.replicas[index].is_listed() && self.version_of(index) == version)
     }
 
+    /// Returns the versions of the servers that a service has had since `since`.
+    pub fn versions_since(&self, service: &str, since: Moment) -> impl Iterator<Item = VersionId> {
+        let members = self.in_service(service).iter().copied();
+        members
+            .filter(move |index| {
+                !self.replicas[*index].gone || self.replicas[*index].gone_at >= since
+            })
+            .map(|index| self.version_of(index))
+    }
+
     /// Returns the version of all servers that a service has had since `since`,
     /// if it is the same.
     pub fn sole_version(&self, service: &str, since: Moment) -> Option<VersionId> {
-        let members = self.in_service(service).iter().copied();
-        let mut recent = members
-            .filter(|index| !self.replicas[*index].gone || self.replicas[*index].gone_at >= since)
-            .map(|index| self.version_of(index));
-        let first = recent.next()?;
-        recent.all(|version| version == first).then_some(first)
+        sole(self.versions_since(service, since))
     }
 
     /// Returns the state of a server.
@@ -437,6 +442,12 @@
     }
 }
 
+/// Returns the element that all others equal, if there is one.
+pub(crate) fn sole<T: PartialEq>(mut items: impl Iterator<Item = T>) -> Option<T> {
+    let first = items.next()?;
+    items.all(|item| item == first).then_some(first)
+}
+
 /// Returns a hash that is the same on all VMs.
 pub fn stable_hash(bytes: &[u8]) -> u64 {
     use std::hash::Hasher;
--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -12,7 +12,9 @@
 use thiserror::Error;
 
 use crate::http::HeaderFields;
+use crate::origins::StreamOrigin;
 use crate::tables::TableSet;
+use crate::versions::{ServiceVersion, ServiceVersionHash};
 
 /// Id that a caller assigns to one of its attempts.
 pub type AttemptId = String;
@@ -181,6 +183,10 @@
     DutyToken(DutySubject),
     /// The last usage report that was written.
     UsageReport,
+    /// A version that a service has had of late, by its hash.
+    ServiceVersion(ServiceVersionHash),
+    /// Streams and the versions at which they began.
+    StreamOrigins,
     /// Anything else.
     Other,
 }
@@ -257,6 +263,34 @@
     },
     /// A call about duties.
     Duty(DutyCall),
+    /// A call about software versions and the streams that they began.
+    Version(VersionCall),
+}
+
+/// A call to the store about the software versions of services and the streams
+/// that they began. It is made once; the caller decides what follows a failure.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum VersionCall {
+    /// Writes that a service has a version.
+    Write(ServiceVersion),
+    /// Removes the record of a version, if it has this revision.
+    Remove {
+        /// The version.
+        version: ServiceVersion,
+        /// Revision of its record.
+        revision: u64,
+    },
+    /// Opens a lease with this TTL for the origins of streams.
+    OpenLease(Duration),
+    /// Writes origins of streams, attached to a lease.
+    WriteOrigins {
+        /// The lease.
+        lease: u64,
+        /// Number of the write, unique for its lease.
+        number: u64,
+        /// The origins.
+        origins: Vec<StreamOrigin>,
+    },
 }
 
 /// A call to the store about duties that one VM performs at a time. It is made
@@ -484,6 +518,13 @@
     /// Returns an error if the record is malformed.
     fn read_usage_report(value: &[u8]) -> Result<WrittenReport, FormatError>;
 
+    /// Parses the record of a version that a service has had.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the record is malformed.
+    fn read_service_version(value: &[u8]) -> Result<ServiceVersion, FormatError>;
+
     /// Encodes a call to the platform's API by the holder of a duty.
     fn write_api_call(call: &ApiCall, vm: &str, token: FencingToken) -> EncodedCall;
 
--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -29,6 +29,7 @@
 mod logs;
 mod metrics;
 mod net;
+pub mod origin_log;
 pub mod origins;
 mod peers;
 pub mod policy;
@@ -39,5 +40,6 @@
 mod storage;
 pub mod stream;
 pub mod tables;
+pub mod versions;
 
 pub use serve::{EdgeLoop, EdgeOptions, ServeError, SettingsSource};
--- a/crates/dewedge/src/origins.rs
+++ b/crates/dewedge/src/origins.rs
@@ -44,6 +44,44 @@
     pub version: VersionId,
 }
 
+/// Length of an encoded origin: stream, version.
+pub(crate) const ORIGIN_BYTES: usize = 12;
+
+/// Encodes origins for datagrams and for the store.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::origins::{StreamOrigin, decode_origins, encode_origins};
+///
+/// let origins = [StreamOrigin { stream: 7, version: 1 }];
+/// assert_eq!(decode_origins(&encode_origins(&origins)).unwrap(), origins);
+/// ```
+pub fn encode_origins(origins: &[StreamOrigin]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(origins.len() * ORIGIN_BYTES);
+    for origin in origins {
+        bytes.extend_from_slice(&origin.stream.to_be_bytes());
+        bytes.extend_from_slice(&origin.version.to_be_bytes());
+    }
+    bytes
+}
+
+/// Decodes origins; `None` if the bytes aren't whole origins.
+pub fn decode_origins(bytes: &[u8]) -> Option<Vec<StreamOrigin>> {
+    if !bytes.len().is_multiple_of(ORIGIN_BYTES) {
+        return None;
+    }
+    bytes
+        .chunks_exact(ORIGIN_BYTES)
+        .map(|entry| {
+            Some(StreamOrigin {
+                stream: u64::from_be_bytes(entry[..8].try_into().ok()?),
+                version: u32::from_be_bytes(entry[8..].try_into().ok()?),
+            })
+        })
+        .collect()
+}
+
 /// An origin to announce to the other VMs.
 #[derive(Clone, Copy, Debug)]
 struct Announcement {
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -21,7 +21,8 @@
 use crate::fact_notices::NoticeFact;
 use crate::limit_notices::{LIMIT_MAGIC, LimitNotice, decode_notices};
 use crate::load_notices::{LoadNotice, NoticeReceiver, ReceivedNotices};
-use crate::origins::{StreamKey, StreamOrigin};
+use crate::origin_log::BatchNumber;
+use crate::origins::{ORIGIN_BYTES, StreamKey, StreamOrigin, decode_origins, encode_origins};
 use crate::policy::placement::ServerLoad;
 use crate::policy::rate_limit::FleetPlace;
 use crate::prefix_notices::{PrefixNotice, PrefixReceiver, ReceivedPrefixes};
@@ -38,6 +39,12 @@
 /// First bytes of the answer to such a question.
 const ORIGIN_MAGIC: [u8; 4] = *b"DWO1";
 
+/// First bytes of origins that the receiver is to write to the store.
+const RECORD_MAGIC: [u8; 4] = *b"DWR1";
+
+/// First bytes of the acknowledgement that the store has accepted them.
+const RECORDED_MAGIC: [u8; 4] = *b"DWA1";
+
 /// Length of the header: magic, sender, time.
 const HEAD_BYTES: usize = 20;
 
@@ -45,9 +52,6 @@
 /// streams.
 const ENTRY_BYTES: usize = 18;
 
-/// Length of an origin: stream, version.
-const ORIGIN_BYTES: usize = 12;
-
 /// Length of the number of entries before the origins.
 const COUNT_BYTES: usize = 2;
 
@@ -92,6 +96,15 @@
     Crashes(Vec<CrashNotice>),
     /// A question for the origin of a stream.
     OriginQuery(StreamKey),
+    /// Origins that this VM is to write to the store.
+    OriginBatch {
+        /// Number of the batch at its sender.
+        number: BatchNumber,
+        /// The origins.
+        origins: Vec<StreamOrigin>,
+    },
+    /// The store has accepted the batch of this VM with this number.
+    OriginsRecorded(BatchNumber),
 }
 
 /// Last digest of another VM.
@@ -238,6 +251,18 @@
         self.addresses.len().min(most)
     }
 
+    /// Returns the VM at a place in the order in which the VMs record origins;
+    /// `None` is this VM.
+    pub(crate) fn recorder_at(&self, place: usize) -> Option<SocketAddr> {
+        let others = self.addresses.iter();
+        let mut order: Vec<_> = others
+            .map(|(vm, address)| (stable_hash(vm.as_bytes()), Some(*address)))
+            .chain([(self.own_hash, None)])
+            .collect();
+        order.sort_unstable_by_key(|(hash, _)| *hash);
+        order[place % order.len()].1
+    }
+
     fn targets_from(&self, start: usize, most: usize) -> Vec<SocketAddr> {
         let count = self.addresses.len();
         (0..count.min(most))
@@ -255,9 +280,18 @@
 
     /// Encodes the origin of a stream.
     pub(crate) fn encode_origin(&self, origin: StreamOrigin) -> Vec<u8> {
-        let mut bytes = ORIGIN_MAGIC.to_vec();
-        push_origin(&mut bytes, origin);
-        bytes
+        [&ORIGIN_MAGIC[..], &encode_origins(&[origin])].concat()
+    }
+
+    /// Encodes origins that the receiver is to write to the store.
+    pub(crate) fn encode_batch(&self, number: BatchNumber, origins: &[StreamOrigin]) -> Vec<u8> {
+        let head = [RECORD_MAGIC, number.to_be_bytes()].concat();
+        [head, encode_origins(origins)].concat()
+    }
+
+    /// Encodes the acknowledgement of a batch.
+    pub(crate) fn encode_recorded(&self, number: BatchNumber) -> Vec<u8> {
+        [RECORDED_MAGIC, number.to_be_bytes()].concat()
     }
 
     /// Encodes the digest of this VM's load and the origins of new streams.
@@ -289,9 +323,7 @@
                 &saturating_u16(f64::from(load.gap_sensitive_streams)).to_be_bytes(),
             );
         }
-        for origin in origins {
-            push_origin(&mut bytes, *origin);
-        }
+        bytes.extend(encode_origins(origins));
         bytes
     }
 
@@ -312,6 +344,15 @@
                 None => PeerMessage::Invalid,
             };
         }
+        if let Some(batch) = bytes.strip_prefix(&RECORD_MAGIC) {
+            return decode_batch(batch).unwrap_or(PeerMessage::Invalid);
+        }
+        if let Some(number) = bytes.strip_prefix(&RECORDED_MAGIC) {
+            return match number.try_into() {
+                Ok(number) => PeerMessage::OriginsRecorded(u32::from_be_bytes(number)),
+                Err(_) => PeerMessage::Invalid,
+            };
+        }
         if let Some(notices) = bytes.strip_prefix(&LIMIT_MAGIC) {
             return match decode_notices(notices, now) {
                 Some(notices) => PeerMessage::Limits(notices),
@@ -382,9 +423,12 @@
     value.clamp(0.0, f64::from(u16::MAX)) as u16
 }
 
-fn push_origin(bytes: &mut Vec<u8>, origin: StreamOrigin) {
-    bytes.extend_from_slice(&origin.stream.to_be_bytes());
-    bytes.extend_from_slice(&origin.version.to_be_bytes());
+fn decode_batch(bytes: &[u8]) -> Option<PeerMessage> {
+    let (number, origins) = bytes.split_first_chunk()?;
+    Some(PeerMessage::OriginBatch {
+        number: u32::from_be_bytes(*number),
+        origins: decode_origins(origins)?,
+    })
 }
 
 fn decode(bytes: &[u8], now: Moment) -> Option<(u64, PeerDigest, Vec<StreamOrigin>)> {
@@ -417,21 +461,6 @@
     Some((sender, digest, origins))
 }
 
-fn decode_origins(bytes: &[u8]) -> Option<Vec<StreamOrigin>> {
-    if !bytes.len().is_multiple_of(ORIGIN_BYTES) {
-        return None;
-    }
-    bytes
-        .chunks_exact(ORIGIN_BYTES)
-        .map(|entry| {
-            Some(StreamOrigin {
-                stream: u64::from_be_bytes(entry[..8].try_into().ok()?),
-                version: u32::from_be_bytes(entry[8..].try_into().ok()?),
-            })
-        })
-        .collect()
-}
-
 fn decode_entry(entry: &[u8]) -> Option<(u64, ServerLoad)> {
     let hash = u64::from_be_bytes(entry[..8].try_into().ok()?);
     let number = |at: usize| u16::from_be_bytes([entry[at], entry[at + 1]]);
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -12,6 +12,7 @@
 //! - [`duties`]: what one VM at a time does for the fleet.
 //! - [`outcomes`]: retries or completes a request after an attempt.
 //! - [`resumption`]: binds streams to the software version that began them.
+//! - [`recording`]: records versions and origins of streams in the store.
 //! - [`silence`]: servers that fall silent while they run a request.
 //! - [`responses`]: writes responses to callers.
 //! - [`backpressure`]: slows servers down whose callers read slowly.
@@ -39,6 +40,7 @@
 mod lifts;
 mod outcomes;
 mod prefixes;
+mod recording;
 mod requests;
 mod responses;
 mod resumption;
--- a/crates/dewedge/src/serve/resumption.rs
+++ b/crates/dewedge/src/serve/resumption.rs
@@ -2,14 +2,14 @@
 //!
 //! A stream is bound by its first event, or by the origin of the stream that its
 //! caller takes up. If this VM doesn't know that origin, it asks the other VMs
-//! before it chooses a server.
+//! before it chooses a server; see also [`super::recording`].
 //!
 //! The main invariant: a bound stream gets events only from servers of its
 //! version.
 
 use std::time::Duration;
 
-use crate::directory::ReplicaIndex;
+use crate::directory::{ReplicaIndex, sole};
 use crate::format::PlatformFormat;
 use crate::metrics::OutcomeLabels;
 use crate::origins::{StreamKey, StreamOrigin, VersionId, stream_key};
@@ -173,9 +173,9 @@
     /// Queues a request whose stream no VM knows, if only one version can have
     /// begun it, or refuses it.
     fn queue_unknown(&mut self, exchange_id: usize) {
-        let recent = self.now.saturating_sub(self.origin_ttl());
         let service = &self.exchanges[exchange_id].service;
-        match self.directory.sole_version(service, recent) {
+        let sole_version = sole(self.recent_versions(service));
+        match sole_version {
             Some(version) => {
                 self.record_resumption(exchange_id, OriginSource::SoleVersion);
                 self.exchanges[exchange_id].binding = VersionBinding::Bound(version);
@@ -225,6 +225,8 @@
             let origin = StreamOrigin { stream, version };
             self.origins.record(origin, rounds, now);
             self.digest_due = true;
+            let service = exchange.service.clone();
+            self.record_origin(&service, origin);
         }
     }
 
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -29,9 +29,11 @@
 use crate::prefix_notices::PrefixQueue;
 use crate::settings::EdgeSettings;
 use crate::storage::StoreClient;
+use crate::versions::VersionTable;
 
 use super::crashes::CrashWatch;
 use super::duties::DutyState;
+use super::recording::RecordingState;
 use super::state::{EdgeState, TokenKind, token_kind, token_of};
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
 use super::updates::HOUSEKEEPING_INTERVAL;
@@ -172,6 +174,8 @@
             peer_socket,
             origins: OriginTable::default(),
             awaiting_origin: Vec::new(),
+            versions: VersionTable::default(),
+            recording: RecordingState::default(),
             crashes: CrashWatch::default(),
             duties: DutyState::new(&settings, fixed(API_TOKEN)).map(Box::new),
             digest_due: false,
@@ -353,6 +357,11 @@
                         state.run_duties();
                     }
                 }
+                TimerKey::Recording => {
+                    if state.recording.timer.fire(now, key, &mut state.timers) {
+                        state.run_recording();
+                    }
+                }
                 TimerKey::Digest => {
                     if state.digest_timer.fire(now, key, &mut state.timers) {
                         state.send_digest();
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -35,10 +35,12 @@
 use crate::storage::StoreClient;
 use crate::stream::EventSplitter;
 use crate::tables::{CallerLimits, RouteSpec, RouteTable};
+use crate::versions::VersionTable;
 
 use super::backpressure::SendProgress;
 use super::crashes::CrashWatch;
 use super::duties::DutyState;
+use super::recording::RecordingState;
 use super::resumption::VersionBinding;
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
 
@@ -269,6 +271,8 @@
     pub(crate) origins: OriginTable,
     /// Requests for whose streams the other VMs are asked.
     pub(crate) awaiting_origin: Vec<ExchangeId>,
+    pub(crate) versions: VersionTable,
+    pub(crate) recording: RecordingState,
     pub(crate) crashes: CrashWatch,
     /// The duties of the fleet, if the settings name any.
     pub(crate) duties: Option<Box<DutyState<F>>>,
--- a/crates/dewedge/src/serve/timers.rs
+++ b/crates/dewedge/src/serve/timers.rs
@@ -19,6 +19,7 @@
     Duties,
     CrashTest,
     Digest,
+    Recording,
     Housekeeping,
 }
 
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -85,6 +85,9 @@
                     era,
                     sent_revision,
                 } => self.on_duty_ended(call, sent, response, era, sent_revision),
+                StoreEvent::VersionEnded { call, response } => {
+                    self.on_version_call_ended(call, response);
+                }
                 StoreEvent::EraChanged { era } => self.begin_store_era(era),
                 StoreEvent::Confirmed { revision, sent } => {
                     let tables_current = self
@@ -110,6 +113,7 @@
         self.logs.system("store", "new_era").number("era", era);
         self.directory.forget_revisions();
         self.forget_stored_blocks();
+        self.versions.forget_records();
         if let Some(table) = &mut self.table {
             Arc::make_mut(table).revision = UNKNOWN_REVISION;
         }
@@ -187,6 +191,9 @@
             RecordKey::DutyHolder(_) | RecordKey::DutyToken(_) | RecordKey::UsageReport => {
                 self.on_duty_record(record, as_of);
             }
+            RecordKey::ServiceVersion(_) | RecordKey::StreamOrigins => {
+                self.apply_version_record(&record);
+            }
             RecordKey::Other => {}
         }
     }
@@ -280,6 +287,7 @@
             self.prefix_notices.retain(|notice| notice.server != server);
         }
         if let DirectoryChange::Started(_) | DirectoryChange::Restarted(_) = change {
+            self.observe_version(index);
             let replica = self.directory.get_mut(index);
             replica.reports.begin(self.now);
             replica.ended.record_started(self.now);
@@ -331,6 +339,7 @@
         self.log_isolation();
         let ttl = self.origin_ttl();
         self.origins.expire(ttl, self.now);
+        self.maintain_versions();
         // Ejections end and digests expire without an event.
         self.peer_load_stale = true;
         let waiting: Vec<String> = self
@@ -417,6 +426,12 @@
                 PeerMessage::Prefixes(received) => self.apply_prefix_notices(received),
                 PeerMessage::Crashes(notices) => self.apply_crash_notices(notices),
                 PeerMessage::OriginQuery(stream) => self.answer_origin_query(stream, sender),
+                PeerMessage::OriginBatch { number, origins } => {
+                    self.record_for(sender, number, &origins);
+                }
+                PeerMessage::OriginsRecorded(number) => {
+                    self.recording.outbox.acknowledge(number);
+                }
                 PeerMessage::Digest { is_new, origins } => {
                     self.peer_load_stale |= is_new;
                     for origin in origins {
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -29,7 +29,8 @@
 use crate::call_connection::{CallConnection, CallOutcome, ConnectionKind, MIN_RETRY_DELAY};
 use crate::clock::Moment;
 use crate::format::{
-    DutyCall, PlatformFormat, RecordKey, ReplicaId, StoreCall, StoreEra, StoreRecord, StoreResponse,
+    DutyCall, PlatformFormat, RecordKey, ReplicaId, StoreCall, StoreEra, StoreRecord,
+    StoreResponse, VersionCall,
 };
 use crate::settings::EdgeSettings;
 use intervals::CallIntervals;
@@ -91,6 +92,11 @@
         /// Revision of the store that was known when the call was sent.
         sent_revision: u64,
     },
+    /// A call about versions ended; without a response, it may still take effect.
+    VersionEnded {
+        call: VersionCall,
+        response: Option<StoreResponse>,
+    },
     /// A call ended.
     CallEnded {
         call: &'static str,
@@ -111,6 +117,8 @@
     queue: VecDeque<StoreCall>,
     /// Calls about duties, each with the time after which it isn't sent any more.
     duty_queue: VecDeque<(DutyCall, Moment)>,
+    /// Calls about versions and origins of streams.
+    version_queue: VecDeque<VersionCall>,
     era: Option<StoreEra>,
     /// Latest revision of the store that a response has shown in this era.
     known_revision: u64,
@@ -152,6 +160,7 @@
             watch_connection: CallConnection::new(ConnectionKind::Store, tokens.1),
             queue: VecDeque::new(),
             duty_queue: VecDeque::new(),
+            version_queue: VecDeque::new(),
             era: None,
             known_revision: 0,
             sent_revision: 0,
@@ -225,6 +234,11 @@
         self.duty_queue.push_back((call, latest));
     }
 
+    /// Makes a call about versions once.
+    pub(crate) fn call_version(&mut self, call: VersionCall) {
+        self.version_queue.push_back(call);
+    }
+
     /// Reads everything again once the lists in progress are complete, for a consumer
     /// that has just begun.
     pub(crate) fn request_reload(&mut self) {
@@ -249,7 +263,10 @@
             }
             self.fail_duty(StoreCall::Duty(call), now);
         }
-        self.queue.pop_front()
+        match self.version_queue.pop_front() {
+            Some(call) => Some(StoreCall::Version(call)),
+            None => self.queue.pop_front(),
+        }
     }
 
     /// Handles an I/O event on one of the two connections.
@@ -315,7 +332,9 @@
         // A connection without a call to make needs no timer: a VM without load would
         // wake up all the time.
         if calls.pending.is_none() {
-            let has_calls = !self.queue.is_empty() || !self.duty_queue.is_empty();
+            let has_calls = !self.queue.is_empty()
+                || !self.duty_queue.is_empty()
+                || !self.version_queue.is_empty();
             dues.extend(has_calls.then_some(calls.retry_at));
             let confirm_at = self.tables_revision.map(|_| self.confirm_at);
             dues.extend(confirm_at.map(|confirm_at| confirm_at.max(calls.retry_at)));
@@ -383,6 +402,7 @@
                 if self.begins_era(F::store_era(&head.fields)) {
                     // Revisions of the earlier era mean nothing in this response.
                     self.record_call(&call, "new_era", sent, now);
+                    self.fail_version(call.clone());
                     self.fail_duty(call, sent);
                     self.begin_era(now);
                     return;
@@ -446,10 +466,14 @@
         for (call, _) in std::mem::take(&mut self.duty_queue) {
             self.fail_duty(StoreCall::Duty(call), now);
         }
+        for call in std::mem::take(&mut self.version_queue) {
+            self.fail_version(StoreCall::Version(call));
+        }
         self.rewrite_own_entry(now);
         self.restart_watch(now);
         // A call that was sent in the earlier era confirms nothing.
         if let CallOutcome::Failed(call, sent, _) = self.call_connection.fail("new_era") {
+            self.fail_version(call.clone());
             self.fail_duty(call, sent);
         }
         self.reload();
@@ -468,6 +492,15 @@
         }
     }
 
+    /// Reports that a call about versions got no response.
+    fn fail_version(&mut self, call: StoreCall) {
+        if let StoreCall::Version(call) = call {
+            let response = None;
+            self.events
+                .push(StoreEvent::VersionEnded { call, response });
+        }
+    }
+
     fn record_call(&mut self, call: &StoreCall, outcome: &'static str, sent: Moment, now: Moment) {
         self.events.push(StoreEvent::CallEnded {
             call: call_name(call),
@@ -505,6 +538,7 @@
             | StoreCall::RemoveBlock(_)
             | StoreCall::RemoveLift { .. } => {}
             call @ StoreCall::Duty(_) => self.fail_duty(call, sent),
+            call @ StoreCall::Version(_) => self.fail_version(call),
             call => self.queue.push_front(call),
         }
     }
@@ -555,6 +589,11 @@
                 era: self.era,
                 sent_revision: self.sent_revision,
             }),
+            (StoreCall::Version(call), response) => {
+                let response = Some(response);
+                self.events
+                    .push(StoreEvent::VersionEnded { call, response });
+            }
             (StoreCall::ReadTables, StoreResponse::Record(Some(record), as_of)) => {
                 self.list_revision = as_of;
                 let revision = record.revision;
@@ -721,6 +760,10 @@
         StoreCall::RemoveBlock(_) => "remove_block",
         StoreCall::LiftBlock { .. } => "lift_block",
         StoreCall::RemoveLift { .. } => "remove_lift",
+        StoreCall::Version(VersionCall::Write(_)) => "write_version",
+        StoreCall::Version(VersionCall::Remove { .. }) => "remove_version",
+        StoreCall::Version(VersionCall::OpenLease(_)) => "open_origin_lease",
+        StoreCall::Version(VersionCall::WriteOrigins { .. }) => "write_origins",
         StoreCall::Duty(DutyCall::OpenLease(_)) => "open_duty_lease",
         StoreCall::Duty(DutyCall::RenewLease(_)) => "renew_duty_lease",
         StoreCall::Duty(DutyCall::EndLease(_)) => "end_duty_lease",
--- a/crates/dewedge/src/tables.rs
+++ b/crates/dewedge/src/tables.rs
@@ -172,6 +172,9 @@
     keys: IndexMap<String, KeyOwner>,
     needs_key: bool,
     workspaces: IndexSet<String>,
+    /// Services with streams that callers may take up.
+    resumable_services: IndexSet<String>,
+    longest_stream_timeout: Option<Duration>,
 }
 
 impl RouteTable {
@@ -194,7 +197,14 @@
     /// ```
     pub fn index(set: TableSet, revision: u64) -> Self {
         let mut hosts: IndexMap<String, IndexMap<String, Arc<RouteSpec>>> = IndexMap::new();
+        let mut resumable_services = IndexSet::new();
+        let mut longest_stream_timeout = None;
         for route in set.routes {
+            if route.kind == RequestKind::Streaming {
+                longest_stream_timeout = longest_stream_timeout.max(Some(route.timeout));
+                let resumable = route.shares.iter().filter(|_| route.resumable);
+                resumable_services.extend(resumable.map(|share| share.service.clone()));
+            }
             let prefixes = hosts.entry(route.host.clone()).or_default();
             prefixes.insert(route.prefix.clone(), Arc::new(route));
         }
@@ -227,6 +237,8 @@
             keys,
             needs_key,
             workspaces,
+            resumable_services,
+            longest_stream_timeout,
         }
     }
 
@@ -291,11 +303,12 @@
 
     /// Returns the longest timeout of a streaming route.
     pub fn longest_stream_timeout(&self) -> Option<Duration> {
-        let routes = self.hosts.values().flat_map(IndexMap::values);
-        routes
-            .filter(|route| route.kind == RequestKind::Streaming)
-            .map(|route| route.timeout)
-            .max()
+        self.longest_stream_timeout
+    }
+
+    /// Returns whether callers may take up streams of a service.
+    pub fn has_resumable_streams(&self, service: &str) -> bool {
+        self.resumable_services.contains(service)
     }
 
     /// Returns the number of routes.
--- /dev/null
+++ b/crates/dewedge/tests/versions.rs
@@ -0,0 +1,107 @@
+//! Recorded versions of services: what a VM writes, keeps and removes.
+
+use std::time::Duration;
+
+use dewedge::origins::version_id;
+use dewedge::versions::{ServiceVersion, VersionChange, VersionTable};
+
+const TTL: Duration = Duration::from_secs(30);
+
+fn names(version: &str) -> ServiceVersion {
+    ServiceVersion {
+        service: "draft".to_string(),
+        version: version.to_string(),
+    }
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Returns the next change of a VM, if `rank` others change records before it.
+fn next_change(table: &mut VersionTable, rank: u32, now: Duration) -> Option<VersionChange> {
+    table.next_change(|_| rank, TTL, now)
+}
+
+#[test]
+fn a_listed_version_without_a_record_is_written_by_one_vm_after_the_other() {
+    for (rank, wait_ms) in [(0, 0), (3, 900)] {
+        let mut table = VersionTable::default();
+        table.observe([names("v1")], seconds(1));
+        let first = next_change(&mut table, rank, seconds(1));
+        let due = seconds(1) + Duration::from_millis(wait_ms);
+        let change = first.or_else(|| next_change(&mut table, rank, due));
+        assert_eq!(change, Some(VersionChange::Write(names("v1"))), "{rank}");
+        table.record(names("v1"), 7, due);
+        assert_eq!(next_change(&mut table, rank, due + seconds(5)), None);
+    }
+}
+
+#[test]
+fn a_write_that_the_store_has_not_accepted_is_repeated() {
+    let mut table = VersionTable::default();
+    table.observe([names("v1")], seconds(1));
+    for now in [1, 2, 3] {
+        let change = next_change(&mut table, 0, seconds(now));
+        assert_eq!(change, Some(VersionChange::Write(names("v1"))), "{now} s");
+    }
+}
+
+/// How a recorded version is listed by a VM.
+struct RemovalCase {
+    name: &'static str,
+    /// When the VM reads the record.
+    read: u64,
+    /// When it lists a server of the version, if it does.
+    listed: Option<u64>,
+    /// When the record may be removed at the earliest.
+    removable: u64,
+}
+
+#[test]
+fn a_record_outlives_the_streams_of_its_version() {
+    let cases = [
+        RemovalCase {
+            name: "never listed by this VM, which has just started",
+            read: 100,
+            listed: None,
+            removable: 130,
+        },
+        RemovalCase {
+            name: "listed for a while",
+            read: 100,
+            listed: Some(120),
+            removable: 150,
+        },
+    ];
+    for case in cases {
+        let mut table = VersionTable::default();
+        table.record(names("v1"), 7, seconds(case.read));
+        if let Some(listed) = case.listed {
+            table.observe([names("v1")], seconds(listed));
+            table.observe([], seconds(listed));
+        }
+        let early = next_change(&mut table, 0, seconds(case.removable));
+        assert_eq!(early, None, "{}", case.name);
+        let recorded: Vec<_> = table.recorded("draft").collect();
+        assert_eq!(recorded, [version_id("v1")], "{}", case.name);
+        let late = next_change(&mut table, 0, seconds(case.removable + 1));
+        let removal = VersionChange::Remove {
+            version: names("v1"),
+            revision: 7,
+        };
+        assert_eq!(late, Some(removal), "{}", case.name);
+    }
+}
+
+#[test]
+fn records_are_written_again_after_the_store_has_lost_them() {
+    let mut table = VersionTable::default();
+    table.observe([names("v1")], seconds(1));
+    table.record(names("v1"), 7, seconds(1));
+    table.record(names("v0"), 5, seconds(1));
+    table.forget_records();
+    let change = next_change(&mut table, 0, seconds(2));
+    assert_eq!(change, Some(VersionChange::Write(names("v1"))));
+    assert_eq!(next_change(&mut table, 0, seconds(2)), None);
+}
