Infer the version of a stream only from a current view of the store

What callers saw: a stream that a killed VM had begun at a new version went on at the old one, at a VM that hadn't read the entry of the new version yet; on large fleets, streams were refused although some VMs knew them. Cause: the sole version of a service was inferred from what the VM had read, which may be 0.9 s old, and of many VMs only 96 were asked.

Change: before it infers or refuses, a VM reads the store's revision, fetches the changes up to it without the usual delay between two watches, and asks all VMs, 96 at a time, the recorder first. One such read serves all requests that wait. Without the store's answer within 1.5 s nothing is inferred.

--- a/crates/dewedge/src/call_connection.rs
+++ b/crates/dewedge/src/call_connection.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Ends the wait for the next call, unless it follows a failure.
+    pub(crate) fn hasten(&mut self, now: Moment) {
+        if self.failures == 0 {
+            self.retry_at = self.retry_at.min(now);
+        }
+    }
+
     pub(crate) fn is_free(&self, now: Moment) -> bool {
         self.pending.is_none() && self.retry_at <= now
     }
--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -271,6 +271,8 @@
 /// that they began. It is made once; the caller decides what follows a failure.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum VersionCall {
+    /// Lists the recorded versions of services.
+    List,
     /// Writes that a service has a version.
     Write(ServiceVersion),
     /// Removes the record of a version, if it has this revision.
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -239,10 +239,13 @@
         self.addresses.len().div_ceil(most)
     }
 
-    /// Returns the addresses that receive the next question, at most `most`.
+    /// Returns the addresses that receive the next question, at most `most`, the
+    /// first recorder of origins among them.
     pub(crate) fn query_targets(&mut self, most: usize) -> Vec<SocketAddr> {
-        let targets = self.targets_from(self.next_query_target, most);
+        let mut targets = self.targets_from(self.next_query_target, most);
         self.next_query_target = self.next_query_target.wrapping_add(targets.len());
+        let recorder = self.recorder_at(0);
+        targets.extend(recorder.filter(|address| !targets.contains(address)));
         targets
     }
 
--- a/crates/dewedge/src/serve/recording.rs
+++ b/crates/dewedge/src/serve/recording.rs
@@ -305,8 +305,8 @@
                 VersionCall::Remove { version, .. },
                 Some(StoreResponse::Committed(_) | StoreResponse::Conflict(_)),
             ) => self.versions.forget(version.hash()),
-            // The change becomes due again.
-            (VersionCall::Write(_) | VersionCall::Remove { .. }, _) => {}
+            // The change becomes due again, and a view is requested again.
+            (VersionCall::Write(_) | VersionCall::Remove { .. } | VersionCall::List, _) => {}
         }
         self.arm_recording();
     }
--- a/crates/dewedge/src/serve/resumption.rs
+++ b/crates/dewedge/src/serve/resumption.rs
@@ -1,14 +1,17 @@
 //! Binds streams to the software version that began them.
 //!
 //! A stream is bound by its first event, or by the origin of the stream that its
-//! caller takes up. If this VM doesn't know that origin, it asks the other VMs
-//! before it chooses a server; see also [`super::recording`].
+//! caller takes up. If this VM doesn't know that origin, it asks the other VMs,
+//! and reads what the store has of it; see [`super::recording`]. Only if neither
+//! knows it, and the service has had one version of late, that version is the
+//! origin.
 //!
 //! The main invariant: a bound stream gets events only from servers of its
 //! version.
 
 use std::time::Duration;
 
+use crate::clock::Moment;
 use crate::directory::{ReplicaIndex, sole};
 use crate::format::PlatformFormat;
 use crate::metrics::OutcomeLabels;
@@ -16,16 +19,28 @@
 use crate::tables::RequestKind;
 
 use super::state::{EdgeState, Exchange};
+use super::timers::TimerKey;
 use super::updates::DIGEST_TARGETS;
 
 /// Time for which the other VMs' answers about a stream are awaited; a round
 /// trip takes a few ms.
 const ORIGIN_WAIT: Duration = Duration::from_millis(100);
 
-/// VMs that are asked for a stream. The one that began it may not have announced
-/// it to the others yet, so most fleets are asked as a whole.
+/// VMs that are asked for a stream at once. The one that began it may not have
+/// announced it to the others yet, so the whole fleet is asked in turn.
 const QUERY_TARGETS: usize = 96;
 
+/// Maximum number of times that VMs are asked for a stream.
+const MAX_QUERIES: usize = 4;
+
+/// Time for which the store's view is awaited before a stream counts as unknown.
+const VIEW_WAIT: Duration = Duration::from_millis(1500);
+
+/// Shortest interval between two requests for the store's view by one VM, for
+/// each VM of the fleet; a fleet of 200 takes a quarter of the calls that the
+/// store answers.
+const VIEW_INTERVAL_PER_VM: Duration = Duration::from_millis(2);
+
 /// Multiple of the longest timeout of a streaming route for which the origin of
 /// a stream is kept. Its caller may resume it until its own deadline.
 const ORIGIN_TTL_FACTOR: u32 = 2;
@@ -41,10 +56,18 @@
     /// Only this one.
     Bound(VersionId),
     /// The version isn't known yet.
-    Awaited {
-        /// Whether the other VMs have been asked for it.
-        is_asked: bool,
-    },
+    Awaited(OriginSearch),
+}
+
+/// The search for the origin of a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct OriginSearch {
+    /// When it began.
+    begun: Moment,
+    /// How many times other VMs were asked.
+    queries: usize,
+    /// When the answers of those that were asked last are no longer awaited.
+    answer_due: Moment,
 }
 
 impl VersionBinding {
@@ -52,7 +75,7 @@
     pub(crate) fn version(self) -> Option<VersionId> {
         match self {
             Self::Bound(version) => Some(version),
-            Self::Unbound | Self::Awaited { .. } => None,
+            Self::Unbound | Self::Awaited(_) => None,
         }
     }
 }
@@ -62,11 +85,12 @@
 enum OriginSource {
     /// This VM knew the stream when the request arrived.
     Known,
-    /// It became known while the other VMs were asked.
-    Answered,
+    /// Another VM or the store has told it.
+    Found,
     /// The service has had only one version of late.
     SoleVersion,
-    /// No VM knows it, and several versions may have begun it.
+    /// Neither the VMs nor the store know it, and several versions may have begun
+    /// it.
     Unknown,
 }
 
@@ -75,7 +99,7 @@
     fn name(self) -> &'static str {
         match self {
             Self::Known => "known",
-            Self::Answered => "answered",
+            Self::Found => "found",
             Self::SoleVersion => "sole_version",
             Self::Unknown => "unknown",
         }
@@ -92,65 +116,107 @@
         }
     }
 
-    /// Binds and queues a request that takes a stream up, or asks the other VMs
-    /// for the stream.
+    /// Binds and queues a request that takes a stream up, or searches for the
+    /// origin of the stream.
     pub(crate) fn resolve_binding(&mut self, exchange_id: usize) {
         let exchange = &self.exchanges[exchange_id];
-        let is_asked = exchange.binding == VersionBinding::Awaited { is_asked: true };
-        if !self.store.is_loaded() && self.now < exchange.wait_until {
+        let mut search = match exchange.binding {
+            VersionBinding::Awaited(search) => search,
+            VersionBinding::Unbound | VersionBinding::Bound(_) => OriginSearch {
+                begun: self.now,
+                queries: 0,
+                answer_due: self.now,
+            },
+        };
+        let wait_until = exchange.wait_until;
+        if !self.store.is_loaded() && self.now < wait_until {
             // A VM that has just started knows neither all servers nor all VMs.
-            self.await_binding(exchange_id, is_asked);
+            self.await_binding(exchange_id, search);
             return;
         }
-        let stream = resumed_stream(exchange);
-        match stream.and_then(|stream| self.origins.version_of(stream)) {
-            Some(version) => {
-                let source = match is_asked {
-                    true => OriginSource::Answered,
-                    false => OriginSource::Known,
-                };
-                self.record_resumption(exchange_id, source);
-                self.queue_bound(exchange_id, version);
-            }
-            None if !is_asked && stream.is_some_and(|stream| self.ask_origin(stream)) => {
-                self.await_binding(exchange_id, true);
-            }
-            None => self.queue_unknown(exchange_id),
+        let Some(stream) = resumed_stream(exchange) else {
+            self.queue_unknown(exchange_id, true);
+            return;
+        };
+        if let Some(version) = self.origins.version_of(stream) {
+            let source = match search.queries {
+                0 => OriginSource::Known,
+                _ => OriginSource::Found,
+            };
+            self.record_resumption(exchange_id, source);
+            self.queue_bound(exchange_id, version);
+            return;
+        }
+        if search.answer_due <= self.now && search.queries < self.query_count() {
+            self.ask_origin(stream);
+            search.queries += 1;
+            search.answer_due = self.now + ORIGIN_WAIT;
         }
+        let is_asked = search.queries >= self.query_count() && search.answer_due <= self.now;
+        let is_confirmed = self.store.is_view_confirmed(search.begun);
+        if !is_confirmed {
+            self.request_view();
+        }
+        let is_over = self.now >= wait_until.min(search.begun + VIEW_WAIT);
+        if is_asked && (is_confirmed || is_over) {
+            self.queue_unknown(exchange_id, is_confirmed);
+        } else {
+            self.await_binding(exchange_id, search);
+        }
+    }
+
+    /// Returns how many times VMs are asked for a stream, so that all of them are.
+    fn query_count(&self) -> usize {
+        self.peers.rounds(QUERY_TARGETS).min(MAX_QUERIES)
     }
 
-    /// Asks the other VMs for the origin of a stream; returns whether there are
-    /// any.
-    fn ask_origin(&mut self, stream: StreamKey) -> bool {
+    /// Asks other VMs for the origin of a stream.
+    fn ask_origin(&mut self, stream: StreamKey) {
         let query = self.peers.encode_query(stream);
-        let targets = self.peers.query_targets(QUERY_TARGETS);
-        for address in &targets {
+        for address in &self.peers.query_targets(QUERY_TARGETS) {
             // Any of the other VMs can answer.
             let _ = self.peer_socket.send_to(&query, *address);
         }
-        !targets.is_empty()
     }
 
-    fn await_binding(&mut self, exchange_id: usize, is_asked: bool) {
-        self.exchanges[exchange_id].binding = VersionBinding::Awaited { is_asked };
+    /// Requests the store's view, unless that was done just now.
+    fn request_view(&mut self) {
+        let interval = VIEW_INTERVAL_PER_VM * u32::try_from(self.peers.vm_count()).unwrap_or(1);
+        if self.view_requested + interval <= self.now {
+            self.view_requested = self.now;
+            self.store.request_view();
+            self.store_timer
+                .set(self.now, TimerKey::Store, &mut self.timers);
+        }
+    }
+
+    fn await_binding(&mut self, exchange_id: usize, search: OriginSearch) {
+        self.exchanges[exchange_id].binding = VersionBinding::Awaited(search);
         if !self.awaiting_origin.contains(&exchange_id) {
             self.awaiting_origin.push(exchange_id);
         }
-        self.arm_exchange(exchange_id, self.now + ORIGIN_WAIT);
+        let due = match search.answer_due > self.now {
+            true => search.answer_due,
+            false => self.now + ORIGIN_WAIT,
+        };
+        self.arm_exchange(exchange_id, due);
     }
 
-    /// Queues the requests whose streams have become known.
+    /// Resolves the requests whose streams have become known, or of which no more
+    /// will become known.
     pub(crate) fn bind_awaiting(&mut self) {
         for exchange_id in std::mem::take(&mut self.awaiting_origin) {
-            let awaiting = self
-                .exchanges
-                .get(exchange_id)
-                .filter(|exchange| matches!(exchange.binding, VersionBinding::Awaited { .. }));
-            let Some(exchange) = awaiting else {
+            let Some(exchange) = self.exchanges.get(exchange_id) else {
+                continue;
+            };
+            let VersionBinding::Awaited(search) = exchange.binding else {
                 continue;
             };
             let stream = resumed_stream(exchange);
-            if stream.is_some_and(|stream| self.origins.version_of(stream).is_some()) {
+            let is_known = stream.is_some_and(|stream| self.origins.version_of(stream).is_some());
+            let is_over =
+                search.answer_due <= self.now && self.store.is_view_confirmed(search.begun);
+            if is_known || is_over {
                 self.resolve_binding(exchange_id);
             } else {
                 self.awaiting_origin.push(exchange_id);
@@ -170,12 +236,13 @@
         }
     }
 
-    /// Queues a request whose stream no VM knows, if only one version can have
-    /// begun it, or refuses it.
-    fn queue_unknown(&mut self, exchange_id: usize) {
+    /// Queues a request whose stream is unknown, if only one version can have
+    /// begun it, or refuses it. Without the store's view, another version may have
+    /// been listed that this VM hasn't read yet.
+    fn queue_unknown(&mut self, exchange_id: usize, is_view_confirmed: bool) {
         let service = &self.exchanges[exchange_id].service;
         let sole_version = sole(self.recent_versions(service));
-        match sole_version {
+        match sole_version.filter(|_| is_view_confirmed) {
             Some(version) => {
                 self.record_resumption(exchange_id, OriginSource::SoleVersion);
                 self.exchanges[exchange_id].binding = VersionBinding::Bound(version);
@@ -192,10 +259,11 @@
     fn record_resumption(&mut self, exchange_id: usize, source: OriginSource) {
         let exchange = &self.exchanges[exchange_id];
         let resumed = exchange.metadata.resumed_attempt.as_deref();
-        let asked = match exchange.binding {
-            VersionBinding::Awaited { is_asked: true } => self.peers.query_size(QUERY_TARGETS),
-            _ => 0,
+        let queries = match exchange.binding {
+            VersionBinding::Awaited(search) => search.queries,
+            VersionBinding::Unbound | VersionBinding::Bound(_) => 0,
         };
+        let asked = self.peers.query_size(queries * QUERY_TARGETS);
         self.logs
             .request("resumption", "resolved")
             .text("request", &exchange.metadata.attempt)
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -174,6 +174,7 @@
             peer_socket,
             origins: OriginTable::default(),
             awaiting_origin: Vec::new(),
+            view_requested: Moment::ZERO,
             versions: VersionTable::default(),
             recording: RecordingState::default(),
             crashes: CrashWatch::default(),
--- a/crates/dewedge/src/serve/silence.rs
+++ b/crates/dewedge/src/serve/silence.rs
@@ -65,7 +65,7 @@
             return;
         };
         let last = exchange.deadline + RESPONSE_GRACE;
-        if matches!(exchange.binding, VersionBinding::Awaited { .. }) {
+        if matches!(exchange.binding, VersionBinding::Awaited(_)) {
             self.resolve_binding(exchange_id);
         } else if exchange.phase == ExchangePhase::Waiting {
             self.expire(exchange_id);
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -271,6 +271,8 @@
     pub(crate) origins: OriginTable,
     /// Requests for whose streams the other VMs are asked.
     pub(crate) awaiting_origin: Vec<ExchangeId>,
+    /// When the store was last asked for its revision because of such requests.
+    pub(crate) view_requested: Moment,
     pub(crate) versions: VersionTable,
     pub(crate) recording: RecordingState,
     pub(crate) crashes: CrashWatch,
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -97,6 +97,8 @@
         call: VersionCall,
         response: Option<StoreResponse>,
     },
+    /// All changes are known that the store had when the view was requested.
+    ViewConfirmed,
     /// A call ended.
     CallEnded {
         call: &'static str,
@@ -119,6 +121,7 @@
     duty_queue: VecDeque<(DutyCall, Moment)>,
     /// Calls about versions and origins of streams.
     version_queue: VecDeque<VersionCall>,
+    view: ViewConfirmation,
     era: Option<StoreEra>,
     /// Latest revision of the store that a response has shown in this era.
     known_revision: u64,
@@ -161,6 +164,7 @@
             queue: VecDeque::new(),
             duty_queue: VecDeque::new(),
             version_queue: VecDeque::new(),
+            view: ViewConfirmation::default(),
             era: None,
             known_revision: 0,
             sent_revision: 0,
@@ -239,6 +243,20 @@
         self.version_queue.push_back(call);
     }
 
+    /// Reads the store's revision, and then all changes up to it.
+    pub(crate) fn request_view(&mut self) {
+        if !self.version_queue.contains(&VersionCall::List) {
+            self.version_queue.push_back(VersionCall::List);
+        }
+    }
+
+    /// Returns whether all changes are known that the store had at `since`.
+    pub(crate) fn is_view_confirmed(&self, since: Moment) -> bool {
+        self.view
+            .confirmed
+            .is_some_and(|confirmed| confirmed >= since)
+    }
+
     /// Reads everything again once the lists in progress are complete, for a consumer
     /// that has just begun.
     pub(crate) fn request_reload(&mut self) {
@@ -469,6 +487,7 @@
         for call in std::mem::take(&mut self.version_queue) {
             self.fail_version(StoreCall::Version(call));
         }
+        self.view = ViewConfirmation::default();
         self.rewrite_own_entry(now);
         self.restart_watch(now);
         // A call that was sent in the earlier era confirms nothing.
@@ -589,6 +608,15 @@
                 era: self.era,
                 sent_revision: self.sent_revision,
             }),
+            (StoreCall::Version(VersionCall::List), StoreResponse::Page { records, as_of, .. }) => {
+                for record in records {
+                    self.push_record_as_of(record, as_of, name, now);
+                }
+                self.view.requested.push_back((sent, as_of));
+                self.check_watch(as_of, now);
+                self.watch_connection.hasten(now);
+                self.confirm_view();
+            }
             (StoreCall::Version(call), response) => {
                 let response = Some(response);
                 self.events
@@ -631,6 +659,7 @@
                 {
                     self.watch_revision = Some(as_of);
                 }
+                self.confirm_view();
                 let recovering = self.is_outage_suspected(now);
                 let delay = self.intervals.delay_after_watch(bytes, recovering);
                 self.watch_connection.retry_at = now + delay;
@@ -714,7 +743,31 @@
         self.loaded = true;
         let revision = self.list_revision;
         self.events.push(StoreEvent::Loaded { revision });
+        self.confirm_view();
     }
+
+    /// Confirms the requested views whose revisions the watch has reached.
+    fn confirm_view(&mut self) {
+        while let Some((sent, revision)) = self.view.requested.front().copied()
+            && self
+                .watch_revision
+                .is_some_and(|watch_revision| watch_revision >= revision)
+        {
+            self.view.requested.pop_front();
+            self.view.confirmed = self.view.confirmed.max(Some(sent));
+            self.events.push(StoreEvent::ViewConfirmed);
+        }
+    }
+}
+
+/// How recent a state of the store is known completely.
+#[derive(Clone, Debug, Default)]
+struct ViewConfirmation {
+    /// When the store was asked for its revision, and the revision, until the
+    /// watch has reached it.
+    requested: VecDeque<(Moment, u64)>,
+    /// All changes are known that the store had at this time.
+    confirmed: Option<Moment>,
 }
 
 /// Returns the entry of a block or a lift that a call changes.
@@ -760,6 +813,7 @@
         StoreCall::RemoveBlock(_) => "remove_block",
         StoreCall::LiftBlock { .. } => "lift_block",
         StoreCall::RemoveLift { .. } => "remove_lift",
+        StoreCall::Version(VersionCall::List) => "list_versions",
         StoreCall::Version(VersionCall::Write(_)) => "write_version",
         StoreCall::Version(VersionCall::Remove { .. }) => "remove_version",
         StoreCall::Version(VersionCall::OpenLease(_)) => "open_origin_lease",
