Pass on no 408, 421 or 429 that lacks the mark of a request not run

Callers saw 408 or 429 for requests that a server had run. These statuses promise callers that their request has not run and never will; a server states the same by its mark alone. A 421 without the mark even let a request that isn't idempotent run at a second server.

Cause: only a 503 without the mark was taken for an unknown outcome. The other statuses that make the promise were passed on as the server's answer, or, for 421, taken for the mark itself. Change: 408, 421, 429 and 503 without the mark end the attempt as unknown: a request that isn't retryable gets 502, another one goes to a further server. A 421 still shows the other VMs that another server has started at the address.

--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -2,14 +2,14 @@
 //!
 //! An attempt is one send of a request to one server. The main invariant: a
 //! request that may have run and isn't retryable is answered with 502 or 504,
-//! or its connection is closed, but never with 503.
+//! or its connection is closed, but never with a status that promises that it
+//! hasn't run.
 
 use std::time::Duration;
 
 use crate::directory::ReplicaIndex;
 use crate::format::{PlatformFormat, PromptPart};
 use crate::http::ResponseHead;
-use crate::policy::ended_servers::EndedKind;
 use crate::policy::engine_model::{FirstEventSample, GapSample};
 use crate::policy::health::AttemptResult;
 
@@ -74,8 +74,6 @@
             AttemptOutcome::NotRun { replica, status } => {
                 self.exchanges[exchange_id].tried_replicas.push(replica);
                 if status == 421 {
-                    let sent = self.exchanges[exchange_id].sent_load.sent;
-                    self.record_ended(replica, EndedKind::Misdirected, sent);
                     self.record_attempt_result(replica, AttemptResult::Failed);
                 } else {
                     // A full server says nothing about its health.
@@ -207,8 +205,6 @@
         let started = self.response_started(exchange_id);
         let has_standby = self.exchanges[exchange_id].standby.is_some();
         let succeeded = (200..300).contains(&head.status);
-        // Callers take a 503 as not run, and this one doesn't say so.
-        let misleads = head.status == 503;
         // The standby may still succeed, whatever the status of the hedge.
         let goes_on = match has_standby {
             true => !succeeded,
@@ -223,7 +219,7 @@
             let exchange = &mut self.exchanges[exchange_id];
             exchange.may_have_run = true;
             exchange.tried_replicas.push(replica);
-            if !started && !misleads {
+            if !started {
                 exchange.fallback = Some(FallbackResponse { head, body });
             }
             if self.restore_standby(exchange_id) {
@@ -236,12 +232,6 @@
             self.fail_request(exchange_id, "resume_failed");
             return;
         }
-        if misleads {
-            self.log_outcome(exchange_id, replica, "failed", u64::from(head.status));
-            self.exchanges[exchange_id].may_have_run = true;
-            self.fail_request(exchange_id, "outcome_unknown");
-            return;
-        }
         let status = u64::from(head.status);
         self.log_finished(exchange_id, replica, "answered", status);
         let method = self.exchanges[exchange_id].method.clone();
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -24,6 +24,10 @@
 /// Maximum interim responses before the final one.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
+/// Statuses that promise callers that their request never runs. A server states
+/// that by a mark, so that one without it must not reach the caller.
+const PROMISED_NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
 /// Size from which a response counts toward the memory for responses.
 const LARGE_BODY: usize = 256 * 1024;
 
@@ -390,6 +394,10 @@
         if !is_stream && !metadata.not_run && head.status != 421 {
             self.count_begun(exchange_id);
         }
+        if head.status == 421 {
+            let sent = self.exchanges[exchange_id].sent_load.sent;
+            self.record_ended(replica, EndedKind::Misdirected, sent);
+        }
         if (200..300).contains(&head.status) && !metadata.not_run {
             if framed {
                 self.record_survived_exchange(exchange_id);
@@ -400,11 +408,16 @@
         }
         let outcome = if is_stream {
             AttemptOutcome::StreamEnd { replica, head }
-        } else if metadata.not_run || head.status == 421 {
+        } else if metadata.not_run {
             AttemptOutcome::NotRun {
                 replica,
                 status: head.status,
             }
+        } else if PROMISED_NOT_RUN.contains(&head.status) {
+            AttemptOutcome::Unknown {
+                replica,
+                reason: "refusal without the mark",
+            }
         } else {
             AttemptOutcome::Response {
                 replica,
