Accept from a continuing server only the next events of its stream

Callers of the decided entry saw an error's text, or the whole head of an error, within a stream that had begun, and got 200 with the body of an error when they took a stream up. Events without an id passed the check of their order, among them the lines of another response's head in a body without framing.

Change: a server that continues a stream must not declare another type than text/event-stream. Once a stream that may be continued has had an id, its events need the next id, and events of the type `error` count as a failure of their server. Comments stay valid. A rejected response is a failed attempt: the request goes on at a third server or at the silent one, or the connection ends without the last chunk. A caller that took its stream up gets a failure's status. Streams that no server can continue are forwarded as they are.

--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -16,11 +16,14 @@
 
 use super::crashes::ServerTest;
 use super::outcomes::AttemptOutcome;
-use super::state::{CallerStream, EdgeState, ServerConnId};
+use super::state::{CallerStream, EdgeState, Exchange, ServerConnId};
 
 /// Maximum bytes of a response head.
 const MAX_HEAD: usize = 32 * 1024;
 
+/// Content type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Maximum interim responses before the final one.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
@@ -52,6 +55,25 @@
     Complete,
 }
 
+/// Returns whether a response is declared as an event stream; `None` if it
+/// declares no type.
+fn declares_event_stream(head: &ResponseHead) -> Option<bool> {
+    let value = head.fields.all("content-type").next()?;
+    let kind = value.split(|byte| *byte == b';').next()?;
+    Some(kind.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
+/// Returns a splitter for the stream of a request.
+fn event_splitter(exchange: &Exchange) -> EventSplitter {
+    let last_id = exchange.metadata.last_event_id;
+    let splitter = EventSplitter::new(last_id);
+    // What no server continues is forwarded as the server sends it.
+    match exchange.route.is_retryable() || last_id.is_some() {
+        true => splitter.requiring_ids(),
+        false => splitter,
+    }
+}
+
 impl<F: PlatformFormat> EdgeState<F> {
     /// Handles an I/O event on a connection to a server.
     pub(crate) fn on_server_event(&mut self, conn_id: ServerConnId, closing: bool) {
@@ -248,9 +270,15 @@
             conn.is_stream = exchange.route.kind == RequestKind::Streaming
                 && (200..300).contains(&head.status)
                 && !metadata.not_run;
+            if conn.is_stream
+                && exchange.last_event_id().is_some()
+                && declares_event_stream(&head) == Some(false)
+            {
+                return Err("not an event stream");
+            }
             if conn.is_stream && exchange.stream.is_none() {
                 exchange.stream = Some(CallerStream {
-                    splitter: EventSplitter::new(exchange.metadata.last_event_id),
+                    splitter: event_splitter(exchange),
                     head_sent: false,
                     last_event_at: self.now,
                     backlog_ms: 0.0,
@@ -341,6 +369,8 @@
         let events = stream.splitter.take_events().map_err(|error| match error {
             EventError::TooLong => "event too long",
             EventError::OutOfOrder { .. } => "event out of order",
+            EventError::WithoutId { .. } => "event without an id",
+            EventError::Failure { .. } => "error event",
         })?;
         if events.is_empty() {
             return Ok(());
--- a/crates/dewedge/src/stream.rs
+++ b/crates/dewedge/src/stream.rs
@@ -1,7 +1,8 @@
 //! Splits the body of an event stream into complete events.
 //!
 //! The main invariant: only complete events are returned, and a partial event
-//! left by a broken connection is discarded.
+//! left by a broken connection is discarded. In a stream that another server may
+//! continue, each event follows the one before it.
 
 /// Maximum bytes of an event.
 const MAX_EVENT: usize = 256 * 1024;
@@ -12,6 +13,7 @@
     pending: Vec<u8>,
     last_id: Option<u64>,
     events: u64,
+    requires_ids: bool,
 }
 
 /// Why an event is invalid.
@@ -26,6 +28,16 @@
         /// Id of this event.
         found: u64,
     },
+    /// The event has no id, and those before it have one.
+    WithoutId {
+        /// Id of the previous event.
+        after: u64,
+    },
+    /// The event reports that the server failed.
+    Failure {
+        /// Id of the previous event.
+        after: u64,
+    },
 }
 
 impl EventSplitter {
@@ -47,9 +59,28 @@
             pending: Vec::new(),
             last_id,
             events: 0,
+            requires_ids: false,
         }
     }
 
+    /// Rejects events without an id, and those of the type `error`, once an event
+    /// has had an id. Comments stay valid.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use dewedge::stream::{EventError, EventSplitter};
+    ///
+    /// let mut splitter = EventSplitter::new(Some(3)).requiring_ids();
+    /// splitter.push(b"data: overloaded\n\n");
+    /// assert_eq!(splitter.take_events(), Err(EventError::WithoutId { after: 3 }));
+    /// ```
+    #[must_use]
+    pub fn requiring_ids(mut self) -> Self {
+        self.requires_ids = true;
+        self
+    }
+
     /// Appends bytes of the body.
     pub fn push(&mut self, bytes: &[u8]) {
         self.pending.extend_from_slice(bytes);
@@ -59,20 +90,13 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the id of an event doesn't follow the previous one, or
-    /// if an event is too long; then no event of this call may be forwarded, and none of them counts.
+    /// Returns an error if an event isn't the next one of the stream, or is too long.
+    /// Then no event of this call may be forwarded, and none of them counts.
     pub fn take_events(&mut self) -> Result<Vec<u8>, EventError> {
         let (mut end, mut last_id, mut events) = (0, self.last_id, 0);
         while let Some(length) = event_length(&self.pending[end..]) {
             let event = &self.pending[end..end + length];
-            if let Some(id) = event_id(event) {
-                if let Some(after) = last_id
-                    && id != after + 1
-                {
-                    return Err(EventError::OutOfOrder { after, found: id });
-                }
-                last_id = Some(id);
-            }
+            last_id = self.check_event(event, last_id)?;
             events += 1;
             end += length;
         }
@@ -84,6 +108,26 @@
         Ok(self.pending.drain(..end).collect())
     }
 
+    /// Checks that an event follows the one with the id `last_id`; returns the id
+    /// of the last event up to this one.
+    fn check_event(&self, event: &[u8], last_id: Option<u64>) -> Result<Option<u64>, EventError> {
+        let id = event_id(event);
+        let Some(after) = last_id else {
+            return Ok(id);
+        };
+        if self.requires_ids && is_failure(event) {
+            return Err(EventError::Failure { after });
+        }
+        match id {
+            Some(found) if Some(found) != after.checked_add(1) => {
+                Err(EventError::OutOfOrder { after, found })
+            }
+            Some(found) => Ok(Some(found)),
+            None if self.requires_ids && !is_comment(event) => Err(EventError::WithoutId { after }),
+            None => Ok(last_id),
+        }
+    }
+
     /// Returns the id of the last complete event.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -144,3 +188,18 @@
         .filter_map(|text| std::str::from_utf8(text).ok())
         .find_map(|text| text.trim().parse().ok())
 }
+
+/// Returns whether an event is of the type `error`.
+fn is_failure(event: &[u8]) -> bool {
+    event
+        .split(|byte| *byte == b'\n')
+        .filter_map(|line| line.strip_prefix(b"event:"))
+        .any(|name| name.trim_ascii() == b"error")
+}
+
+/// Returns whether an event has no fields, such as a server's keepalive.
+fn is_comment(event: &[u8]) -> bool {
+    event
+        .split(|byte| *byte == b'\n')
+        .all(|line| line.starts_with(b":") || line.trim_ascii().is_empty())
+}
--- a/crates/dewedge/tests/stream.rs
+++ b/crates/dewedge/tests/stream.rs
@@ -104,6 +104,57 @@
     }
 }
 
+const RESUMABLE_CASES: [OrderCase; 6] = [
+    OrderCase {
+        name: "no id",
+        last_id: Some(2),
+        bytes: "data\n\n",
+        expected: Err(EventError::WithoutId { after: 2 }),
+    },
+    OrderCase {
+        name: "a failure without an id",
+        last_id: Some(2),
+        bytes: "event: error\ndata\n\n",
+        expected: Err(EventError::Failure { after: 2 }),
+    },
+    OrderCase {
+        name: "a failure with the next id",
+        last_id: Some(2),
+        bytes: "id: 3\r\nevent:error\r\ndata\r\n\r\n",
+        expected: Err(EventError::Failure { after: 2 }),
+    },
+    OrderCase {
+        name: "a type with the next id",
+        last_id: Some(2),
+        bytes: "event: token\nid: 3\ndata\n\n",
+        expected: Ok(Some(3)),
+    },
+    OrderCase {
+        name: "a comment",
+        last_id: Some(2),
+        bytes: ": alive\r\n\r\n",
+        expected: Ok(Some(2)),
+    },
+    OrderCase {
+        name: "no id so far",
+        last_id: None,
+        bytes: "data\n\n",
+        expected: Ok(None),
+    },
+];
+
+/// Guards against the text of a failure within a stream that another server may
+/// continue.
+#[test]
+fn only_events_that_follow_belong_to_a_resumable_stream() {
+    for case in RESUMABLE_CASES {
+        let mut splitter = EventSplitter::new(case.last_id).requiring_ids();
+        splitter.push(case.bytes.as_bytes());
+        let found = splitter.take_events().map(|_| splitter.last_id());
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
+
 /// Guards against a resumption behind events that the caller never got.
 #[test]
 fn events_of_a_rejected_batch_do_not_count_as_forwarded() {
