End a continued stream only where a server says that nothing follows

A stream that had begun and broke off ended as if it were complete when the next server answered 204 or 200 without a body, or closed the connection of an unframed response before its first event. A caller that took its stream up got an empty success from the same replies. Cause: the check for a response that closes before its first event asked whether the caller had any event, also one of an earlier server, or whether it had named its last event. For framed responses there was no check.

Change: the check asks for an event of the response itself. A response without one ends a stream that is continued only if it is declared as an event stream and its body has a length or a last chunk: that is the server's own statement that nothing follows. Other ends are failed attempts.

Evidence: `failover`, the replies 200 without a body, 204, and 200 that closes without an event, each after a begun stream and for a caller that takes its stream up: all six cases had a proper end before, and none has now. `an_empty_rest_ends_a_stream` keeps the proper end of a declared stream (passed before, too); `streams` and `failover` pass.

--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -311,8 +311,11 @@
             if let Err(reason) = self.forward_events(conn_id) {
                 return ResponseStep::Invalid(reason);
             }
-            if ends_now && !self.has_stream_begun(conn_id) {
-                return ResponseStep::Invalid("closed before the first event");
+            if done && !self.has_response_begun(conn_id) && !self.may_be_empty(conn_id) {
+                return ResponseStep::Invalid(match ends_now {
+                    true => "closed before the first event",
+                    false => "empty stream",
+                });
             }
         } else if conn.body.len() > MAX_BODY {
             return ResponseStep::Invalid("answer too long");
@@ -326,15 +329,26 @@
         }
     }
 
-    /// Returns whether the caller has an event of the stream on a connection.
-    fn has_stream_begun(&self, conn_id: ServerConnId) -> bool {
+    /// Returns whether the caller has an event of the response on a connection.
+    fn has_response_begun(&self, conn_id: ServerConnId) -> bool {
         let exchange_id = self.server_conns[conn_id].exchange_id;
         let exchange = exchange_id.and_then(|exchange_id| self.exchanges.get(exchange_id));
-        exchange.is_some_and(|exchange| {
-            let stream = exchange.stream.as_ref();
-            let events = stream.map_or(0, |stream| stream.splitter.event_count());
-            events > 0 || exchange.last_event_id().is_some()
-        })
+        exchange.is_some_and(|exchange| exchange.sent_load.first_event.is_some())
+    }
+
+    /// Returns whether the end of a stream without events may be the server's
+    /// statement that there are none, rather than a failure.
+    fn may_be_empty(&self, conn_id: ServerConnId) -> bool {
+        let conn = &self.server_conns[conn_id];
+        let exchange_id = conn.exchange_id;
+        let exchange = exchange_id.and_then(|exchange_id| self.exchanges.get(exchange_id));
+        let continues = exchange.is_some_and(|exchange| exchange.last_event_id().is_some());
+        let is_framed = conn.decoder.as_ref().is_some_and(BodyDecoder::is_done);
+        let is_declared = conn
+            .head
+            .as_ref()
+            .is_some_and(|head| head.status != 204 && declares_event_stream(head) == Some(true));
+        is_framed && (is_declared || !continues)
     }
 
     /// Returns whether there is memory to read on. Under pressure, the responses
