Keep a stream without ids at the server that began it

The first event of a stream without ids reached its caller twice after the server had broken off or was silent. Cause: the request was sent to another server without the id of a last event, as if nothing had been forwarded, and its events were appended. Change: a stream that has begun and has no id is neither sent again nor hedged. Evidence: `failover::a_stream_without_ids_is_not_begun_again`, cut off and silent: both callers got the event twice before, once now; `failover`, `streams` and `silence` pass.

--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -115,7 +115,7 @@
                 if self.restore_standby(exchange_id) {
                     return;
                 }
-                if self.exchanges[exchange_id].route.is_retryable() && self.can_retry(exchange_id) {
+                if self.exchanges[exchange_id].may_repeat() && self.can_retry(exchange_id) {
                     self.requeue(exchange_id);
                 } else {
                     self.fail_request(exchange_id, "outcome_unknown");
@@ -213,9 +213,7 @@
         let goes_on = match has_standby {
             true => !succeeded,
             false => {
-                failed
-                    && self.exchanges[exchange_id].route.is_retryable()
-                    && self.can_retry(exchange_id)
+                failed && self.exchanges[exchange_id].may_repeat() && self.can_retry(exchange_id)
             }
         };
         if goes_on {
--- a/crates/dewedge/src/serve/silence.rs
+++ b/crates/dewedge/src/serve/silence.rs
@@ -99,7 +99,7 @@
     /// got a new attempt or ended.
     fn on_silence(&mut self, exchange_id: usize) -> bool {
         self.suspect_server(exchange_id);
-        if !self.exchanges[exchange_id].route.is_retryable() {
+        if !self.exchanges[exchange_id].may_repeat() {
             return false;
         }
         if self.start_hedge(exchange_id) {
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -182,6 +182,13 @@
             .and_then(|stream| stream.splitter.last_id())
             .or(self.metadata.last_event_id)
     }
+
+    /// Returns whether the request may be sent to another server. A stream that has
+    /// begun without ids can't be continued: no id says where.
+    pub(crate) fn may_repeat(&self) -> bool {
+        let has_begun = self.stream.as_ref().is_some_and(|stream| stream.head_sent);
+        self.route.is_retryable() && (!has_begun || self.last_event_id().is_some())
+    }
 }
 
 /// An earlier attempt of a request whose server is silent and may go on.
