--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -16,11 +16,14 @@
 
 use super::crashes::ServerTest;
 use super::outcomes::AttemptOutcome;
-use super::state::{CallerStream, EdgeState, ServerConnId};
+use super::state::{CallerStream, EdgeState, Exchange, ServerConnId};
 
 /// Maximum bytes of a response head.
 const MAX_HEAD: usize = 32 * 1024;
 
+/// Content type of event streams.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Maximum interim responses before the final one.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
@@ -56,6 +59,25 @@
     Complete,
 }
 
+/// Returns whether a response is declared as an event stream; `None` if it
+/// declares no type.
+fn declares_event_stream(head: &ResponseHead) -> Option<bool> {
+    let value = head.fields.all("content-type").next()?;
+    let kind = value.split(|byte| *byte == b';').next()?;
+    Some(kind.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
+/// Returns a splitter for the stream of a request.
+fn event_splitter(exchange: &Exchange) -> EventSplitter {
+    let last_id = exchange.metadata.last_event_id;
+    let splitter = EventSplitter::new(last_id);
+    // What no server continues is forwarded as the server sends it.
+    match exchange.route.is_retryable() || last_id.is_some() {
+        true => splitter.requiring_ids(),
+        false => splitter,
+    }
+}
+
 impl<F: PlatformFormat> EdgeState<F> {
     /// Handles an I/O event on a connection to a server.
     pub(crate) fn on_server_event(&mut self, conn_id: ServerConnId, closing: bool) {
@@ -252,9 +274,15 @@
             conn.is_stream = exchange.route.kind == RequestKind::Streaming
                 && (200..300).contains(&head.status)
                 && !metadata.not_run;
+            if conn.is_stream
+                && exchange.last_event_id().is_some()
+                && declares_event_stream(&head) == Some(false)
+            {
+                return Err("not an event stream");
+            }
             if conn.is_stream && exchange.stream.is_none() {
                 exchange.stream = Some(CallerStream {
-                    splitter: EventSplitter::new(exchange.metadata.last_event_id),
+                    splitter: event_splitter(exchange),
                     head_sent: false,
                     last_event_at: self.now,
                     backlog_ms: 0.0,
@@ -287,8 +315,11 @@
             if let Err(reason) = self.forward_events(conn_id) {
                 return ResponseStep::Invalid(reason);
             }
-            if ends_now && !self.has_stream_begun(conn_id) {
-                return ResponseStep::Invalid("closed before the first event");
+            if done && !self.has_response_begun(conn_id) && !self.may_be_empty(conn_id) {
+                return ResponseStep::Invalid(match ends_now {
+                    true => "closed before the first event",
+                    false => "empty stream",
+                });
             }
         } else if conn.body.len() > MAX_BODY {
             return ResponseStep::Invalid("answer too long");
@@ -302,15 +333,26 @@
         }
     }
 
-    /// Returns whether the caller has an event of the stream on a connection.
-    fn has_stream_begun(&self, conn_id: ServerConnId) -> bool {
+    /// Returns whether the caller has an event of the response on a connection.
+    fn has_response_begun(&self, conn_id: ServerConnId) -> bool {
         let exchange_id = self.server_conns[conn_id].exchange_id;
         let exchange = exchange_id.and_then(|exchange_id| self.exchanges.get(exchange_id));
-        exchange.is_some_and(|exchange| {
-            let stream = exchange.stream.as_ref();
-            let events = stream.map_or(0, |stream| stream.splitter.event_count());
-            events > 0 || exchange.last_event_id().is_some()
-        })
+        exchange.is_some_and(|exchange| exchange.sent_load.first_event.is_some())
+    }
+
+    /// Returns whether the end of a stream without events may be the server's
+    /// statement that there are none, rather than a failure.
+    fn may_be_empty(&self, conn_id: ServerConnId) -> bool {
+        let conn = &self.server_conns[conn_id];
+        let exchange_id = conn.exchange_id;
+        let exchange = exchange_id.and_then(|exchange_id| self.exchanges.get(exchange_id));
+        let continues = exchange.is_some_and(|exchange| exchange.last_event_id().is_some());
+        let is_framed = conn.decoder.as_ref().is_some_and(BodyDecoder::is_done);
+        let is_declared = conn
+            .head
+            .as_ref()
+            .is_some_and(|head| head.status != 204 && declares_event_stream(head) == Some(true));
+        is_framed && (is_declared || !continues)
     }
 
     /// Returns whether there is memory to read on. Under pressure, the responses
@@ -345,6 +387,8 @@
         let events = stream.splitter.take_events().map_err(|error| match error {
             EventError::TooLong => "event too long",
             EventError::OutOfOrder { .. } => "event out of order",
+            EventError::WithoutId { .. } => "event without an id",
+            EventError::Failure { .. } => "error event",
         })?;
         if events.is_empty() {
             return Ok(());
