--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -35,10 +35,12 @@
 use crate::storage::StoreClient;
 use crate::stream::EventSplitter;
 use crate::tables::{CallerLimits, RouteSpec, RouteTable};
+use crate::versions::VersionTable;
 
 use super::backpressure::SendProgress;
 use super::crashes::CrashWatch;
 use super::duties::DutyState;
+use super::recording::RecordingState;
 use super::resumption::VersionBinding;
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
 
@@ -182,6 +184,13 @@
             .and_then(|stream| stream.splitter.last_id())
             .or(self.metadata.last_event_id)
     }
+
+    /// Returns whether the request may be sent to another server. A stream that has
+    /// begun without ids can't be continued: no id says where.
+    pub(crate) fn may_repeat(&self) -> bool {
+        let has_begun = self.stream.as_ref().is_some_and(|stream| stream.head_sent);
+        self.route.is_retryable() && (!has_begun || self.last_event_id().is_some())
+    }
 }
 
 /// An earlier attempt of a request whose server is silent and may go on.
@@ -269,6 +278,10 @@
     pub(crate) origins: OriginTable,
     /// Requests for whose streams the other VMs are asked.
     pub(crate) awaiting_origin: Vec<ExchangeId>,
+    /// When the store was last asked for its revision because of such requests.
+    pub(crate) view_requested: Moment,
+    pub(crate) versions: VersionTable,
+    pub(crate) recording: RecordingState,
     pub(crate) crashes: CrashWatch,
     /// The duties of the fleet, if the settings name any.
     pub(crate) duties: Option<Box<DutyState<F>>>,
