--- a/crates/dewedge/src/origin_log.rs
+++ b/crates/dewedge/src/origin_log.rs
@@ -21,14 +21,14 @@
 pub type BatchNumber = u32;
 
 /// Time over which new origins are collected into a batch.
-const COLLECT_TIME: Duration = Duration::from_millis(40);
+const COLLECT_TIME: Duration = Duration::from_millis(5);
 
 /// Time after which a batch without an acknowledgement is sent to the next VM;
 /// it doubles with each send.
 const ACKNOWLEDGE_TIME: Duration = Duration::from_millis(300);
 
 /// Minimum interval between two writes of a recorder.
-const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+const WRITE_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Maximum origins of a batch, so that it fits in a packet.
 pub const MAX_BATCH: usize = 100;
