Give batches of origins a datagram kind of their own

What callers would have seen: VMs that place requests without the load that other VMs have received. Cause: batches of origins began with the bytes of load notices (`DWR1`), which were then read as malformed batches. Evidence: `loads::a_vm_without_requests_learns_...` failed in 4 of 4 runs and passes now.

--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -40,7 +40,7 @@
 const ORIGIN_MAGIC: [u8; 4] = *b"DWO1";
 
 /// First bytes of origins that the receiver is to write to the store.
-const RECORD_MAGIC: [u8; 4] = *b"DWR1";
+const RECORD_MAGIC: [u8; 4] = *b"DWB1";
 
 /// First bytes of the acknowledgement that the store has accepted them.
 const RECORDED_MAGIC: [u8; 4] = *b"DWA1";
