Mend what a review of the records of versions and origins found

Change: places count from a batch's first send; numbers begin at random; calls are made once and after others; a version that is listed again gets a new record; versions that may still have streams are recorded again, under a new lease; the watch goes on at once while a view is awaited.

--- a/crates/dewedge/src/origin_log.rs
+++ b/crates/dewedge/src/origin_log.rs
@@ -44,6 +44,8 @@
 struct PendingBatch {
     origins: Vec<StreamOrigin>,
     begun: Moment,
+    /// Place of the recorder to which it was sent first.
+    first_place: usize,
     sends: u32,
     due: Moment,
 }
@@ -71,6 +73,15 @@
 }
 
 impl OriginOutbox {
+    /// Returns an empty outbox whose batches are numbered from `first` on. A VM that
+    /// restarts must not use the numbers of its earlier batches again.
+    pub fn new(first: BatchNumber) -> Self {
+        Self {
+            next_number: first,
+            ..Self::default()
+        }
+    }
+
     /// Adds the origin of a stream.
     pub fn push(&mut self, origin: StreamOrigin, now: Moment) {
         if self.collected.is_empty() {
@@ -102,6 +113,7 @@
                 let batch = PendingBatch {
                     origins: origins.to_vec(),
                     begun: now,
+                    first_place: self.place,
                     sends: 0,
                     due: now,
                 };
@@ -118,7 +130,7 @@
             }
             sends.push(BatchSend {
                 number: *number,
-                place: self.place + batch.sends as usize,
+                place: batch.first_place + batch.sends as usize,
                 origins: batch.origins.clone(),
             });
             batch.due = now + ACKNOWLEDGE_TIME * (1 << batch.sends.min(8));
@@ -130,7 +142,7 @@
     /// Removes a batch that the store has accepted.
     pub fn acknowledge(&mut self, number: BatchNumber) {
         if let Some(batch) = self.batches.shift_remove(&number) {
-            self.place += batch.sends.saturating_sub(1) as usize;
+            self.place = batch.first_place + batch.sends.saturating_sub(1) as usize;
         }
     }
 
--- a/crates/dewedge/src/serve/recording.rs
+++ b/crates/dewedge/src/serve/recording.rs
@@ -49,10 +49,12 @@
     pub(crate) timer: LazyTimer,
 }
 
-impl Default for RecordingState {
-    fn default() -> Self {
+impl RecordingState {
+    /// Returns the state of a VM that has just started; `random` sets it apart from
+    /// its earlier starts.
+    pub(crate) fn new(random: u64) -> Self {
         Self {
-            outbox: OriginOutbox::default(),
+            outbox: OriginOutbox::new(random as BatchNumber),
             recorder: OriginRecorder::default(),
             lease: OriginLease::Closed,
             writes: 0,
@@ -93,6 +95,13 @@
         }
     }
 
+    /// Forgets what the store has lost, because it returned from an older copy of
+    /// its data.
+    pub(crate) fn forget_version_records(&mut self) {
+        self.versions.forget_records();
+        self.recording.lease = OriginLease::Closed;
+    }
+
     fn log_unreadable(&mut self, record: &StoreRecord, reason: &str) {
         self.logs
             .system("versions", "unreadable")
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -176,7 +176,7 @@
             awaiting_origin: Vec::new(),
             view_requested: Moment::ZERO,
             versions: VersionTable::default(),
-            recording: RecordingState::default(),
+            recording: RecordingState::new(initial_random_state(&settings, options, now)),
             crashes: CrashWatch::default(),
             duties: DutyState::new(&settings, fixed(API_TOKEN)).map(Box::new),
             digest_due: false,
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -114,7 +114,7 @@
         self.logs.system("store", "new_era").number("era", era);
         self.directory.forget_revisions();
         self.forget_stored_blocks();
-        self.versions.forget_records();
+        self.forget_version_records();
         if let Some(table) = &mut self.table {
             Arc::make_mut(table).revision = UNKNOWN_REVISION;
         }
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -238,16 +238,16 @@
         self.duty_queue.push_back((call, latest));
     }
 
-    /// Makes a call about versions once.
+    /// Makes a call about versions once; one that still waits isn't repeated.
     pub(crate) fn call_version(&mut self, call: VersionCall) {
-        self.version_queue.push_back(call);
+        if !self.version_queue.contains(&call) {
+            self.version_queue.push_back(call);
+        }
     }
 
     /// Reads the store's revision, and then all changes up to it.
     pub(crate) fn request_view(&mut self) {
-        if !self.version_queue.contains(&VersionCall::List) {
-            self.version_queue.push_back(VersionCall::List);
-        }
+        self.call_version(VersionCall::List);
     }
 
     /// Returns whether all changes are known that the store had at `since`.
@@ -281,10 +281,8 @@
             }
             self.fail_duty(StoreCall::Duty(call), now);
         }
-        match self.version_queue.pop_front() {
-            Some(call) => Some(StoreCall::Version(call)),
-            None => self.queue.pop_front(),
-        }
+        let call = self.queue.pop_front();
+        call.or_else(|| self.version_queue.pop_front().map(StoreCall::Version))
     }
 
     /// Handles an I/O event on one of the two connections.
@@ -663,6 +661,9 @@
                 let recovering = self.is_outage_suspected(now);
                 let delay = self.intervals.delay_after_watch(bytes, recovering);
                 self.watch_connection.retry_at = now + delay;
+                if !self.view.requested.is_empty() {
+                    self.watch_connection.hasten(now);
+                }
             }
             (StoreCall::Watch { .. }, StoreResponse::Compacted) => self.reload(),
             (StoreCall::ConfirmTables(revision), StoreResponse::Committed(current)) => {
--- a/crates/dewedge/src/versions.rs
+++ b/crates/dewedge/src/versions.rs
@@ -66,6 +66,10 @@
     revision: Option<u64>,
     /// Since when no server of it is listed; `None` while one is.
     unlisted_since: Option<Moment>,
+    /// Whether this VM has listed a server of it.
+    was_listed: bool,
+    /// Whether the store has lost its record.
+    is_lost: bool,
     /// When this VM changes the record, if that is due.
     change_at: Option<Moment>,
 }
@@ -81,6 +85,7 @@
     pub fn record(&mut self, names: ServiceVersion, revision: u64, now: Moment) {
         let known = self.known(names, now);
         known.revision = known.revision.max(Some(revision));
+        known.is_lost = false;
         known.change_at = None;
     }
 
@@ -96,7 +101,7 @@
     /// copy of its data.
     pub fn forget_records(&mut self) {
         for known in self.versions.values_mut() {
-            known.revision = None;
+            known.is_lost |= known.revision.take().is_some();
             known.change_at = None;
         }
     }
@@ -112,7 +117,14 @@
         for names in listed {
             let hash = names.hash();
             absent.retain(|other| *other != hash);
-            self.known(names, now).unlisted_since = None;
+            let known = self.known(names, now);
+            let is_listed_again = known.unlisted_since.take().is_some() && known.was_listed;
+            known.was_listed = true;
+            if is_listed_again {
+                // The new record can't be removed by a VM that knows only the earlier
+                // one.
+                known.revision = None;
+            }
         }
         for hash in absent {
             self.versions[&hash].unlisted_since.get_or_insert(now);
@@ -155,7 +167,9 @@
             let expired = known.unlisted_since.is_some_and(|since| since + ttl < now);
             let is_listed = known.unlisted_since.is_none();
             let change = match known.revision {
-                None if is_listed => VersionChange::Write(known.names.clone()),
+                None if is_listed || known.is_lost && !expired => {
+                    VersionChange::Write(known.names.clone())
+                }
                 Some(revision) if expired => VersionChange::Remove {
                     version: known.names.clone(),
                     revision,
@@ -172,8 +186,10 @@
                 return Some(change);
             }
         }
-        self.versions
-            .retain(|_, known| known.revision.is_some() || known.unlisted_since.is_none());
+        self.versions.retain(|_, known| {
+            let may_have_streams = known.is_lost && known.change_at.is_some();
+            known.revision.is_some() || known.unlisted_since.is_none() || may_have_streams
+        });
         None
     }
 
@@ -184,6 +200,8 @@
                 names,
                 revision: None,
                 unlisted_since: Some(now),
+                was_listed: false,
+                is_lost: false,
                 change_at: None,
             })
     }
--- a/crates/dewedge/tests/origin_log.rs
+++ b/crates/dewedge/tests/origin_log.rs
@@ -40,6 +40,23 @@
     assert_eq!(outbox.take_due(TTL, ms(4100))[0].place, 0);
 }
 
+#[test]
+fn all_batches_of_a_failed_recorder_move_to_the_same_next_one() {
+    let mut outbox = OriginOutbox::default();
+    let mut places = Vec::new();
+    for now in (0..1000).step_by(10) {
+        outbox.push(origin(now), ms(now));
+        for send in outbox.take_due(TTL, ms(now)) {
+            places.push(send.place);
+            // The recorder at place 0 has failed.
+            if send.place > 0 {
+                outbox.acknowledge(send.number);
+            }
+        }
+    }
+    assert_eq!(places.iter().max(), Some(&1));
+}
+
 #[test]
 fn a_batch_is_given_up_once_its_streams_have_ended() {
     let mut outbox = OriginOutbox::default();
