Keep streams' origins as long as earlier tables let them be taken up

Cause: the time for which origins of streams and records of versions are kept, and the services whose versions are recorded, followed from the tables in force. Streams from before a change are handled by earlier ones.

Change: StreamTerms keeps the TTL and the services of earlier tables until the streams from before the change have ended. The record of a version names the TTL, for VMs that start after the change. A lease for origins with a shorter TTL isn't used any more. An origin is kept anew when its stream goes on.

--- a/crates/dewedge/src/format.rs
+++ b/crates/dewedge/src/format.rs
@@ -14,7 +14,7 @@
 use crate::http::HeaderFields;
 use crate::origins::StreamOrigin;
 use crate::tables::TableSet;
-use crate::versions::{ServiceVersion, ServiceVersionHash};
+use crate::versions::{ServiceVersion, ServiceVersionHash, VersionRecord};
 
 /// Id that a caller assigns to one of its attempts.
 pub type AttemptId = String;
@@ -274,7 +274,7 @@
     /// Lists the recorded versions of services.
     List,
     /// Writes that a service has a version.
-    Write(ServiceVersion),
+    Write(VersionRecord),
     /// Removes the record of a version, if it has this revision.
     Remove {
         /// The version.
@@ -525,7 +525,7 @@
     /// # Errors
     ///
     /// Returns an error if the record is malformed.
-    fn read_service_version(value: &[u8]) -> Result<ServiceVersion, FormatError>;
+    fn read_version_record(value: &[u8]) -> Result<VersionRecord, FormatError>;
 
     /// Encodes a call to the platform's API by the holder of a duty.
     fn write_api_call(call: &ApiCall, vm: &str, token: FencingToken) -> EncodedCall;
--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod settings;
 mod storage;
 pub mod stream;
+pub mod stream_terms;
 pub mod tables;
 pub mod versions;
 
--- a/crates/dewedge/src/origins.rs
+++ b/crates/dewedge/src/origins.rs
@@ -6,7 +6,8 @@
 //! announce each new stream in their digests, and a VM that doesn't know a
 //! stream, because it has restarted for example, asks the others.
 //!
-//! The main invariant: the origin of a stream doesn't change while it is known.
+//! The main invariant: the origin of a stream doesn't change while it is known,
+//! and is known for as long as the stream can be taken up after it last went on.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -89,17 +90,27 @@
     rounds_left: usize,
 }
 
+/// What is known of a stream.
+#[derive(Clone, Copy, Debug)]
+struct KnownOrigin {
+    version: VersionId,
+    /// When it was last announced.
+    announced: Moment,
+}
+
 /// The origins of recent streams.
 #[derive(Clone, Debug, Default)]
 pub struct OriginTable {
-    versions: IndexMap<StreamKey, VersionId>,
-    /// Known streams, the oldest first.
+    streams: IndexMap<StreamKey, KnownOrigin>,
+    /// Known streams and when each was announced, the oldest first; it may have
+    /// been announced again since.
     learned: VecDeque<(Moment, StreamKey)>,
     announcements: VecDeque<Announcement>,
 }
 
 impl OriginTable {
-    /// Records the origin of a stream; returns whether the stream is new.
+    /// Records the origin of a stream, which has begun or gone on; returns whether
+    /// the stream is new.
     ///
     /// # Examples
     ///
@@ -114,13 +125,18 @@
     /// assert_eq!(table.version_of(stream), Some(version_id("v1")));
     /// ```
     pub fn learn(&mut self, origin: StreamOrigin, now: Moment) -> bool {
-        if self.versions.contains_key(&origin.stream) {
+        if let Some(known) = self.streams.get_mut(&origin.stream) {
+            known.announced = now;
             return false;
         }
         if self.learned.len() >= MAX_ORIGINS {
             self.forget_oldest();
         }
-        self.versions.insert(origin.stream, origin.version);
+        let known = KnownOrigin {
+            version: origin.version,
+            announced: now,
+        };
+        self.streams.insert(origin.stream, known);
         self.learned.push_back((now, origin.stream));
         true
     }
@@ -128,17 +144,16 @@
     /// Records the origin of a stream of this VM, which is announced in the next
     /// `rounds` digests.
     pub fn record(&mut self, origin: StreamOrigin, rounds: usize, now: Moment) {
-        if self.learn(origin, now) {
-            self.announcements.push_back(Announcement {
-                origin,
-                rounds_left: rounds,
-            });
-        }
+        self.learn(origin, now);
+        self.announcements.push_back(Announcement {
+            origin,
+            rounds_left: rounds,
+        });
     }
 
     /// Returns the version at which a stream began, if it is known.
     pub fn version_of(&self, stream: StreamKey) -> Option<VersionId> {
-        self.versions.get(&stream).copied()
+        Some(self.streams.get(&stream)?.version)
     }
 
     /// Returns the origins to announce in the next digest, at most `most`.
@@ -173,18 +188,25 @@
         !self.announcements.is_empty()
     }
 
-    /// Forgets the streams that were learned longer than `ttl` ago.
+    /// Forgets the streams that were last announced longer than `ttl` ago.
     pub fn expire(&mut self, ttl: Duration, now: Moment) {
-        while let Some((learned, _)) = self.learned.front()
-            && now.saturating_sub(*learned) > ttl
+        while let Some((learned, stream)) = self.learned.front().copied()
+            && now.saturating_sub(learned) > ttl
         {
-            self.forget_oldest();
+            let known = self.streams.get(&stream);
+            match known.filter(|known| now.saturating_sub(known.announced) <= ttl) {
+                Some(known) => {
+                    self.learned.pop_front();
+                    self.learned.push_back((known.announced, stream));
+                }
+                None => self.forget_oldest(),
+            }
         }
     }
 
     fn forget_oldest(&mut self) {
         if let Some((_, stream)) = self.learned.pop_front() {
-            self.versions.swap_remove(&stream);
+            self.streams.swap_remove(&stream);
         }
     }
 }
--- a/crates/dewedge/src/serve/recording.rs
+++ b/crates/dewedge/src/serve/recording.rs
@@ -32,7 +32,11 @@
 enum OriginLease {
     Closed,
     Opening,
-    Open { lease: u64, opened: Moment },
+    Open {
+        lease: u64,
+        opened: Moment,
+        ttl: Duration,
+    },
 }
 
 /// State of recording the origins of streams.
@@ -69,7 +73,7 @@
     /// Returns the versions that may have begun a stream of a service which can
     /// still be taken up.
     pub(crate) fn recent_versions(&self, service: &str) -> impl Iterator<Item = VersionId> {
-        let since = self.now.saturating_sub(self.origin_ttl());
+        let since = self.now.saturating_sub(self.stream_ttl());
         let listed = self.directory.versions_since(service, since);
         listed.chain(self.versions.recorded(service))
     }
@@ -78,10 +82,10 @@
     pub(crate) fn apply_version_record(&mut self, record: &StoreRecord) {
         match (&record.key, record.value.as_deref()) {
             (RecordKey::ServiceVersion(hash), None) => self.versions.forget(*hash),
-            (RecordKey::ServiceVersion(_), Some(value)) => match F::read_service_version(value) {
-                Ok(names) => {
-                    let service = names.service.clone();
-                    self.versions.record(names, record.revision, self.now);
+            (RecordKey::ServiceVersion(_), Some(value)) => match F::read_version_record(value) {
+                Ok(version) => {
+                    let service = version.names.service.clone();
+                    self.versions.record(version, record.revision, self.now);
                     self.begin_recording(&service);
                 }
                 Err(error) => self.log_unreadable(record, &error.0),
@@ -131,9 +135,9 @@
 
     /// Updates the records of versions, and which services have several.
     pub(crate) fn maintain_versions(&mut self) {
-        let Some(table) = self.table.clone().filter(|_| self.store.is_loaded()) else {
+        if self.table.is_none() || !self.store.is_loaded() {
             return;
-        };
+        }
         let entries = self.directory.iter().filter(|replica| !replica.gone);
         let listed: IndexSet<(&str, &str)> = entries
             .map(|replica| {
@@ -142,14 +146,14 @@
                     replica.entry.version.as_str(),
                 )
             })
-            .filter(|(service, _)| table.has_resumable_streams(service))
+            .filter(|(service, _)| self.stream_terms.is_resumable(service, self.now))
             .collect();
         let names = listed.into_iter().map(|(service, version)| ServiceVersion {
             service: service.to_string(),
             version: version.to_string(),
         });
         self.versions.observe(names, self.now);
-        let ttl = self.origin_ttl();
+        let ttl = self.stream_ttl();
         while let Some(change) = {
             let rank = |hash| self.peers.rank_for(hash);
             self.versions.next_change(rank, ttl, self.now)
@@ -169,7 +173,7 @@
 
     fn change_version(&mut self, change: VersionChange) {
         self.store.call_version(match change {
-            VersionChange::Write(version) => VersionCall::Write(version),
+            VersionChange::Write(record) => VersionCall::Write(record),
             VersionChange::Remove { version, revision } => {
                 VersionCall::Remove { version, revision }
             }
@@ -187,9 +191,7 @@
     /// Records the streams in progress of a service that now has several
     /// versions.
     pub(crate) fn begin_recording(&mut self, service: &str) {
-        let table = self.table.as_ref();
-        let is_resumable = table.is_some_and(|table| table.has_resumable_streams(service));
-        if !is_resumable
+        if !self.stream_terms.is_resumable(service, self.now)
             || self.recording.mixed.contains(service)
             || !self.has_several_versions(service)
         {
@@ -235,7 +237,7 @@
 
     /// Sends batches to their recorders, and writes those that wait here.
     pub(crate) fn run_recording(&mut self) {
-        let ttl = self.origin_ttl();
+        let ttl = self.stream_ttl();
         for send in self.recording.outbox.take_due(ttl, self.now) {
             match self.peers.recorder_at(send.place) {
                 None => self
@@ -259,7 +261,12 @@
     fn write_origins(&mut self, ttl: Duration) {
         let call = match self.recording.lease {
             OriginLease::Opening => return,
-            OriginLease::Open { lease, opened } if self.now < opened + ttl / 2 => {
+            // A lease from before the timeouts became longer ends too early.
+            OriginLease::Open {
+                lease,
+                opened,
+                ttl: lease_ttl,
+            } if ttl <= lease_ttl && self.now < opened + lease_ttl / 2 => {
                 let Some(origins) = self.recording.recorder.begin_write(self.now) else {
                     return;
                 };
@@ -287,9 +294,9 @@
         response: Option<StoreResponse>,
     ) {
         match (call, response) {
-            (VersionCall::OpenLease(_), Some(StoreResponse::Lease(lease))) => {
+            (VersionCall::OpenLease(ttl), Some(StoreResponse::Lease(lease))) => {
                 let opened = self.now;
-                self.recording.lease = OriginLease::Open { lease, opened };
+                self.recording.lease = OriginLease::Open { lease, opened, ttl };
             }
             (VersionCall::OpenLease(_), _) => {
                 self.recording.lease = OriginLease::Closed;
--- a/crates/dewedge/src/serve/resumption.rs
+++ b/crates/dewedge/src/serve/resumption.rs
@@ -41,13 +41,6 @@
 /// store answers.
 const VIEW_INTERVAL_PER_VM: Duration = Duration::from_millis(2);
 
-/// Multiple of the longest timeout of a streaming route for which the origin of
-/// a stream is kept. Its caller may resume it until its own deadline.
-const ORIGIN_TTL_FACTOR: u32 = 2;
-
-/// Time for which origins are kept before the tables are loaded.
-const DEFAULT_ORIGIN_TTL: Duration = Duration::from_secs(60);
-
 /// Which software versions may serve a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum VersionBinding {
@@ -304,12 +297,11 @@
         version.is_none_or(|version| self.directory.version_of(replica) == version)
     }
 
-    /// Returns how long the origin of a stream is kept.
-    pub(crate) fn origin_ttl(&self) -> Duration {
-        let table = self.table.as_ref();
-        table
-            .and_then(|table| table.longest_stream_timeout())
-            .map_or(DEFAULT_ORIGIN_TTL, |timeout| timeout * ORIGIN_TTL_FACTOR)
+    /// Returns for how long a stream can be taken up, by the tables that this VM
+    /// has had and by those of the VMs that recorded the versions.
+    pub(crate) fn stream_ttl(&self) -> Duration {
+        let recorded = self.versions.longest_stream_ttl();
+        self.stream_terms.ttl(self.now).max(recorded)
     }
 }
 
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -29,6 +29,7 @@
 use crate::prefix_notices::PrefixQueue;
 use crate::settings::EdgeSettings;
 use crate::storage::StoreClient;
+use crate::stream_terms::StreamTerms;
 use crate::versions::VersionTable;
 
 use super::crashes::CrashWatch;
@@ -176,6 +177,7 @@
             awaiting_origin: Vec::new(),
             view_requested: Moment::ZERO,
             versions: VersionTable::default(),
+            stream_terms: StreamTerms::default(),
             recording: RecordingState::new(initial_random_state(&settings, options, now)),
             crashes: CrashWatch::default(),
             duties: DutyState::new(&settings, fixed(API_TOKEN)).map(Box::new),
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -34,6 +34,7 @@
 use crate::settings::EdgeSettings;
 use crate::storage::StoreClient;
 use crate::stream::EventSplitter;
+use crate::stream_terms::StreamTerms;
 use crate::tables::{CallerLimits, RouteSpec, RouteTable};
 use crate::versions::VersionTable;
 
@@ -283,6 +284,7 @@
     /// When the store was last asked for its revision because of such requests.
     pub(crate) view_requested: Moment,
     pub(crate) versions: VersionTable,
+    pub(crate) stream_terms: StreamTerms,
     pub(crate) recording: RecordingState,
     pub(crate) crashes: CrashWatch,
     /// The duties of the fleet, if the settings name any.
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -261,6 +261,7 @@
             self.models.get_mut(service).set_classes(classes);
         }
         self.store.set_tables_revision(revision);
+        self.stream_terms.apply_tables(&table, self.now);
         self.table = Some(Arc::new(table));
         let services: Vec<String> = self.queues.keys().cloned().collect();
         self.pending_dispatches.extend(services);
@@ -338,7 +339,7 @@
         self.refresh_blocks();
         self.test_reach();
         self.log_isolation();
-        let ttl = self.origin_ttl();
+        let ttl = self.stream_ttl();
         self.origins.expire(ttl, self.now);
         self.maintain_versions();
         // Ejections end and digests expire without an event.
--- a/crates/dewedge/src/tables.rs
+++ b/crates/dewedge/src/tables.rs
@@ -306,9 +306,9 @@
         self.longest_stream_timeout
     }
 
-    /// Returns whether callers may take up streams of a service.
-    pub fn has_resumable_streams(&self, service: &str) -> bool {
-        self.resumable_services.contains(service)
+    /// Returns the services with streams that callers may take up.
+    pub fn resumable_services(&self) -> impl Iterator<Item = &str> {
+        self.resumable_services.iter().map(String::as_str)
     }
 
     /// Returns the number of routes.
--- a/crates/dewedge/src/versions.rs
+++ b/crates/dewedge/src/versions.rs
@@ -4,7 +4,9 @@
 //! may take up streams that servers of an earlier version began. The VMs
 //! therefore record in the store which versions a service has. A version's
 //! record is removed by a VM that has not listed the version for as long as a
-//! stream of it can be taken up.
+//! stream of it can be taken up. How long that is, the record tells too: the
+//! stream may have begun under earlier tables, which a VM that has just started
+//! doesn't know.
 //!
 //! The main invariant: no clock but that of the observing VM decides that a
 //! version can have no streams left, so the records outlive the loss of all VMs.
@@ -44,11 +46,20 @@
     }
 }
 
+/// The record of a version in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VersionRecord {
+    /// The version.
+    pub names: ServiceVersion,
+    /// Time for which its streams can be taken up.
+    pub stream_ttl: Duration,
+}
+
 /// A change of the records in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum VersionChange {
-    /// A listed version has no record.
-    Write(ServiceVersion),
+    /// A listed version has no record, or a record with a shorter TTL.
+    Write(VersionRecord),
     /// The streams of a recorded version have ended.
     Remove {
         /// The version.
@@ -62,6 +73,8 @@
 #[derive(Clone, Debug)]
 struct KnownVersion {
     names: ServiceVersion,
+    /// Time for which its streams can be taken up, by its record.
+    stream_ttl: Duration,
     /// Revision of its record, if the store has one.
     revision: Option<u64>,
     /// Since when no server of it is listed; `None` while one is.
@@ -82,9 +95,12 @@
 
 impl VersionTable {
     /// Applies the record of a version.
-    pub fn record(&mut self, names: ServiceVersion, revision: u64, now: Moment) {
-        let known = self.known(names, now);
-        known.revision = known.revision.max(Some(revision));
+    pub fn record(&mut self, record: VersionRecord, revision: u64, now: Moment) {
+        let known = self.known(record.names, now);
+        if known.revision <= Some(revision) {
+            known.revision = Some(revision);
+            known.stream_ttl = record.stream_ttl;
+        }
         known.is_lost = false;
         known.change_at = None;
     }
@@ -137,12 +153,13 @@
     ///
     /// ```
     /// use dewedge::origins::version_id;
-    /// use dewedge::versions::{ServiceVersion, VersionTable};
+    /// use dewedge::versions::{ServiceVersion, VersionRecord, VersionTable};
     /// use std::time::Duration;
     ///
     /// let mut table = VersionTable::default();
     /// let names = ServiceVersion { service: "draft".to_string(), version: "v1".to_string() };
-    /// table.record(names, 7, Duration::ZERO);
+    /// let record = VersionRecord { names, stream_ttl: Duration::from_secs(30) };
+    /// table.record(record, 7, Duration::ZERO);
     /// let recorded: Vec<_> = table.recorded("draft").collect();
     /// assert_eq!(recorded, [version_id("v1")]);
     /// ```
@@ -153,10 +170,24 @@
             .map(|known| version_id(&known.names.version))
     }
 
+    /// Returns the longest time for which streams of recorded versions can be
+    /// taken up.
+    pub fn longest_stream_ttl(&self) -> Duration {
+        let recorded = self
+            .versions
+            .values()
+            .filter(|known| known.revision.is_some());
+        recorded
+            .map(|known| known.stream_ttl)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Returns the next change of the records that this VM must make.
     ///
     /// `rank` tells how many VMs change a record before this one; a stream can be
-    /// taken up for `ttl` after its version was last listed.
+    /// taken up for `ttl`, or for the TTL of its record if that is longer, after
+    /// its version was last listed.
     pub fn next_change(
         &mut self,
         rank: impl Fn(ServiceVersionHash) -> u32,
@@ -164,12 +195,17 @@
         now: Moment,
     ) -> Option<VersionChange> {
         for (hash, known) in &mut self.versions {
-            let expired = known.unlisted_since.is_some_and(|since| since + ttl < now);
-            let is_listed = known.unlisted_since.is_none();
+            let ttl = ttl.max(known.stream_ttl);
+            let unlisted = known.unlisted_since;
+            let expired = unlisted.is_some_and(|since| since.saturating_add(ttl) < now);
+            let is_listed = unlisted.is_none();
+            let record = || VersionRecord {
+                names: known.names.clone(),
+                stream_ttl: ttl,
+            };
             let change = match known.revision {
-                None if is_listed || known.is_lost && !expired => {
-                    VersionChange::Write(known.names.clone())
-                }
+                None if is_listed || known.is_lost && !expired => VersionChange::Write(record()),
+                Some(_) if is_listed && known.stream_ttl < ttl => VersionChange::Write(record()),
                 Some(revision) if expired => VersionChange::Remove {
                     version: known.names.clone(),
                     revision,
@@ -198,6 +234,7 @@
             .entry(names.hash())
             .or_insert_with(|| KnownVersion {
                 names,
+                stream_ttl: Duration::ZERO,
                 revision: None,
                 unlisted_since: Some(now),
                 was_listed: false,
--- a/crates/dewedge/tests/origins.rs
+++ b/crates/dewedge/tests/origins.rs
@@ -42,6 +42,23 @@
     assert_eq!(known.collect::<Vec<_>>(), [2, 3, 4]);
 }
 
+/// Guards against the loss of the origin of a stream that is taken up repeatedly.
+#[test]
+fn the_origin_of_a_stream_that_goes_on_is_kept_and_announced_again() {
+    let mut table = OriginTable::default();
+    for stream in 0..3 {
+        table.record(origin(stream, "v1"), 1, Duration::ZERO);
+    }
+    table.next_announcements(3);
+    table.record(origin(1, "v1"), 1, Duration::from_secs(20));
+    assert_eq!(table.next_announcements(3), [origin(1, "v1")]);
+    for (second, expected) in [(31, vec![1]), (50, vec![1]), (51, vec![])] {
+        table.expire(TTL, Duration::from_secs(second));
+        let known = (0..3).filter(|stream| table.version_of(*stream).is_some());
+        assert_eq!(known.collect::<Vec<u64>>(), expected, "after {second} s");
+    }
+}
+
 /// Servers of one service and the version that all of them have.
 struct SoleCase {
     name: &'static str,
--- a/crates/dewedge/tests/versions.rs
+++ b/crates/dewedge/tests/versions.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use dewedge::origins::version_id;
-use dewedge::versions::{ServiceVersion, VersionChange, VersionTable};
+use dewedge::versions::{ServiceVersion, VersionChange, VersionRecord, VersionTable};
 
 const TTL: Duration = Duration::from_secs(30);
 
@@ -14,6 +14,13 @@
     }
 }
 
+fn record(version: &str) -> VersionRecord {
+    VersionRecord {
+        names: names(version),
+        stream_ttl: TTL,
+    }
+}
+
 fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
@@ -31,8 +38,8 @@
         let first = next_change(&mut table, rank, seconds(1));
         let due = seconds(1) + Duration::from_millis(wait_ms);
         let change = first.or_else(|| next_change(&mut table, rank, due));
-        assert_eq!(change, Some(VersionChange::Write(names("v1"))), "{rank}");
-        table.record(names("v1"), 7, due);
+        assert_eq!(change, Some(VersionChange::Write(record("v1"))), "{rank}");
+        table.record(record("v1"), 7, due);
         assert_eq!(next_change(&mut table, rank, due + seconds(5)), None);
     }
 }
@@ -43,7 +50,7 @@
     table.observe([names("v1")], seconds(1));
     for now in [1, 2, 3] {
         let change = next_change(&mut table, 0, seconds(now));
-        assert_eq!(change, Some(VersionChange::Write(names("v1"))), "{now} s");
+        assert_eq!(change, Some(VersionChange::Write(record("v1"))), "{now} s");
     }
 }
 
@@ -76,7 +83,7 @@
     ];
     for case in cases {
         let mut table = VersionTable::default();
-        table.record(names("v1"), 7, seconds(case.read));
+        table.record(record("v1"), 7, seconds(case.read));
         if let Some(listed) = case.listed {
             table.observe([names("v1")], seconds(listed));
             table.observe([], seconds(listed));
@@ -98,13 +105,13 @@
 fn records_are_written_again_after_the_store_has_lost_them() {
     let mut table = VersionTable::default();
     table.observe([names("v1")], seconds(1));
-    table.record(names("v1"), 7, seconds(1));
-    table.record(names("v0"), 5, seconds(1));
+    table.record(record("v1"), 7, seconds(1));
+    table.record(record("v0"), 5, seconds(1));
     table.forget_records();
     let mut changes = Vec::new();
     changes.extend(next_change(&mut table, 0, seconds(2)));
     changes.extend(next_change(&mut table, 0, seconds(2)));
-    let writes = ["v1", "v0"].map(|version| VersionChange::Write(names(version)));
+    let writes = ["v1", "v0"].map(|version| VersionChange::Write(record(version)));
     assert_eq!(
         changes, writes,
         "v0 may have streams until its time is over"
@@ -117,10 +124,42 @@
 fn a_version_that_is_listed_again_gets_a_new_record() {
     let mut table = VersionTable::default();
     table.observe([names("v1")], seconds(1));
-    table.record(names("v1"), 7, seconds(1));
+    table.record(record("v1"), 7, seconds(1));
     table.observe([], seconds(2));
     assert_eq!(next_change(&mut table, 0, seconds(3)), None);
     table.observe([names("v1")], seconds(4));
     let change = next_change(&mut table, 0, seconds(4));
-    assert_eq!(change, Some(VersionChange::Write(names("v1"))));
+    assert_eq!(change, Some(VersionChange::Write(record("v1"))));
+}
+
+/// Guards against a record that is removed by a VM which doesn't know the longer
+/// timeout of the tables under which streams of the version began.
+#[test]
+fn a_record_outlives_streams_that_began_under_earlier_tables() {
+    let short = seconds(2);
+    let mut table = VersionTable::default();
+    table.record(record("v1"), 7, seconds(100));
+    let early = table.next_change(|_| 0, short, seconds(130));
+    assert_eq!(early, None);
+    let late = table.next_change(|_| 0, short, seconds(131));
+    assert!(matches!(late, Some(VersionChange::Remove { .. })));
+}
+
+/// Guards against records whose TTL is that of earlier, shorter timeouts.
+#[test]
+fn the_record_of_a_listed_version_is_written_again_with_a_longer_ttl() {
+    let mut table = VersionTable::default();
+    table.observe([names("v1")], seconds(1));
+    table.record(record("v1"), 7, seconds(1));
+    let shorter = table.next_change(|_| 0, seconds(2), seconds(2));
+    assert_eq!(shorter, None, "a shorter one holds for later streams only");
+    let longer = VersionRecord {
+        stream_ttl: seconds(60),
+        ..record("v1")
+    };
+    let change = table.next_change(|_| 0, seconds(60), seconds(3));
+    assert_eq!(change, Some(VersionChange::Write(longer.clone())));
+    table.record(longer, 9, seconds(3));
+    assert_eq!(table.longest_stream_ttl(), seconds(60));
+    assert_eq!(table.next_change(|_| 0, seconds(60), seconds(9)), None);
 }
