Bound the numbers of servers, callers and the store where they meet arithmetic

Cause: the timeout was added to the current time without a bound; the process ended with 'overflow when adding durations' in keep_server_conn.

Change: idle connections are kept for at most 10 minutes. Sums of token counts and of the counts of a stored report, and the limit on a request's head, don't overflow.

--- a/crates/dewduty/src/usage/collector.rs
+++ b/crates/dewduty/src/usage/collector.rs
@@ -44,6 +44,13 @@
     pub counts: IndexMap<String, u64>,
 }
 
+impl WrittenReport {
+    /// Returns the sum of the counts. A report that was read may hold any counts.
+    pub fn total(&self) -> u64 {
+        self.counts.values().copied().fold(0, u64::saturating_add)
+    }
+}
+
 /// A window that is to be reported.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ReportPlan {
--- a/crates/dewedge/src/policy/part_cache.rs
+++ b/crates/dewedge/src/policy/part_cache.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::Moment;
 use crate::format::PromptPart;
+use crate::policy::placement::token_sum;
 
 /// Time for which a part is expected to stay in an engine's KV cache.
 pub const PART_TTL: Duration = Duration::from_secs(10);
@@ -237,14 +238,10 @@
     ///
     /// A part counts only if all parts before it count.
     pub fn own_cached_tokens(&self, parts: &[PromptPart], now: Moment) -> u32 {
-        parts
-            .iter()
-            .take_while(|part| {
-                let used = self.parts.get(&part.id);
-                used.is_some_and(|used| now.saturating_sub(*used) < PART_TTL)
-            })
-            .map(|part| part.tokens)
-            .sum()
+        token_sum(parts.iter().take_while(|part| {
+            let used = self.parts.get(&part.id);
+            used.is_some_and(|used| now.saturating_sub(*used) < PART_TTL)
+        }))
     }
 
     /// Returns the number of parts and of prefixes.
--- a/crates/dewedge/src/policy/placement.rs
+++ b/crates/dewedge/src/policy/placement.rs
@@ -406,11 +406,17 @@
 /// Returns the tokens of the prompt prefix that other requests may share.
 pub fn shared_prefix_tokens(parts: &[PromptPart]) -> u32 {
     match parts {
-        [shared @ .., _] => shared.iter().map(|part| part.tokens).sum(),
+        [shared @ .., _] => token_sum(shared),
         [] => 0,
     }
 }
 
+/// Returns the tokens of some parts; callers may state more than there can be.
+pub(super) fn token_sum<'a>(parts: impl IntoIterator<Item = &'a PromptPart>) -> u32 {
+    let tokens = parts.into_iter().map(|part| part.tokens);
+    tokens.fold(0, u32::saturating_add)
+}
+
 fn engine_cost(
     query: &PlacementQuery<'_>,
     replica: &ReplicaView<'_>,
--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -89,7 +89,7 @@
             };
             let limit = match conn.phase {
                 CallerPhase::Busy(_) => MAX_PIPELINED,
-                _ => limits.head_bytes + MAX_PIPELINED,
+                _ => limits.head_bytes.saturating_add(MAX_PIPELINED),
             };
             let read_state = conn.channel.fill(limit, closing);
             if let CallerPhase::Lingering = conn.phase {
--- a/crates/dewedge/src/serve/duties/calls.rs
+++ b/crates/dewedge/src/serve/duties/calls.rs
@@ -141,7 +141,7 @@
             .ms("took_ms", took);
         match &call.call {
             ApiCall::ReportUsage(report) => {
-                let total: u64 = report.counts.values().sum();
+                let total = report.total();
                 let workspaces = report.counts.len() as u64;
                 line.number("window", report.window)
                     .number("requests", total)
--- a/crates/dewedge/src/serve/duties/usage.rs
+++ b/crates/dewedge/src/serve/duties/usage.rs
@@ -301,7 +301,7 @@
     }
 
     fn log_plan(&mut self, usage: &UsageDesk, plan: &ReportPlan, report: &WrittenReport) {
-        let known: u64 = report.counts.values().sum();
+        let known = report.total();
         let total: u64 = plan.totals.values().sum();
         let skipped = plan.skipped.end.saturating_sub(plan.skipped.start);
         self.logs
--- a/crates/dewedge/src/serve/duties/view.rs
+++ b/crates/dewedge/src/serve/duties/view.rs
@@ -63,7 +63,7 @@
     let Some(report) = stored else {
         return "null".to_string();
     };
-    let requests: u64 = report.counts.values().sum();
+    let requests = report.total();
     format!(
         "{{\"window\":{},\"token\":{},\"workspaces\":{},\"requests\":{requests}}}",
         report.window,
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -50,6 +50,10 @@
 /// Idle timeout of a connection whose server announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Longest time for which an idle connection is kept, whatever its server
+/// announces.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(600);
+
 /// Margin subtracted from the announced idle timeout, because a request takes
 /// time to reach the server.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
@@ -488,7 +492,7 @@
             .fields
             .list_elements("keep-alive")
             .find_map(|word| word.strip_prefix("timeout=")?.parse().ok())
-            .map(Duration::from_secs);
+            .map(|seconds| Duration::from_secs(seconds).min(MAX_IDLE_TIMEOUT));
         let time = idle.map_or(DEFAULT_IDLE_TIMEOUT, |idle| {
             idle.saturating_sub(IDLE_TIMEOUT_MARGIN).max(idle / 3)
         });
