Send a stream that is taken up to the service that began it

Cause: the service was chosen by weight for each request, also for one that takes a stream up; the origin of a stream named a version, but not its service.

Change: the id of a version is that of its service too, and the service of a bound stream follows from it, if the weights in force permit it. For unknown streams, all services of the route count, also those of earlier tables. Origins are kept in the store while services share a route.

--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -38,6 +38,8 @@
     pub hash: u64,
     /// Its entry in the store.
     pub entry: ReplicaEntry,
+    /// Version of its software, by its entry.
+    version: VersionId,
     /// Whether it was seen leaving.
     pub leaving: bool,
     /// Until when it accepts no request from this VM.
@@ -171,6 +173,7 @@
         let returned = std::mem::take(&mut replica.gone);
         let moved = replica.entry.service != entry.service;
         let is_leaving = entry.stage == ReplicaStage::Leaving;
+        replica.version = version_id(&entry.service, &entry.version);
         let old_service = std::mem::replace(&mut replica.entry, entry).service;
         if restarted {
             replica.reset();
@@ -310,7 +313,7 @@
 
     /// Returns the software version of a server.
     pub fn version_of(&self, index: ReplicaIndex) -> VersionId {
-        version_id(&self.replicas[index].entry.version)
+        self.replicas[index].version
     }
 
     /// Returns whether a server of a service that accepts new requests has this
@@ -408,6 +411,7 @@
         self.replicas.push(ReplicaState {
             id,
             hash,
+            version: version_id(&entry.service, &entry.version),
             entry,
             leaving,
             backoff_until: Moment::ZERO,
--- a/crates/dewedge/src/origins.rs
+++ b/crates/dewedge/src/origins.rs
@@ -2,7 +2,7 @@
 //!
 //! Servers of several versions may serve side by side, and what two versions
 //! write doesn't fit together, so a stream goes on only at the version that
-//! began it. A caller may take a stream up through another VM. The VMs therefore
+//! began it, of the service that began it. A caller may take a stream up through another VM. The VMs therefore
 //! announce each new stream in their digests, and a VM that doesn't know a
 //! stream, because it has restarted for example, asks the others.
 //!
@@ -20,7 +20,7 @@
 /// Hash of the attempt that began a stream, the same on all VMs.
 pub type StreamKey = u64;
 
-/// Hash of a software version, the same on all VMs.
+/// Hash of a service and a version of its servers' software, the same on all VMs.
 pub type VersionId = u32;
 
 /// Maximum number of known streams; the oldest are forgotten first.
@@ -31,9 +31,9 @@
     stable_hash(attempt.as_bytes())
 }
 
-/// Returns the id of a software version.
-pub fn version_id(version: &str) -> VersionId {
-    stable_hash(version.as_bytes()) as VersionId
+/// Returns the id of a version of a service's software.
+pub fn version_id(service: &str, version: &str) -> VersionId {
+    stable_hash(format!("{service}\0{version}").as_bytes()) as VersionId
 }
 
 /// A stream and the version at which it began.
@@ -120,9 +120,9 @@
     ///
     /// let mut table = OriginTable::default();
     /// let stream = stream_key("attempt-1");
-    /// let origin = StreamOrigin { stream, version: version_id("v1") };
+    /// let origin = StreamOrigin { stream, version: version_id("draft", "v1") };
     /// assert!(table.learn(origin, Duration::from_secs(5)));
-    /// assert_eq!(table.version_of(stream), Some(version_id("v1")));
+    /// assert_eq!(table.version_of(stream), Some(version_id("draft", "v1")));
     /// ```
     pub fn learn(&mut self, origin: StreamOrigin, now: Moment) -> bool {
         if let Some(known) = self.streams.get_mut(&origin.stream) {
--- a/crates/dewedge/src/serve/recording.rs
+++ b/crates/dewedge/src/serve/recording.rs
@@ -72,7 +72,10 @@
 impl<F: PlatformFormat> EdgeState<F> {
     /// Returns the versions that may have begun a stream of a service which can
     /// still be taken up.
-    pub(crate) fn recent_versions(&self, service: &str) -> impl Iterator<Item = VersionId> {
+    pub(crate) fn recent_versions<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = VersionId> + 'a {
         let since = self.now.saturating_sub(self.stream_ttl());
         let listed = self.directory.versions_since(service, since);
         listed.chain(self.versions.recorded(service))
@@ -182,22 +185,34 @@
             .set(self.now, TimerKey::Store, &mut self.timers);
     }
 
+    /// Returns whether streams of a service, or of the routes that it shares, may
+    /// have begun at several versions.
     fn has_several_versions(&self, service: &str) -> bool {
-        let mut versions = self.recent_versions(service);
+        let partners = self.stream_terms.partners(service, self.now);
+        let services = std::iter::once(service).chain(partners);
+        let mut versions = services.flat_map(|service| self.recent_versions(service));
         let first = versions.next();
         versions.any(|version| Some(version) != first)
     }
 
-    /// Records the streams in progress of a service that now has several
-    /// versions.
+    /// Records the streams in progress of a service, and of those that share its
+    /// routes, if they now have several versions.
     pub(crate) fn begin_recording(&mut self, service: &str) {
-        if !self.stream_terms.is_resumable(service, self.now)
-            || self.recording.mixed.contains(service)
-            || !self.has_several_versions(service)
-        {
-            return;
+        let partners = self.stream_terms.partners(service, self.now);
+        let services = std::iter::once(service).chain(partners);
+        let mixed: Vec<String> = services
+            .filter(|service| self.stream_terms.is_resumable(service, self.now))
+            .filter(|service| !self.recording.mixed.contains(*service))
+            .filter(|service| self.has_several_versions(service))
+            .map(str::to_string)
+            .collect();
+        for service in mixed {
+            self.record_begun_streams(&service);
+            self.recording.mixed.insert(service);
         }
-        self.recording.mixed.insert(service.to_string());
+    }
+
+    fn record_begun_streams(&mut self, service: &str) {
         let streams = self.exchanges.iter().map(|(_, exchange)| exchange);
         let origins: Vec<StreamOrigin> = streams
             .filter(|exchange| exchange.service == service)
@@ -208,8 +223,9 @@
             .text("service", service)
             .number("streams", origins.len() as u64);
         for origin in origins {
-            self.record_origin(service, origin);
+            self.recording.outbox.push(origin, self.now);
         }
+        self.arm_recording();
     }
 
     /// Has the origin of a stream written to the store if its service has had
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -182,11 +182,6 @@
             let oldest = queue.oldest_blocker(authorized.priority, &requirements);
             (!caller_retry && is_queue_blocked(oldest, wait, now)).then_some(queue.len())
         });
-        let (ratio, window) = (self.settings.retry_ratio, self.settings.retry_window);
-        self.budgets
-            .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(ratio, window))
-            .record_request(now);
         self.body_bytes += body.len() as u64;
         let request_head = forward_head::<F>(head);
         let exchange_id = self.exchanges.insert(Exchange {
@@ -232,6 +227,17 @@
         }
     }
 
+    /// Counts a request for its service, in proportion to which attempts may be
+    /// repeated there.
+    pub(crate) fn count_new_request(&mut self, exchange_id: usize) {
+        let (ratio, window) = (self.settings.retry_ratio, self.settings.retry_window);
+        let service = self.exchanges[exchange_id].service.clone();
+        self.budgets
+            .entry(service)
+            .or_insert_with(|| RetryBudget::new(ratio, window))
+            .record_request(self.now);
+    }
+
     /// Adds a request to the queue of its service.
     pub(crate) fn enqueue(&mut self, exchange_id: usize) {
         let is_blocked = self.blocked_for(exchange_id).is_some();
--- a/crates/dewedge/src/serve/resumption.rs
+++ b/crates/dewedge/src/serve/resumption.rs
@@ -3,11 +3,12 @@
 //! A stream is bound by its first event, or by the origin of the stream that its
 //! caller takes up. If this VM doesn't know that origin, it asks the other VMs,
 //! and reads what the store has of it; see [`super::recording`]. Only if neither
-//! knows it, and the service has had one version of late, that version is the
-//! origin.
+//! knows it, and the services of its route have had one version of late, that
+//! version is the origin.
 //!
 //! The main invariant: a bound stream gets events only from servers of its
-//! version.
+//! version, which belong to the service that began it, whatever the weights of
+//! its route are now.
 
 use std::time::Duration;
 
@@ -80,7 +81,7 @@
     Known,
     /// Another VM or the store has told it.
     Found,
-    /// The service has had only one version of late.
+    /// The services of its route have had only one version of late.
     SoleVersion,
     /// Neither the VMs nor the store know it, and several versions may have begun
     /// it.
@@ -105,6 +106,7 @@
         if is_resumption(&self.exchanges[exchange_id]) {
             self.resolve_binding(exchange_id);
         } else {
+            self.count_new_request(exchange_id);
             self.enqueue(exchange_id);
         }
     }
@@ -217,15 +219,20 @@
         }
     }
 
-    /// Queues a request whose stream began at `version`, or refuses it if no
-    /// server of that version is left.
+    /// Queues a request whose stream began at `version`, at the service of that
+    /// version, or refuses it if its route has no server of that version.
     fn queue_bound(&mut self, exchange_id: usize, version: VersionId) {
         let exchange = &mut self.exchanges[exchange_id];
         exchange.binding = VersionBinding::Bound(version);
-        if self.directory.lists_version(&exchange.service, version) {
-            self.enqueue(exchange_id);
-        } else {
-            self.refuse(exchange_id, "version_gone", 0);
+        let shares = exchange.route.shares.iter();
+        let mut allowed = shares.filter(|share| share.weight > 0);
+        match allowed.find(|share| self.directory.lists_version(&share.service, version)) {
+            Some(share) => {
+                exchange.service = share.service.clone();
+                self.count_new_request(exchange_id);
+                self.enqueue(exchange_id);
+            }
+            None => self.refuse(exchange_id, "version_gone", 0),
         }
     }
 
@@ -233,13 +240,17 @@
     /// begun it, or refuses it. Without the store's view, another version may have
     /// been listed that this VM hasn't read yet.
     fn queue_unknown(&mut self, exchange_id: usize, is_view_confirmed: bool) {
-        let service = &self.exchanges[exchange_id].service;
-        let sole_version = sole(self.recent_versions(service));
-        match sole_version.filter(|_| is_view_confirmed) {
+        let route = &self.exchanges[exchange_id].route;
+        let shares = route.shares.iter().map(|share| share.service.as_str());
+        let services = self
+            .stream_terms
+            .route_services(route, self.now)
+            .chain(shares);
+        let versions = services.flat_map(|service| self.recent_versions(service));
+        match sole(versions).filter(|_| is_view_confirmed) {
             Some(version) => {
                 self.record_resumption(exchange_id, OriginSource::SoleVersion);
-                self.exchanges[exchange_id].binding = VersionBinding::Bound(version);
-                self.enqueue(exchange_id);
+                self.queue_bound(exchange_id, version);
             }
             None => {
                 self.record_resumption(exchange_id, OriginSource::Unknown);
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -263,6 +263,10 @@
         self.store.set_tables_revision(revision);
         self.stream_terms.apply_tables(&table, self.now);
         self.table = Some(Arc::new(table));
+        let services = self.stream_terms.services(self.now).map(str::to_string);
+        for service in services.collect::<Vec<_>>() {
+            self.begin_recording(&service);
+        }
         let services: Vec<String> = self.queues.keys().cloned().collect();
         self.pending_dispatches.extend(services);
     }
--- a/crates/dewedge/src/tables.rs
+++ b/crates/dewedge/src/tables.rs
@@ -172,8 +172,6 @@
     keys: IndexMap<String, KeyOwner>,
     needs_key: bool,
     workspaces: IndexSet<String>,
-    /// Services with streams that callers may take up.
-    resumable_services: IndexSet<String>,
     longest_stream_timeout: Option<Duration>,
 }
 
@@ -197,13 +195,10 @@
     /// ```
     pub fn index(set: TableSet, revision: u64) -> Self {
         let mut hosts: IndexMap<String, IndexMap<String, Arc<RouteSpec>>> = IndexMap::new();
-        let mut resumable_services = IndexSet::new();
         let mut longest_stream_timeout = None;
         for route in set.routes {
             if route.kind == RequestKind::Streaming {
                 longest_stream_timeout = longest_stream_timeout.max(Some(route.timeout));
-                let resumable = route.shares.iter().filter(|_| route.resumable);
-                resumable_services.extend(resumable.map(|share| share.service.clone()));
             }
             let prefixes = hosts.entry(route.host.clone()).or_default();
             prefixes.insert(route.prefix.clone(), Arc::new(route));
@@ -237,7 +232,6 @@
             keys,
             needs_key,
             workspaces,
-            resumable_services,
             longest_stream_timeout,
         }
     }
@@ -306,9 +300,10 @@
         self.longest_stream_timeout
     }
 
-    /// Returns the services with streams that callers may take up.
-    pub fn resumable_services(&self) -> impl Iterator<Item = &str> {
-        self.resumable_services.iter().map(String::as_str)
+    /// Returns the routes with streams that callers may take up.
+    pub fn resumable_routes(&self) -> impl Iterator<Item = &Arc<RouteSpec>> {
+        let routes = self.hosts.values().flat_map(IndexMap::values);
+        routes.filter(|route| route.kind == RequestKind::Streaming && route.resumable)
     }
 
     /// Returns the number of routes.
--- a/crates/dewedge/src/versions.rs
+++ b/crates/dewedge/src/versions.rs
@@ -161,13 +161,13 @@
     /// let record = VersionRecord { names, stream_ttl: Duration::from_secs(30) };
     /// table.record(record, 7, Duration::ZERO);
     /// let recorded: Vec<_> = table.recorded("draft").collect();
-    /// assert_eq!(recorded, [version_id("v1")]);
+    /// assert_eq!(recorded, [version_id("draft", "v1")]);
     /// ```
     pub fn recorded(&self, service: &str) -> impl Iterator<Item = VersionId> {
         self.versions
             .values()
             .filter(move |known| known.names.service == service && known.revision.is_some())
-            .map(|known| version_id(&known.names.version))
+            .map(|known| version_id(&known.names.service, &known.names.version))
     }
 
     /// Returns the longest time for which streams of recorded versions can be
--- a/crates/dewedge/tests/origins.rs
+++ b/crates/dewedge/tests/origins.rs
@@ -12,7 +12,7 @@
 fn origin(stream: u64, version: &str) -> StreamOrigin {
     StreamOrigin {
         stream,
-        version: version_id(version),
+        version: version_id("draft", version),
     }
 }
 
@@ -21,7 +21,7 @@
     let mut table = OriginTable::default();
     assert!(table.learn(origin(1, "v1"), Duration::ZERO));
     assert!(!table.learn(origin(1, "v2"), Duration::ZERO));
-    assert_eq!(table.version_of(1), Some(version_id("v1")));
+    assert_eq!(table.version_of(1), Some(version_id("draft", "v1")));
 }
 
 #[test]
@@ -118,7 +118,12 @@
         }
         let since = Duration::from_secs(100) - TTL;
         let sole = directory.sole_version("draft", since);
-        assert_eq!(sole, case.sole.map(version_id), "{}", case.name);
+        assert_eq!(
+            sole,
+            case.sole.map(|version| version_id("draft", version)),
+            "{}",
+            case.name
+        );
     }
 }
 
@@ -163,7 +168,7 @@
             gap_sensitive: false,
             class: 1,
             home: None,
-            version: version.map(version_id),
+            version: version.map(|version| version_id("draft", version)),
         };
         let blocks = requirements(case.first).blocks(&requirements(case.later));
         assert_eq!(blocks, case.blocks, "{:?}, {:?}", case.first, case.later);
--- a/crates/dewedge/tests/versions.rs
+++ b/crates/dewedge/tests/versions.rs
@@ -91,7 +91,7 @@
         let early = next_change(&mut table, 0, seconds(case.removable));
         assert_eq!(early, None, "{}", case.name);
         let recorded: Vec<_> = table.recorded("draft").collect();
-        assert_eq!(recorded, [version_id("v1")], "{}", case.name);
+        assert_eq!(recorded, [version_id("draft", "v1")], "{}", case.name);
         let late = next_change(&mut table, 0, seconds(case.removable + 1));
         let removal = VersionChange::Remove {
             version: names("v1"),
