Resolve resumed streams only once a confirmed view is applied as a whole

Cause: the store's client counted a view as confirmed as soon as it had received the changes. The VM applied them one by one, and resolved all waiting requests after the first origins among them.

Change: the confirmation is an event that follows the changes.

--- a/crates/dewedge/src/serve/resumption.rs
+++ b/crates/dewedge/src/serve/resumption.rs
@@ -148,7 +148,7 @@
             search.answer_due = self.now + ORIGIN_WAIT;
         }
         let is_asked = search.queries >= self.query_count() && search.answer_due <= self.now;
-        let is_confirmed = self.store.is_view_confirmed(search.begun);
+        let is_confirmed = self.is_view_confirmed(search.begun);
         if !is_confirmed {
             self.request_view();
         }
@@ -174,6 +174,12 @@
         }
     }
 
+    /// Returns whether all changes were applied that the store had at `since`.
+    fn is_view_confirmed(&self, since: Moment) -> bool {
+        self.view_confirmed
+            .is_some_and(|confirmed| confirmed >= since)
+    }
+
     /// Requests the store's view, unless that was done just now.
     fn request_view(&mut self) {
         let interval = VIEW_INTERVAL_PER_VM * u32::try_from(self.peers.vm_count()).unwrap_or(1);
@@ -209,8 +215,7 @@
             };
             let stream = resumed_stream(exchange);
             let is_known = stream.is_some_and(|stream| self.origins.version_of(stream).is_some());
-            let is_over =
-                search.answer_due <= self.now && self.store.is_view_confirmed(search.begun);
+            let is_over = search.answer_due <= self.now && self.is_view_confirmed(search.begun);
             if is_known || is_over {
                 self.resolve_binding(exchange_id);
             } else {
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -176,6 +176,7 @@
             origins: OriginTable::default(),
             awaiting_origin: Vec::new(),
             view_requested: Moment::ZERO,
+            view_confirmed: None,
             versions: VersionTable::default(),
             stream_terms: StreamTerms::default(),
             recording: RecordingState::new(initial_random_state(&settings, options, now)),
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -283,6 +283,8 @@
     pub(crate) awaiting_origin: Vec<ExchangeId>,
     /// When the store was last asked for its revision because of such requests.
     pub(crate) view_requested: Moment,
+    /// When the store was in the latest state of which all changes were applied.
+    pub(crate) view_confirmed: Option<Moment>,
     pub(crate) versions: VersionTable,
     pub(crate) stream_terms: StreamTerms,
     pub(crate) recording: RecordingState,
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -88,8 +88,14 @@
                 StoreEvent::VersionEnded { call, response } => {
                     self.on_version_call_ended(call, response);
                 }
-                StoreEvent::ViewConfirmed => self.bind_awaiting(),
-                StoreEvent::EraChanged { era } => self.begin_store_era(era),
+                StoreEvent::ViewConfirmed { at } => {
+                    self.view_confirmed = self.view_confirmed.max(Some(at));
+                    self.bind_awaiting();
+                }
+                StoreEvent::EraChanged { era } => {
+                    self.view_confirmed = None;
+                    self.begin_store_era(era);
+                }
                 StoreEvent::Confirmed { revision, sent } => {
                     let tables_current = self
                         .table
--- a/crates/dewedge/src/storage/mod.rs
+++ b/crates/dewedge/src/storage/mod.rs
@@ -97,8 +97,9 @@
         call: VersionCall,
         response: Option<StoreResponse>,
     },
-    /// All changes are known that the store had when the view was requested.
-    ViewConfirmed,
+    /// The events before this one contain all changes that the store had at this
+    /// time.
+    ViewConfirmed { at: Moment },
     /// A call ended.
     CallEnded {
         call: &'static str,
@@ -121,7 +122,9 @@
     duty_queue: VecDeque<(DutyCall, Moment)>,
     /// Calls about versions and origins of streams.
     version_queue: VecDeque<VersionCall>,
-    view: ViewConfirmation,
+    /// When the store was asked for its revision, and the revision, until the watch
+    /// has reached it.
+    requested_views: VecDeque<(Moment, u64)>,
     era: Option<StoreEra>,
     /// Latest revision of the store that a response has shown in this era.
     known_revision: u64,
@@ -164,7 +167,7 @@
             queue: VecDeque::new(),
             duty_queue: VecDeque::new(),
             version_queue: VecDeque::new(),
-            view: ViewConfirmation::default(),
+            requested_views: VecDeque::new(),
             era: None,
             known_revision: 0,
             sent_revision: 0,
@@ -250,13 +253,6 @@
         self.call_version(VersionCall::List);
     }
 
-    /// Returns whether all changes are known that the store had at `since`.
-    pub(crate) fn is_view_confirmed(&self, since: Moment) -> bool {
-        self.view
-            .confirmed
-            .is_some_and(|confirmed| confirmed >= since)
-    }
-
     /// Reads everything again once the lists in progress are complete, for a consumer
     /// that has just begun.
     pub(crate) fn request_reload(&mut self) {
@@ -485,7 +481,7 @@
         for call in std::mem::take(&mut self.version_queue) {
             self.fail_version(StoreCall::Version(call));
         }
-        self.view = ViewConfirmation::default();
+        self.requested_views.clear();
         self.rewrite_own_entry(now);
         self.restart_watch(now);
         // A call that was sent in the earlier era confirms nothing.
@@ -610,7 +606,7 @@
                 for record in records {
                     self.push_record_as_of(record, as_of, name, now);
                 }
-                self.view.requested.push_back((sent, as_of));
+                self.requested_views.push_back((sent, as_of));
                 self.check_watch(as_of, now);
                 self.watch_connection.hasten(now);
                 self.confirm_view();
@@ -661,7 +657,7 @@
                 let recovering = self.is_outage_suspected(now);
                 let delay = self.intervals.delay_after_watch(bytes, recovering);
                 self.watch_connection.retry_at = now + delay;
-                if !self.view.requested.is_empty() {
+                if !self.requested_views.is_empty() {
                     self.watch_connection.hasten(now);
                 }
             }
@@ -749,28 +745,17 @@
 
     /// Confirms the requested views whose revisions the watch has reached.
     fn confirm_view(&mut self) {
-        while let Some((sent, revision)) = self.view.requested.front().copied()
+        while let Some((sent, revision)) = self.requested_views.front().copied()
             && self
                 .watch_revision
                 .is_some_and(|watch_revision| watch_revision >= revision)
         {
-            self.view.requested.pop_front();
-            self.view.confirmed = self.view.confirmed.max(Some(sent));
-            self.events.push(StoreEvent::ViewConfirmed);
+            self.requested_views.pop_front();
+            self.events.push(StoreEvent::ViewConfirmed { at: sent });
         }
     }
 }
 
-/// How recent a state of the store is known completely.
-#[derive(Clone, Debug, Default)]
-struct ViewConfirmation {
-    /// When the store was asked for its revision, and the revision, until the
-    /// watch has reached it.
-    requested: VecDeque<(Moment, u64)>,
-    /// All changes are known that the store had at this time.
-    confirmed: Option<Moment>,
-}
-
 /// Returns the entry of a block or a lift that a call changes.
 fn written_entry(call: &StoreCall) -> Option<RecordKey> {
     match call {
