Ignore servers whose ids are no header values

A server whose key in the store has a line break in it got requests with headers that no caller had sent: the id is written to the header that names the server. The test the_id_of_a_server_adds_no_header got a 200 with such a server before, and 503, with no request sent, now.

--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::directory::DirectoryChange;
-use crate::format::{PlatformFormat, RecordKey, StoreEra, StoreRecord};
+use crate::format::{FormatError, PlatformFormat, RecordKey, StoreEra, StoreRecord};
 use crate::limit_notices::{LimitNotice, encode_notices};
 use crate::load_notices::ReceivedNotices;
 use crate::origins::{StreamKey, StreamOrigin};
@@ -156,7 +156,7 @@
                     None => self
                         .directory
                         .remove(&id, record.revision, outage_suspected, self.now),
-                    Some(value) => match F::read_replica(value) {
+                    Some(value) => match check_id(&id).and_then(|()| F::read_replica(value)) {
                         Ok(entry) => self.directory.apply(id, entry, record.revision),
                         Err(error) => {
                             self.logs
@@ -569,3 +569,14 @@
             .collect()
     }
 }
+
+/// Checks that the id of a server, which its requests name in a header, adds nothing
+/// else to them.
+fn check_id(id: &str) -> Result<(), FormatError> {
+    match !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        true => Ok(()),
+        false => Err(FormatError(
+            "id: expected visible ASCII characters".to_string(),
+        )),
+    }
+}
