--- a/crates/dewedge/src/origins.rs
+++ b/crates/dewedge/src/origins.rs
@@ -2,9 +2,10 @@
 //!
 //! Servers of several versions may serve side by side, and what two versions
 //! write doesn't fit together, so a stream goes on only at the version that
-//! began it, of the service that began it. A caller may take a stream up through another VM. The VMs therefore
-//! announce each new stream in their digests, and a VM that doesn't know a
-//! stream, because it has restarted for example, asks the others.
+//! began it, of the service that began it. A caller may take a stream up through
+//! another VM. The VMs therefore announce each new stream in their digests, and a
+//! VM that doesn't know a stream, because it has restarted for example, asks the
+//! others.
 //!
 //! The main invariant: the origin of a stream doesn't change while it is known,
 //! and is known for as long as the stream can be taken up after it last went on.
