Say in two module pages that routes shared by services are recorded too

The origins of streams are written to the store also while services share a route; the pages of recording and of the origin log named several versions only.

--- a/crates/dewedge/src/origin_log.rs
+++ b/crates/dewedge/src/origin_log.rs
@@ -1,7 +1,7 @@
 //! Writing the origins of streams to the store, so that they outlive all VMs.
 //!
-//! Origins are written only while a service has servers of several versions;
-//! otherwise they follow from the service. A VM sends the origins of its streams
+//! Origins are written only while the services of a route have servers of several
+//! versions; otherwise they follow from the route. A VM sends the origins of its streams
 //! to one VM, the recorder, which writes those of all VMs in batches: the number
 //! of calls to the store depends neither on the number of streams nor on the
 //! size of the fleet. The recorder acknowledges what the store has accepted.
--- a/crates/dewedge/src/serve/recording.rs
+++ b/crates/dewedge/src/serve/recording.rs
@@ -1,9 +1,9 @@
 //! Records versions and origins of streams in the store.
 //!
-//! [`VersionTable`](crate::versions::VersionTable) tells which versions services have had of late. While a
-//! service has several, the origins of its streams are written to the store by
-//! way of a recorder; see [`crate::origin_log`]. In calm times, neither takes a
-//! call.
+//! [`VersionTable`](crate::versions::VersionTable) tells which versions services
+//! have had of late. While a service has several, or shares a route with another
+//! service, the origins of its streams are written to the store by way of a
+//! recorder; see [`crate::origin_log`]. In calm times, neither takes a call.
 //!
 //! The main invariant: as long as a stream can be taken up, either the store has
 //! its origin, or it has a record of each version that may have begun it, so no
@@ -48,7 +48,7 @@
     lease: OriginLease,
     writes: u64,
     place_reset_at: Moment,
-    /// Services that have had several versions of late.
+    /// Services whose streams may have begun at several versions of late.
     mixed: IndexSet<String>,
     pub(crate) timer: LazyTimer,
 }
