Add tests of clients that don't behave

In a trial of the users, clients that they don't control ended a process: out of memory. Before the cause is mended, these tests fix the crowds and the bounds: real processes on loopback, limits lowered in the test's own settings, one test for each class of what clients can make a process hold, and all classes at once. They check that the process lives, that resident memory with the bytes its sockets hold unread stays within the limit of the machine, that descriptors do, and that an ordinary request is answered.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,9 +3,11 @@
 //! Three programs are built from this library: `fake-engine`, `fake-service`
 //! and `fake-platform`. Their protocol is described in `docs/BACKENDS.md`.
 //! The [`process`] module runs the workspace's programs as child processes of
-//! tests, and [`ports`] hands out the ports that they bind.
+//! tests, [`ports`] hands out the ports that they bind, and [`crowd`] plays clients
+//! that don't behave.
 
 pub mod crash;
+pub mod crowd;
 pub mod engine;
 mod faults;
 mod flags;
