--- a/crates/dewedge/src/directory.rs
+++ b/crates/dewedge/src/directory.rs
@@ -454,8 +454,22 @@
 
 /// Returns a hash that is the same on all VMs.
 pub fn stable_hash(bytes: &[u8]) -> u64 {
+    stable_hash_of_parts([bytes])
+}
+
+/// Returns the hash of the concatenated parts.
+///
+/// # Examples
+///
+/// ```
+/// use dewedge::directory::{stable_hash, stable_hash_of_parts};
+///
+/// let parts: [&[u8]; 2] = [b"ab", b"c"];
+/// assert_eq!(stable_hash_of_parts(parts), stable_hash(b"abc"));
+/// ```
+pub fn stable_hash_of_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
     use std::hash::Hasher;
     let mut hasher = siphasher::sip::SipHasher13::new();
-    hasher.write(bytes);
+    parts.into_iter().for_each(|part| hasher.write(part));
     hasher.finish()
 }
--- a/crates/dewedge/src/http/body.rs
+++ b/crates/dewedge/src/http/body.rs
@@ -1,6 +1,7 @@
 //! Decoding of message bodies: by length, chunked, or until the connection
 //! closes.
 
+use dewbudget::BodySink;
 use thiserror::Error;
 
 /// Maximum bytes of a chunk header line; a size has at most 15 digits.
@@ -81,7 +82,7 @@
     /// # Errors
     ///
     /// Returns an error if a chunk is malformed.
-    pub fn decode(&mut self, input: &[u8], out: &mut Vec<u8>) -> Result<usize, BodyError> {
+    pub fn decode(&mut self, input: &[u8], out: &mut impl BodySink) -> Result<usize, BodyError> {
         let mut used = 0;
         while used < input.len() && !self.is_done() {
             used += self.step(&input[used..], out)?;
@@ -89,11 +90,11 @@
         Ok(used)
     }
 
-    fn step(&mut self, input: &[u8], out: &mut Vec<u8>) -> Result<usize, BodyError> {
+    fn step(&mut self, input: &[u8], out: &mut impl BodySink) -> Result<usize, BodyError> {
         match &mut self.state {
             DecoderState::Done => Ok(0),
             DecoderState::UntilClose => {
-                out.extend_from_slice(input);
+                out.append(input);
                 Ok(input.len())
             }
             DecoderState::Exact(remaining) => {
@@ -156,10 +157,10 @@
     }
 }
 
-fn copy_limited(remaining: &mut u64, input: &[u8], out: &mut Vec<u8>) -> usize {
+fn copy_limited(remaining: &mut u64, input: &[u8], out: &mut impl BodySink) -> usize {
     let count =
         usize::try_from(*remaining).map_or(input.len(), |remaining| remaining.min(input.len()));
-    out.extend_from_slice(&input[..count]);
+    out.append(&input[..count]);
     *remaining -= count as u64;
     count
 }
--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -39,6 +39,17 @@
     pub(crate) outcome: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct LimitLabels {
+    pub(crate) limit: &'static str,
+    pub(crate) effect: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct PartLabels {
+    pub(crate) part: &'static str,
+}
+
 /// All metrics of a process.
 #[derive(Debug)]
 pub(crate) struct EdgeMetrics {
@@ -57,6 +68,9 @@
     pub(crate) load_notices: Family<NoticeLabels, Counter>,
     pub(crate) ended_notices: Family<NoticeLabels, Counter>,
     pub(crate) prefix_notices: Family<NoticeLabels, Counter>,
+    pub(crate) limits_met: Family<LimitLabels, Counter>,
+    pub(crate) held_bytes: Family<PartLabels, Gauge>,
+    pub(crate) caller_connections: Gauge,
     pub(crate) connects: Counter,
     pub(crate) foreign_datagrams: Counter,
     pub(crate) server_crashes: Counter,
@@ -151,6 +165,24 @@
             "Shared prefixes that other VMs announced, by what was done with the notices",
             prefix_notices.clone(),
         );
+        let limits_met = Family::default();
+        registry.register(
+            "limits_met",
+            "Limits on callers that were met, by what followed",
+            limits_met.clone(),
+        );
+        let held_bytes = Family::default();
+        registry.register(
+            "held_bytes",
+            "Bytes that callers and servers make the process hold",
+            held_bytes.clone(),
+        );
+        let caller_connections = Gauge::default();
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            caller_connections.clone(),
+        );
         let connects = Counter::default();
         registry.register(
             "server_connects",
@@ -221,6 +253,9 @@
             load_notices,
             ended_notices,
             prefix_notices,
+            limits_met,
+            held_bytes,
+            caller_connections,
             connects,
             foreign_datagrams,
             server_crashes,
--- a/crates/dewedge/src/net.rs
+++ b/crates/dewedge/src/net.rs
@@ -1,12 +1,18 @@
 //! Buffered non-blocking TCP connections.
 //!
 //! The main invariant: bytes are written in the order in which they were
-//! queued, and a closed or broken connection delivers no more bytes.
+//! queued, and a closed or broken connection delivers no more bytes. Buffers hold
+//! no more than what they contain, and their bytes are charged to the account of
+//! the process.
 
+use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
+use dewbudget::{ByteCharge, SegmentedBody};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use socket2::{SockRef, TcpKeepalive};
@@ -14,6 +20,25 @@
 /// Maximum bytes of one read.
 const READ_BYTES: usize = 32 * 1024;
 
+/// Size up to which queued bytes are copied, so that they are sent together with
+/// what was queued before them.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+
+/// Size of the kernel's receive buffer of a caller's connection, in bytes; the
+/// kernel doubles it. What it holds counts toward the memory of the process.
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 8 * 1024;
+
+/// The same of a connection to a server, which isn't read while its caller is slow.
+const SERVER_RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
+/// The same of a caller's connection that isn't read any more.
+const UNREAD_BUFFER_BYTES: usize = 2 * 1024;
+
+thread_local! {
+    /// Buffer of all reads of the event loop, so that connections hold none.
+    static READ_BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
+}
+
 /// TCP user timeout of connections that carry callers' requests: time after
 /// which a connection with unacknowledged data is aborted. Sound servers may be
 /// silent for seconds; silent ones are detected sooner by their responses.
@@ -45,13 +70,46 @@
     Broken,
 }
 
+/// Queued bytes.
+#[derive(Debug)]
+enum OutboundPiece {
+    Owned(Vec<u8>),
+    /// A segment of a body that others may send, too.
+    Shared(Rc<SegmentedBody>, usize),
+}
+
+impl OutboundPiece {
+    fn bytes(&self) -> &[u8] {
+        match self {
+            Self::Owned(bytes) => bytes,
+            Self::Shared(body, index) => body.segment(*index).unwrap_or_default(),
+        }
+    }
+}
+
+/// Charges of a connection's buffers.
+#[derive(Debug, Default)]
+pub(crate) struct ChannelCharges {
+    pub(crate) inbound: ByteCharge,
+    pub(crate) outbound: ByteCharge,
+}
+
 /// A TCP connection with its buffers.
 #[derive(Debug)]
 pub(crate) struct TcpChannel {
     pub(crate) stream: TcpStream,
     pub(crate) inbound: Vec<u8>,
-    outbound: Vec<u8>,
+    outbound: VecDeque<OutboundPiece>,
+    /// Bytes of the first piece that are written.
     written: usize,
+    unsent: usize,
+    /// Bytes that the socket has accepted.
+    sent: u64,
+    /// Bytes of the pieces that the connection owns.
+    owned: usize,
+    charges: ChannelCharges,
+    /// Whether the kernel's receive buffer is small because nothing is read.
+    is_held_back: bool,
     read_state: ReadState,
     /// Whether the last [`Self::fill`] may have left bytes in the socket.
     may_have_more: bool,
@@ -60,12 +118,18 @@
 }
 
 impl TcpChannel {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    /// Wraps a connection whose buffers are charged to `charges`.
+    pub(crate) fn new(stream: TcpStream, charges: ChannelCharges) -> Self {
         Self {
             stream,
             inbound: Vec::new(),
-            outbound: Vec::new(),
+            outbound: VecDeque::new(),
             written: 0,
+            unsent: 0,
+            sent: 0,
+            owned: 0,
+            charges,
+            is_held_back: false,
             read_state: ReadState::Open,
             may_have_more: false,
             broken_by: None,
@@ -73,8 +137,11 @@
     }
 
     /// Starts connecting to a server.
-    pub(crate) fn connect_server(address: SocketAddr) -> io::Result<Self> {
-        Self::connect(address, REQUEST_TIMEOUT)
+    pub(crate) fn connect_server(address: SocketAddr, charges: ChannelCharges) -> io::Result<Self> {
+        let mut channel = Self::connect(address, REQUEST_TIMEOUT)?;
+        SockRef::from(&channel.stream).set_recv_buffer_size(SERVER_RECEIVE_BUFFER_BYTES)?;
+        channel.charges = charges;
+        Ok(channel)
     }
 
     /// Starts connecting to the store.
@@ -93,7 +160,7 @@
     fn connect(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = TcpStream::connect(address)?;
         set_socket_options(&stream, timeout)?;
-        Ok(Self::new(stream))
+        Ok(Self::new(stream, ChannelCharges::default()))
     }
 
     /// Registers the connection with the event loop under a token.
@@ -104,20 +171,76 @@
 
     /// Queues bytes, which [`Self::flush`] sends.
     pub(crate) fn queue(&mut self, bytes: &[u8]) {
-        self.outbound.extend_from_slice(bytes);
+        match self.outbound.back_mut() {
+            Some(OutboundPiece::Owned(last)) if last.len() < MAX_COPIED_BYTES => {
+                last.extend_from_slice(bytes);
+            }
+            _ => self.outbound.push_back(OutboundPiece::Owned(bytes.into())),
+        }
+        self.unsent += bytes.len();
+        self.owned += bytes.len();
+        self.update_charges();
+    }
+
+    /// Queues a body, whose segments become the connection's.
+    pub(crate) fn queue_body(&mut self, body: SegmentedBody) {
+        if body.len() <= MAX_COPIED_BYTES {
+            body.segments().for_each(|segment| self.queue(segment));
+            return;
+        }
+        self.unsent += body.len();
+        self.owned += body.len();
+        let pieces = body.into_segments().into_iter().map(OutboundPiece::Owned);
+        self.outbound.extend(pieces);
+        self.update_charges();
+    }
+
+    /// Queues a body that is kept for further attempts.
+    pub(crate) fn queue_shared(&mut self, body: &Rc<SegmentedBody>) {
+        if body.len() <= MAX_COPIED_BYTES {
+            body.segments().for_each(|segment| self.queue(segment));
+            return;
+        }
+        self.unsent += body.len();
+        let indexes = 0..body.segments().count();
+        let pieces = indexes.map(|index| OutboundPiece::Shared(Rc::clone(body), index));
+        self.outbound.extend(pieces);
     }
 
     /// Returns the number of queued bytes.
     pub(crate) fn unsent(&self) -> usize {
-        self.outbound.len() - self.written
+        self.unsent
+    }
+
+    /// Returns the number of bytes that the socket has accepted.
+    pub(crate) fn sent(&self) -> u64 {
+        self.sent
     }
 
     /// Sends as many queued bytes as the socket accepts.
     pub(crate) fn flush(&mut self) -> io::Result<()> {
-        while self.written < self.outbound.len() {
-            match self.stream.write(&self.outbound[self.written..]) {
+        let flushed = self.write_pieces();
+        self.update_charges();
+        flushed
+    }
+
+    fn write_pieces(&mut self) -> io::Result<()> {
+        while let Some(piece) = self.outbound.front() {
+            let bytes = piece.bytes();
+            if self.written == bytes.len() {
+                if let Some(OutboundPiece::Owned(sent)) = self.outbound.pop_front() {
+                    self.owned -= sent.len();
+                }
+                self.written = 0;
+                continue;
+            }
+            match self.stream.write(&bytes[self.written..]) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(count) => self.written += count,
+                Ok(count) => {
+                    self.written += count;
+                    self.unsent -= count;
+                    self.sent += count as u64;
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
@@ -126,11 +249,30 @@
                 }
             }
         }
-        self.outbound.clear();
-        self.written = 0;
         Ok(())
     }
 
+    /// Charges what the buffers hold now.
+    fn update_charges(&mut self) {
+        self.charges.inbound.set(self.inbound.capacity());
+        self.charges.outbound.set(self.owned);
+    }
+
+    /// Sets the kernel's receive buffer: a small one while the connection isn't
+    /// read, because unread bytes count toward the memory of the process.
+    pub(crate) fn hold_back(&mut self, is_held_back: bool) {
+        if self.is_held_back == is_held_back {
+            return;
+        }
+        self.is_held_back = is_held_back;
+        let bytes = match is_held_back {
+            true => UNREAD_BUFFER_BYTES,
+            false => RECEIVE_BUFFER_BYTES,
+        };
+        // The buffer stays as it is; it is bounded anyway.
+        let _ = SockRef::from(&self.stream).set_recv_buffer_size(bytes);
+    }
+
     /// Reads available bytes until the buffer holds at least `limit` bytes.
     ///
     /// Stops after a short read, which means that the socket is empty. With
@@ -139,34 +281,45 @@
     /// once it has processed the bytes: no event announces the rest.
     pub(crate) fn fill(&mut self, limit: usize, closing: bool) -> ReadState {
         self.may_have_more = true;
-        while self.read_state == ReadState::Open && self.inbound.len() < limit {
-            let start = self.inbound.len();
-            self.inbound.resize(start + READ_BYTES, 0);
-            let result = self.stream.read(&mut self.inbound[start..]);
-            let count = *result.as_ref().unwrap_or(&0);
-            self.inbound.truncate(start + count);
-            match result {
-                Ok(0) => self.read_state = ReadState::Closed,
-                Ok(count) if count < READ_BYTES && !closing => {
+        READ_BUFFER.with_borrow_mut(|buffer| {
+            while self.read_state == ReadState::Open && self.inbound.len() < limit {
+                let size = READ_BYTES.min(limit - self.inbound.len());
+                if !self.read_once(&mut buffer[..size], closing) {
                     self.may_have_more = false;
                     break;
                 }
-                Ok(_) => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.may_have_more = false;
-                    break;
-                }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => {
-                    self.broken_by.get_or_insert(error.kind());
-                    self.read_state = ReadState::Broken;
-                }
             }
-        }
+        });
         self.may_have_more &= self.read_state == ReadState::Open;
+        self.update_charges();
         self.read_state
     }
 
+    /// Reads once; returns whether the socket may hold more.
+    fn read_once(&mut self, buffer: &mut [u8], closing: bool) -> bool {
+        let size = buffer.len();
+        match self.stream.read(buffer) {
+            Ok(0) => self.read_state = ReadState::Closed,
+            Ok(count) => {
+                let room = self.inbound.capacity() - self.inbound.len();
+                if room < count {
+                    // Doubling would hold more than what arrives.
+                    self.inbound
+                        .reserve_exact(count.max(self.inbound.len() / 4));
+                }
+                self.inbound.extend_from_slice(&buffer[..count]);
+                return count == size || closing;
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => {
+                self.broken_by.get_or_insert(error.kind());
+                self.read_state = ReadState::Broken;
+            }
+        }
+        true
+    }
+
     /// Returns whether the connection is open and has no unread byte, also none
     /// that no event has announced yet.
     pub(crate) fn is_quiet(&self) -> bool {
@@ -190,20 +343,27 @@
         }
     }
 
-    /// Removes the first bytes of the inbound buffer.
+    /// Removes the first bytes of the inbound buffer; an empty one is freed.
     pub(crate) fn consume(&mut self, count: usize) {
-        self.inbound.drain(..count);
-    }
-
-    /// Frees empty buffers of a connection that becomes idle.
-    pub(crate) fn shrink(&mut self) {
-        if self.inbound.is_empty() {
+        if count == self.inbound.len() {
             self.inbound = Vec::new();
+        } else {
+            self.inbound.drain(..count);
         }
-        if self.outbound.is_empty() {
-            self.outbound = Vec::new();
-        }
+        self.update_charges();
     }
+
+    /// Discards the inbound buffer.
+    pub(crate) fn discard_inbound(&mut self) {
+        self.consume(self.inbound.len());
+    }
+}
+
+/// Bounds what the kernel holds for each connection of a listener; accepted
+/// connections inherit it.
+pub(crate) fn set_listener_options(listener: &mio::net::TcpListener) {
+    // Without it, callers are served in the same way, with larger buffers.
+    let _ = SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
 }
 
 /// Sets socket options that detect a dead caller.
--- a/crates/dewedge/src/serve/admin.rs
+++ b/crates/dewedge/src/serve/admin.rs
@@ -3,10 +3,12 @@
 
 use std::time::Duration;
 
+use dewbudget::AccountPart;
 use mio::net::TcpStream;
 
 use crate::format::PlatformFormat;
 use crate::http::parse_request;
+use crate::metrics::PartLabels;
 use crate::net::{ReadState, TcpChannel};
 
 use super::state::{AdminConn, EdgeState, TokenKind, token_of};
@@ -33,9 +35,10 @@
         if self.admin_conns.len() >= MAX_ADMIN_CONNS {
             return;
         }
+        let charges = self.channel_charges(AccountPart::Input);
         let entry = self.admin_conns.vacant_entry();
         let conn_id = entry.key();
-        let mut channel = TcpChannel::new(stream);
+        let mut channel = TcpChannel::new(stream, charges);
         let token = token_of(TokenKind::Admin, conn_id);
         if channel.register(&self.registry, token).is_err() {
             return;
@@ -58,6 +61,10 @@
                 return;
             };
             let flushed = conn.channel.flush();
+            if flushed.is_ok() && conn.channel.unsent() > 0 && !closing {
+                // The next response follows once this one is taken.
+                return;
+            }
             let read_state = conn.channel.fill(MAX_HEAD, closing);
             let parsed = parse_request(&conn.channel.inbound, MAX_HEAD);
             match parsed {
@@ -113,6 +120,13 @@
         self.metrics.key_age_ms.set(key_age);
         let watch_age = gauge_ms(self.store.watch_age(self.now));
         self.metrics.watch_age_ms.set(watch_age);
+        let connections = i64::try_from(self.caller_conns.len()).unwrap_or(i64::MAX);
+        self.metrics.caller_connections.set(connections);
+        for part in AccountPart::ALL {
+            let labels = PartLabels { part: part.name() };
+            let held = i64::try_from(self.account.held(part)).unwrap_or(i64::MAX);
+            self.metrics.held_bytes.get_or_create(&labels).set(held);
+        }
     }
 }
 
--- a/crates/dewedge/src/serve/backpressure.rs
+++ b/crates/dewedge/src/serve/backpressure.rs
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use dewbudget::AccountPart;
+
 use crate::clock::Moment;
 use crate::format::PlatformFormat;
 use crate::policy::queue::ExchangeId;
@@ -19,9 +21,15 @@
 /// answers of models are far smaller, so their servers don't wait for callers.
 const PAUSE_UNSENT: usize = 1 << 20;
 
+/// The same while memory for responses is short.
+const PAUSE_UNSENT_SHORT: usize = 64 * 1024;
+
 /// Bytes buffered for a caller up to which its server is read again.
 const RESUME_UNSENT: usize = PAUSE_UNSENT / 4;
 
+/// The same while memory for responses is short.
+const RESUME_UNSENT_SHORT: usize = PAUSE_UNSENT_SHORT / 4;
+
 /// Time for which a caller with unsent bytes may take nothing; the kernel aborts
 /// a connection whose peer's window stays closed for as long.
 pub(crate) const STALL_TIME: Duration = Duration::from_secs(4);
@@ -69,7 +77,7 @@
     /// Pauses the server of a stream if too much is buffered for its caller.
     pub(crate) fn pause_if_behind(&mut self, exchange_id: ExchangeId, caller: CallerId) {
         let now = self.now;
-        if self.unsent_bytes(caller) <= PAUSE_UNSENT {
+        if self.unsent_bytes(caller) <= self.pause_limit() {
             return;
         }
         let exchange = &mut self.exchanges[exchange_id];
@@ -79,13 +87,27 @@
         }
     }
 
+    /// Returns how much may be buffered for a caller before its server isn't read;
+    /// less if responses use up half of their memory.
+    fn pause_limit(&self) -> usize {
+        let held = self.account.held(AccountPart::Responses);
+        match held > self.memory_limits().responses / 2 {
+            true => PAUSE_UNSENT_SHORT,
+            false => PAUSE_UNSENT,
+        }
+    }
+
     /// Reads the server of a stream again if its caller has taken enough.
     pub(crate) fn resume_if_taken(&mut self, exchange_id: ExchangeId) {
         let now = self.now;
         let Some(exchange) = self.exchanges.get(exchange_id) else {
             return;
         };
-        if exchange.pause.is_none() || self.unsent_bytes(exchange.caller) > RESUME_UNSENT {
+        let limit = match self.pause_limit() {
+            PAUSE_UNSENT => RESUME_UNSENT,
+            _ => RESUME_UNSENT_SHORT,
+        };
+        if exchange.pause.is_none() || self.unsent_bytes(exchange.caller) > limit {
             return;
         }
         let exchange = &mut self.exchanges[exchange_id];
--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -5,36 +5,44 @@
 
 use std::time::Duration;
 
+use dewbudget::{AccountPart, SegmentedBody};
 use mio::net::TcpStream;
 
+use crate::clock::Moment;
 use crate::format::PlatformFormat;
 use crate::http::{BodyDecoder, BodyLength, HeadError, RequestHead, parse_request};
 use crate::net::{ReadState, TcpChannel, set_caller_options};
 
 use super::backpressure::{STALL_CHECK_INTERVAL, SendProgress};
-use super::state::{CallerConn, CallerId, CallerPhase, EdgeState, TokenKind, token_of};
+use super::memory::MAX_BODY_READ;
+use super::state::{
+    CallerConn, CallerId, CallerPhase, CallerUpload, EdgeState, TokenKind, token_of,
+};
 use super::timers::LazyTimer;
 
 /// Reads of a caller's connection in one iteration of the event loop.
 const MAX_READS: u32 = 32;
 
 /// Maximum bytes that a caller may pipeline while its request is in progress.
-const MAX_PIPELINED: usize = 64 * 1024;
+const MAX_PIPELINED: usize = 16 * 1024;
 
 /// Maximum time for which a closing connection stays open so that the caller
 /// can take the rest of the last response, also one that takes a little at a time.
 const MAX_LINGER_TIME: Duration = Duration::from_secs(60);
 
-/// Divisor of the process's memory limit that gives the memory for request
-/// bodies.
-const BODY_MEMORY_DIVISOR: u64 = 3;
+/// Maximum time for which a closing connection stays open while the caller sends
+/// the rest of a request that was refused; a reset would discard the response.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(5);
 
 /// Result of parsing the buffered input of a caller's connection.
 enum ReadStep {
     /// More bytes are needed.
     Wait,
-    /// A complete request was read.
-    Request(Box<RequestHead>, Vec<u8>),
+    /// A head was read whose body hasn't arrived as a whole.
+    Head(Box<RequestHead>),
+    /// A complete request was read; for a body that was read apart, with the time
+    /// at which its head was complete.
+    Request(Box<RequestHead>, SegmentedBody, Option<Moment>),
     /// The request is refused with this status and error code.
     Refuse(u16, &'static str),
 }
@@ -45,9 +53,10 @@
         // The connection works without the options, but a dead caller is
         // detected later.
         let _ = set_caller_options(&stream);
+        let charges = self.channel_charges(AccountPart::Input);
         let entry = self.caller_conns.vacant_entry();
         let caller = entry.key();
-        let mut channel = TcpChannel::new(stream);
+        let mut channel = TcpChannel::new(stream, charges);
         let token = token_of(TokenKind::Caller, caller);
         if channel.register(&self.registry, token).is_err() {
             return;
@@ -59,6 +68,9 @@
             read_since: None,
             idle_since: self.now,
             closing: false,
+            served: false,
+            taken: (0, self.now),
+            discarded_at: Moment::ZERO,
             progress: SendProgress::start(self.now),
         });
         let due = self.now + self.limits().head_timeout.min(self.limits().idle_timeout);
@@ -82,30 +94,47 @@
 
     /// Reads and serves all complete requests on a connection.
     pub(crate) fn read_caller(&mut self, caller: CallerId, closing: bool) {
-        let limits = self.limits();
         for _ in 0..MAX_READS {
+            if !closing && !self.reads_caller(caller) {
+                return;
+            }
+            let limits = self.limits();
+            let now = self.now;
             let Some(conn) = self.caller_conns.get_mut(caller) else {
                 return;
             };
             let limit = match conn.phase {
+                CallerPhase::Head => limits.head_bytes,
                 CallerPhase::Busy(_) => MAX_PIPELINED,
-                _ => limits.head_bytes.saturating_add(MAX_PIPELINED),
+                CallerPhase::Body(_) | CallerPhase::Lingering => MAX_BODY_READ,
             };
             let read_state = conn.channel.fill(limit, closing);
             if let CallerPhase::Lingering = conn.phase {
-                conn.channel.inbound.clear();
+                if !conn.channel.inbound.is_empty() {
+                    conn.discarded_at = now;
+                    conn.channel.discard_inbound();
+                }
                 if conn.channel.unsent() == 0 {
                     // Lets the caller read end of file after the response.
                     let _ = conn.channel.stream.shutdown(std::net::Shutdown::Write);
                 }
             }
+            if let CallerPhase::Busy(_) = conn.phase {
+                if conn.closing {
+                    conn.channel.discard_inbound();
+                }
+                let is_full = conn.channel.inbound.len() >= MAX_PIPELINED;
+                conn.channel.hold_back(is_full);
+            }
             if read_state != ReadState::Open || closing {
                 // The caller can't read a response to requests that are still
                 // buffered.
                 self.close_caller(caller, "caller left");
                 return;
             }
-            if !self.advance_caller(caller) && !self.has_unread_input(caller) {
+            let may_continue = self.advance_caller(caller);
+            self.shed_input();
+            if !may_continue && !self.has_unread_input(caller) {
                 return;
             }
         }
@@ -113,11 +142,30 @@
         self.unread_callers.push(caller, false);
     }
 
+    /// Returns whether the socket of a caller is read now. A body may have to wait,
+    /// and a request waits until its caller has taken the response before it.
+    fn reads_caller(&mut self, caller: CallerId) -> bool {
+        let Some(conn) = self.caller_conns.get(caller) else {
+            return false;
+        };
+        match conn.phase {
+            CallerPhase::Body(_) => self.may_read_upload(caller),
+            CallerPhase::Head => conn.channel.unsent() == 0,
+            CallerPhase::Busy(_) | CallerPhase::Lingering => true,
+        }
+    }
+
     /// Returns whether the socket of a caller may hold input that is to be read
     /// now. Pipelined input is read after the request in progress.
     fn has_unread_input(&self, caller: CallerId) -> bool {
         self.caller_conns.get(caller).is_some_and(|conn| {
-            conn.channel.may_have_more() && !matches!(conn.phase, CallerPhase::Busy(_))
+            let is_read = match conn.phase {
+                CallerPhase::Busy(_) => false,
+                CallerPhase::Body(_) => !self.uploads.waits(caller),
+                CallerPhase::Head => conn.channel.unsent() == 0,
+                CallerPhase::Lingering => true,
+            };
+            is_read && conn.channel.may_have_more()
         })
     }
 
@@ -125,28 +173,25 @@
     fn advance_caller(&mut self, caller: CallerId) -> bool {
         let limits = self.limits();
         let now = self.now;
+        let charge = self.account.charge(AccountPart::Bodies);
         let Some(conn) = self.caller_conns.get_mut(caller) else {
             return false;
         };
-        let was_in_body = matches!(conn.phase, CallerPhase::Body { .. });
-        match read_step(conn, limits.head_bytes, limits.body_bytes) {
+        let body = SegmentedBody::new(charge);
+        match read_step(conn, limits.head_bytes, limits.body_bytes, body, now) {
             ReadStep::Wait => {
                 let head_started = conn.read_since.is_none() && !conn.channel.inbound.is_empty();
-                let in_body = matches!(conn.phase, CallerPhase::Body { .. });
-                let busy = matches!(conn.phase, CallerPhase::Busy(_) | CallerPhase::Lingering);
-                if !busy && (head_started || in_body && !was_in_body) {
+                if matches!(conn.phase, CallerPhase::Head) && head_started {
                     conn.read_since = Some(now);
-                    let time = if in_body {
-                        limits.idle_timeout
-                    } else {
-                        limits.head_timeout
-                    };
-                    self.arm_caller(caller, now + time);
+                    self.arm_caller(caller, now + limits.head_timeout);
                 }
+                self.record_upload(caller);
                 false
             }
+            ReadStep::Head(head) => self.begin_upload(caller, *head),
             ReadStep::Refuse(status, code) => {
                 conn.closing = true;
+                conn.channel.discard_inbound();
                 self.logs
                     .request("entry", "rejected")
                     .number("status", status)
@@ -154,18 +199,46 @@
                 self.respond(caller, status, code, None);
                 true
             }
-            ReadStep::Request(head, body) => {
+            ReadStep::Request(head, body, began) => {
                 conn.read_since = None;
-                self.begin_request(caller, *head, body);
+                self.end_upload(caller);
+                self.begin_request(caller, *head, body, began);
                 true
             }
         }
     }
 
-    /// Returns whether the memory for bodies has capacity for another body of
-    /// this size.
-    pub(crate) fn has_body_capacity(&self, bytes: usize) -> bool {
-        self.body_bytes + bytes as u64 <= self.settings.memory_bytes / BODY_MEMORY_DIVISOR
+    /// Records what a caller has sent of a body.
+    fn record_upload(&mut self, caller: CallerId) {
+        let now = self.now;
+        if let Some(conn) = self.caller_conns.get_mut(caller)
+            && let CallerPhase::Body(upload) = &mut conn.phase
+        {
+            let received = upload.body.len() as u64;
+            if self.uploads.record(caller, received, now) {
+                upload.last_byte = now;
+            }
+        }
+    }
+
+    /// Starts to read a body that has passed all checks of its head.
+    pub(crate) fn read_upload(&mut self, caller: CallerId, upload: CallerUpload) {
+        let due = upload
+            .deadline
+            .min(upload.last_byte + self.limits().idle_timeout);
+        let expects_continue = upload
+            .head
+            .fields
+            .has_list_element("expect", "100-continue");
+        if let Some(conn) = self.caller_conns.get_mut(caller) {
+            if expects_continue && conn.channel.inbound.is_empty() {
+                conn.channel.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
+                // The next read reports the error again.
+                let _ = conn.channel.flush();
+            }
+            conn.phase = CallerPhase::Body(Box::new(upload));
+            self.arm_caller(caller, due);
+        }
     }
 
     /// Closes a caller's connection and abandons its request.
@@ -174,8 +247,10 @@
             return;
         };
         self.unread_callers.remove(caller);
-        if let CallerPhase::Busy(exchange_id) = conn.phase {
-            self.abandon(exchange_id, reason);
+        match conn.phase {
+            CallerPhase::Busy(exchange_id) => self.abandon(exchange_id, reason),
+            CallerPhase::Body(_) => self.end_upload(caller),
+            CallerPhase::Head | CallerPhase::Lingering => {}
         }
     }
 
@@ -191,15 +266,28 @@
             CallerPhase::Lingering => {
                 let is_open = conn.channel.flush().is_ok() && conn.channel.unsent() > 0;
                 let has_stalled = conn.progress.has_stalled(conn.channel.unsent(), now);
-                if is_open && !has_stalled && now < conn.idle_since + MAX_LINGER_TIME {
+                let takes = is_open && !has_stalled && now < conn.idle_since + MAX_LINGER_TIME;
+                let sends = now < conn.discarded_at + STALL_CHECK_INTERVAL
+                    && now < conn.idle_since + MAX_DISCARD_TIME;
+                if takes || sends {
                     self.arm_caller(caller, now + STALL_CHECK_INTERVAL);
                 } else {
                     self.close_caller(caller, "closed");
                 }
             }
-            CallerPhase::Body { .. } => {
-                conn.closing = true;
-                self.respond(caller, 408, "body_timeout", None);
+            CallerPhase::Body(upload) => {
+                let waits = self.uploads.waits(caller);
+                let idle_since = if waits { now } else { upload.last_byte };
+                let due = upload.deadline.min(idle_since + limits.idle_timeout);
+                if due > now {
+                    self.arm_caller(caller, due);
+                } else if waits {
+                    let left = upload.deadline.saturating_sub(now);
+                    self.refuse_unread(caller, "bodies", "no_memory", left);
+                } else {
+                    conn.closing = true;
+                    self.respond(caller, 408, "body_timeout", None);
+                }
             }
             CallerPhase::Head if conn.read_since.is_some() => {
                 conn.closing = true;
@@ -252,57 +340,83 @@
     }
 }
 
-/// Parses the buffered input of a caller's connection.
-fn read_step(conn: &mut CallerConn, head_bytes: usize, body_bytes: usize) -> ReadStep {
-    if let CallerPhase::Head = conn.phase {
-        if conn.channel.inbound.is_empty() {
-            return ReadStep::Wait;
-        }
-        let head = match parse_request(&conn.channel.inbound, head_bytes) {
-            Err(error) => return head_refusal(error),
-            Ok(None) => return ReadStep::Wait,
-            Ok(Some(head)) => head,
-        };
-        conn.channel.consume(head.length);
-        if let BodyLength::Exact(length) = head.body
-            && length > body_bytes as u64
-        {
-            return ReadStep::Refuse(413, "body_too_long");
-        }
-        if head.fields.has_list_element("connection", "close") {
-            conn.closing = true;
+/// Parses the buffered input of a caller's connection. The body of a request goes
+/// into `body` if all of it has arrived with the head.
+fn read_step(
+    conn: &mut CallerConn,
+    head_bytes: usize,
+    body_bytes: usize,
+    body: SegmentedBody,
+    now: Moment,
+) -> ReadStep {
+    match &mut conn.phase {
+        CallerPhase::Head => read_head(conn, head_bytes, body_bytes, body),
+        CallerPhase::Body(upload) => {
+            let Ok(used) = upload
+                .decoder
+                .decode(&conn.channel.inbound, &mut upload.body)
+            else {
+                return ReadStep::Refuse(400, "malformed_body");
+            };
+            conn.channel.consume(used);
+            if upload.body.len() > body_bytes {
+                return ReadStep::Refuse(413, "body_too_long");
+            }
+            if !upload.decoder.is_done() {
+                return ReadStep::Wait;
+            }
+            finish_upload(conn, now)
         }
-        let decoder = BodyDecoder::new(head.body);
-        if !decoder.is_done() && head.fields.has_list_element("expect", "100-continue") {
-            conn.channel.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
-            // The next read reports the error again.
-            let _ = conn.channel.flush();
+        CallerPhase::Busy(_) | CallerPhase::Lingering => ReadStep::Wait,
+    }
+}
+
+/// Takes a complete body out of its connection.
+fn finish_upload(conn: &mut CallerConn, now: Moment) -> ReadStep {
+    conn.idle_since = now;
+    match std::mem::replace(&mut conn.phase, CallerPhase::Head) {
+        CallerPhase::Body(upload) => {
+            let upload = *upload;
+            ReadStep::Request(Box::new(upload.head), upload.body, Some(upload.began))
         }
-        conn.phase = CallerPhase::Body {
-            head: Box::new(head),
-            decoder,
-            body: Vec::new(),
-        };
+        _ => ReadStep::Wait,
     }
-    let CallerPhase::Body {
-        head,
-        decoder,
-        body,
-    } = &mut conn.phase
-    else {
+}
+
+fn read_head(
+    conn: &mut CallerConn,
+    head_bytes: usize,
+    body_bytes: usize,
+    mut body: SegmentedBody,
+) -> ReadStep {
+    if conn.channel.inbound.is_empty() {
         return ReadStep::Wait;
+    }
+    let head = match parse_request(&conn.channel.inbound, head_bytes) {
+        Err(error) => return head_refusal(error),
+        Ok(None) => return ReadStep::Wait,
+        Ok(Some(head)) => head,
     };
-    let Ok(used) = decoder.decode(&conn.channel.inbound, body) else {
+    if let BodyLength::Exact(length) = head.body
+        && length > body_bytes as u64
+    {
+        return ReadStep::Refuse(413, "body_too_long");
+    }
+    if head.fields.has_list_element("connection", "close") {
+        conn.closing = true;
+    }
+    let mut decoder = BodyDecoder::new(head.body);
+    let rest = &conn.channel.inbound[head.length..];
+    let Ok(used) = decoder.decode(rest, &mut body) else {
         return ReadStep::Refuse(400, "malformed_body");
     };
-    conn.channel.inbound.drain(..used);
     if body.len() > body_bytes {
         return ReadStep::Refuse(413, "body_too_long");
     }
     if !decoder.is_done() {
-        return ReadStep::Wait;
+        conn.channel.consume(head.length);
+        return ReadStep::Head(Box::new(head));
     }
-    let head = head.clone();
-    let body = std::mem::take(body);
-    ReadStep::Request(head, body)
+    conn.channel.consume(head.length + used);
+    ReadStep::Request(Box::new(head), body, None)
 }
--- a/crates/dewedge/src/serve/connections.rs
+++ b/crates/dewedge/src/serve/connections.rs
@@ -8,6 +8,8 @@
 use std::io;
 use std::time::Duration;
 
+use dewbudget::{AccountPart, SegmentedBody};
+
 use crate::clock::Moment;
 use crate::directory::{ReplicaIndex, stable_hash};
 use crate::format::PlatformFormat;
@@ -94,8 +96,10 @@
     /// Opens a connection to a server.
     pub(crate) fn connect(&mut self, replica: ReplicaIndex) -> io::Result<ServerConnId> {
         let address = self.directory.get(replica).entry.address;
-        let mut channel =
-            TcpChannel::connect_server(address).inspect_err(|_| self.connect_failed = true)?;
+        self.make_room_for_connection();
+        let charges = self.channel_charges(AccountPart::Responses);
+        let mut channel = TcpChannel::connect_server(address, charges)
+            .inspect_err(|_| self.connect_failed = true)?;
         let entry = self.server_conns.vacant_entry();
         let conn_id = entry.key();
         let token = token_of(TokenKind::Server, conn_id);
@@ -109,7 +113,7 @@
             exchange_id: None,
             head: None,
             decoder: None,
-            body: Vec::new(),
+            body: SegmentedBody::new(self.account.charge(AccountPart::Responses)),
             is_stream: false,
             interim_responses: 0,
             refused_attempts: Vec::new(),
--- a/crates/dewedge/src/serve/crashes.rs
+++ b/crates/dewedge/src/serve/crashes.rs
@@ -21,7 +21,7 @@
 
 use crate::clock::Moment;
 use crate::crash_notices::{CrashNotice, encode_notices, report_notices};
-use crate::directory::{ReplicaIndex, stable_hash};
+use crate::directory::{ReplicaIndex, stable_hash, stable_hash_of_parts};
 use crate::format::{PlatformFormat, PromptPart, StoreCall};
 use crate::logs::LogLine;
 use crate::policy::queue::ExchangeId;
@@ -548,11 +548,12 @@
             exchange.method.as_bytes(),
             exchange.target.as_bytes(),
             workspace.as_bytes(),
-            &exchange.body,
         ];
         let hashes: Vec<u8> = fields
             .iter()
-            .flat_map(|field| stable_hash(field).to_be_bytes())
+            .map(|field| stable_hash(field))
+            .chain([stable_hash_of_parts(exchange.body.segments())])
+            .flat_map(u64::to_be_bytes)
             .collect();
         stable_hash(&hashes)
     })
--- a/crates/dewedge/src/serve/dispatch.rs
+++ b/crates/dewedge/src/serve/dispatch.rs
@@ -309,7 +309,7 @@
         let conn = &mut self.server_conns[conn_id];
         conn.exchange_id = Some(exchange_id);
         conn.channel.queue(&bytes);
-        conn.channel.queue(&body);
+        conn.channel.queue_shared(&body);
         if conn.connected {
             // The next read reports the error again.
             let _ = conn.channel.flush();
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -38,6 +38,7 @@
 mod duties;
 mod ended;
 mod lifts;
+mod memory;
 mod outcomes;
 mod prefixes;
 mod recording;
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use dewbudget::SegmentedBody;
+
 use crate::directory::ReplicaIndex;
 use crate::format::{PlatformFormat, PromptPart};
 use crate::http::ResponseHead;
@@ -27,7 +29,7 @@
     Response {
         replica: ReplicaIndex,
         head: ResponseHead,
-        body: Vec<u8>,
+        body: SegmentedBody,
     },
     /// The server ended its stream properly.
     StreamEnd {
@@ -193,7 +195,7 @@
         exchange_id: usize,
         replica: ReplicaIndex,
         head: ResponseHead,
-        body: Vec<u8>,
+        body: SegmentedBody,
     ) {
         let failed = head.status >= 500;
         let result = if failed {
@@ -234,7 +236,7 @@
         self.log_finished(exchange_id, replica, "answered", status);
         let method = self.exchanges[exchange_id].method.clone();
         self.finish(exchange_id, "answered", |state, caller| {
-            state.write_response(caller, &method, &head, &body);
+            state.write_response(caller, &method, &head, body);
         });
     }
 
@@ -299,7 +301,7 @@
                 u64::from(fallback.head.status),
             );
             self.finish(exchange_id, "failed", |state, caller| {
-                state.write_response(caller, &method, &fallback.head, &fallback.body);
+                state.write_response(caller, &method, &fallback.head, fallback.body);
             });
             return;
         }
@@ -334,7 +336,11 @@
         let Some(exchange) = self.exchanges.try_remove(exchange_id) else {
             return;
         };
-        self.body_bytes = self.body_bytes.saturating_sub(exchange.body.len() as u64);
+        self.uploads.release(
+            exchange.workspace.as_deref().unwrap_or_default(),
+            exchange.body.len() as u64,
+        );
+        self.replan_uploads = true;
         self.metrics.in_flight.dec();
         self.count_request(&exchange.service, outcome);
         if let Some(conn) = self.caller_conns.get_mut(exchange.caller) {
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -9,9 +9,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::clock;
+use dewbudget::{AccountPart, SegmentedBody};
+
+use crate::clock::{self, Moment};
 use crate::format::{HeaderClass, PlatformFormat, RequestMetadata};
-use crate::http::RequestHead;
+use crate::http::{BodyDecoder, BodyLength, RequestHead};
 use crate::policy::admission::{is_caller_retry, is_queue_blocked, max_wait, retry_after};
 use crate::policy::queue::{WaitingRequest, request_rank};
 use crate::policy::retries::RetryBudget;
@@ -20,7 +22,9 @@
 use super::dispatch::server_requirements;
 use super::responses::is_connection_header;
 use super::resumption::VersionBinding;
-use super::state::{CallerId, CallerPhase, EdgeState, Exchange, ExchangePhase, SentLoad};
+use super::state::{
+    CallerId, CallerPhase, CallerUpload, EdgeState, Exchange, ExchangePhase, SentLoad,
+};
 use super::timers::LazyTimer;
 
 /// Retry delay for callers of a VM that can't serve yet.
@@ -29,6 +33,9 @@
 /// Prompt tokens per unit of cost in the queue.
 const TOKENS_PER_COST_UNIT: u32 = 64;
 
+/// Copies of the head of an accepted request, or of parts of it.
+const HEAD_COPIES: usize = 2;
+
 /// Reason for rejecting a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Rejection {
@@ -49,6 +56,14 @@
     priority: u8,
 }
 
+impl AuthorizedRequest {
+    /// Returns the time that its caller had left when it sent the request.
+    fn time_left(&self) -> Duration {
+        let timeout = self.route.timeout;
+        self.metadata.caller_timeout.unwrap_or(timeout).min(timeout)
+    }
+}
+
 /// Reasons of refusals that more servers would have prevented.
 const LACK_OF_SERVERS: [&str; 4] = [
     "no_server",
@@ -58,20 +73,93 @@
 ];
 
 impl<F: PlatformFormat> EdgeState<F> {
-    /// Authorizes a complete request, and queues or rejects it.
-    pub(crate) fn begin_request(&mut self, caller: CallerId, head: RequestHead, body: Vec<u8>) {
+    /// Authorizes a request before its body is read, so that callers without a valid
+    /// key hold none; returns whether its body is to be read.
+    pub(crate) fn begin_upload(&mut self, caller: CallerId, head: RequestHead) -> bool {
+        self.now = clock::now();
+        let now = self.now;
+        let authorized = match self.authorize(&head) {
+            Ok(authorized) => authorized,
+            Err(rejection) => {
+                if let Some(conn) = self.caller_conns.get_mut(caller) {
+                    conn.closing = true;
+                    conn.channel.discard_inbound();
+                }
+                self.reject(caller, &head, rejection);
+                return true;
+            }
+        };
+        let declared = match head.body {
+            BodyLength::Exact(length) => Some(length),
+            BodyLength::Chunked | BodyLength::UntilClose => None,
+        };
+        let workspace = authorized.workspace.as_deref().unwrap_or_default();
+        let held = self.account.held(AccountPart::Bodies);
+        let limits = self.upload_limits();
+        let left = authorized.time_left();
+        let begun = self
+            .uploads
+            .begin(caller, workspace, declared, held, &limits, now);
+        if let Err(refusal) = begun {
+            self.refuse_unread(caller, refusal.name(), "no_memory", left);
+            return true;
+        }
+        let upload = CallerUpload {
+            decoder: BodyDecoder::new(head.body),
+            head,
+            body: SegmentedBody::new(self.account.charge(AccountPart::Bodies)),
+            began: now,
+            deadline: now + left,
+            last_byte: now,
+            unread_charge: self.account.charge(AccountPart::Bodies),
+        };
+        self.read_upload(caller, upload);
+        true
+    }
+
+    /// Authorizes a complete request, and queues or rejects it. `began` is when the
+    /// head of a request was complete whose body was read apart.
+    pub(crate) fn begin_request(
+        &mut self,
+        caller: CallerId,
+        head: RequestHead,
+        body: SegmentedBody,
+        began: Option<Moment>,
+    ) {
         // The clock is read after the request arrived, so that a suspension of
         // the VM in between can't make a key confirmation look more recent.
         self.now = clock::now();
-        match self.authorize(&head, body.len()) {
-            Ok(authorized) => self.admit(caller, &head, body, authorized),
+        let authorized = match self.authorize(&head) {
+            Ok(authorized) => authorized,
             Err(rejection) => {
-                let after = (rejection.status == 503).then_some(UNREADY_RETRY_AFTER);
-                self.log_rejection(&head, rejection);
-                self.count_request("none", rejection.code);
-                self.respond(caller, rejection.status, rejection.code, after);
+                self.reject(caller, &head, rejection);
+                return;
+            }
+        };
+        if began.is_none() {
+            let workspace = authorized.workspace.as_deref().unwrap_or_default();
+            let bytes = body.len() as u64;
+            let held = self.account.held(AccountPart::Bodies);
+            let limits = self.upload_limits();
+            let others = held.saturating_sub(bytes);
+            if let Err(refusal) = self.uploads.admit(workspace, bytes, others, &limits) {
+                let left = authorized.time_left();
+                self.record_limit(refusal.name(), "refused");
+                self.count_request("none", "no_memory");
+                let after = retry_after(left, self.next_random_unit());
+                self.respond(caller, 503, "no_memory", Some(after));
+                return;
             }
         }
+        self.admit(caller, &head, body, authorized, began);
+    }
+
+    /// Responds to a request that isn't authorized.
+    fn reject(&mut self, caller: CallerId, head: &RequestHead, rejection: Rejection) {
+        let after = (rejection.status == 503).then_some(UNREADY_RETRY_AFTER);
+        self.log_rejection(head, rejection);
+        self.count_request("none", rejection.code);
+        self.respond(caller, rejection.status, rejection.code, after);
     }
 
     fn log_rejection(&mut self, head: &RequestHead, rejection: Rejection) {
@@ -88,11 +176,7 @@
             .ms("keys_age_ms", age);
     }
 
-    fn authorize(
-        &mut self,
-        head: &RequestHead,
-        body_bytes: usize,
-    ) -> Result<AuthorizedRequest, Rejection> {
+    fn authorize(&mut self, head: &RequestHead) -> Result<AuthorizedRequest, Rejection> {
         let Some(table) = self.table.clone() else {
             return Err(rejection(503, "not_ready"));
         };
@@ -136,9 +220,6 @@
         } else {
             (None, None)
         };
-        if !self.has_body_capacity(body_bytes) {
-            return Err(rejection(503, "no_memory"));
-        }
         let random = self.next_random();
         let Some(share) = pick_share(&route.shares, random) else {
             return Err(rejection(503, "no_service"));
@@ -156,20 +237,17 @@
         &mut self,
         caller: CallerId,
         head: &RequestHead,
-        body: Vec<u8>,
+        body: SegmentedBody,
         authorized: AuthorizedRequest,
+        began: Option<Moment>,
     ) {
         let now = self.now;
         let timeout = authorized.route.timeout;
-        let time_left = authorized
-            .metadata
-            .caller_timeout
-            .unwrap_or(timeout)
-            .min(timeout);
+        let time_left = authorized.time_left();
         let caller_retry =
             is_caller_retry(time_left, timeout) || authorized.metadata.last_event_id.is_some();
         let wait = max_wait(authorized.route.latency_target, time_left, caller_retry);
-        let body: Rc<[u8]> = body.into();
+        let upload_time = now.saturating_sub(began.unwrap_or(now));
         let service = authorized.service.clone();
         let model = self.models.get(&service);
         let blocked = self.queues.get(&service).and_then(|queue| {
@@ -182,8 +260,11 @@
             let oldest = queue.oldest_blocker(authorized.priority, &requirements);
             (!caller_retry && is_queue_blocked(oldest, wait, now)).then_some(queue.len())
         });
-        self.body_bytes += body.len() as u64;
+        let workspace = authorized.workspace.as_deref().unwrap_or_default();
+        self.uploads.accept(workspace, body.len() as u64);
         let request_head = forward_head::<F>(head);
+        let mut head_charge = self.account.charge(AccountPart::Bodies);
+        head_charge.set(head.length * HEAD_COPIES);
         let exchange_id = self.exchanges.insert(Exchange {
             caller,
             metadata: authorized.metadata,
@@ -194,9 +275,10 @@
             method: head.method.clone(),
             target: request_target(head),
             head: request_head.into(),
-            body,
+            _head_charge: head_charge,
+            body: Rc::new(body),
             arrived: now,
-            deadline: now + time_left,
+            deadline: now + time_left.saturating_sub(upload_time),
             queued: now,
             wait_until: now + wait,
             phase: ExchangePhase::Waiting,
@@ -217,6 +299,7 @@
         self.metrics.in_flight.inc();
         if let Some(conn) = self.caller_conns.get_mut(caller) {
             conn.phase = CallerPhase::Busy(exchange_id);
+            conn.served = true;
         }
         self.enqueue_new(exchange_id);
         let waits = |exchange: &Exchange| exchange.phase == ExchangePhase::Waiting;
--- a/crates/dewedge/src/serve/responses.rs
+++ b/crates/dewedge/src/serve/responses.rs
@@ -5,6 +5,8 @@
 use std::fmt::Write as _;
 use std::time::Duration;
 
+use dewbudget::SegmentedBody;
+
 use crate::format::PlatformFormat;
 use crate::http::{HeaderFields, ResponseHead};
 
@@ -103,7 +105,7 @@
         caller: CallerId,
         method: &str,
         head: &ResponseHead,
-        body: &[u8],
+        body: SegmentedBody,
     ) {
         let closing = self.closes_after_response(caller);
         let bodiless = method == "HEAD" || head.status == 204 || head.status == 304;
@@ -112,11 +114,15 @@
         } else {
             ResponseLength::Exact(body.len())
         };
-        let mut bytes = response_head_bytes(head, length, closing);
-        if !bodiless {
-            bytes.extend_from_slice(body);
+        let bytes = response_head_bytes(head, length, closing);
+        if let Some(conn) = self.caller_conns.get_mut(caller) {
+            conn.channel.queue(&bytes);
+            if !bodiless {
+                conn.channel.queue_body(body);
+            }
+            // The next read reports the error again.
+            let _ = conn.channel.flush();
         }
-        self.write_caller(caller, &bytes);
         self.finish_response(caller);
     }
 
@@ -153,6 +159,7 @@
         retry_after: Option<Duration>,
     ) {
         let closing = self.closes_after_response(caller);
+        self.end_upload(caller);
         let body = format!("{{\"error\":\"{code}\"}}\n");
         let mut head = format!(
             "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dewbudget::{ByteAccount, UploadTable};
 use indexmap::{IndexMap, IndexSet};
 use mio::net::{TcpListener, UdpSocket, UnixStream};
 use mio::{Events, Interest, Poll, Token};
@@ -21,6 +22,7 @@
 use crate::load_notices::NoticeQueue;
 use crate::logs::LogWriter;
 use crate::metrics::EdgeMetrics;
+use crate::net::set_listener_options;
 use crate::origins::OriginTable;
 use crate::peers::PeerTable;
 use crate::policy::engine_model::ModelTable;
@@ -138,6 +140,7 @@
     ) -> Result<Self, ServeError> {
         let poll = Poll::new()?;
         let mut entry = bind("callers", settings.entry_address)?;
+        set_listener_options(&entry);
         let mut ready = bind("readiness", settings.ready_address)?;
         let mut metrics = match settings.metrics_address == settings.ready_address {
             true => None,
@@ -212,7 +215,11 @@
             reach_test_due: now,
             was_isolated: false,
             stopping: None,
-            body_bytes: 0,
+            account: ByteAccount::default(),
+            uploads: UploadTable::default(),
+            replan_uploads: false,
+            upload_timer: LazyTimer::default(),
+            uploads_planned: Moment::ZERO,
             unread_servers: UnreadQueue::default(),
             unread_callers: UnreadQueue::default(),
             format: PhantomData,
@@ -361,6 +368,11 @@
                         state.run_duties();
                     }
                 }
+                TimerKey::Uploads => {
+                    if state.upload_timer.fire(now, key, &mut state.timers) {
+                        state.replan_uploads = true;
+                    }
+                }
                 TimerKey::Recording => {
                     if state.recording.timer.fire(now, key, &mut state.timers) {
                         state.run_recording();
@@ -421,6 +433,7 @@
     /// Handles callers and queues that the events of this iteration unblocked.
     fn finish_iteration(&mut self) {
         let state = &mut self.state;
+        state.plan_uploads();
         while !state.pending_dispatches.is_empty() || !state.finished_callers.is_empty() {
             while let Some(caller) = state.finished_callers.pop_front() {
                 state.read_caller(caller, false);
@@ -447,7 +460,11 @@
     fn accept_callers(&mut self) {
         while let Some(entry) = &self.entry {
             match entry.accept() {
-                Ok((stream, _)) => self.state.accept_caller(stream),
+                Ok((stream, _)) => {
+                    if self.state.make_room_for_connection() {
+                        self.state.accept_caller(stream);
+                    }
+                }
                 // The caller has gone; others may be in the queue behind it.
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use dewbudget::{AccountPart, SegmentedBody};
+
 use crate::directory::stable_hash;
 use crate::format::{PlatformFormat, ResponseMetadata};
 use crate::http::{BodyDecoder, ResponseHead, parse_response};
@@ -32,11 +34,9 @@
 /// that by a mark, so that one without it must not reach the caller.
 const PROMISED_NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
-/// Size from which a response counts toward the memory for responses.
-const LARGE_BODY: usize = 256 * 1024;
-
-/// Share of the memory limit that large responses may use while they are read.
-const RESPONSE_MEMORY_DIVISOR: u64 = 4;
+/// Size up to which a response is read on although the memory for responses is
+/// used up.
+const SMALL_BODY: usize = 16 * 1024;
 
 /// Maximum bytes of a response that isn't a stream.
 const MAX_BODY: usize = 8 << 20;
@@ -291,6 +291,7 @@
             if conn.is_stream && exchange.stream.is_none() {
                 exchange.stream = Some(CallerStream {
                     splitter: event_splitter(exchange),
+                    charge: self.account.charge(AccountPart::Responses),
                     head_sent: false,
                     last_event_at: self.now,
                     backlog_ms: 0.0,
@@ -323,6 +324,9 @@
             if let Err(reason) = self.forward_events(conn_id) {
                 return ResponseStep::Invalid(reason);
             }
+            if !self.has_response_capacity(conn_id) {
+                return ResponseStep::Invalid("no memory for the answer");
+            }
             if done && !self.has_response_begun(conn_id) && !self.may_be_empty(conn_id) {
                 return ResponseStep::Invalid(match ends_now {
                     true => "closed before the first event",
@@ -363,18 +367,29 @@
         is_framed && (is_declared || !continues)
     }
 
-    /// Returns whether there is memory to read on. Under pressure, the responses
-    /// that are larger than the average are given up.
-    fn has_response_capacity(&self, conn_id: ServerConnId) -> bool {
-        let own = self.server_conns[conn_id].body.len();
-        if own < LARGE_BODY {
+    /// Returns whether there is memory to read on. Under pressure, callers that
+    /// don't take their responses are disconnected first; then the responses that
+    /// are larger than the average are given up.
+    fn has_response_capacity(&mut self, conn_id: ServerConnId) -> bool {
+        let limit = self.memory_limits().responses;
+        if self.account.held(AccountPart::Responses) <= limit {
+            return true;
+        }
+        self.shed_responses();
+        let Some(conn) = self.server_conns.get(conn_id) else {
+            return false;
+        };
+        let own = conn.body.len();
+        if own <= SMALL_BODY || self.account.held(AccountPart::Responses) <= limit {
             return true;
         }
         let sizes = self.server_conns.iter().map(|(_, conn)| conn.body.len());
-        let large: Vec<usize> = sizes.filter(|size| *size >= LARGE_BODY).collect();
-        let total: usize = large.iter().sum();
-        let capacity = self.settings.memory_bytes / RESPONSE_MEMORY_DIVISOR;
-        total as u64 <= capacity || own * large.len() < total
+        let large: Vec<usize> = sizes.filter(|size| *size > SMALL_BODY).collect();
+        let is_given_up = own * large.len() >= large.iter().sum();
+        if is_given_up {
+            self.record_limit("responses", "response_given_up");
+        }
+        !is_given_up
     }
 
     /// Writes complete events to the caller.
@@ -390,7 +405,9 @@
         if conn.body.is_empty() {
             return Ok(());
         }
-        stream.splitter.push(&conn.body);
+        conn.body
+            .segments()
+            .for_each(|segment| stream.splitter.push(segment));
         conn.body.clear();
         let events = stream.splitter.take_events().map_err(|error| match error {
             EventError::TooLong => "event too long",
@@ -398,6 +415,7 @@
             EventError::WithoutId { .. } => "event without an id",
             EventError::Failure { .. } => "error event",
         })?;
+        stream.charge.set(stream.splitter.partial_len());
         if events.is_empty() {
             return Ok(());
         }
@@ -427,7 +445,8 @@
             self.close_server_conn(conn_id);
             return;
         };
-        let body = std::mem::take(&mut conn.body);
+        let next = SegmentedBody::new(self.account.charge(AccountPart::Responses));
+        let body = std::mem::replace(&mut conn.body, next);
         let is_stream = conn.is_stream;
         let replica = conn.replica;
         let framed = conn.decoder.take().is_some_and(|decoder| decoder.is_done());
@@ -500,7 +519,6 @@
         conn.interim_responses = 0;
         conn.idle_since = now;
         conn.idle_until = now + time;
-        conn.channel.shrink();
         let replica = conn.replica;
         let until = conn.idle_until;
         if !self.directory.get(replica).is_listed() {
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dewbudget::{ByteAccount, ByteCharge, SegmentedBody, UploadTable};
 use dewguard::RequestHash;
 use indexmap::IndexMap;
 use mio::net::UdpSocket;
@@ -80,17 +81,29 @@
     /// Between requests, or reading a head.
     Head,
     /// Reading a body.
-    Body {
-        head: Box<RequestHead>,
-        decoder: BodyDecoder,
-        body: Vec<u8>,
-    },
+    Body(Box<CallerUpload>),
     /// A request is in progress.
     Busy(ExchangeId),
     /// The last response is written; further input is discarded.
     Lingering,
 }
 
+/// A request whose body is being read.
+#[derive(Debug)]
+pub(crate) struct CallerUpload {
+    pub(crate) head: RequestHead,
+    pub(crate) decoder: BodyDecoder,
+    pub(crate) body: SegmentedBody,
+    /// When the head was complete.
+    pub(crate) began: Moment,
+    /// When the response is due.
+    pub(crate) deadline: Moment,
+    /// When bytes of the body last arrived, or could arrive again.
+    pub(crate) last_byte: Moment,
+    /// Charge of what the kernel holds while the body waits.
+    pub(crate) unread_charge: ByteCharge,
+}
+
 /// A connection from a caller.
 #[derive(Debug)]
 pub(crate) struct CallerConn {
@@ -103,6 +116,13 @@
     pub(crate) idle_since: Moment,
     /// Whether the connection is closed after the response.
     pub(crate) closing: bool,
+    /// Whether it has carried a request that was accepted.
+    pub(crate) served: bool,
+    /// Bytes that the caller had taken when this was last looked at, and when it
+    /// had taken more than before.
+    pub(crate) taken: (u64, Moment),
+    /// When bytes were last received and discarded, on a closing connection.
+    pub(crate) discarded_at: Moment,
     /// How the caller takes the last response of a closing connection.
     pub(crate) progress: SendProgress,
 }
@@ -111,6 +131,8 @@
 #[derive(Debug)]
 pub(crate) struct CallerStream {
     pub(crate) splitter: EventSplitter,
+    /// Charge of the incomplete event in the splitter.
+    pub(crate) charge: ByteCharge,
     pub(crate) head_sent: bool,
     pub(crate) last_event_at: Moment,
     /// Prefill time of the unread prompts at the server after the last event,
@@ -129,7 +151,7 @@
 #[derive(Debug)]
 pub(crate) struct FallbackResponse {
     pub(crate) head: ResponseHead,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: SegmentedBody,
 }
 
 /// A request in progress.
@@ -147,7 +169,9 @@
     pub(crate) target: String,
     /// Request line and the caller's headers that are forwarded.
     pub(crate) head: Rc<[u8]>,
-    pub(crate) body: Rc<[u8]>,
+    /// Charge of the head and its metadata.
+    pub(crate) _head_charge: ByteCharge,
+    pub(crate) body: Rc<SegmentedBody>,
     pub(crate) arrived: Moment,
     /// When the final response is due.
     pub(crate) deadline: Moment,
@@ -246,7 +270,7 @@
     pub(crate) exchange_id: Option<ExchangeId>,
     pub(crate) head: Option<ResponseHead>,
     pub(crate) decoder: Option<BodyDecoder>,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: SegmentedBody,
     pub(crate) is_stream: bool,
     /// Interim responses to the request in progress.
     pub(crate) interim_responses: u32,
@@ -335,8 +359,15 @@
     pub(crate) was_isolated: bool,
     /// When the stop signal arrived.
     pub(crate) stopping: Option<Moment>,
-    /// Bytes of request bodies in memory.
-    pub(crate) body_bytes: u64,
+    /// Bytes that callers and servers make the process hold.
+    pub(crate) account: ByteAccount,
+    /// Bodies that are being read.
+    pub(crate) uploads: UploadTable<CallerId>,
+    /// Whether it is to be decided anew which bodies are read.
+    pub(crate) replan_uploads: bool,
+    pub(crate) upload_timer: LazyTimer,
+    /// When that was last decided.
+    pub(crate) uploads_planned: Moment,
     /// Connections to servers whose sockets may hold more bytes.
     pub(crate) unread_servers: UnreadQueue<ServerConnId>,
     /// Callers whose sockets may hold more bytes.
--- a/crates/dewedge/src/serve/timers.rs
+++ b/crates/dewedge/src/serve/timers.rs
@@ -20,6 +20,7 @@
     CrashTest,
     Digest,
     Recording,
+    Uploads,
     Housekeeping,
 }
 
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -352,6 +352,7 @@
         let ttl = self.stream_ttl();
         self.origins.expire(ttl, self.now);
         self.maintain_versions();
+        self.shed_responses();
         // Ejections end and digests expire without an event.
         self.peer_load_stale = true;
         let waiting: Vec<String> = self
--- a/crates/dewedge/src/settings.rs
+++ b/crates/dewedge/src/settings.rs
@@ -26,6 +26,8 @@
     pub store_address: SocketAddr,
     /// Memory limit of the process, in bytes.
     pub memory_bytes: u64,
+    /// Maximum number of sockets of the process.
+    pub max_sockets: usize,
     /// Grace period from the request to stop until the process is killed.
     pub stop_grace: Duration,
     /// Time after which a revoked key must be refused.
--- a/crates/dewedge/src/stream.rs
+++ b/crates/dewedge/src/stream.rs
@@ -143,6 +143,11 @@
         !self.pending.is_empty()
     }
 
+    /// Returns the length of the buffered partial event.
+    pub fn partial_len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Removes and returns the bytes of a partial event.
     ///
     /// # Examples
--- a/crates/standins/src/crowd.rs
+++ b/crates/standins/src/crowd.rs
@@ -86,6 +86,8 @@
 pub struct HeldPeak {
     /// Resident bytes, and bytes that its sockets have received and it hasn't read.
     pub bytes: u64,
+    /// The unread ones among them, at their own peak.
+    pub unread: u64,
     /// Open file descriptors.
     pub descriptors: usize,
 }
@@ -110,6 +112,7 @@
                 let resident = status_bytes(pid, "VmRSS:").unwrap_or(0);
                 let listed = fs::read_dir(format!("/proc/{pid}/fd"));
                 peak.bytes = peak.bytes.max(resident + unread);
+                peak.unread = peak.unread.max(unread);
                 peak.descriptors = peak.descriptors.max(listed.map_or(0, Iterator::count));
                 thread::sleep(SAMPLE_INTERVAL);
             }
