Bound the request bodies that a dewspringd holds

Seen by callers: bodies of legal size that stop short of their end made a daemon hold 179 MB (with a length), 161 MB (large chunks) and 98 MB (one-byte chunks) where its machine has 64 MB.

Cause: a body was bounded one by one, by its route. Its chunks were kept as slices of the read buffers, so that one-byte chunks held 56 times their bytes, and it was joined and copied once it was complete.

The metric dewspring_limits_met counts what followed.

--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -256,6 +256,7 @@
         boot,
         threads: settings.entry_threads,
         max_connections: settings.max_connections,
+        memory_bytes: settings.memory_bytes,
         header_timeout: settings.header_timeout,
         body_timeout: settings.body_timeout,
         connect_timeout: settings.connect_timeout,
--- a/crates/dewspring/src/entry/context.rs
+++ b/crates/dewspring/src/entry/context.rs
@@ -6,6 +6,7 @@
 
 use super::grants::GrantSource;
 use super::problem::Problem;
+use super::uploads::UploadGate;
 use crate::broker::{Refusal, RefusalReason};
 use crate::claims::ClaimHandle;
 use crate::ids::{BootId, RequestId, VmId};
@@ -27,6 +28,8 @@
     pub threads: usize,
     /// Maximum number of concurrent connections of callers.
     pub max_connections: usize,
+    /// Memory limit of the process, in bytes.
+    pub memory_bytes: u64,
     /// Timeout for reading the header of a request.
     pub header_timeout: Duration,
     /// Timeout for reading the body of a request.
@@ -67,6 +70,8 @@
     pub metrics: DaemonMetrics,
     /// Log of recent decisions of this VM.
     pub decisions: DecisionLog,
+    /// Decides which request bodies are read.
+    pub uploads: Arc<UploadGate>,
     /// Whether new requests are refused because the VM shuts down.
     draining: AtomicBool,
     /// Number of requests in flight.
@@ -86,6 +91,7 @@
         decisions: DecisionLog,
     ) -> Self {
         Self {
+            uploads: Arc::new(UploadGate::new(settings.memory_bytes)),
             settings,
             config,
             grants,
--- a/crates/dewspring/src/entry/exchange.rs
+++ b/crates/dewspring/src/entry/exchange.rs
@@ -29,6 +29,7 @@
 use super::pump::ResponsePump;
 use super::request::ModelRequest;
 use super::retry::{AttemptFailure, RetryDecision, RetryState, decide_retry};
+use super::uploads::BodyHold;
 use super::upstream::{UpstreamError, UpstreamResponse, send_request};
 use super::usage::UsageTail;
 use crate::broker::{AttemptOutcome, Grant, GrantDecision, GrantRequest};
@@ -49,6 +50,7 @@
     /// Method, path and headers of the caller's request.
     pub parts: Parts,
     pub body: Bytes,
+    pub _body_hold: BodyHold,
     pub model: Option<ModelRequest>,
     /// Servers at which an attempt at this request failed.
     pub excluded: Vec<ServerName>,
--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use hyper::http::request::Parts;
@@ -19,7 +18,8 @@
 use super::headers::{REQUEST_ID, VM_NAME};
 use super::presence::CallerGuard;
 use super::problem::{Problem, quoted_start};
-use super::request::{ModelRequest, detach, read_body};
+use super::request::{ModelRequest, detach};
+use super::uploads::{ReceivedBody, UploadTerms};
 use crate::ids::{RequestId, WorkspaceId};
 use crate::tables::{FleetConfig, RouteMatch, RouteRow, RouteTable};
 
@@ -119,7 +119,7 @@
 
     let read = read_request(context, &config.routes, parts, incoming).await?;
     let route = find_route(context, &config, &read)?.clone();
-    if read.body.len() as u64 > route.max_body_bytes {
+    if read.body.bytes.len() as u64 > route.max_body_bytes {
         return Err(Problem::BodyTooLarge(route.max_body_bytes));
     }
     let workspace = find_workspace(context, &read.parts, &route)?;
@@ -137,7 +137,8 @@
         route,
         workspace,
         parts: detach(&read.parts),
-        body: read.body,
+        body: read.body.bytes,
+        _body_hold: read.body.hold,
         model: read.model,
         excluded: Vec::new(),
         attempts: 0,
@@ -151,7 +152,7 @@
 /// A request with its whole body.
 struct ReadRequest {
     parts: Parts,
-    body: Bytes,
+    body: ReceivedBody,
     /// The fields of the body that routing needs, on paths of model routes.
     model: Option<ModelRequest>,
 }
@@ -164,9 +165,16 @@
 ) -> Result<ReadRequest, Problem> {
     let path = parts.uri.path();
     let limit = body_limit(routes, path).ok_or(Problem::UnknownPath)?;
-    let body = read_body(incoming, limit, context.settings.body_timeout).await?;
+    let workspace = header_text(&parts, &context.settings.workspace_header)?;
+    let terms = UploadTerms {
+        workspace: check_workspace(workspace.unwrap_or_default())?,
+        max_bytes: limit,
+        timeout: context.settings.body_timeout,
+    };
+    let received = context.uploads.read_body(incoming, terms, &context.metrics);
+    let body = received.await?;
     let model = if has_model_route(routes, path) {
-        Some(ModelRequest::parse(&body)?)
+        Some(ModelRequest::parse(&body.bytes)?)
     } else {
         None
     };
@@ -179,11 +187,14 @@
     route: &RouteRow,
 ) -> Result<WorkspaceId, Problem> {
     let header = header_text(parts, &context.settings.workspace_header)?;
-    let workspace = header.unwrap_or(&route.workspace);
-    if workspace.len() > MAX_WORKSPACE_BYTES {
-        return Err(Problem::Malformed("The workspace name is too long.".into()));
+    Ok(check_workspace(header.unwrap_or(&route.workspace))?.into())
+}
+
+fn check_workspace(name: &str) -> Result<&str, Problem> {
+    match name.len() <= MAX_WORKSPACE_BYTES {
+        true => Ok(name),
+        false => Err(Problem::Malformed("The workspace name is too long.".into())),
     }
-    Ok(workspace.into())
 }
 
 fn find_route<'a, C: ConfigSource, G: GrantSource>(
--- a/crates/dewspring/src/entry/mod.rs
+++ b/crates/dewspring/src/entry/mod.rs
@@ -27,6 +27,7 @@
 mod request;
 mod retry;
 mod server;
+mod uploads;
 mod upstream;
 mod usage;
 
@@ -41,5 +42,6 @@
 pub use request::ModelRequest;
 pub use retry::{AttemptFailure, RetryDecision, RetryState, decide_retry};
 pub use server::{EntryServer, ShutdownOutcome};
+pub use uploads::UploadGate;
 pub(crate) use upstream::send_request;
 pub use usage::UsageTail;
--- a/crates/dewspring/src/entry/request.rs
+++ b/crates/dewspring/src/entry/request.rs
@@ -1,13 +1,8 @@
 //! Reads the body of a request and extracts what routing needs from it.
 
 use std::hash::Hasher;
-use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Request;
-use hyper::body::Body as _;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use serde::Deserialize;
@@ -125,24 +120,3 @@
     }
     copy
 }
-
-/// Reads a whole request body, up to a size limit and within a timeout.
-pub(super) async fn read_body(
-    body: Incoming,
-    limit: u64,
-    timeout: Duration,
-) -> Result<Bytes, Problem> {
-    // A declared length above the limit is refused before the body is read.
-    if body.size_hint().lower() > limit {
-        return Err(Problem::BodyTooLarge(limit));
-    }
-    let limited = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX));
-    let collected = tokio::time::timeout(timeout, limited.collect())
-        .await
-        .map_err(|_| Problem::SlowSender)?;
-    match collected {
-        Ok(collected) => Ok(Bytes::copy_from_slice(&collected.to_bytes())),
-        Err(error) if error.is::<LengthLimitError>() => Err(Problem::BodyTooLarge(limit)),
-        Err(error) => Err(Problem::Malformed(format!("The body broke off: {error}."))),
-    }
-}
--- a/crates/dewspring/src/entry/upstream.rs
+++ b/crates/dewspring/src/entry/upstream.rs
@@ -21,6 +21,9 @@
 
 use super::head_limit::HeadLimitedStream;
 
+/// Maximum size of the read buffer of a connection to a server, in bytes.
+const MAX_READ_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Why a request got no response.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum UpstreamError {
@@ -97,7 +100,9 @@
         .set_nodelay(true)
         .map_err(|error| not_sent(error.to_string()))?;
     let (stream, head_limit) = HeadLimitedStream::new(stream);
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| not_sent(error.to_string()))?;
     let connection = ConnectionGuard(tokio::spawn(connection).abort_handle());
--- a/crates/dewspring/src/observe/metrics.rs
+++ b/crates/dewspring/src/observe/metrics.rs
@@ -52,6 +52,12 @@
     cause: WasteCause,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct LimitLabels {
+    limit: &'static str,
+    effect: &'static str,
+}
+
 type HistogramFamily = Family<ClassLabels, Histogram, fn() -> Histogram>;
 type CounterFamily = Family<ClassLabels, Counter>;
 
@@ -81,6 +87,7 @@
     first_token: HistogramFamily,
     token_interval: HistogramFamily,
     connections: Gauge,
+    limits_met: Family<LimitLabels, Counter>,
     revision: Gauge,
 }
 
@@ -106,6 +113,7 @@
         let first_token = histogram_family();
         let token_interval = histogram_family();
         let connections = Gauge::default();
+        let limits_met = Family::default();
         let revision = Gauge::default();
 
         registry.register("requests", "Requests routed", requests.clone());
@@ -147,6 +155,11 @@
             token_interval.clone(),
         );
         registry.register("connections", "Open connections", connections.clone());
+        registry.register(
+            "limits_met",
+            "Limits on callers that were met, by what followed",
+            limits_met.clone(),
+        );
         registry.register("revision", "Configuration in force", revision.clone());
 
         Self {
@@ -163,6 +176,7 @@
             first_token,
             token_interval,
             connections,
+            limits_met,
             revision,
         }
     }
@@ -229,6 +243,12 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts that a limit on callers was met, and what followed.
+    pub fn count_limit(&self, limit: &'static str, effect: &'static str) {
+        let labels = LimitLabels { limit, effect };
+        self.limits_met.get_or_create(&labels).inc();
+    }
+
     /// Sets the revision in force.
     pub fn set_revision(&self, revision: u64) {
         self.revision
--- a/crates/dewspring/src/settings/command.rs
+++ b/crates/dewspring/src/settings/command.rs
@@ -116,6 +116,12 @@
             "Maximum number of concurrent connections of callers",
         )
         .default_value("4096"),
+        flag(
+            "memory-mb",
+            "DEWSPRING_MEMORY_MB",
+            "Memory limit of the process in megabytes, from which limits on callers derive",
+        )
+        .default_value("1200"),
         flag(
             "header-timeout",
             "DEWSPRING_HEADER_TIMEOUT",
--- a/crates/dewspring/src/settings/daemon.rs
+++ b/crates/dewspring/src/settings/daemon.rs
@@ -15,6 +15,9 @@
 /// Minimum length of the shared secret, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
+/// Bytes per megabyte.
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+
 /// Location of the platform's store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PlatformKind {
@@ -100,6 +103,8 @@
     pub entry_threads: usize,
     /// Maximum number of concurrent connections of callers.
     pub max_connections: usize,
+    /// Memory limit of the process, in bytes.
+    pub memory_bytes: u64,
     /// Timeout for reading the header of a request.
     pub header_timeout: Duration,
     /// Timeout for reading the body of a request.
@@ -185,6 +190,7 @@
             list_interval: reader.duration("list-interval"),
             entry_threads: reader.count("entry-threads"),
             max_connections: reader.count("max-connections"),
+            memory_bytes: (reader.count("memory-mb") as u64).saturating_mul(BYTES_PER_MEGABYTE),
             header_timeout: reader.duration("header-timeout"),
             body_timeout: reader.duration("body-timeout"),
             workspace_header: reader.header("workspace-header"),
