Close unused connections of a dewspringd for new ones

Seen by callers: clients that hold all connections, with unfinished heads, idle, or with announced bodies, kept every other caller out with 503 for as long as the header or body timeout.

Cause: connections above the limit were refused, whoever held the others. The limit was a number that the memory of the machine didn't bound.

Change: connections are in a registry with the time since when they have carried no accepted request. Above the limit the one that is unused for longest, 2 s or the header timeout at least, is closed for the new one; one with an accepted request or an unread response never is. At most 64 refusals are sent at a time.

--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -2,7 +2,7 @@
 //! the point where it needs a grant.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use super::body::ResponseBody;
+use super::connections::{ConnectionHandle, GuardedBody};
 use super::context::{ConfigSource, EntryContext};
 use super::exchange::Exchange;
 use super::grants::GrantSource;
@@ -45,11 +46,19 @@
 pub(super) async fn handle<C: ConfigSource, G: GrantSource>(
     context: Arc<EntryContext<C, G>>,
     request: Request<Incoming>,
-) -> Response<ResponseBody> {
+    connection: &ConnectionHandle,
+) -> Response<GuardedBody> {
     let id = context.next_id();
     let is_draining = context.is_draining();
+    let mut guard = None;
     let mut response = match accept(&context, &id, request).await {
-        Ok(Accepted::Exchange(exchange)) => serve(exchange, &id).await,
+        Ok(Accepted::Exchange(exchange)) => {
+            guard = connection.accept_request();
+            match guard {
+                Some(_) => serve(exchange, &id).await,
+                None => Problem::NotReady(Duration::ZERO).to_response(&id),
+            }
+        }
         Ok(Accepted::Response(response)) => response,
         Err(problem) => {
             let text = format!("Answered {problem:?}.");
@@ -67,7 +76,10 @@
     if is_draining {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    response.map(|body| GuardedBody {
+        body,
+        _guard: guard,
+    })
 }
 
 /// Serves a request that has a route.
--- a/crates/dewspring/src/entry/mod.rs
+++ b/crates/dewspring/src/entry/mod.rs
@@ -11,6 +11,7 @@
 
 mod attempt;
 mod body;
+mod connections;
 mod context;
 mod events;
 mod exchange;
--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -20,10 +20,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::{sleep, timeout};
 
-use super::body::ResponseBody;
+use super::connections::{ConnectionHandle, ConnectionRegistry, GuardedBody};
 use super::context::{ConfigSource, EntryContext};
 use super::grants::GrantSource;
 use super::handler::handle;
@@ -38,6 +38,21 @@
 /// Maximum number of header fields of a request.
 const MAX_HEADERS: usize = 100;
 
+/// Time for which a connection must have carried no accepted request before it is
+/// closed for a new one, unless the header timeout is shorter.
+const MIN_UNUSED_TIME: Duration = Duration::from_secs(2);
+
+/// Largest size of the buffers of a connection whose request is being read, in
+/// bytes.
+const CONNECTION_BYTES: u64 = 2 * MAX_HEADER_BYTES as u64;
+
+/// Part of the memory limit that these buffers may use.
+const CONNECTION_MEMORY_DIVISOR: u64 = 4;
+
+/// Size of the kernel's receive buffer of a caller's connection, in bytes; the
+/// kernel doubles it. What it holds counts toward the memory of the process.
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Interval at which a shutdown polls the number of requests in flight; also
 /// the pause after an accept error.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
@@ -58,6 +73,9 @@
 /// nothing for longer than the silence timeout.
 const SEND_BUFFER_BYTES: usize = 256 * 1024;
 
+/// Maximum number of refusals that are being sent.
+const MAX_REFUSALS: usize = 64;
+
 /// Timeout for sending the refusal to a connection and for its close.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -98,6 +116,8 @@
     pub fn bind(address: SocketAddr, context: Arc<EntryContext<C, G>>) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
+        // Accepted connections inherit it.
+        SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         let address = listener.local_addr()?;
         let runtime = Builder::new_multi_thread()
             .worker_threads(context.settings.threads)
@@ -193,20 +213,24 @@
     watcher: W,
     limit: usize,
     slots: Arc<Semaphore>,
-    /// Pending refusals have the same limit; connections above it are closed
-    /// without a response.
+    /// Pending refusals have a limit, too; connections above it are closed without
+    /// a response.
     refusals: Arc<Semaphore>,
+    registry: ConnectionRegistry,
 }
 
 impl<C: ConfigSource, G: GrantSource, W: Fn() -> Watcher> ConnectionAcceptor<C, G, W> {
     fn new(context: Arc<EntryContext<C, G>>, watcher: W) -> Self {
-        let limit = context.settings.max_connections;
+        let memory = context.settings.memory_bytes / CONNECTION_MEMORY_DIVISOR;
+        let affordable = usize::try_from(memory / CONNECTION_BYTES).unwrap_or(usize::MAX);
+        let limit = context.settings.max_connections.min(affordable.max(1));
         Self {
             context,
             watcher,
             limit,
             slots: Arc::new(Semaphore::new(limit)),
-            refusals: Arc::new(Semaphore::new(limit)),
+            refusals: Arc::new(Semaphore::new(limit.min(MAX_REFUSALS))),
+            registry: ConnectionRegistry::default(),
         }
     }
 
@@ -253,25 +277,62 @@
         }
     }
 
-    /// Serves a connection, or refuses it above the limit.
+    /// Serves a connection. Above the limit, an unused one is closed for it, or it is
+    /// refused.
     fn admit(&self, stream: TcpStream) {
         let limit = self.limit;
-        let Ok(slot) = Arc::clone(&self.slots).try_acquire_owned() else {
+        if let Ok(slot) = Arc::clone(&self.slots).try_acquire_owned() {
+            self.serve(stream, slot);
+            return;
+        }
+        let unused_time = MIN_UNUSED_TIME.min(self.context.settings.header_timeout);
+        let is_closing_unused = self.registry.close_unused(unused_time);
+        let effect = if is_closing_unused {
+            "unused_closed"
+        } else {
+            "refused"
+        };
+        self.context.metrics.count_limit("connections", effect);
+        if is_closing_unused {
+            log::warn!(
+                "entry: An unused connection was closed for one above the limit of {limit}."
+            );
+        } else {
             log::warn!("entry: A connection above the limit of {limit} was refused.");
-            if let Ok(slot) = Arc::clone(&self.refusals).try_acquire_owned() {
-                tokio::spawn(async move {
-                    refuse_connection(stream).await;
-                    drop(slot);
-                });
-            }
+        }
+        let Ok(refusal) = Arc::clone(&self.refusals).try_acquire_owned() else {
             return;
         };
-        let connections = limit - self.slots.available_permits();
+        if !is_closing_unused {
+            tokio::spawn(async move {
+                refuse_connection(stream).await;
+                drop(refusal);
+            });
+            return;
+        }
+        let slots = Arc::clone(&self.slots);
+        let context = Arc::clone(&self.context);
+        let (watcher, registry) = ((self.watcher)(), self.registry.clone());
+        tokio::spawn(async move {
+            let slot = timeout(REFUSAL_TIMEOUT, slots.acquire_owned()).await;
+            drop(refusal);
+            match slot {
+                Ok(Ok(slot)) => {
+                    serve_connection(stream, context, watcher, &registry).await;
+                    drop(slot);
+                }
+                Ok(Err(_)) | Err(_) => refuse_connection(stream).await,
+            }
+        });
+    }
+
+    fn serve(&self, stream: TcpStream, slot: OwnedSemaphorePermit) {
+        let connections = self.limit - self.slots.available_permits();
         self.context.metrics.set_connections(connections);
         let watcher = (self.watcher)();
-        let context = Arc::clone(&self.context);
+        let (context, registry) = (Arc::clone(&self.context), self.registry.clone());
         tokio::spawn(async move {
-            serve_connection(stream, context, watcher).await;
+            serve_connection(stream, context, watcher, &registry).await;
             drop(slot);
         });
     }
@@ -296,7 +357,9 @@
     stream: TcpStream,
     context: Arc<EntryContext<C, G>>,
     watcher: Watcher,
+    registry: &ConnectionRegistry,
 ) {
+    let (handle, closed) = registry.open();
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("entry: Setting TCP_NODELAY on a connection failed: {error}.");
     }
@@ -308,13 +371,14 @@
     let reset = stream.reset_guard();
     let service = service_fn(move |request: Request<Incoming>| {
         let context = Arc::clone(&context);
+        let handle = handle.clone();
         if request.version() < Version::HTTP_11 {
             reset.arm();
         }
         // The connection holds the memory of its service future even after the
         // future has completed. Boxing the handler releases its memory before
         // the response body is streamed.
-        async move { Box::pin(respond(context, request)).await }
+        async move { Box::pin(respond(context, request, handle)).await }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -322,14 +386,20 @@
         .max_buf_size(MAX_HEADER_BYTES)
         .max_headers(MAX_HEADERS)
         .serve_connection(stream, service);
-    if let Err(error) = watcher.watch(connection).await {
-        log::debug!("entry: A connection ended early: {error}.");
+    tokio::select! {
+        ended = watcher.watch(connection) => {
+            if let Err(error) = ended {
+                log::debug!("entry: A connection ended early: {error}.");
+            }
+        }
+        Ok(()) = closed => {}
     }
 }
 
 async fn respond<C: ConfigSource, G: GrantSource>(
     context: Arc<EntryContext<C, G>>,
     request: Request<Incoming>,
-) -> Result<Response<ResponseBody>, Infallible> {
-    Ok(handle(context, request).await)
+    connection: ConnectionHandle,
+) -> Result<Response<GuardedBody>, Infallible> {
+    Ok(handle(context, request, &connection).await)
 }
