Give bodies up that keep others waiting, and refuse all excess connections

One whose sender is silent held its memory until the body timeout. - Stalled bodies were given up for the first of the order alone. If that was a byte short of its end and fit, it was read without success for a second, then the next one, and all others waited. - While any accepted request was counted, also one without a body, no waiting body was given up for another one of its workspace. - A body paused for lack of room for a whole read, though it needed less. In dewnode, pipelined input that is dropped behind an unread response could have been read on in the middle; the connection now discards all that follows.

Besides, dewspringd sends at most 256 refusals at a time; those beyond it were closed without one. Now the oldest is cut off for a new one.

--- a/crates/dewbudget/src/uploads.rs
+++ b/crates/dewbudget/src/uploads.rs
@@ -305,6 +305,12 @@
         self.uploads.get(&key).is_some_and(|upload| upload.waits)
     }
 
+    /// Returns how many of the next `most` bytes a body needs.
+    pub fn next_bytes(&self, key: K, most: u64, limits: &UploadLimits) -> u64 {
+        let upload = self.uploads.get(&key);
+        upload.map_or(0, |upload| upload.remaining(limits).min(most))
+    }
+
     /// Lets a body wait until a plan resumes it.
     pub fn pause(&mut self, key: K) {
         if let Some(upload) = self.uploads.get_mut(&key)
@@ -353,7 +359,9 @@
         };
         let mut refused = Vec::new();
         while budget.used > limits.bodies
-            && let Some(victim) = self.victim(None, &refused, &budget, now)
+            && let Some(victim) = self
+                .stalled_victim(None, &refused, &budget, now)
+                .or_else(|| self.newest_victim(None, &refused, &budget, now))
         {
             budget.release(&self.uploads[&victim]);
             refused.push(victim);
@@ -364,15 +372,17 @@
             let upload = &self.uploads[&key];
             let remaining = upload.remaining(limits);
             let workspace = upload.workspace.clone();
-            if reading.is_empty() {
-                while let Some(shortage) = budget.shortage(&workspace, remaining) {
-                    let first = Some((key, shortage));
-                    let Some(victim) = self.victim(first, &refused, &budget, now) else {
-                        break;
-                    };
-                    budget.release(&self.uploads[&victim]);
-                    refused.push(victim);
+            while let Some(shortage) = budget.shortage(&workspace, remaining) {
+                let next = Some((key, shortage));
+                let mut victim = self.stalled_victim(next, &refused, &budget, now);
+                if victim.is_none() && reading.is_empty() {
+                    victim = self.newest_victim(next, &refused, &budget, now);
                 }
+                let Some(victim) = victim else {
+                    break;
+                };
+                budget.release(&self.uploads[&victim]);
+                refused.push(victim);
             }
             if !refused.contains(&key) && budget.shortage(&workspace, remaining).is_none() {
                 budget.commit(&workspace, remaining);
@@ -409,38 +419,63 @@
         queues
     }
 
-    /// Returns the body to give up so that `first` can be completed, or so that the
-    /// bodies fit into their limit: a stalled one, or else the newest one of the
-    /// workspace that holds most. Accepted requests end by themselves, so no body
-    /// is given up for another one of the same workspace while there are any.
-    fn victim(
+    /// Returns the bodies that may be given up for the completion of `next`, or so that
+    /// the bodies fit into their limit, the newest first.
+    fn candidates<'a>(
+        &'a self,
+        next: Option<(K, Shortage)>,
+        refused: &'a [K],
+        budget: &'a PlanBudget<'_>,
+    ) -> impl Iterator<Item = (K, &'a Upload)> {
+        let own = next.map(|(key, _)| self.uploads[&key].workspace.as_str());
+        let is_own_only = matches!(next, Some((_, Shortage::Workspace)));
+        let others = self
+            .uploads
+            .iter()
+            .rev()
+            .map(|(key, upload)| (*key, upload));
+        others.filter(move |(key, upload)| {
+            let helps = !is_own_only || own == Some(upload.workspace.as_str());
+            let is_next = next.is_some_and(|(next, _)| next == *key);
+            helps && !is_next && upload.held(budget.limits) > 0 && !refused.contains(key)
+        })
+    }
+
+    /// Returns the body to give up that has stalled for longest in the workspace that
+    /// holds most.
+    fn stalled_victim(
         &self,
-        first: Option<(K, Shortage)>,
+        next: Option<(K, Shortage)>,
+        refused: &[K],
+        budget: &PlanBudget<'_>,
+        now: Duration,
+    ) -> Option<K> {
+        let candidates = self.candidates(next, refused, budget);
+        let stalled = candidates.filter(|(_, upload)| upload.has_stalled(now));
+        let victim = stalled
+            .max_by_key(|(_, upload)| (budget.own(&upload.workspace), Reverse(upload.last_byte)));
+        victim.map(|(key, _)| key)
+    }
+
+    /// Returns the newest body of the workspace that holds most. While accepted requests
+    /// hold bytes, which they free by themselves, a body is given up for another one of
+    /// its workspace only if it has waited for long.
+    fn newest_victim(
+        &self,
+        next: Option<(K, Shortage)>,
         refused: &[K],
         budget: &PlanBudget<'_>,
         now: Duration,
     ) -> Option<K> {
-        let own = first.map(|(key, _)| self.uploads[&key].workspace.as_str());
-        let is_own_only = matches!(first, Some((_, Shortage::Workspace)));
-        let candidates = || {
-            let others = self.uploads.iter().rev();
-            others.filter(|(key, upload)| {
-                let helps = !is_own_only || own == Some(upload.workspace.as_str());
-                let is_first = first.is_some_and(|(first, _)| first == **key);
-                helps && !is_first && upload.held(budget.limits) > 0 && !refused.contains(key)
-            })
-        };
         let weight = |upload: &Upload| budget.own(&upload.workspace);
-        let stalled = candidates()
-            .filter(|(_, upload)| upload.has_stalled(now))
-            .max_by_key(|(_, upload)| (weight(upload), Reverse(upload.last_byte)));
-        if let Some((key, _)) = stalled {
-            return Some(*key);
-        }
+        let candidates = || self.candidates(next, refused, budget);
         let heaviest = candidates().map(|(_, upload)| weight(upload)).max()?;
-        let (key, _) = candidates().find(|(_, upload)| weight(upload) == heaviest)?;
-        let is_fair = own.is_none_or(|own| heaviest > budget.own(own));
-        (is_fair || self.accepted.is_empty()).then_some(*key)
+        let (key, upload) = candidates().find(|(_, upload)| weight(upload) == heaviest)?;
+        let own = next.map(|(key, _)| weight(&self.uploads[&key]));
+        let is_fair = own.is_none_or(|own| heaviest > own);
+        let has_waited = now.saturating_sub(upload.last_byte) >= STALL_TIME;
+        let is_freed = self.accepted.values().any(|bytes| *bytes > 0);
+        (is_fair || has_waited || !is_freed).then_some(key)
     }
 
     /// Lets the given bodies and stalled ones be read, and the others wait; returns
--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -119,13 +119,12 @@
                     let _ = conn.channel.stream.shutdown(std::net::Shutdown::Write);
                 }
             }
-            if let CallerPhase::Busy(_) = conn.phase {
-                if conn.closing {
-                    conn.channel.discard_inbound();
-                }
-                let is_full = conn.channel.inbound.len() >= MAX_PIPELINED;
-                conn.channel.hold_back(is_full);
+            let is_busy = matches!(conn.phase, CallerPhase::Busy(_));
+            if is_busy && conn.closing {
+                conn.channel.discard_inbound();
             }
+            let is_full = conn.channel.inbound.len() >= MAX_PIPELINED;
+            conn.channel.hold_back(is_busy && is_full);
             if read_state != ReadState::Open || closing {
                 // The caller can't read a response to requests that are still
                 // buffered.
--- a/crates/dewedge/src/serve/memory.rs
+++ b/crates/dewedge/src/serve/memory.rs
@@ -20,6 +20,7 @@
 use crate::net::{ChannelCharges, RECEIVE_BUFFER_BYTES};
 use crate::policy::admission::retry_after;
 
+use super::backpressure::{STALL_CHECK_INTERVAL, SendProgress};
 use super::state::{CallerConn, CallerId, CallerPhase, EdgeState};
 use super::timers::TimerKey;
 
@@ -118,7 +119,10 @@
         if !self.uploads.is_calm(held, &limits) {
             self.replan_uploads = true;
         }
-        if held + MAX_BODY_READ as u64 <= limits.bodies {
+        let next = self
+            .uploads
+            .next_bytes(caller, MAX_BODY_READ as u64, &limits);
+        if held + next <= limits.bodies {
             return true;
         }
         self.uploads.pause(caller);
@@ -210,20 +214,31 @@
     }
 
     fn free_input(&mut self, caller: CallerId) {
+        let now = self.now;
         let Some(conn) = self.caller_conns.get_mut(caller) else {
             return;
         };
         match conn.phase {
             CallerPhase::Head if conn.channel.unsent() == 0 => {
                 self.refuse_unread(caller, "input", "no_memory", UNKNOWN_TIME_LEFT);
+                return;
             }
-            // Pipelined requests are dropped unread; the connection ends with the
-            // response before them, so that their caller knows.
-            _ => {
-                conn.closing = true;
-                conn.channel.discard_inbound();
-                self.record_limit("input", "pipelined_dropped");
+            // The caller is still taking a response; what follows is discarded, too.
+            CallerPhase::Head => {
+                conn.phase = CallerPhase::Lingering;
+                conn.idle_since = now;
+                conn.progress = SendProgress::start(now);
             }
+            CallerPhase::Busy(_) => {}
+            CallerPhase::Body(_) | CallerPhase::Lingering => return,
+        }
+        // Pipelined requests are dropped unread; the connection ends with the response
+        // before them, so that their caller knows.
+        conn.closing = true;
+        conn.channel.discard_inbound();
+        self.record_limit("input", "pipelined_dropped");
+        if matches!(self.caller_conns[caller].phase, CallerPhase::Lingering) {
+            self.arm_caller(caller, now + STALL_CHECK_INTERVAL);
         }
     }
 
--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -47,7 +47,7 @@
 const CONNECTION_BYTES: u64 = 2 * MAX_HEADER_BYTES as u64;
 
 /// Part of the memory limit that these buffers may use.
-const CONNECTION_MEMORY_DIVISOR: u64 = 4;
+const CONNECTION_MEMORY_DIVISOR: u64 = 6;
 
 /// Size of the kernel's receive buffer of a caller's connection, in bytes; the
 /// kernel doubles it. What it holds counts toward the memory of the process.
@@ -74,7 +74,7 @@
 const SEND_BUFFER_BYTES: usize = 256 * 1024;
 
 /// Maximum number of refusals that are being sent.
-const MAX_REFUSALS: usize = 64;
+const MAX_REFUSALS: usize = 256;
 
 /// Timeout for sending the refusal to a connection and for its close.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -213,10 +213,11 @@
     watcher: W,
     limit: usize,
     slots: Arc<Semaphore>,
-    /// Pending refusals have a limit, too; connections above it are closed without
-    /// a response.
+    /// Pending refusals have a limit, too.
     refusals: Arc<Semaphore>,
     registry: ConnectionRegistry,
+    /// Connections to which a refusal is being sent.
+    refused: ConnectionRegistry,
 }
 
 impl<C: ConfigSource, G: GrantSource, W: Fn() -> Watcher> ConnectionAcceptor<C, G, W> {
@@ -231,6 +232,7 @@
             slots: Arc::new(Semaphore::new(limit)),
             refusals: Arc::new(Semaphore::new(limit.min(MAX_REFUSALS))),
             registry: ConnectionRegistry::default(),
+            refused: ConnectionRegistry::default(),
         }
     }
 
@@ -300,23 +302,15 @@
         } else {
             log::warn!("entry: A connection above the limit of {limit} was refused.");
         }
-        let Ok(refusal) = Arc::clone(&self.refusals).try_acquire_owned() else {
-            return;
-        };
         if !is_closing_unused {
-            tokio::spawn(async move {
-                refuse_connection(stream).await;
-                drop(refusal);
-            });
+            self.refuse(stream);
             return;
         }
         let slots = Arc::clone(&self.slots);
         let context = Arc::clone(&self.context);
         let (watcher, registry) = ((self.watcher)(), self.registry.clone());
         tokio::spawn(async move {
-            let slot = timeout(REFUSAL_TIMEOUT, slots.acquire_owned()).await;
-            drop(refusal);
-            match slot {
+            match timeout(REFUSAL_TIMEOUT, slots.acquire_owned()).await {
                 Ok(Ok(slot)) => {
                     serve_connection(stream, context, watcher, &registry).await;
                     drop(slot);
@@ -326,6 +320,24 @@
         });
     }
 
+    /// Sends the refusal to a connection. If too many are being sent, the one that has
+    /// been open for longest is cut off.
+    fn refuse(&self, stream: TcpStream) {
+        if self.refusals.available_permits() == 0 {
+            self.refused.close_unused(Duration::ZERO);
+        }
+        let (refusals, refused) = (Arc::clone(&self.refusals), self.refused.clone());
+        tokio::spawn(async move {
+            let slot = timeout(REFUSAL_TIMEOUT, refusals.acquire_owned()).await;
+            let (_handle, closed) = refused.open();
+            tokio::select! {
+                () = refuse_connection(stream) => {}
+                Ok(()) = closed => {}
+            }
+            drop(slot);
+        });
+    }
+
     fn serve(&self, stream: TcpStream, slot: OwnedSemaphorePermit) {
         let connections = self.limit - self.slots.available_permits();
         self.context.metrics.set_connections(connections);
--- a/crates/dewspring/src/entry/uploads.rs
+++ b/crates/dewspring/src/entry/uploads.rs
@@ -30,8 +30,9 @@
 /// Steps in which a body's buffer grows, in bytes.
 const GROWTH_BYTES: usize = 64 * 1024;
 
-/// Bytes of a body that the HTTP library and the kernel hold while it waits.
-const UNREAD_BODY_BYTES: u64 = 64 * 1024;
+/// Part of the memory from which limits are derived, in percent; a body is one buffer
+/// here, which is copied when it grows.
+const BODY_MEMORY_PERCENT: u64 = 75;
 
 /// Upper bound of the random retry delay after a refusal for lack of memory.
 const MAX_MEMORY_RETRY: Duration = Duration::from_secs(2);
@@ -93,7 +94,7 @@
     /// Creates the gate of a process with this much memory, in bytes.
     pub fn new(memory: u64) -> Self {
         Self {
-            limits: MemoryLimits::derive(memory),
+            limits: MemoryLimits::derive(memory / 100 * BODY_MEMORY_PERCENT),
             account: ByteAccount::default(),
             state: Mutex::default(),
             changed: Notify::new(),
@@ -163,7 +164,8 @@
         UploadLimits {
             bodies: self.limits.bodies,
             body: max_bytes,
-            waiting: UNREAD_BODY_BYTES,
+            // The limit of connections covers their buffers.
+            waiting: 0,
             has_workspaces: true,
         }
     }
@@ -187,16 +189,28 @@
             state.refused.extend(plan.refused);
             self.changed.notify_waiters();
         }
-        if let Some(position) = state.refused.iter().position(|refused| *refused == id) {
-            state.refused.swap_remove(position);
+        if state.refused.contains(&id) {
             return Err(UploadError::NoMemory);
         }
-        if held + GROWTH_BYTES as u64 > limits.bodies {
+        let next = state.table.next_bytes(id, GROWTH_BYTES as u64, &limits);
+        if held + next > limits.bodies {
             state.table.pause(id);
         }
         Ok(!state.table.waits(id))
     }
 
+    /// Waits until a body is given up, which its sender may never notice.
+    async fn wait_refused(&self, id: UploadId) {
+        loop {
+            // It receives all notifications from its creation on.
+            let changed = self.changed.notified();
+            if self.lock().refused.contains(&id) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, GateState> {
         // The table is valid between any two of its operations.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -230,7 +244,11 @@
                 // The wait may miss a change, so it is short.
                 let _elapsed = timeout(WAIT_INTERVAL, self.gate.changed.notified()).await;
             }
-            let frame = match body.frame().await {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.gate.wait_refused(self.id) => return Err(UploadError::NoMemory),
+            };
+            let frame = match frame {
                 None => break,
                 Some(Ok(frame)) => frame,
                 Some(Err(error)) => {
--- a/crates/dewspring/src/entry/upstream.rs
+++ b/crates/dewspring/src/entry/upstream.rs
@@ -22,7 +22,7 @@
 use super::head_limit::HeadLimitedStream;
 
 /// Maximum size of the read buffer of a connection to a server, in bytes.
-const MAX_READ_BUFFER_BYTES: usize = 128 * 1024;
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Why a request got no response.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
--- a/crates/dewspring/src/settings/command.rs
+++ b/crates/dewspring/src/settings/command.rs
@@ -121,7 +121,7 @@
             "DEWSPRING_MEMORY_MB",
             "Memory limit of the process in megabytes, from which limits on callers derive",
         )
-        .default_value("1200"),
+        .default_value("1700"),
         flag(
             "header-timeout",
             "DEWSPRING_HEADER_TIMEOUT",
