Share the classes of clients between the crowds of both daemons

The crowds were built twice; their classes now stand with the crowd. Numbers of clients, bytes and bounds are unchanged.

--- a/crates/dewspringd/tests/crowds.rs
+++ b/crates/dewspringd/tests/crowds.rs
@@ -12,7 +12,7 @@
 use std::thread;
 use std::time::Duration;
 
-use standins::crowd::{Crowd, CrowdClient, HoldMonitor};
+use standins::crowd::{ClientClass, Crowd, HoldMonitor};
 
 use common::{ChatCall, FleetPlan, TestFleet, wait_until};
 
@@ -56,47 +56,23 @@
     })
 }
 
-/// Clients that all do the same.
-struct ClientClass {
-    count: usize,
-    client: CrowdClient,
-}
-
-fn class(count: usize, start: Vec<u8>, piece: Vec<u8>, pieces: usize) -> ClientClass {
-    let client = CrowdClient {
-        start,
-        piece,
-        pieces,
-        ..CrowdClient::default()
-    };
-    ClientClass { count, client }
-}
-
 fn head(workspace: &str, fields: &str) -> Vec<u8> {
     format!("POST {PATH} HTTP/1.1\r\nhost: x\r\nx-workspace: {workspace}\r\n{fields}\r\n").into()
 }
 
 fn sized_bodies(count: usize) -> ClientClass {
     let start = head("paper", &format!("content-length: {BODY_BYTES}\r\n"));
-    class(count, start, vec![b' '; (BODY_BYTES - 1) / 27], 27)
+    ClientClass::new(count, start, vec![b' '; (BODY_BYTES - 1) / 27], 27)
 }
 
 fn chunks(count: usize, size: usize, bytes: usize) -> ClientClass {
-    let framing = format!("{size:x}\r\n").into_bytes();
-    let chunk = [framing, vec![b' '; size], b"\r\n".into()].concat();
-    let start = head("paper", "transfer-encoding: chunked\r\n");
-    let together = (50_000 / chunk.len()).max(1);
-    class(
-        count,
-        start,
-        chunk.repeat(together),
-        bytes / size / together,
-    )
+    let head = head("paper", "transfer-encoding: chunked\r\n");
+    ClientClass::chunked(count, head, size, bytes)
 }
 
 fn unfinished_heads(count: usize) -> ClientClass {
     let start = format!("POST {PATH} HTTP/1.1\r\nhost: x\r\nx-padding: ");
-    class(
+    ClientClass::new(
         count,
         start.into(),
         vec![b'x'; 1000],
@@ -106,93 +82,32 @@
 
 fn announced_bodies(count: usize) -> ClientClass {
     let start = head("paper", &format!("content-length: {BODY_BYTES}\r\n"));
-    class(count, start, Vec::new(), 0)
+    ClientClass::new(count, start, Vec::new(), 0)
 }
 
 fn idle_connections(count: usize) -> ClientClass {
     let request = b"GET /nowhere HTTP/1.1\r\nhost: x\r\n\r\n".to_vec();
-    let mut idle = class(count, request, Vec::new(), 0);
-    idle.client.awaits_response = true;
-    idle
+    ClientClass::new(count, request, Vec::new(), 0).awaiting_response()
 }
 
 /// Requests to a server whose responses have no end.
 fn unread_responses(count: usize) -> ClientClass {
-    let request = b"GET /archive/a HTTP/1.1\r\nhost: x\r\n\r\n".to_vec();
-    let mut unread = class(count, request, Vec::new(), 0);
-    unread.client.receive_buffer = Some(4096);
-    unread
-}
-
-/// Starts a server that sends chunks without end on each connection.
-fn spawn_endless_server() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("it has an address");
-    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-    let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x10000));
-    thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let chunk = chunk.clone();
-            thread::spawn(move || {
-                let is_read = stream.read(&mut [0; 4096]).is_ok_and(|count| count > 0);
-                let mut open = is_read && stream.write_all(head.as_bytes()).is_ok();
-                while open {
-                    open = stream.write_all(chunk.as_bytes()).is_ok();
-                }
-            });
-        }
-    });
-    address
-}
-
-/// Bodies whose parsed form would be many times as large.
-fn expanding_bodies(count: usize) -> ClientClass {
-    let numbers = "1,".repeat(BODY_BYTES / 2 - 100);
-    let body = format!(r#"{{"model":"small","prompt":[{numbers}1]}}"#);
-    let request = [
-        head("paper", &format!("content-length: {}\r\n", body.len())),
-        body.into(),
-    ]
-    .concat();
-    class(count, request, Vec::new(), 0)
-}
-
-fn withstand(classes: &[ClientClass]) {
-    let _turn = TURN.lock().unwrap_or_else(|poison| poison.into_inner());
-    let mut fleet = fleet();
-    let service = fleet.services[0].address().to_string();
-    let endless = spawn_endless_server().to_string();
-    let pools = fleet.pools_toml().replace(&service, &endless);
-    fleet.apply_pools(&pools);
-    let daemon = &fleet.daemons[0];
-    let request = b"GET /archive/a HTTP/1.1\r\nhost: x\r\n\r\n";
+    let request = b"GET /archive/a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
     wait_until("the changed table is in force", || {
         let mut stream = TcpStream::connect(daemon.entry).expect("the daemon listens");
-        let mut start = [0; 8192];
+        let mut start = Vec::new();
         let sent = stream.write_all(request).is_ok();
-        let read = stream
-            .read(&mut start)
-            .and_then(|first| Ok(first + stream.read(&mut start[first..])?));
-        let count = read.unwrap_or(0);
-        sent && String::from_utf8_lossy(&start[..count]).contains("xxxx")
+        let read = stream.take(4096).read_to_end(&mut start);
+        sent && read.is_ok() && String::from_utf8_lossy(&start).contains("xxxx")
     });
     assert_ordinary(daemon.entry, "desk");
     let monitor = HoldMonitor::spawn(daemon.process.pid(), daemon.entry);
-    let crowds = thread::scope(|scope| {
-        let crowds: Vec<_> = classes
-            .iter()
-            .map(|class| scope.spawn(|| Crowd::gather(daemon.entry, class.count, &class.client)))
-            .collect();
-        let joined = crowds.into_iter().map(|crowd| crowd.join());
-        joined
-            .map(|crowd| crowd.expect("the crowd is there"))
-            .collect::<Vec<_>>()
-    });
+    let crowd = Crowd::gather(daemon.entry, classes);
     monitor.settle(daemon.entry);
     assert_ordinary(daemon.entry, "paper");
     assert_ordinary(daemon.entry, "desk");
     let peak = monitor.finish().expect("the process lives");
-    drop(crowds);
+    drop(crowd);
     let bound = MEMORY_MB * 1_000_000;
     let descriptors = CONNECTIONS + OTHER_DESCRIPTORS;
     println!("{peak:?} of {bound} bytes and {descriptors} descriptors");
--- a/crates/standins/src/crowd.rs
+++ b/crates/standins/src/crowd.rs
@@ -35,6 +35,51 @@
     pub awaits_response: bool,
 }
 
+/// Clients that all do the same.
+#[derive(Clone, Debug)]
+pub struct ClientClass {
+    /// Number of clients.
+    pub count: usize,
+    /// What each of them does.
+    pub client: CrowdClient,
+}
+
+impl ClientClass {
+    /// Creates clients that send `start` once and then `piece` this many times.
+    pub fn new(count: usize, start: Vec<u8>, piece: Vec<u8>, pieces: usize) -> Self {
+        let client = CrowdClient {
+            start,
+            piece,
+            pieces,
+            ..CrowdClient::default()
+        };
+        Self { count, client }
+    }
+
+    /// Creates clients that send a head, then `bytes` of a body in chunks of `size`.
+    pub fn chunked(count: usize, head: Vec<u8>, size: usize, bytes: usize) -> Self {
+        let framing = format!("{size:x}\r\n").into_bytes();
+        let chunk = [framing, vec![b'x'; size], b"\r\n".into()].concat();
+        // Small chunks are written together.
+        let together = (50_000 / chunk.len()).max(1);
+        Self::new(count, head, chunk.repeat(together), bytes / size / together)
+    }
+
+    /// Lets the clients take nothing of what is sent to them.
+    #[must_use]
+    pub fn reading_nothing(mut self) -> Self {
+        self.client.receive_buffer = Some(4096);
+        self
+    }
+
+    /// Lets the clients wait for the first bytes of a response.
+    #[must_use]
+    pub fn awaiting_response(mut self) -> Self {
+        self.client.awaits_response = true;
+        self
+    }
+}
+
 /// Clients that keep their connections open and read nothing.
 #[derive(Debug)]
 pub struct Crowd {
@@ -42,12 +87,15 @@
 }
 
 impl Crowd {
-    /// Lets `count` clients send at the same time; returns once each of them has
-    /// sent everything, isn't read any more, or was disconnected.
-    pub fn gather(address: SocketAddr, count: usize, client: &CrowdClient) -> Self {
+    /// Lets all clients send at the same time; returns once each of them has sent
+    /// everything, isn't read any more, or was disconnected.
+    pub fn gather(address: SocketAddr, classes: &[ClientClass]) -> Self {
         let streams = thread::scope(|scope| {
-            let senders: Vec<_> = (0..count)
-                .map(|_| scope.spawn(|| client.send(address).ok()))
+            let clients = classes
+                .iter()
+                .flat_map(|class| std::iter::repeat_n(&class.client, class.count));
+            let senders: Vec<_> = clients
+                .map(|client| scope.spawn(|| client.send(address).ok()))
                 .collect();
             let joined = senders.into_iter().map(|sender| sender.join());
             joined
