--- a/crates/dewspringd/tests/crowds.rs
+++ b/crates/dewspringd/tests/crowds.rs
@@ -92,6 +92,51 @@
 
 /// Requests to a server whose responses have no end.
 fn unread_responses(count: usize) -> ClientClass {
+    let request = b"GET /archive/a HTTP/1.1\r\nhost: x\r\n\r\n".to_vec();
+    ClientClass::new(count, request, Vec::new(), 0).reading_nothing()
+}
+
+/// Starts a server that sends chunks without end on each connection.
+fn spawn_endless_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it has an address");
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x10000));
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let chunk = chunk.clone();
+            thread::spawn(move || {
+                let is_read = stream.read(&mut [0; 4096]).is_ok_and(|count| count > 0);
+                let mut open = is_read && stream.write_all(head.as_bytes()).is_ok();
+                while open {
+                    open = stream.write_all(chunk.as_bytes()).is_ok();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Bodies whose parsed form would be many times as large.
+fn expanding_bodies(count: usize) -> ClientClass {
+    let numbers = "1,".repeat(BODY_BYTES / 2 - 100);
+    let body = format!(r#"{{"model":"small","prompt":[{numbers}1]}}"#);
+    let request = [
+        head("paper", &format!("content-length: {}\r\n", body.len())),
+        body.into(),
+    ]
+    .concat();
+    ClientClass::new(count, request, Vec::new(), 0)
+}
+
+fn withstand(classes: &[ClientClass]) {
+    let _turn = TURN.lock().unwrap_or_else(|poison| poison.into_inner());
+    let mut fleet = fleet();
+    let service = fleet.services[0].address().to_string();
+    let endless = spawn_endless_server().to_string();
+    let pools = fleet.pools_toml().replace(&service, &endless);
+    fleet.apply_pools(&pools);
+    let daemon = &fleet.daemons[0];
     let request = b"GET /archive/a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
     wait_until("the changed table is in force", || {
         let mut stream = TcpStream::connect(daemon.entry).expect("the daemon listens");
