Name the two steps of reading a body apart

begin_upload, which authorizes a request, returned a constant; what it calls is start_upload now. No change of behaviour; clippy and the formatter pass.

--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -38,7 +38,7 @@
 enum ReadStep {
     /// More bytes are needed.
     Wait,
-    /// A head was read whose body hasn't arrived as a whole.
+    /// A head was read, and not yet its whole body.
     Head(Box<RequestHead>),
     /// A complete request was read; for a body that was read apart, with the time
     /// at which its head was complete.
@@ -187,7 +187,10 @@
                 self.record_upload(caller);
                 false
             }
-            ReadStep::Head(head) => self.begin_upload(caller, *head),
+            ReadStep::Head(head) => {
+                self.begin_upload(caller, *head);
+                true
+            }
             ReadStep::Refuse(status, code) => {
                 conn.closing = true;
                 conn.channel.discard_inbound();
@@ -221,7 +224,7 @@
     }
 
     /// Starts to read a body that has passed all checks of its head.
-    pub(crate) fn read_upload(&mut self, caller: CallerId, upload: CallerUpload) {
+    pub(crate) fn start_upload(&mut self, caller: CallerId, upload: CallerUpload) {
         let due = upload
             .deadline
             .min(upload.last_byte + self.limits().idle_timeout);
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -74,8 +74,8 @@
 
 impl<F: PlatformFormat> EdgeState<F> {
     /// Authorizes a request before its body is read, so that callers without a valid
-    /// key hold none; returns whether its body is to be read.
-    pub(crate) fn begin_upload(&mut self, caller: CallerId, head: RequestHead) -> bool {
+    /// key hold none; starts to read its body, or refuses it.
+    pub(crate) fn begin_upload(&mut self, caller: CallerId, head: RequestHead) {
         self.now = clock::now();
         let now = self.now;
         let authorized = match self.authorize(&head) {
@@ -86,7 +86,7 @@
                     conn.channel.discard_inbound();
                 }
                 self.reject(caller, &head, rejection);
-                return true;
+                return;
             }
         };
         let declared = match head.body {
@@ -102,7 +102,7 @@
             .begin(caller, workspace, declared, held, &limits, now);
         if let Err(refusal) = begun {
             self.refuse_unread(caller, refusal.name(), "no_memory", left);
-            return true;
+            return;
         }
         let upload = CallerUpload {
             decoder: BodyDecoder::new(head.body),
@@ -113,8 +113,7 @@
             last_byte: now,
             unread_charge: self.account.charge(AccountPart::Bodies),
         };
-        self.read_upload(caller, upload);
-        true
+        self.start_upload(caller, upload);
     }
 
     /// Authorizes a complete request, and queues or rejects it. `began` is when the
