--- a/crates/dewspring/src/entry/uploads.rs
+++ b/crates/dewspring/src/entry/uploads.rs
@@ -21,7 +21,7 @@
 use crate::ids::WorkspaceId;
 use crate::observe::DaemonMetrics;
 
-/// Longest time between two looks at whether a waiting body may be read.
+/// Maximum interval between checks of whether a waiting body may be read.
 const WAIT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Minimum time between two plans of which bodies are read.
