Count responses by method and content, and log the method of rejections

No metric or log line said which responses had content after their head, so a body after a refused HEAD request couldn't be told from a server's body that was passed on too far, or from the next response sent too early.

The kind of method is kept with a caller's connection from the first bytes of a request on, also of one that is incomplete or malformed. A new counter has the source of each response, the method and whether content followed it, and `entry rejected` has the method.

--- a/crates/dewedge/src/http/mod.rs
+++ b/crates/dewedge/src/http/mod.rs
@@ -8,6 +8,8 @@
 
 mod body;
 mod head;
+mod response;
 
 pub use body::{BodyDecoder, BodyError, BodyLength};
 pub use head::{HeadError, HeaderFields, RequestHead, ResponseHead, parse_request, parse_response};
+pub use response::MethodKind;
--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -50,12 +50,20 @@
     pub(crate) part: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ResponseLabels {
+    pub(crate) source: &'static str,
+    pub(crate) method: &'static str,
+    pub(crate) content: &'static str,
+}
+
 /// All metrics of a process.
 #[derive(Debug)]
 pub(crate) struct EdgeMetrics {
     registry: Registry,
     pub(crate) requests: Family<OutcomeLabels, Counter>,
     pub(crate) attempts: Family<OutcomeLabels, Counter>,
+    pub(crate) responses: Family<ResponseLabels, Counter>,
     pub(crate) resumptions: Family<OutcomeLabels, Counter>,
     pub(crate) first_byte: Family<ServiceLabels, Histogram>,
     pub(crate) queue_wait: Family<ServiceLabels, Histogram>,
@@ -97,6 +105,12 @@
             "Sends to servers by their outcome",
             attempts.clone(),
         );
+        let responses = Family::default();
+        registry.register(
+            "responses",
+            "Responses to callers, by their source, the method and whether content followed",
+            responses.clone(),
+        );
         let resumptions = Family::default();
         registry.register(
             "resumptions",
@@ -241,6 +255,7 @@
             registry,
             requests,
             attempts,
+            responses,
             resumptions,
             first_byte,
             queue_wait,
--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::Moment;
 use crate::format::PlatformFormat;
-use crate::http::{BodyDecoder, BodyLength, HeadError, RequestHead, parse_request};
+use crate::http::{BodyDecoder, BodyLength, HeadError, MethodKind, RequestHead, parse_request};
 use crate::net::{ReadState, TcpChannel, set_caller_options};
 
 use super::backpressure::{STALL_CHECK_INTERVAL, SendProgress};
@@ -64,6 +64,7 @@
         entry.insert(CallerConn {
             channel,
             phase: CallerPhase::Head,
+            method: MethodKind::Unknown,
             timer: LazyTimer::default(),
             read_since: None,
             idle_since: self.now,
@@ -394,6 +395,7 @@
     if conn.channel.inbound.is_empty() {
         return ReadStep::Wait;
     }
+    conn.method = MethodKind::of_request(&conn.channel.inbound);
     let head = match parse_request(&conn.channel.inbound, head_bytes) {
         Err(error) => return head_refusal(error),
         Ok(None) => return ReadStep::Wait,
--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -169,6 +169,7 @@
         self.logs
             .request("entry", "rejected")
             .text("request", &attempt)
+            .text("method", &head.method)
             .number("status", rejection.status)
             .text("reason", rejection.code)
             .number("tables", version)
--- a/crates/dewedge/src/serve/responses.rs
+++ b/crates/dewedge/src/serve/responses.rs
@@ -9,6 +9,7 @@
 
 use crate::format::PlatformFormat;
 use crate::http::{HeaderFields, ResponseHead};
+use crate::metrics::ResponseLabels;
 
 use super::backpressure::SendProgress;
 use super::state::{CallerId, CallerPhase, EdgeState};
@@ -115,6 +116,7 @@
             ResponseLength::Exact(body.len())
         };
         let bytes = response_head_bytes(head, length, closing);
+        self.count_response(caller, "server", !bodiless);
         if let Some(conn) = self.caller_conns.get_mut(caller) {
             conn.channel.queue(&bytes);
             if !bodiless {
@@ -130,6 +132,7 @@
     pub(crate) fn write_stream_head(&mut self, caller: CallerId, head: &ResponseHead) {
         let closing = self.closes_after_response(caller);
         let bytes = response_head_bytes(head, ResponseLength::Chunked, closing);
+        self.count_response(caller, "server", true);
         if let Some(conn) = self.caller_conns.get_mut(caller) {
             conn.channel.queue(&bytes);
         }
@@ -174,10 +177,22 @@
         }
         head.push_str("\r\n");
         head.push_str(&body);
+        self.count_response(caller, "entry", true);
         self.write_caller(caller, head.as_bytes());
         self.finish_response(caller);
     }
 
+    /// Counts a response by what decides whether content may follow its head.
+    fn count_response(&self, caller: CallerId, source: &'static str, has_content: bool) {
+        let method = self.caller_conns.get(caller).map(|conn| conn.method);
+        let labels = ResponseLabels {
+            source,
+            method: method.unwrap_or_default().name(),
+            content: if has_content { "sent" } else { "omitted" },
+        };
+        self.metrics.responses.get_or_create(&labels).inc();
+    }
+
     /// Returns whether a caller's connection is closed after its response.
     fn closes_after_response(&mut self, caller: CallerId) -> bool {
         let stopping = self.stopping.is_some();
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -18,7 +18,7 @@
 use crate::directory::{ReplicaDirectory, ReplicaIndex};
 use crate::ended_notices::{EndedQueue, ReporterLimits};
 use crate::format::{PlatformFormat, RequestMetadata};
-use crate::http::{BodyDecoder, RequestHead, ResponseHead};
+use crate::http::{BodyDecoder, MethodKind, RequestHead, ResponseHead};
 use crate::keys::KeyConfirmation;
 use crate::load_notices::NoticeQueue;
 use crate::logs::LogWriter;
@@ -109,6 +109,8 @@
 pub(crate) struct CallerConn {
     pub(crate) channel: TcpChannel,
     pub(crate) phase: CallerPhase,
+    /// Method of the last request whose head was read, or is being read.
+    pub(crate) method: MethodKind,
     pub(crate) timer: LazyTimer,
     /// When reading of the current head or body began; `None` between requests.
     pub(crate) read_since: Option<Moment>,
