Decide in one place which bytes follow a response head

Streams sent a last chunk to HEAD and chunked framing with the status 204, and the ready and metrics ports sent bodies to HEAD.

Each writer of responses decided this for itself, and only one of four looked at the method and the status. The counters of the commit before show the entry's own responses to HEAD, all with content, and those of servers, all without.

`ResponseEncoder` now decides it for every response of dewnode, and a connection on which responses are sent exposes no other way to its queue of bytes. The method is known from the first bytes of a request on; a request that broke off before the end of its method gets no content. The length that a server names for content that isn't sent is passed on, but for 204.

Tests: `framing`, a table of methods, statuses and kinds of route on kept and pipelined connections, with a strict reader.

--- a/crates/dewedge/src/http/head.rs
+++ b/crates/dewedge/src/http/head.rs
@@ -5,6 +5,7 @@
 use thiserror::Error;
 
 use super::body::BodyLength;
+use super::response::{MethodKind, permits_content};
 
 /// Maximum header fields of a head; common servers have a similar limit.
 const MAX_FIELDS: usize = 96;
@@ -121,6 +122,9 @@
     pub fields: HeaderFields,
     /// How the end of the body is determined.
     pub body: BodyLength,
+    /// Length that the head names, also if no body follows; `None` for one above
+    /// `u64::MAX`.
+    pub content_length: Option<u64>,
     /// Length of the head, in bytes.
     pub length: usize,
 }
@@ -297,10 +301,10 @@
     if contains_status_line(reason) || fields.iter().any(is_broken) {
         return Err(HeadError::Malformed("a response within a head"));
     }
-    let bodiless = method == "HEAD" || status < 200 || status == 204 || status == 304;
+    let has_content = permits_content(MethodKind::of(method), status);
     let length = content_length(&fields)?;
     let body = match (length, is_chunked(&fields)?) {
-        _ if bodiless => BodyLength::Exact(0),
+        _ if !has_content => BodyLength::Exact(0),
         (Some(_), true) => return Err(HeadError::Malformed("conflicting lengths")),
         (None, true) => BodyLength::Chunked,
         (Some(length), false) => BodyLength::Exact(length),
@@ -310,6 +314,7 @@
         status,
         fields,
         body,
+        content_length: length.filter(|length| *length < u64::MAX),
         length: end,
     }))
 }
--- a/crates/dewedge/src/http/mod.rs
+++ b/crates/dewedge/src/http/mod.rs
@@ -1,4 +1,4 @@
-//! Strict parsing of HTTP/1.1 heads and bodies.
+//! Strict parsing of HTTP/1.1 heads and bodies, and encoding of responses.
 //!
 //! Heads are parsed by a library; ambiguous messages that it accepts are
 //! rejected here.
@@ -12,4 +12,4 @@
 
 pub use body::{BodyDecoder, BodyError, BodyLength};
 pub use head::{HeadError, HeaderFields, RequestHead, ResponseHead, parse_request, parse_response};
-pub use response::MethodKind;
+pub use response::{ContentFraming, MethodKind, ResponseEncoder, ResponseStart};
--- a/crates/dewedge/src/serve/admin.rs
+++ b/crates/dewedge/src/serve/admin.rs
@@ -7,10 +7,11 @@
 use mio::net::TcpStream;
 
 use crate::format::PlatformFormat;
-use crate::http::parse_request;
+use crate::http::{ContentFraming, ResponseStart, parse_request};
 use crate::metrics::PartLabels;
 use crate::net::{ReadState, TcpChannel};
 
+use super::response_channel::ResponseChannel;
 use super::state::{AdminConn, EdgeState, TokenKind, token_of};
 use super::timers::{LazyTimer, TimerKey};
 
@@ -38,7 +39,7 @@
         let charges = self.channel_charges(AccountPart::Input);
         let entry = self.admin_conns.vacant_entry();
         let conn_id = entry.key();
-        let mut channel = TcpChannel::new(stream, charges);
+        let mut channel = ResponseChannel::new(TcpChannel::new(stream, charges));
         let token = token_of(TokenKind::Admin, conn_id);
         if channel.register(&self.registry, token).is_err() {
             return;
@@ -66,13 +67,23 @@
                 return;
             }
             let read_state = conn.channel.fill(MAX_HEAD, closing);
+            conn.channel.expect_request();
             let parsed = parse_request(&conn.channel.inbound, MAX_HEAD);
             match parsed {
                 Ok(Some(head)) => {
                     conn.channel.consume(head.length);
-                    let bytes = self.admin_response(&head.target);
+                    let (status, body) = self.admin_response(&head.target);
+                    let length = body.len() as u64;
                     let conn = &mut self.admin_conns[conn_id];
-                    conn.channel.queue(&bytes);
+                    conn.channel.queue_head(&ResponseStart {
+                        status,
+                        fields: b"",
+                        framing: ContentFraming::Length(length),
+                        omitted_length: Some(length),
+                        is_last: false,
+                    });
+                    conn.channel.queue_content(body.as_bytes());
+                    conn.channel.queue_end();
                     if conn.channel.flush().is_err() {
                         self.admin_conns.remove(conn_id);
                         return;
@@ -87,28 +98,20 @@
         }
     }
 
-    fn admin_response(&mut self, target: &str) -> Vec<u8> {
-        let (status, body) = if target == F::READY_PATH {
+    /// Returns the status and content of a response.
+    fn admin_response(&mut self, target: &str) -> (u16, String) {
+        if target == F::READY_PATH {
             let ready = self.is_ready();
-            let status = if ready {
-                "200 OK"
-            } else {
-                "503 Service Unavailable"
-            };
+            let status = if ready { 200 } else { 503 };
             (status, format!("{{\"ready\":{ready}}}\n"))
         } else if target == METRICS_PATH {
             self.refresh_gauges();
-            ("200 OK", self.metrics.render())
+            (200, self.metrics.render())
         } else if target == DUTIES_PATH {
-            ("200 OK", self.render_duties())
+            (200, self.render_duties())
         } else {
-            ("404 Not Found", String::new())
-        };
-        let head = format!(
-            "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n",
-            body.len()
-        );
-        [head.as_bytes(), body.as_bytes()].concat()
+            (404, String::new())
+        }
     }
 
     fn refresh_gauges(&mut self) {
--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -10,11 +10,13 @@
 
 use crate::clock::Moment;
 use crate::format::PlatformFormat;
-use crate::http::{BodyDecoder, BodyLength, HeadError, MethodKind, RequestHead, parse_request};
+use crate::http::{BodyDecoder, BodyLength, HeadError, RequestHead, parse_request};
 use crate::net::{ReadState, TcpChannel, set_caller_options};
 
 use super::backpressure::{STALL_CHECK_INTERVAL, SendProgress};
 use super::memory::MAX_BODY_READ;
+use super::response_channel::ResponseChannel;
+use super::responses::CONTINUE;
 use super::state::{
     CallerConn, CallerId, CallerPhase, CallerUpload, EdgeState, TokenKind, token_of,
 };
@@ -56,7 +58,7 @@
         let charges = self.channel_charges(AccountPart::Input);
         let entry = self.caller_conns.vacant_entry();
         let caller = entry.key();
-        let mut channel = TcpChannel::new(stream, charges);
+        let mut channel = ResponseChannel::new(TcpChannel::new(stream, charges));
         let token = token_of(TokenKind::Caller, caller);
         if channel.register(&self.registry, token).is_err() {
             return;
@@ -64,7 +66,6 @@
         entry.insert(CallerConn {
             channel,
             phase: CallerPhase::Head,
-            method: MethodKind::Unknown,
             timer: LazyTimer::default(),
             read_since: None,
             idle_since: self.now,
@@ -235,7 +236,7 @@
             .has_list_element("expect", "100-continue");
         if let Some(conn) = self.caller_conns.get_mut(caller) {
             if expects_continue && conn.channel.inbound.is_empty() {
-                conn.channel.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
+                conn.channel.queue_head(&CONTINUE);
                 // The next read reports the error again.
                 let _ = conn.channel.flush();
             }
@@ -395,7 +396,7 @@
     if conn.channel.inbound.is_empty() {
         return ReadStep::Wait;
     }
-    conn.method = MethodKind::of_request(&conn.channel.inbound);
+    conn.channel.expect_request();
     let head = match parse_request(&conn.channel.inbound, head_bytes) {
         Err(error) => return head_refusal(error),
         Ok(None) => return ReadStep::Wait,
--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -43,6 +43,7 @@
 mod prefixes;
 mod recording;
 mod requests;
+mod response_channel;
 mod responses;
 mod resumption;
 mod run;
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -234,9 +234,8 @@
         }
         let status = u64::from(head.status);
         self.log_finished(exchange_id, replica, "answered", status);
-        let method = self.exchanges[exchange_id].method.clone();
         self.finish(exchange_id, "answered", |state, caller| {
-            state.write_response(caller, &method, &head, body);
+            state.write_response(caller, &head, body);
         });
     }
 
@@ -269,7 +268,7 @@
             if !started {
                 state.write_stream_head(caller, head);
             }
-            state.end_stream(caller);
+            state.end_response(caller);
         });
     }
 
@@ -292,7 +291,6 @@
             return;
         }
         if let Some(fallback) = self.exchanges[exchange_id].fallback.take() {
-            let method = self.exchanges[exchange_id].method.clone();
             let replica = self.exchanges[exchange_id].sent_load.replica;
             self.log_finished(
                 exchange_id,
@@ -301,7 +299,7 @@
                 u64::from(fallback.head.status),
             );
             self.finish(exchange_id, "failed", |state, caller| {
-                state.write_response(caller, &method, &fallback.head, fallback.body);
+                state.write_response(caller, &fallback.head, fallback.body);
             });
             return;
         }
--- a/crates/dewedge/src/serve/responses.rs
+++ b/crates/dewedge/src/serve/responses.rs
@@ -8,7 +8,7 @@
 use dewbudget::SegmentedBody;
 
 use crate::format::PlatformFormat;
-use crate::http::{HeaderFields, ResponseHead};
+use crate::http::{ContentFraming, HeaderFields, ResponseHead, ResponseStart};
 use crate::metrics::ResponseLabels;
 
 use super::backpressure::SendProgress;
@@ -38,56 +38,18 @@
         .any(|other| other.eq_ignore_ascii_case(name))
 }
 
-/// Framing of a response body.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ResponseLength {
-    Exact(usize),
-    Chunked,
-    None,
-}
-
-/// Returns the reason phrase of a status; callers depend only on the status.
-fn reason_phrase(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        401 => "Unauthorized",
-        404 => "Not Found",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        431 => "Request Header Fields Too Large",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Status",
-    }
-}
-
-/// Returns a server's response head as it is sent to the caller.
-fn response_head_bytes(head: &ResponseHead, length: ResponseLength, closing: bool) -> Vec<u8> {
+/// The interim response that asks for a request's body.
+pub(crate) const CONTINUE: ResponseStart<'_> = ResponseStart {
+    status: 100,
+    fields: b"",
+    framing: ContentFraming::Length(0),
+    omitted_length: None,
+    is_last: false,
+};
+
+/// Encodes the header fields of a server's response that are forwarded.
+fn forwarded_fields(fields: &HeaderFields) -> Vec<u8> {
     let mut out = Vec::with_capacity(512);
-    let line = format!(
-        "HTTP/1.1 {} {}\r\n",
-        head.status,
-        reason_phrase(head.status)
-    );
-    out.extend_from_slice(line.as_bytes());
-    write_header_fields(&mut out, &head.fields);
-    match length {
-        ResponseLength::Exact(bytes) => {
-            out.extend_from_slice(format!("Content-Length: {bytes}\r\n").as_bytes());
-        }
-        ResponseLength::Chunked => out.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
-        ResponseLength::None => {}
-    }
-    if closing {
-        out.extend_from_slice(b"Connection: close\r\n");
-    }
-    out.extend_from_slice(b"\r\n");
-    out
-}
-
-fn write_header_fields(out: &mut Vec<u8>, fields: &HeaderFields) {
     for (name, value) in fields.iter() {
         if is_connection_header(name) || fields.has_list_element("connection", name) {
             continue;
@@ -97,6 +59,7 @@
         out.extend_from_slice(value);
         out.extend_from_slice(b"\r\n");
     }
+    out
 }
 
 impl<F: PlatformFormat> EdgeState<F> {
@@ -104,52 +67,54 @@
     pub(crate) fn write_response(
         &mut self,
         caller: CallerId,
-        method: &str,
         head: &ResponseHead,
         body: SegmentedBody,
     ) {
-        let closing = self.closes_after_response(caller);
-        let bodiless = method == "HEAD" || head.status == 204 || head.status == 304;
-        let length = if bodiless {
-            ResponseLength::None
-        } else {
-            ResponseLength::Exact(body.len())
-        };
-        let bytes = response_head_bytes(head, length, closing);
-        self.count_response(caller, "server", !bodiless);
+        let framing = ContentFraming::Length(body.len() as u64);
+        self.write_server_head(caller, head, framing);
         if let Some(conn) = self.caller_conns.get_mut(caller) {
-            conn.channel.queue(&bytes);
-            if !bodiless {
-                conn.channel.queue_body(body);
-            }
-            // The next read reports the error again.
-            let _ = conn.channel.flush();
+            conn.channel.queue_body(body);
         }
-        self.finish_response(caller);
+        self.end_response(caller);
     }
 
     /// Writes the response head of a stream to the caller.
     pub(crate) fn write_stream_head(&mut self, caller: CallerId, head: &ResponseHead) {
-        let closing = self.closes_after_response(caller);
-        let bytes = response_head_bytes(head, ResponseLength::Chunked, closing);
-        self.count_response(caller, "server", true);
-        if let Some(conn) = self.caller_conns.get_mut(caller) {
-            conn.channel.queue(&bytes);
-        }
+        self.write_server_head(caller, head, ContentFraming::Chunked);
+    }
+
+    fn write_server_head(
+        &mut self,
+        caller: CallerId,
+        head: &ResponseHead,
+        framing: ContentFraming,
+    ) {
+        let start = ResponseStart {
+            status: head.status,
+            fields: &forwarded_fields(&head.fields),
+            framing,
+            omitted_length: head.content_length,
+            is_last: self.closes_after_response(caller),
+        };
+        self.write_head(caller, "server", &start);
     }
 
     /// Writes complete events to the caller.
     pub(crate) fn write_events(&mut self, caller: CallerId, events: &[u8]) {
-        let mut chunk = Vec::with_capacity(events.len() + 16);
-        chunk.extend_from_slice(format!("{:x}\r\n", events.len()).as_bytes());
-        chunk.extend_from_slice(events);
-        chunk.extend_from_slice(b"\r\n");
-        self.write_caller(caller, &chunk);
+        if let Some(conn) = self.caller_conns.get_mut(caller) {
+            conn.channel.queue_content(events);
+            // The next read reports the error again.
+            let _ = conn.channel.flush();
+        }
     }
 
-    /// Ends a complete stream.
-    pub(crate) fn end_stream(&mut self, caller: CallerId) {
-        self.write_caller(caller, b"0\r\n\r\n");
+    /// Ends a response that is completely written.
+    pub(crate) fn end_response(&mut self, caller: CallerId) {
+        if let Some(conn) = self.caller_conns.get_mut(caller) {
+            conn.channel.queue_end();
+            // The next read reports the error again.
+            let _ = conn.channel.flush();
+        }
         self.finish_response(caller);
     }
 
@@ -161,34 +126,42 @@
         code: &str,
         retry_after: Option<Duration>,
     ) {
-        let closing = self.closes_after_response(caller);
         self.end_upload(caller);
         let body = format!("{{\"error\":\"{code}\"}}\n");
-        let mut head = format!(
-            "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
-            reason_phrase(status),
-            body.len()
-        );
+        let length = body.len() as u64;
+        let mut fields = "Content-Type: application/json\r\n".to_string();
         if let Some(after) = retry_after {
-            let _ = write!(head, "Retry-After: {:.2}\r\n", after.as_secs_f64());
+            let _ = write!(fields, "Retry-After: {:.2}\r\n", after.as_secs_f64());
         }
-        if closing {
-            head.push_str("Connection: close\r\n");
+        let start = ResponseStart {
+            status,
+            fields: fields.as_bytes(),
+            framing: ContentFraming::Length(length),
+            omitted_length: Some(length),
+            is_last: self.closes_after_response(caller),
+        };
+        self.write_head(caller, "entry", &start);
+        if let Some(conn) = self.caller_conns.get_mut(caller) {
+            conn.channel.queue_content(body.as_bytes());
         }
-        head.push_str("\r\n");
-        head.push_str(&body);
-        self.count_response(caller, "entry", true);
-        self.write_caller(caller, head.as_bytes());
-        self.finish_response(caller);
+        self.end_response(caller);
     }
 
-    /// Counts a response by what decides whether content may follow its head.
-    fn count_response(&self, caller: CallerId, source: &'static str, has_content: bool) {
-        let method = self.caller_conns.get(caller).map(|conn| conn.method);
+    /// Queues a response head, and counts the response by what decides whether
+    /// content follows.
+    fn write_head(&mut self, caller: CallerId, source: &'static str, start: &ResponseStart<'_>) {
+        let Some(conn) = self.caller_conns.get_mut(caller) else {
+            return;
+        };
+        conn.channel.queue_head(start);
+        let encoder = conn.channel.encoder();
         let labels = ResponseLabels {
             source,
-            method: method.unwrap_or_default().name(),
-            content: if has_content { "sent" } else { "omitted" },
+            method: encoder.method().name(),
+            content: match encoder.has_content() {
+                true => "sent",
+                false => "omitted",
+            },
         };
         self.metrics.responses.get_or_create(&labels).inc();
     }
@@ -205,14 +178,6 @@
         }
     }
 
-    fn write_caller(&mut self, caller: CallerId, bytes: &[u8]) {
-        if let Some(conn) = self.caller_conns.get_mut(caller) {
-            conn.channel.queue(bytes);
-            // The next read reports the error again.
-            let _ = conn.channel.flush();
-        }
-    }
-
     /// Prepares a caller's connection for its next request, or starts closing
     /// it.
     fn finish_response(&mut self, caller: CallerId) {
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -18,7 +18,7 @@
 use crate::directory::{ReplicaDirectory, ReplicaIndex};
 use crate::ended_notices::{EndedQueue, ReporterLimits};
 use crate::format::{PlatformFormat, RequestMetadata};
-use crate::http::{BodyDecoder, MethodKind, RequestHead, ResponseHead};
+use crate::http::{BodyDecoder, RequestHead, ResponseHead};
 use crate::keys::KeyConfirmation;
 use crate::load_notices::NoticeQueue;
 use crate::logs::LogWriter;
@@ -43,6 +43,7 @@
 use super::crashes::CrashWatch;
 use super::duties::DutyState;
 use super::recording::RecordingState;
+use super::response_channel::ResponseChannel;
 use super::resumption::VersionBinding;
 use super::timers::{LazyTimer, TimerHeap, TimerKey};
 
@@ -107,10 +108,8 @@
 /// A connection from a caller.
 #[derive(Debug)]
 pub(crate) struct CallerConn {
-    pub(crate) channel: TcpChannel,
+    pub(crate) channel: ResponseChannel,
     pub(crate) phase: CallerPhase,
-    /// Method of the last request whose head was read, or is being read.
-    pub(crate) method: MethodKind,
     pub(crate) timer: LazyTimer,
     /// When reading of the current head or body began; `None` between requests.
     pub(crate) read_since: Option<Moment>,
@@ -287,7 +286,7 @@
 /// An admin connection, for readiness checks and metrics.
 #[derive(Debug)]
 pub(crate) struct AdminConn {
-    pub(crate) channel: TcpChannel,
+    pub(crate) channel: ResponseChannel,
     pub(crate) timer: LazyTimer,
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,14 +3,15 @@
 //! Three programs are built from this library: `fake-engine`, `fake-service`
 //! and `fake-platform`. Their protocol is described in `docs/BACKENDS.md`.
 //! The [`process`] module runs the workspace's programs as child processes of
-//! tests, [`ports`] hands out the ports that they bind, and [`crowd`] plays clients
-//! that don't behave.
+//! tests, [`ports`] hands out the ports that they bind, [`crowd`] plays clients
+//! that don't behave, and [`framing`] reads responses strictly.
 
 pub mod crash;
 pub mod crowd;
 pub mod engine;
 mod faults;
 mod flags;
+pub mod framing;
 mod lag;
 mod load;
 pub mod platform;
