Discard the content of requests to the admin ports

An admin request with content got its response, and its content was then parsed as the next request, whose response stood before the real next one.

The admin ports never looked at how a request's content ends. It is now decoded and discarded.

`framing::admin_responses_end_where_they_should` failed before, on requests with content to the ready port, and passes now.

--- a/crates/dewedge/src/serve/admin.rs
+++ b/crates/dewedge/src/serve/admin.rs
@@ -3,11 +3,13 @@
 
 use std::time::Duration;
 
-use dewbudget::AccountPart;
+use dewbudget::{AccountPart, BodySink};
 use mio::net::TcpStream;
 
 use crate::format::PlatformFormat;
-use crate::http::{ContentFraming, ResponseStart, parse_request};
+use crate::http::{
+    BodyDecoder, BodyLength, ContentFraming, HeadError, ResponseStart, parse_request,
+};
 use crate::metrics::PartLabels;
 use crate::net::{ReadState, TcpChannel};
 
@@ -30,6 +32,16 @@
 /// Path of the duties of the fleet.
 const DUTIES_PATH: &str = "/duties";
 
+/// Why a connection whose request has malformed content is closed.
+const MALFORMED_CONTENT: HeadError = HeadError::Malformed("content");
+
+/// Discards the content of requests.
+struct DiscardedContent;
+
+impl BodySink for DiscardedContent {
+    fn append(&mut self, _bytes: &[u8]) {}
+}
+
 impl<F: PlatformFormat> EdgeState<F> {
     /// Accepts an admin connection.
     pub(crate) fn accept_admin(&mut self, stream: TcpStream) {
@@ -46,6 +58,7 @@
         }
         let conn = entry.insert(AdminConn {
             channel,
+            decoder: BodyDecoder::new(BodyLength::Exact(0)),
             timer: LazyTimer::default(),
         });
         conn.timer.set(
@@ -67,11 +80,21 @@
                 return;
             }
             let read_state = conn.channel.fill(MAX_HEAD, closing);
+            let decoded = conn
+                .decoder
+                .decode(&conn.channel.inbound, &mut DiscardedContent);
+            if let Ok(used) = decoded {
+                conn.channel.consume(used);
+            }
             conn.channel.expect_request();
-            let parsed = parse_request(&conn.channel.inbound, MAX_HEAD);
+            let parsed = match conn.decoder.is_done() {
+                true => parse_request(&conn.channel.inbound, MAX_HEAD),
+                false => decoded.map(|_| None).map_err(|_| MALFORMED_CONTENT),
+            };
             match parsed {
                 Ok(Some(head)) => {
                     conn.channel.consume(head.length);
+                    conn.decoder = BodyDecoder::new(head.body);
                     let (status, body) = self.admin_response(&head.target);
                     let length = body.len() as u64;
                     let conn = &mut self.admin_conns[conn_id];
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -287,6 +287,8 @@
 #[derive(Debug)]
 pub(crate) struct AdminConn {
     pub(crate) channel: ResponseChannel,
+    /// Decoder of the last request's content, which is discarded.
+    pub(crate) decoder: BodyDecoder,
     pub(crate) timer: LazyTimer,
 }
 
