Refuse CONNECT requests with a path

`CONNECT /read/a` was sent to servers, and a 200 with content came back, where RFC 9110 lets a tunnel follow the head. Only targets that aren't paths were refused.

The parser of requests now refuses the method: 400, and the connection ends.

The new row of `the_last_response_of_a_connection_ends_where_it_should` got 200 on an open connection before; all six tests of `framing` pass now.

--- a/crates/dewedge/src/http/head.rs
+++ b/crates/dewedge/src/http/head.rs
@@ -221,6 +221,10 @@
         return Err(HeadError::Unsupported("version"));
     }
     let method = request.method.unwrap_or_default().to_string();
+    // The content of a response to it would be the bytes of a tunnel.
+    if method == "CONNECT" {
+        return Err(HeadError::Unsupported("method"));
+    }
     let target = request.path.unwrap_or_default().to_string();
     if !target.starts_with('/') {
         return Err(HeadError::Malformed("the target isn't a path"));
