Name no length in a 204 response to HEAD

A server's 204 with a Content-Length reached callers that had sent HEAD with that length, which RFC 9110 forbids.

The end-to-end headers of servers are passed on with their length. The HTTP library removes it from a 204, but not if the method is HEAD.

The length of a 204 is no longer passed on by dewspringd.

--- a/crates/dewspring/src/entry/exchange.rs
+++ b/crates/dewspring/src/entry/exchange.rs
@@ -400,7 +400,10 @@
         let response = &started.upstream.response;
         let is_stream = is_event_stream(response.headers());
         let mut headers = end_to_end_headers(response.headers());
-        if is_stream {
+        let status = response.status();
+        // RFC 9110, section 8.6: a 204 names no length. hyper removes it for other
+        // methods than HEAD only.
+        if is_stream || status == StatusCode::NO_CONTENT {
             headers.remove(CONTENT_LENGTH);
         }
         let server = &started.attempt.grant().server;
@@ -410,7 +413,6 @@
         headers.insert(VM_NAME, header_value(&self.context.settings.vm));
         headers.insert(RAN, HeaderValue::from_static(ran.as_str()));
 
-        let status = response.status();
         let is_empty = response.body().is_end_stream() || self.parts.method == Method::HEAD;
         let meter = match self.pool().kind {
             PoolKind::Engine if is_stream => ResponseMeter::Events(EventScanner::default()),
--- /dev/null
+++ b/crates/dewspringd/tests/framing.rs
@@ -0,0 +1,203 @@
+//! Which bytes follow the head of a response, for each method, status and kind of
+//! route, on kept and pipelined connections.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{FleetPlan, TestFleet, is_ready, wait_until};
+use standins::framing::{StrictClient, spawn_server};
+
+const METHODS: [&str; 5] = ["GET", "HEAD", "POST", "DELETE", "OPTIONS"];
+
+const REPLIES: [&str; 13] = [
+    "200-length",
+    "200-chunks",
+    "200-events",
+    "200-close",
+    "200-interim",
+    "204-bare",
+    "204-length",
+    "204-chunks",
+    "205-length",
+    "304-length",
+    "404-length",
+    "500-chunks",
+    "503-length",
+];
+
+/// Starts a daemon whose servers all respond as the path says.
+fn start(daemon_flags: &[&str]) -> TestFleet {
+    let mut fleet = TestFleet::start(FleetPlan {
+        daemons: 1,
+        engines: 1,
+        daemon_flags: daemon_flags.iter().map(ToString::to_string).collect(),
+        engine_pool: String::new(),
+        ..FleetPlan::default()
+    });
+    let mut pools = fleet.pools_toml();
+    for process in fleet.services.iter().chain(&fleet.engines) {
+        // A pools table has each address once.
+        let address = spawn_server().expect("a port is free");
+        pools = pools.replace(&process.address().to_string(), &address.to_string());
+    }
+    fleet.apply_pools(&pools);
+    let entry = fleet.daemons[0].entry;
+    wait_until("the changed table is in force", || {
+        let request = "GET /archive/200-length HTTP/1.1\r\nhost: x\r\n\r\n";
+        let mut client = StrictClient::open(entry).expect("the daemon listens");
+        client.send(request.as_bytes());
+        let response = client.read("GET");
+        response.is_ok_and(|response| response.content == b"/archive/200-length")
+    });
+    fleet
+}
+
+fn request(method: &str, target: &str, more: &str) -> String {
+    let content = match (method, target) {
+        ("POST", "/v1/chat/completions") => {
+            r#"{"model":"small","stream":true,"messages":[{"role":"user","content":"x"}]}"#
+        }
+        ("POST", _) => "hi",
+        _ => "",
+    };
+    let length = content.len();
+    format!(
+        "{method} {target} HTTP/1.1\r\nhost: x\r\n{more}content-length: {length}\r\n\r\n{content}"
+    )
+}
+
+/// Sends a request, and another one before or after its response; returns its
+/// status, or what broke the protocol.
+fn play(
+    address: SocketAddr,
+    (method, first): (&str, &str),
+    second: &str,
+    is_pipelined: bool,
+) -> Result<u16, String> {
+    let mut client = StrictClient::open(address).map_err(|error| error.to_string())?;
+    client.send(first.as_bytes());
+    if is_pipelined {
+        client.send(second.as_bytes());
+    }
+    let response = client.read(method)?;
+    if !response.closes() {
+        if !is_pipelined {
+            client.send(second.as_bytes());
+        }
+        client.read("GET")?;
+    }
+    client.finish()?;
+    Ok(response.status)
+}
+
+/// Plays each method on each target; returns what broke the protocol.
+fn play_all(address: SocketAddr, targets: &[String], more: &str, next: &str) -> Vec<String> {
+    let close = format!("connection: close\r\n{more}");
+    let second = request("GET", next, &close);
+    let mut faults = Vec::new();
+    for target in targets {
+        for method in METHODS {
+            for is_pipelined in [false, true] {
+                let first = request(method, target, more);
+                let played = play(address, (method, &first), &second, is_pipelined);
+                if let Err(fault) = played {
+                    faults.push(format!("{method} {target}, {is_pipelined}: {fault}"));
+                }
+            }
+        }
+    }
+    faults
+}
+
+/// Guards against content after the head of a response to HEAD or with the status
+/// 204 or 304, and against any other byte that isn't part of the next response.
+#[test]
+fn no_byte_follows_a_response_that_is_not_part_of_the_next_one() {
+    let fleet = start(&[]);
+    let mut targets = vec!["/v1/chat/completions".to_string()];
+    for route in ["/payment", "/archive", "/none"] {
+        targets.extend(REPLIES.iter().map(|reply| format!("{route}/{reply}")));
+    }
+    let entry = fleet.daemons[0].entry;
+    let faults = play_all(entry, &targets, "", "/archive/200-length");
+    assert!(
+        faults.is_empty(),
+        "{}:\n{}",
+        faults.len(),
+        faults.join("\n")
+    );
+}
+
+/// Requests after which a connection ends, in all their bytes.
+const LAST_REQUESTS: [(&str, &str); 8] = [
+    (
+        "HEAD",
+        "HEAD /archive/200-length HTTP/1.1\r\nhost: x\r\nbad header\r\n\r\n",
+    ),
+    ("HEAD", "HEAD /archive/200-length HTTP/1.1\r\nhost: "),
+    (
+        "HEAD",
+        "HEAD /archive/200-length HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999999\r\n\r\nx",
+    ),
+    (
+        "POST",
+        "POST /archive/200-length HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999999\r\n\r\nx",
+    ),
+    (
+        "HEAD",
+        "HEAD /none HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nshort",
+    ),
+    (
+        "HEAD",
+        "HEAD /archive/200-length HTTP/1.1\r\nhost: x\r\nx: {long}\r\n\r\n",
+    ),
+    ("HEAD", "HEAD /archive/200-length HTTP/1.0\r\n\r\n"),
+    (
+        "CONNECT",
+        "CONNECT /archive/200-length HTTP/1.1\r\nhost: x\r\n\r\n",
+    ),
+];
+
+/// Guards against content after the head of the last response of a connection, also
+/// if the request's head or body wasn't read to its end.
+#[test]
+fn the_last_response_of_a_connection_ends_where_it_should() {
+    let fleet = start(&["--header-timeout=1s"]);
+    let long = "x".repeat(1 << 20);
+    let mut faults = Vec::new();
+    for (method, bytes) in LAST_REQUESTS {
+        let entry = fleet.daemons[0].entry;
+        let mut client = StrictClient::open(entry).expect("the daemon listens");
+        client.send(bytes.replace("{long}", &long).as_bytes());
+        match client.read(method) {
+            // The library closes a connection without a response in some cases.
+            Err(fault) if fault == "in place of a response: \"\"" => {}
+            Err(fault) => faults.push(format!("{bytes}: {fault}")),
+            Ok(response) if response.status < 300 && method == "CONNECT" => {
+                faults.push(format!("{bytes}: {response:?}"));
+            }
+            Ok(response) if response.closes() => {
+                let finished = client.finish().err();
+                faults.extend(finished.map(|fault| format!("{bytes}: {fault}")));
+            }
+            Ok(_) => {}
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Guards against the same faults while the daemon stops.
+#[test]
+fn responses_of_a_stopping_daemon_end_where_they_should() {
+    let fleet = start(&[]);
+    let daemon = &fleet.daemons[0];
+    // Keeps the daemon from ending.
+    let mut holder = StrictClient::open(daemon.entry).expect("the daemon listens");
+    holder.send(b"POST /archive/200-length HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nshort");
+    daemon.process.terminate();
+    wait_until("it isn't ready", || !is_ready(daemon));
+    let targets = ["/archive/200-length", "/none"].map(str::to_string);
+    let faults = play_all(daemon.entry, &targets, "", "/archive/200-length");
+    assert!(faults.is_empty(), "{faults:#?}");
+}
--- a/crates/standins/src/framing.rs
+++ b/crates/standins/src/framing.rs
@@ -4,8 +4,9 @@
 //! the status permit content (RFC 9112, section 6.3); any other byte that isn't
 //! part of the next head is an error.
 
-use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::thread;
 use std::time::Duration;
 
 /// Longest time for which a client waits for bytes.
@@ -67,6 +68,8 @@
 /// A final response.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct StrictResponse {
+    /// Whether it is one of HTTP/1.0, after which the connection ends.
+    pub is_old: bool,
     /// Status code.
     pub status: u16,
     /// Header fields, names in lower case.
@@ -86,7 +89,7 @@
     /// Returns whether the connection ends after the response.
     #[must_use]
     pub fn closes(&self) -> bool {
-        self.field("connection") == Some("close")
+        self.field("connection") == Some("close") || self.is_old
     }
 }
 
@@ -214,7 +217,11 @@
         while self.received.len() < 9 && !self.is_ended {
             self.receive()?;
         }
-        if !self.received.starts_with(b"HTTP/1.1 ") {
+        let versions: [&[u8]; 2] = [b"HTTP/1.1 ", b"HTTP/1.0 "];
+        if !versions
+            .iter()
+            .any(|start| self.received.starts_with(start))
+        {
             return Err(format!("in place of a response: {}", self.rest()));
         }
         let head = self.take_until(b"\r\n\r\n")?;
@@ -249,6 +256,7 @@
     let line = lines.next().unwrap_or_default();
     let status = line.split(' ').nth(1).and_then(|text| text.parse().ok());
     let mut response = StrictResponse {
+        is_old: line.starts_with("HTTP/1.0"),
         status: status.ok_or_else(|| format!("a status line {line:?}"))?,
         ..StrictResponse::default()
     };
@@ -261,3 +269,47 @@
     }
     Ok(response)
 }
+
+/// Starts a server that responds to each request as [`reply`] says, until the
+/// process ends; returns its address.
+///
+/// # Errors
+///
+/// Returns an error if no port is free.
+pub fn spawn_server() -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || serve(stream));
+        }
+    });
+    Ok(address)
+}
+
+/// Responds to the requests of a connection; an error ends it.
+fn serve(mut stream: TcpStream) -> io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    loop {
+        let mut lines = Vec::new();
+        while lines.last().is_none_or(|line| line != "\r\n") {
+            let mut line = String::new();
+            if reader.read_line(&mut line)? == 0 {
+                return Ok(());
+            }
+            lines.push(line);
+        }
+        let length = lines.iter().find_map(|line| {
+            let line = line.to_ascii_lowercase();
+            line.strip_prefix("content-length:")?.trim().parse().ok()
+        });
+        reader.read_exact(&mut vec![0; length.unwrap_or(0)])?;
+        let mut words = lines[0].split(' ');
+        let (method, target) = (words.next(), words.next());
+        let (bytes, closes) = reply(method.unwrap_or_default(), target.unwrap_or_default(), "");
+        stream.write_all(&bytes)?;
+        if closes {
+            return stream.shutdown(Shutdown::Both);
+        }
+    }
+}
