Send no content in the refusal of an excess connection

A caller that sent HEAD on a connection above the limit found 75 bytes of content behind the response.

The refusal is written before a request is read, past the HTTP library, so its method isn't known. It now has no content; its headers stay.

`the_refusal_of_an_excess_connection_has_no_content` failed before (the content followed the head) and passes now.

--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -79,14 +79,13 @@
 /// Timeout for sending the refusal to a connection and for its close.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Response to a connection above the limit.
+/// Response to a connection above the limit. No request is read, so it may answer
+/// HEAD and has no content.
 const REFUSAL_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
-    content-type: application/problem+json\r\n\
     x-dewspring-ran: no\r\n\
     retry-after: 1\r\n\
     connection: close\r\n\
-    content-length: 75\r\n\r\n\
-    {\"type\":\"urn:dewspring:problem:connections\",\"title\":\"Too many connections\"}";
+    content-length: 0\r\n\r\n";
 
 /// How a shutdown ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/dewspringd/tests/framing.rs
+++ b/crates/dewspringd/tests/framing.rs
@@ -187,6 +187,27 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
+/// Guards against content in the refusal of an excess connection, which is sent
+/// before a request is read, so that it may answer HEAD.
+#[test]
+fn the_refusal_of_an_excess_connection_has_no_content() {
+    let fleet = start(&["--max-connections=1"]);
+    let entry = fleet.daemons[0].entry;
+    let open = || StrictClient::open(entry).expect("the daemon listens");
+    let partial = "GET /archive/a HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nshort";
+    wait_until("an excess connection is refused", || {
+        // Connections from before may still be open.
+        let (mut holder, mut client) = (open(), open());
+        holder.send(partial.as_bytes());
+        client.send(b"HEAD /archive/200-length HTTP/1.1\r\nhost: x\r\n\r\n");
+        let response = client.read("HEAD").expect("a response arrives");
+        if response.status == 503 && response.closes() {
+            client.finish().expect("nothing follows");
+        }
+        response.status == 503
+    });
+}
+
 /// Guards against the same faults while the daemon stops.
 #[test]
 fn responses_of_a_stopping_daemon_end_where_they_should() {
