Serve the admin port of dewspringd by hyper

HEAD to any path of the admin port was answered with content, which stood before the next response of a kept connection.

oxhttp's server writes the content that it is given, whatever the method is. The request path is served by hyper, which decides by the method and status; the admin port now is, too, so that one library decides in the process. HEAD is allowed wherever GET is. The limits on connections and on idle time stay; a connection ends after 30 s.

--- a/crates/dewspring/src/admin/server.rs
+++ b/crates/dewspring/src/admin/server.rs
@@ -1,13 +1,27 @@
 //! HTTP listener for operators.
 
+use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
-use oxhttp::model::header::{AUTHORIZATION, CONTENT_TYPE};
-use oxhttp::model::{Body, Method, Request, Response, StatusCode};
-use oxhttp::{ListeningServer, Server};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use hyper::http::request::Parts;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
+use tokio::net::TcpStream;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::Semaphore;
+use tokio::task::spawn_blocking;
+use tokio::time::{sleep, timeout};
 
 use super::messages::{DrainReport, ExplainReport, StatusReport};
 use super::secret::is_authorized;
@@ -18,7 +32,19 @@
 /// The limit is high enough that idle connections don't block the balancer's
 /// readiness check.
 const MAX_CONNECTIONS: usize = 512;
+
+/// Timeout for the head of a request, from the one before.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time after which a connection is closed.
+const CONNECTION_LIFETIME: Duration = Duration::from_secs(30);
+
+/// Number of requests that are handled at a time; handlers may block.
+const HANDLER_THREADS: usize = 4;
+
+/// Pause after an accept error.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 const EXPLAIN_PREFIX: &str = "/v1/explain/";
 const JSON: &str = "application/json";
 const TEXT: &str = "text/plain; charset=utf-8";
@@ -43,9 +69,9 @@
 }
 
 /// Running listener for operators, which serves until the process ends.
+#[derive(Debug)]
 pub struct AdminServer {
     address: SocketAddr,
-    _server: ListeningServer,
 }
 
 impl AdminServer {
@@ -53,22 +79,25 @@
     ///
     /// # Errors
     ///
-    /// An [`io::Error`] if the address can't be bound.
+    /// An [`io::Error`] if the address can't be bound or the threads can't be
+    /// started.
     pub fn bind(
         address: SocketAddr,
         secret: SharedSecret,
         source: impl AdminSource,
     ) -> io::Result<Self> {
-        let address = free_address(address)?;
-        let server = Server::new(move |request| handle_request(&secret, &source, request))
-            .bind(address)
-            .with_global_timeout(IDLE_TIMEOUT)
-            .with_max_concurrent_connections(MAX_CONNECTIONS)
-            .spawn()?;
-        Ok(Self {
-            address,
-            _server: server,
-        })
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let runtime = Builder::new_current_thread()
+            .max_blocking_threads(HANDLER_THREADS)
+            .thread_name("admin-handler")
+            .enable_all()
+            .build()?;
+        thread::Builder::new()
+            .name("admin".into())
+            .spawn(move || run(&runtime, listener, secret, source))?;
+        Ok(Self { address })
     }
 
     /// Returns the address that the listener is bound to.
@@ -77,33 +106,81 @@
     }
 }
 
-/// Replaces port 0 by a free port, since the HTTP server doesn't report its own.
-fn free_address(address: SocketAddr) -> io::Result<SocketAddr> {
-    if address.port() != 0 {
-        return Ok(address);
+fn run(runtime: &Runtime, listener: TcpListener, secret: SharedSecret, source: impl AdminSource) {
+    runtime.block_on(async {
+        let listener = match tokio::net::TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::error!("admin: The listener failed: {error}.");
+                return;
+            }
+        };
+        let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        loop {
+            let slot = Arc::clone(&slots).acquire_owned().await;
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let (secret, source) = (secret.clone(), source.clone());
+                    tokio::spawn(async move {
+                        serve_connection(stream, secret, source).await;
+                        drop(slot);
+                    });
+                }
+                Err(error) => {
+                    log::warn!("admin: Accepting a connection failed: {error}.");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+    });
+}
+
+async fn serve_connection(stream: TcpStream, secret: SharedSecret, source: impl AdminSource) {
+    let service = service_fn(|request| respond(request, secret.clone(), source.clone()));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    match timeout(CONNECTION_LIFETIME, connection).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!("admin: A connection ended early: {error}."),
+        Err(_) => log::debug!("admin: A connection was closed after {CONNECTION_LIFETIME:?}."),
     }
-    TcpListener::bind(address)?.local_addr()
+}
+
+async fn respond(
+    request: Request<Incoming>,
+    secret: SharedSecret,
+    source: impl AdminSource,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (parts, _) = request.into_parts();
+    let handled = spawn_blocking(move || handle_request(&secret, &source, &parts)).await;
+    Ok(handled.unwrap_or_else(|error| {
+        log::error!("admin: A request failed: {error}.");
+        let status = StatusCode::INTERNAL_SERVER_ERROR;
+        text(status, TEXT, "internal error\n".into())
+    }))
 }
 
 fn handle_request(
     secret: &SharedSecret,
     source: &impl AdminSource,
-    request: &mut Request<Body>,
-) -> Response<Body> {
-    let path = request.uri().path().to_string();
+    request: &Parts,
+) -> Response<Full<Bytes>> {
+    let path = request.uri.path().to_string();
     match path.as_str() {
         "/healthz" => return text(StatusCode::OK, TEXT, "ok\n".into()),
         "/readyz" if source.is_ready() => return text(StatusCode::OK, TEXT, "ready\n".into()),
         "/readyz" => return text(StatusCode::SERVICE_UNAVAILABLE, TEXT, "not ready\n".into()),
         _ => {}
     }
-    let header = request.headers().get(AUTHORIZATION);
+    let header = request.headers.get(AUTHORIZATION);
     if !is_authorized(secret, header.map(|value| value.as_bytes())) {
         log::warn!("admin: Rejected a request to {path} without the secret.");
         return text(StatusCode::UNAUTHORIZED, TEXT, "unauthorized\n".into());
     }
-    let is_get = request.method() == Method::GET;
-    let is_post = request.method() == Method::POST;
+    let is_get = [Method::GET, Method::HEAD].contains(&request.method);
+    let is_post = request.method == Method::POST;
     match path.as_str() {
         "/metrics" if is_get => text(StatusCode::OK, METRICS_TEXT, source.metrics()),
         "/v1/status" if is_get => json(&source.status()),
@@ -115,22 +192,22 @@
     }
 }
 
-fn explain(source: &impl AdminSource, request: &str) -> Response<Body> {
+fn explain(source: &impl AdminSource, request: &str) -> Response<Full<Bytes>> {
     match source.explain(request) {
         Some(report) => json(&report),
         None => text(StatusCode::NOT_FOUND, TEXT, "unknown request\n".into()),
     }
 }
 
-fn json(value: &impl Serialize) -> Response<Body> {
+fn json(value: &impl Serialize) -> Response<Full<Bytes>> {
     let body = serde_json::to_string(value).expect("a report can be serialized");
     text(StatusCode::OK, JSON, body)
 }
 
-fn text(status: StatusCode, content_type: &'static str, body: String) -> Response<Body> {
+fn text(status: StatusCode, content_type: &'static str, body: String) -> Response<Full<Bytes>> {
     Response::builder()
         .status(status)
         .header(CONTENT_TYPE, content_type)
-        .body(Body::from(body))
+        .body(Full::from(body))
         .expect("the response is valid")
 }
--- a/crates/dewspringd/tests/framing.rs
+++ b/crates/dewspringd/tests/framing.rs
@@ -1,11 +1,12 @@
 //! Which bytes follow the head of a response, for each method, status and kind of
-//! route, on kept and pipelined connections.
+//! route, on kept and pipelined connections, at both ports of the daemon and at the
+//! stand-ins.
 
 mod common;
 
 use std::net::SocketAddr;
 
-use common::{FleetPlan, TestFleet, is_ready, wait_until};
+use common::{FleetPlan, SECRET, TestFleet, is_ready, wait_until};
 use standins::framing::{StrictClient, spawn_server};
 
 const METHODS: [&str; 5] = ["GET", "HEAD", "POST", "DELETE", "OPTIONS"];
@@ -129,6 +130,36 @@
     );
 }
 
+/// Guards against the same faults of the admin port, and of the stand-ins.
+#[test]
+fn admin_and_standin_responses_end_where_they_should() {
+    let fleet = start(&[]);
+    let paths = [
+        "/healthz",
+        "/readyz",
+        "/metrics",
+        "/v1/status",
+        "/v1/explain/a",
+        "/none",
+    ];
+    let paths = paths.map(str::to_string);
+    let admin = fleet.daemons[0].admin;
+    let secret = format!("authorization: Bearer {SECRET}\r\n");
+    let mut faults = play_all(admin, &paths, &secret, "/healthz");
+    faults.extend(play_all(admin, &paths, "", "/healthz"));
+    let standins = [&fleet.platform, &fleet.services[0], &fleet.engines[0]];
+    for process in standins {
+        let paths = ["/healthz", "/load", "/v1/models", "/none"].map(str::to_string);
+        faults.extend(play_all(process.address(), &paths, "", "/healthz"));
+    }
+    assert!(
+        faults.is_empty(),
+        "{}:\n{}",
+        faults.len(),
+        faults.join("\n")
+    );
+}
+
 /// Requests after which a connection ends, in all their bytes.
 const LAST_REQUESTS: [(&str, &str); 8] = [
     (
