Let callers take their last responses before the process ends

A response that its caller was still taking at 95 % of the grace period of a planned stop broke off, although it was complete in the process.

The process wrote its last responses and ended at once, so that what the kernel hadn't taken was discarded. The event loop now goes on until callers have their responses, at most until 99 % of the grace period.

--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -258,27 +258,12 @@
         self.state.drive_store();
         self.state.run_duties();
         while !self.is_finished() {
-            let timeout = self.poll_timeout();
-            match self.poll.poll(&mut events, timeout) {
-                Ok(()) => {}
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => return Err(error.into()),
-            }
-            self.state.now = clock::now();
-            self.state.logs.set_now(self.state.now);
-            for event in &events {
-                let closing = event.is_read_closed() || event.is_error();
-                self.on_event(event.token(), closing);
-            }
-            self.read_unread();
-            // Timers that came due while bytes were read don't wait for the next
-            // iteration.
-            self.state.now = clock::now();
-            self.state.logs.set_now(self.state.now);
-            self.fire_timers();
-            self.finish_iteration();
+            self.run_iteration(&mut events)?;
         }
         self.state.end_remaining_requests();
+        while self.state.delivers_last_responses() {
+            self.run_iteration(&mut events)?;
+        }
         self.state.send_last_usage();
         self.state.logs.system("process", "stopped");
         self.state.logs.flush();
@@ -287,14 +272,38 @@
         Ok(())
     }
 
+    /// Waits for events and handles them, and the timers that are due.
+    fn run_iteration(&mut self, events: &mut Events) -> Result<(), ServeError> {
+        let timeout = self.poll_timeout();
+        match self.poll.poll(events, timeout) {
+            Ok(()) => {}
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error.into()),
+        }
+        self.state.now = clock::now();
+        self.state.logs.set_now(self.state.now);
+        for event in &*events {
+            let closing = event.is_read_closed() || event.is_error();
+            self.on_event(event.token(), closing);
+        }
+        self.read_unread();
+        // Timers that came due while bytes were read don't wait for the next
+        // iteration.
+        self.state.now = clock::now();
+        self.state.logs.set_now(self.state.now);
+        self.fire_timers();
+        self.finish_iteration();
+        Ok(())
+    }
+
     /// Returns how long to wait for events.
     fn poll_timeout(&self) -> Option<Duration> {
         let state = &self.state;
         if !state.unread_servers.is_empty() || !state.unread_callers.is_empty() {
             return Some(Duration::ZERO);
         }
-        let next = state.timers.next();
-        next.map(|at| at.saturating_sub(clock::now()))
+        let next = state.timers.next().into_iter().chain(state.delivery_end());
+        next.min().map(|at| at.saturating_sub(clock::now()))
     }
 
     /// Reads on from the connections that had more bytes than one iteration of
--- a/crates/dewedge/src/serve/stopping.rs
+++ b/crates/dewedge/src/serve/stopping.rs
@@ -1,10 +1,12 @@
 //! Ends callers' connections while the process stops.
 //!
 //! The main invariant: a caller whose connection was accepted gets an answer to
-//! the request that it sends on it, until the end of the grace period.
+//! the request that it sends on it, until the end of the grace period, and can take
+//! an answer that is ready.
 
 use std::time::Duration;
 
+use crate::clock::Moment;
 use crate::format::PlatformFormat;
 
 use super::state::{CallerConn, CallerPhase, EdgeState, ExchangePhase};
@@ -16,7 +18,30 @@
 /// Reason in the answers to requests that the stop ends.
 const STOPPING: &str = "stopping";
 
+/// Share of the grace period after which the process ends, also if callers haven't
+/// taken all of their last responses.
+const DELIVERY_SHARE: f64 = 0.99;
+
 impl<F: PlatformFormat> EdgeState<F> {
+    /// Returns until when callers can take their last responses, if the process is
+    /// stopping.
+    pub(crate) fn delivery_end(&self) -> Option<Moment> {
+        let since = self.stopping?;
+        Some(since + self.settings.stop_grace.mul_f64(DELIVERY_SHARE))
+    }
+
+    /// Returns whether callers are still taking their last responses, and the grace
+    /// period leaves time for it.
+    pub(crate) fn delivers_last_responses(&self) -> bool {
+        let takes = |conn: &CallerConn| match conn.phase {
+            CallerPhase::Lingering => true,
+            CallerPhase::Head => conn.channel.unsent() > 0,
+            CallerPhase::Body(_) | CallerPhase::Busy(_) => false,
+        };
+        let has_time = self.delivery_end().is_some_and(|end| self.now < end);
+        has_time && self.caller_conns.iter().any(|(_, conn)| takes(conn))
+    }
+
     /// Closes connections whose callers send no more requests, because the
     /// balancer has removed the VM.
     pub(crate) fn close_idle_callers(&mut self) {
