Refuse requests that can't end before a shutdown does

Requests whose last byte came late in a shutdown were sent to servers, also those that may not be repeated, and were cut without a response at its end.

A request is checked for a shutdown when its head arrives, before its body is read. It is now checked again once the body is complete: if its route's timeout ends after the shutdown, the caller gets 503 and it hasn't run.

The two rows of the new test had no response before, and ran; they are refused now.

--- a/crates/dewspring/src/entry/context.rs
+++ b/crates/dewspring/src/entry/context.rs
@@ -1,8 +1,8 @@
 //! State shared by all requests of one entry.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 use super::grants::GrantSource;
 use super::problem::Problem;
@@ -72,8 +72,8 @@
     pub decisions: DecisionLog,
     /// Decides which request bodies are read.
     pub uploads: Arc<UploadGate>,
-    /// Whether new requests are refused because the VM shuts down.
-    draining: AtomicBool,
+    /// When the remaining requests are ended, once the VM shuts down.
+    drain_end: OnceLock<Instant>,
     /// Number of requests in flight.
     in_flight: AtomicUsize,
     /// Number of requests received so far; part of their ids.
@@ -98,20 +98,21 @@
             claims,
             metrics,
             decisions,
-            draining: AtomicBool::new(false),
+            drain_end: OnceLock::new(),
             in_flight: AtomicUsize::new(0),
             request_counter: AtomicU64::new(0),
         }
     }
 
-    /// Starts to refuse new requests because the VM shuts down.
-    pub fn start_draining(&self) {
-        self.draining.store(true, Ordering::SeqCst);
+    /// Starts to refuse new requests because the VM shuts down; those in flight may
+    /// take until `end`.
+    pub(super) fn start_draining(&self, end: Instant) {
+        self.drain_end.get_or_init(|| end);
     }
 
     /// Returns whether new requests are refused because the VM shuts down.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+        self.drain_end.get().is_some()
     }
 
     /// Returns the number of requests in flight.
@@ -140,18 +141,38 @@
     /// Returns the refusal of a VM that shuts down or has no configuration that
     /// it may serve with.
     pub(super) fn check_accepting(&self) -> Result<(), Problem> {
-        let retry_after = MAX_UNAVAILABLE_RETRY.mul_f64(rand::random());
         if self.is_draining() {
-            return Err(Problem::Refused(Refusal {
-                reason: RefusalReason::ShuttingDown,
-                retry_after,
-            }));
+            return Err(shutdown_refusal());
         }
         if !self.config.is_ready() {
-            return Err(Problem::NotReady(retry_after));
+            return Err(Problem::NotReady(random_retry_after()));
         }
         Ok(())
     }
+
+    /// Checks that a request with this timeout ends before the VM does.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a VM that shuts down.
+    pub(super) fn check_time_to_run(&self, timeout: Duration) -> Result<(), Problem> {
+        match self.drain_end.get() {
+            Some(end) if Instant::now() + timeout > *end => Err(shutdown_refusal()),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn random_retry_after() -> Duration {
+    MAX_UNAVAILABLE_RETRY.mul_f64(rand::random())
+}
+
+/// Returns the refusal of a VM that shuts down.
+fn shutdown_refusal() -> Problem {
+    Problem::Refused(Refusal {
+        reason: RefusalReason::ShuttingDown,
+        retry_after: random_retry_after(),
+    })
 }
 
 /// Counts a request as in flight until the guard is dropped.
--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -131,6 +131,8 @@
 
     let read = read_request(context, &config.routes, parts, incoming).await?;
     let route = find_route(context, &config, &read)?.clone();
+    // The body may have arrived long after the check above.
+    context.check_time_to_run(route.timeout)?;
     if read.body.bytes.len() as u64 > route.max_body_bytes {
         return Err(Problem::BodyTooLarge(route.max_body_bytes));
     }
--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -148,7 +148,7 @@
     ///
     /// Panics if the entry's thread has panicked.
     pub fn shut_down(self, limit: Duration) -> ShutdownOutcome {
-        self.context.start_draining();
+        self.context.start_draining(Instant::now() + limit);
         // The send fails only if the thread has ended; `join` handles that.
         let _ended = self.stop.send(limit);
         self.thread.join().expect("the entry's thread runs")
--- a/crates/dewspringd/tests/shutdown.rs
+++ b/crates/dewspringd/tests/shutdown.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use common::{ChatCall, FleetPlan, TestFleet, is_ready, wait_until};
+use standins::framing::StrictClient;
 
 const STREAMS: usize = 24;
 const TOKENS: usize = 60;
@@ -99,3 +100,80 @@
     }
     served
 }
+
+/// A request that a shutdown with a limit of 4 s meets; times since the signal in ms.
+struct LateCase {
+    name: &'static str,
+    path: &'static str,
+    begin: i64,
+    last_byte: i64,
+    status: u16,
+    ran: &'static str,
+    executions: u64,
+}
+
+/// Guards against requests that are passed on so late in a shutdown that they end with
+/// the process, among them such that may not be repeated.
+#[test]
+fn a_request_that_arrives_late_in_a_shutdown_is_refused() {
+    let case = |name, path, begin, last_byte, status, ran, executions| LateCase {
+        name,
+        path,
+        begin,
+        last_byte,
+        status,
+        ran,
+        executions,
+    };
+    let cases = [
+        case("late last byte", "/payment/a", -300, 2000, 503, "no", 0),
+        case(
+            "late last byte, idempotent",
+            "/archive/a",
+            -300,
+            2500,
+            503,
+            "no",
+            0,
+        ),
+    ];
+    let mut fleet = TestFleet::start(FleetPlan {
+        daemons: 1,
+        daemon_flags: vec!["--shutdown-timeout=4s".into()],
+        service_flags: vec!["--delay-ms=9000".into(), "--slots=9".into()],
+        ..FleetPlan::default()
+    });
+    let entry = fleet.daemons[0].entry;
+    let play = move |case: LateCase| {
+        let mut client = StrictClient::open(entry).expect("the daemon listens");
+        let path = case.path;
+        let head = format!("POST {path} HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nbod");
+        client.send(head.as_bytes());
+        thread::sleep(Duration::from_millis((case.last_byte - case.begin) as u64));
+        client.send(b"y");
+        (client.read("POST"), case)
+    };
+    let calls = cases.map(|case| thread::spawn(move || play(case)));
+    thread::sleep(Duration::from_millis(300));
+    fleet.daemons[0].process.terminate();
+    let mut faults = Vec::new();
+    for call in calls {
+        let (response, case) = call.join().expect("the caller ends");
+        let response = match response {
+            Ok(response) => response,
+            Err(fault) => {
+                faults.push(format!("{}: {fault}", case.name));
+                continue;
+            }
+        };
+        let ran = response.field("x-dewspring-ran").unwrap_or_default();
+        let id = response.field("x-request-id").unwrap_or_default();
+        let executions = fleet.executions_of(id);
+        if (response.status, ran, executions) != (case.status, case.ran, case.executions) {
+            faults.push(format!("{}: {response:?}, {executions}", case.name));
+        }
+    }
+    let status = fleet.daemons[0].process.wait_exit(EXIT_TIMEOUT);
+    assert!(faults.is_empty(), "{faults:#?}");
+    assert!(status.expect("the daemon ends").success());
+}
