Answer the requests that a shutdown ends

Requests in flight at the end of a shutdown's time limit ended with their connections; callers didn't learn whether they had run.

The time limit ended the runtime, and with it the requests. The last tenth of the limit, 1 s at most, is now for answers: 503 for requests whose bodies are still read, which haven't run, and 502 for those without a response.

--- a/crates/dewspring/src/entry/context.rs
+++ b/crates/dewspring/src/entry/context.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
+use tokio::sync::watch;
+
 use super::grants::GrantSource;
 use super::problem::Problem;
 use super::uploads::UploadGate;
@@ -74,6 +76,8 @@
     pub uploads: Arc<UploadGate>,
     /// When the remaining requests are ended, once the VM shuts down.
     drain_end: OnceLock<Instant>,
+    /// Whether the remaining requests are ended.
+    ended: watch::Sender<bool>,
     /// Number of requests in flight.
     in_flight: AtomicUsize,
     /// Number of requests received so far; part of their ids.
@@ -99,6 +103,7 @@
             metrics,
             decisions,
             drain_end: OnceLock::new(),
+            ended: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
             request_counter: AtomicU64::new(0),
         }
@@ -115,6 +120,18 @@
         self.drain_end.get().is_some()
     }
 
+    /// Answers the requests in flight whose responses haven't begun.
+    pub(super) fn end_requests(&self) {
+        self.ended.send_replace(true);
+    }
+
+    /// Completes once the requests in flight are ended.
+    pub(super) async fn requests_ended(&self) {
+        // The sender lives as long as the context, so that there is no error.
+        let mut ended = self.ended.subscribe();
+        let _ended = ended.wait_for(|ended| *ended).await;
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::SeqCst)
@@ -168,7 +185,7 @@
 }
 
 /// Returns the refusal of a VM that shuts down.
-fn shutdown_refusal() -> Problem {
+pub(super) fn shutdown_refusal() -> Problem {
     Problem::Refused(Refusal {
         reason: RefusalReason::ShuttingDown,
         retry_after: random_retry_after(),
--- a/crates/dewspring/src/entry/handler.rs
+++ b/crates/dewspring/src/entry/handler.rs
@@ -13,7 +13,7 @@
 
 use super::body::ResponseBody;
 use super::connections::{ConnectionHandle, GuardedBody};
-use super::context::{ConfigSource, EntryContext};
+use super::context::{ConfigSource, EntryContext, shutdown_refusal};
 use super::exchange::Exchange;
 use super::grants::GrantSource;
 use super::headers::{REQUEST_ID, VM_NAME};
@@ -51,11 +51,21 @@
     let id = context.next_id();
     let is_draining = context.is_draining();
     let mut guard = None;
-    let mut response = match accept(&context, &id, request).await {
+    let accepted = tokio::select! {
+        accepted = accept(&context, &id, request) => accepted,
+        () = context.requests_ended() => Err(shutdown_refusal()),
+    };
+    let mut response = match accepted {
         Ok(Accepted::Exchange(exchange)) => {
             guard = connection.accept_request();
             match guard {
-                Some(_) => serve(exchange, &id).await,
+                Some(_) => tokio::select! {
+                    response = serve(exchange, &id) => response,
+                    () = context.requests_ended() => {
+                        let text = "The VM shut down before a server responded.";
+                        Problem::Unknown(text.into()).to_response(&id)
+                    }
+                },
                 None => Problem::NotReady(Duration::ZERO).to_response(&id),
             }
         }
--- a/crates/dewspring/src/entry/server.rs
+++ b/crates/dewspring/src/entry/server.rs
@@ -61,6 +61,9 @@
 /// with a refusal.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(300);
 
+/// Maximum time for the answers to requests that a shutdown ends.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(1);
+
 /// Time for the first request of a connection that was accepted as one of the
 /// last; a round trip takes a few ms, and packets may be lost.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
@@ -148,7 +151,8 @@
     ///
     /// Panics if the entry's thread has panicked.
     pub fn shut_down(self, limit: Duration) -> ShutdownOutcome {
-        self.context.start_draining(Instant::now() + limit);
+        let end = Instant::now() + limit.saturating_sub(answer_time(limit));
+        self.context.start_draining(end);
         // The send fails only if the thread has ended; `join` handles that.
         let _ended = self.stop.send(limit);
         self.thread.join().expect("the entry's thread runs")
@@ -175,17 +179,29 @@
             () = acceptor.accept_all(&listener) => Duration::ZERO,
             limit = drain_on_stop(&context, stopped) => limit,
         };
+        let unfinished = context.in_flight();
+        if unfinished > 0 {
+            log::warn!("entry: The shutdown ends {unfinished} requests in flight.");
+        }
+        context.end_requests();
         acceptor.accept_queued(listener);
         let started = Instant::now();
         sleep(limit.min(FIRST_REQUEST_TIME)).await;
         let limit = limit.saturating_sub(started.elapsed());
         match timeout(limit, graceful.shutdown()).await {
-            Ok(()) => ShutdownOutcome::Finished,
-            Err(_) => ShutdownOutcome::CutOff(context.in_flight()),
+            Ok(()) if unfinished == 0 => ShutdownOutcome::Finished,
+            Ok(()) => ShutdownOutcome::CutOff(unfinished),
+            Err(_) => ShutdownOutcome::CutOff(unfinished.max(context.in_flight())),
         }
     })
 }
 
+/// Returns the part of a shutdown's time limit that is left for the answers to
+/// requests that haven't ended.
+fn answer_time(limit: Duration) -> Duration {
+    MAX_ANSWER_TIME.min(limit / 10)
+}
+
 /// Waits for the stop signal, then until no request is in flight or the time
 /// limit passes.
 ///
@@ -197,7 +213,7 @@
 ) -> Duration {
     let limit = stopped.await.unwrap_or_default();
     let started = Instant::now();
-    while started.elapsed() < limit {
+    while started.elapsed() < limit.saturating_sub(answer_time(limit)) {
         if context.in_flight() == 0 && started.elapsed() >= MIN_DRAIN_TIME {
             break;
         }
