--- a/crates/dewspringd/tests/hostile/endless.rs
+++ b/crates/dewspringd/tests/hostile/endless.rs
@@ -27,7 +27,7 @@
     block: String,
 }
 
-fn responses() -> [EndlessResponse; 4] {
+fn responses() -> [EndlessResponse; 7] {
     let response = |name, head, block| EndlessResponse { name, head, block };
     [
         response(
@@ -46,6 +46,21 @@
             format!("2000\r\n{}\r\n", "x".repeat(0x2000)),
         ),
         response("unframed body", "HTTP/1.1 200 OK\r\n\r\n", "x".repeat(8192)),
+        response(
+            "bytes after a response without content",
+            "HTTP/1.1 204 No Content\r\n\r\n",
+            "x".repeat(8192),
+        ),
+        response(
+            "chunk extension",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;a=",
+            "x".repeat(8192),
+        ),
+        response(
+            "trailers",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+            format!("x-field: {}\r\n", "x".repeat(1000)),
+        ),
     ]
 }
 
