Send the last usage before the last responses are delivered

The counts of a stopping VM went out after its callers had taken their responses, which may take until shortly before the end of the grace period. They now go out first, and delivery ends at 98 % of it, so that the process surely ends in time.

--- a/crates/dewedge/src/serve/run.rs
+++ b/crates/dewedge/src/serve/run.rs
@@ -261,10 +261,10 @@
             self.run_iteration(&mut events)?;
         }
         self.state.end_remaining_requests();
+        self.state.send_last_usage();
         while self.state.delivers_last_responses() {
             self.run_iteration(&mut events)?;
         }
-        self.state.send_last_usage();
         self.state.logs.system("process", "stopped");
         self.state.logs.flush();
         // Gives the log writer thread time to write the last lines.
--- a/crates/dewedge/src/serve/stopping.rs
+++ b/crates/dewedge/src/serve/stopping.rs
@@ -20,7 +20,7 @@
 
 /// Share of the grace period after which the process ends, also if callers haven't
 /// taken all of their last responses.
-const DELIVERY_SHARE: f64 = 0.99;
+const DELIVERY_SHARE: f64 = 0.98;
 
 impl<F: PlatformFormat> EdgeState<F> {
     /// Returns until when callers can take their last responses, if the process is
