--- a/crates/dewspringd/tests/framing.rs
+++ b/crates/dewspringd/tests/framing.rs
@@ -121,7 +121,10 @@
         targets.extend(REPLIES.iter().map(|reply| format!("{route}/{reply}")));
     }
     let entry = fleet.daemons[0].entry;
-    let faults = play_all(entry, &targets, "", "/archive/200-length");
+    let mut faults = play_all(entry, &targets, "", "/archive/200-length");
+    let asked = ["/archive/200-length", "/payment/204-bare", "/none"].map(str::to_string);
+    let expect = "expect: 100-continue\r\n";
+    faults.extend(play_all(entry, &asked, expect, "/archive/200-length"));
     assert!(
         faults.is_empty(),
         "{}:\n{}",
