Read all content of admin requests, and block no readiness check

Review of the changes: content of an admin request beyond 8 KiB stayed in the socket, since no event announces the rest, and content without end would have been read forever. It is now read on, up to 64 KiB; more ends the connection. In dewspringd, health and readiness checks no longer wait for handlers that may block, of which there are 16 at a time.

--- a/crates/dewedge/src/serve/admin.rs
+++ b/crates/dewedge/src/serve/admin.rs
@@ -32,14 +32,46 @@
 /// Path of the duties of the fleet.
 const DUTIES_PATH: &str = "/duties";
 
-/// Why a connection whose request has malformed content is closed.
-const MALFORMED_CONTENT: HeadError = HeadError::Malformed("content");
+/// Maximum bytes of a request's content, which is read and discarded.
+const MAX_CONTENT: usize = 64 * 1024;
 
-/// Discards the content of requests.
-struct DiscardedContent;
+/// Why a connection whose request has unusable content is closed.
+const BAD_CONTENT: HeadError = HeadError::Malformed("content");
 
-impl BodySink for DiscardedContent {
-    fn append(&mut self, _bytes: &[u8]) {}
+/// Content of a request that is read and discarded.
+#[derive(Debug)]
+pub(crate) struct DiscardedContent {
+    decoder: BodyDecoder,
+    received: ReceivedBytes,
+}
+
+/// Counts content without keeping it.
+#[derive(Debug, Default)]
+struct ReceivedBytes(usize);
+
+impl BodySink for ReceivedBytes {
+    fn append(&mut self, bytes: &[u8]) {
+        self.0 += bytes.len();
+    }
+}
+
+impl DiscardedContent {
+    fn new(length: BodyLength) -> Self {
+        Self {
+            decoder: BodyDecoder::new(length),
+            received: ReceivedBytes::default(),
+        }
+    }
+
+    /// Discards received content; returns whether that was all of it.
+    fn discard(&mut self, channel: &mut ResponseChannel) -> Result<bool, HeadError> {
+        let decoded = self.decoder.decode(&channel.inbound, &mut self.received);
+        channel.consume(decoded.map_err(|_| BAD_CONTENT)?);
+        match self.received.0 > MAX_CONTENT {
+            true => Err(BAD_CONTENT),
+            false => Ok(self.decoder.is_done()),
+        }
+    }
 }
 
 impl<F: PlatformFormat> EdgeState<F> {
@@ -58,7 +90,7 @@
         }
         let conn = entry.insert(AdminConn {
             channel,
-            decoder: BodyDecoder::new(BodyLength::Exact(0)),
+            content: DiscardedContent::new(BodyLength::Exact(0)),
             timer: LazyTimer::default(),
         });
         conn.timer.set(
@@ -80,21 +112,20 @@
                 return;
             }
             let read_state = conn.channel.fill(MAX_HEAD, closing);
-            let decoded = conn
-                .decoder
-                .decode(&conn.channel.inbound, &mut DiscardedContent);
-            if let Ok(used) = decoded {
-                conn.channel.consume(used);
-            }
-            conn.channel.expect_request();
-            let parsed = match conn.decoder.is_done() {
-                true => parse_request(&conn.channel.inbound, MAX_HEAD),
-                false => decoded.map(|_| None).map_err(|_| MALFORMED_CONTENT),
+            let parsed = match conn.content.discard(&mut conn.channel) {
+                Ok(true) => {
+                    conn.channel.expect_request();
+                    parse_request(&conn.channel.inbound, MAX_HEAD)
+                }
+                // No event announces the rest.
+                Ok(false) if conn.channel.may_have_more() => continue,
+                Ok(false) => Ok(None),
+                Err(error) => Err(error),
             };
             match parsed {
                 Ok(Some(head)) => {
                     conn.channel.consume(head.length);
-                    conn.decoder = BodyDecoder::new(head.body);
+                    conn.content = DiscardedContent::new(head.body);
                     let (status, body) = self.admin_response(&head.target);
                     let length = body.len() as u64;
                     let conn = &mut self.admin_conns[conn_id];
--- a/crates/dewedge/src/serve/response_channel.rs
+++ b/crates/dewedge/src/serve/response_channel.rs
@@ -56,7 +56,9 @@
     /// Queues content of a response.
     pub(crate) fn queue_content(&mut self, bytes: &[u8]) {
         let content = self.encoder.content(bytes);
-        self.channel.queue(&content);
+        if !content.is_empty() {
+            self.channel.queue(&content);
+        }
     }
 
     /// Queues the whole content of a response whose head named its length.
@@ -69,7 +71,9 @@
     /// Queues the end of a response.
     pub(crate) fn queue_end(&mut self) {
         let end = self.encoder.end();
-        self.channel.queue(end);
+        if !end.is_empty() {
+            self.channel.queue(end);
+        }
     }
 
     /// See [`TcpChannel::register`].
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -39,6 +39,7 @@
 use crate::tables::{CallerLimits, RouteSpec, RouteTable};
 use crate::versions::VersionTable;
 
+use super::admin::DiscardedContent;
 use super::backpressure::SendProgress;
 use super::crashes::CrashWatch;
 use super::duties::DutyState;
@@ -287,8 +288,8 @@
 #[derive(Debug)]
 pub(crate) struct AdminConn {
     pub(crate) channel: ResponseChannel,
-    /// Decoder of the last request's content, which is discarded.
-    pub(crate) decoder: BodyDecoder,
+    /// Content of the last request.
+    pub(crate) content: DiscardedContent,
     pub(crate) timer: LazyTimer,
 }
 
--- a/crates/dewspring/src/admin/server.rs
+++ b/crates/dewspring/src/admin/server.rs
@@ -40,7 +40,7 @@
 const CONNECTION_LIFETIME: Duration = Duration::from_secs(30);
 
 /// Number of requests that are handled at a time; handlers may block.
-const HANDLER_THREADS: usize = 4;
+const HANDLER_THREADS: usize = 16;
 
 /// Pause after an accept error.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -154,6 +154,10 @@
     source: impl AdminSource,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let (parts, _) = request.into_parts();
+    // The balancer's checks wait for no handler that blocks.
+    if let Some(response) = check_response(&source, parts.uri.path()) {
+        return Ok(response);
+    }
     let handled = spawn_blocking(move || handle_request(&secret, &source, &parts)).await;
     Ok(handled.unwrap_or_else(|error| {
         log::error!("admin: A request failed: {error}.");
@@ -162,18 +166,26 @@
     }))
 }
 
+/// Returns the response to a health or readiness check, which needs no secret;
+/// `None` for other paths.
+fn check_response(source: &impl AdminSource, path: &str) -> Option<Response<Full<Bytes>>> {
+    match path {
+        "/healthz" => Some(text(StatusCode::OK, TEXT, "ok\n".into())),
+        "/readyz" if source.is_ready() => Some(text(StatusCode::OK, TEXT, "ready\n".into())),
+        "/readyz" => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Some(text(status, TEXT, "not ready\n".into()))
+        }
+        _ => None,
+    }
+}
+
 fn handle_request(
     secret: &SharedSecret,
     source: &impl AdminSource,
     request: &Parts,
 ) -> Response<Full<Bytes>> {
     let path = request.uri.path().to_string();
-    match path.as_str() {
-        "/healthz" => return text(StatusCode::OK, TEXT, "ok\n".into()),
-        "/readyz" if source.is_ready() => return text(StatusCode::OK, TEXT, "ready\n".into()),
-        "/readyz" => return text(StatusCode::SERVICE_UNAVAILABLE, TEXT, "not ready\n".into()),
-        _ => {}
-    }
     let header = request.headers.get(AUTHORIZATION);
     if !is_authorized(secret, header.map(|value| value.as_bytes())) {
         log::warn!("admin: Rejected a request to {path} without the secret.");
--- a/crates/standins/src/ports.rs
+++ b/crates/standins/src/ports.rs
@@ -8,8 +8,10 @@
 //! does. Ports that programs outside the tests use are passed over if they are in
 //! use when the port is handed out.
 
+use std::io::ErrorKind;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Mutex;
+use std::time::Duration;
 
 #[cfg(test)]
 mod tests;
@@ -25,6 +27,9 @@
 /// Linux.
 const BLOCK_COUNT: u16 = 110;
 
+/// Timeout of the connection that shows whether a port is in use.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 static BLOCK: Mutex<PortBlock> = Mutex::new(PortBlock::new());
 
 /// Ports that this process may hand out.
@@ -79,9 +84,12 @@
 /// Returns whether nothing listens at a port.
 ///
 /// A connection is tried, since a child process that another thread starts could
-/// inherit a listener and hold the port for a moment.
+/// inherit a listener and hold the port for a moment. A listener whose queue is full
+/// answers nothing.
 fn is_unused(port: u16) -> bool {
-    TcpStream::connect((Ipv4Addr::LOCALHOST, port)).is_err()
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let connected = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT);
+    connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
 }
 
 /// Returns the first of `count` consecutive unused ports that no other call in
