Refuse requests that arrive while the last responses are delivered

With a grace period that ends before the balancer has left, a request that came in the last hundredths of it would have been taken and cut. By reading; no deployment has such a grace period, and no test plays it. The tests of stops pass.

--- a/crates/dewedge/src/serve/requests.rs
+++ b/crates/dewedge/src/serve/requests.rs
@@ -202,7 +202,7 @@
             });
         };
         let deadline = self.now + route.timeout;
-        if self.has_left_balancer() && self.cut_off_time().is_some_and(|cut| cut < deadline) {
+        if self.would_be_cut_off(deadline) {
             return Err(rejection(503, "stopping"));
         }
         let (workspace, workspace_priority) = if table.needs_key() && !route.public {
--- a/crates/dewedge/src/serve/stopping.rs
+++ b/crates/dewedge/src/serve/stopping.rs
@@ -23,6 +23,14 @@
 const DELIVERY_SHARE: f64 = 0.98;
 
 impl<F: PlatformFormat> EdgeState<F> {
+    /// Returns whether a request with this deadline is refused, because the process
+    /// may end before it. While the balancer still sends requests, they are taken all
+    /// the same.
+    pub(crate) fn would_be_cut_off(&self, deadline: Moment) -> bool {
+        self.cut_off_time()
+            .is_some_and(|cut| cut < deadline && (self.has_left_balancer() || cut <= self.now))
+    }
+
     /// Returns until when callers can take their last responses, if the process is
     /// stopping.
     pub(crate) fn delivery_end(&self) -> Option<Moment> {
