--- a/crates/dewspringd/tests/framing.rs
+++ b/crates/dewspringd/tests/framing.rs
@@ -7,26 +7,10 @@
 use std::net::SocketAddr;
 
 use common::{FleetPlan, SECRET, TestFleet, is_ready, wait_until};
-use standins::framing::{StrictClient, spawn_server};
+use standins::framing::{REPLIES, RequestPair, StrictClient, spawn_server};
 
 const METHODS: [&str; 5] = ["GET", "HEAD", "POST", "DELETE", "OPTIONS"];
 
-const REPLIES: [&str; 13] = [
-    "200-length",
-    "200-chunks",
-    "200-events",
-    "200-close",
-    "200-interim",
-    "204-bare",
-    "204-length",
-    "204-chunks",
-    "205-length",
-    "304-length",
-    "404-length",
-    "500-chunks",
-    "503-length",
-];
-
 /// Starts a daemon whose servers all respond as the path says.
 fn start(daemon_flags: &[&str]) -> TestFleet {
     let mut fleet = TestFleet::start(FleetPlan {
@@ -68,30 +52,6 @@
     )
 }
 
-/// Sends a request, and another one before or after its response; returns its
-/// status, or what broke the protocol.
-fn play(
-    address: SocketAddr,
-    (method, first): (&str, &str),
-    second: &str,
-    is_pipelined: bool,
-) -> Result<u16, String> {
-    let mut client = StrictClient::open(address).map_err(|error| error.to_string())?;
-    client.send(first.as_bytes());
-    if is_pipelined {
-        client.send(second.as_bytes());
-    }
-    let response = client.read(method)?;
-    if !response.closes() {
-        if !is_pipelined {
-            client.send(second.as_bytes());
-        }
-        client.read("GET")?;
-    }
-    client.finish()?;
-    Ok(response.status)
-}
-
 /// Plays each method on each target; returns what broke the protocol.
 fn play_all(address: SocketAddr, targets: &[String], more: &str, next: &str) -> Vec<String> {
     let close = format!("connection: close\r\n{more}");
@@ -100,9 +60,13 @@
     for target in targets {
         for method in METHODS {
             for is_pipelined in [false, true] {
-                let first = request(method, target, more);
-                let played = play(address, (method, &first), &second, is_pipelined);
-                if let Err(fault) = played {
+                let pair = RequestPair {
+                    method,
+                    first: &request(method, target, more),
+                    second: &second,
+                    is_pipelined,
+                };
+                if let Err(fault) = pair.play(address) {
                     faults.push(format!("{method} {target}, {is_pipelined}: {fault}"));
                 }
             }
--- a/crates/standins/src/framing.rs
+++ b/crates/standins/src/framing.rs
@@ -12,17 +12,38 @@
 /// Longest time for which a client waits for bytes.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time in which bytes that follow a response arrive.
+const SETTLE_TIME: Duration = Duration::from_millis(3);
+
 /// Returns whether content may follow the head of a final response.
 fn permits_content(method: &str, status: u16) -> bool {
     method != "HEAD" && !matches!(status, 204 | 304)
 }
 
+/// Names of the responses that [`reply`] knows.
+pub const REPLIES: [&str; 14] = [
+    "200-length",
+    "200-chunks",
+    "200-events",
+    "200-close",
+    "200-interim",
+    "200-bare",
+    "204-bare",
+    "204-length",
+    "204-chunks",
+    "205-length",
+    "304-length",
+    "404-length",
+    "500-chunks",
+    "503-length",
+];
+
 /// Returns a sound server's response to a request, and whether the connection ends
 /// after it.
 ///
 /// The last segment of the target's path, `<status>-<framing>`, tells which: framed
 /// by `length`, in `chunks` or by the `close` of the connection, after an `interim`
-/// response, `bare` of all three, or as chunked `events`. The content is the target;
+/// response, `bare` of content and of framing where it can be, or as chunked `events`. The content is the target;
 /// where none may follow, the head still names its framing, also where RFC 9110
 /// forbids that. `fields` are header lines.
 ///
@@ -47,6 +68,9 @@
             chunk(&format!("id: 1\ndata: {target}\n\n")),
         ),
         "close" => ("Connection: close\r\n".to_string(), target.to_string()),
+        "bare" if permits_content(method, status) => {
+            ("Content-Length: 0\r\n".to_string(), String::new())
+        }
         "bare" => (String::new(), String::new()),
         _ => (
             format!("Content-Length: {}\r\n", target.len()),
@@ -270,6 +294,53 @@
     Ok(response)
 }
 
+/// A request, and the GET request after it whose response shows that the first one's
+/// ended where it should.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestPair<'a> {
+    /// Method of the first request.
+    pub method: &'a str,
+    /// All bytes of the first request.
+    pub first: &'a str,
+    /// All bytes of the second request, after which the server closes the connection.
+    pub second: &'a str,
+    /// Whether the second request is sent before the first response is read.
+    pub is_pipelined: bool,
+}
+
+impl RequestPair<'_> {
+    /// Sends both requests on a connection; returns the responses, of which the second
+    /// is missing if the first one closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of the first bytes that break the protocol, or of a
+    /// response that is missing or incomplete.
+    pub fn play(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(StrictResponse, Option<StrictResponse>), String> {
+        let mut client = StrictClient::open(address).map_err(|error| error.to_string())?;
+        client.send(self.first.as_bytes());
+        if self.is_pipelined {
+            client.send(self.second.as_bytes());
+        }
+        let first = client.read(self.method)?;
+        if first.closes() {
+            client.finish()?;
+            return Ok((first, None));
+        }
+        if !self.is_pipelined {
+            // Bytes that follow late are seen, too.
+            thread::sleep(SETTLE_TIME);
+            client.send(self.second.as_bytes());
+        }
+        let second = client.read("GET")?;
+        client.finish()?;
+        Ok((first, Some(second)))
+    }
+}
+
 /// Starts a server that responds to each request as [`reply`] says, until the
 /// process ends; returns its address.
 ///
