Test shutdowns of three daemons in turn with late requests

Kept and new connections send requests that must not be repeated until each daemon is gone, while a stream keeps it open to the end of its time.

--- a/crates/dewspringd/tests/shutdown.rs
+++ b/crates/dewspringd/tests/shutdown.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
-use common::{ChatCall, FleetPlan, TestFleet, is_ready, wait_until};
+use common::{ChatCall, DEFAULT_ROUTES, FleetPlan, TestFleet, is_ready, wait_until};
 use standins::framing::StrictClient;
 
 const STREAMS: usize = 24;
@@ -193,3 +193,72 @@
         "it cut requests"
     );
 }
+
+/// Sends requests that must not be repeated, on kept or each on a new connection, until
+/// the daemon no longer listens; returns the statuses, 0 for no response.
+fn call_through_shutdown(entry: std::net::SocketAddr, is_kept: bool) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    while let Ok(mut client) = StrictClient::open(entry) {
+        loop {
+            client.send(b"POST /payment/a HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhi");
+            let response = client.read("POST");
+            statuses.push(response.as_ref().map_or(0, |response| response.status));
+            let is_open = response.is_ok_and(|response| !response.closes());
+            thread::sleep(Duration::from_millis(10));
+            if !is_kept || !is_open {
+                break;
+            }
+        }
+    }
+    statuses
+}
+
+/// Guards against requests that run and get no response while several daemons stop in
+/// turn, each kept open by streams up to the end of its time.
+#[test]
+fn shutdowns_in_turn_leave_no_request_that_ran_without_a_response() {
+    let mut fleet = TestFleet::start(FleetPlan {
+        daemons: 3,
+        daemon_flags: vec!["--shutdown-timeout=4s".into()],
+        service_flags: vec!["--delay-ms=30".into(), "--slots=64".into()],
+        routes: DEFAULT_ROUTES
+            .replace("target = \"5s\"", "target = \"1s\"")
+            .replace("timeout = \"10s\"", "timeout = \"2s\""),
+        ..FleetPlan::default()
+    });
+    let statuses: Vec<u16> = thread::scope(|scope| {
+        let mut callers = Vec::new();
+        for (daemon, turn) in fleet.daemons.iter().zip(0..) {
+            let entry = daemon.entry;
+            for is_kept in [true, true, true, false, false] {
+                callers.push(scope.spawn(move || call_through_shutdown(entry, is_kept)));
+            }
+            scope.spawn(move || {
+                // Broken off at the end of the daemon's time.
+                let call = move || ChatCall::new(entry, 10_000).send();
+                let stream = thread::spawn(call);
+                thread::sleep(Duration::from_millis(500 + 700 * turn));
+                daemon.process.terminate();
+                drop(stream.join());
+            });
+        }
+        let callers = callers.into_iter();
+        let statuses = callers.flat_map(|caller| caller.join().expect("a caller ends"));
+        statuses.collect()
+    });
+    for daemon in &mut fleet.daemons {
+        assert!(daemon.process.wait_exit(EXIT_TIMEOUT).is_some());
+    }
+    let count = |status| statuses.iter().filter(|found| **found == status).count() as u64;
+    let ran: u64 = fleet.executions().iter().map(|(_, count)| count).sum();
+    let streams = fleet.daemons.len() as u64;
+    assert_eq!(
+        ran - streams,
+        count(200),
+        "200s: {}, of {}",
+        count(200),
+        statuses.len()
+    );
+    assert_eq!(count(200) + count(503) + count(0), statuses.len() as u64);
+    assert!(count(503) > 100, "requests came late");
+}
