Bound the header of admin requests of dewspringd

hyper's default lets a connection hold up to 400 KiB of an unfinished header, on each of 512 connections. 16 KiB are enough for operators. The tests of framing, hostile requests and the admin port pass.

--- a/crates/dewspring/src/admin/server.rs
+++ b/crates/dewspring/src/admin/server.rs
@@ -33,6 +33,9 @@
 /// readiness check.
 const MAX_CONNECTIONS: usize = 512;
 
+/// Maximum size of a request's header, in bytes; it bounds what a connection holds.
+const MAX_HEADER_BYTES: usize = 16 * 1024;
+
 /// Timeout for the head of a request, from the one before.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -140,6 +143,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(MAX_HEADER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     match timeout(CONNECTION_LIFETIME, connection).await {
         Ok(Ok(())) => {}
