Keep the flag of a shutdown in one order with the count of requests

A shutdown relies on the order between the flag that refuses new requests and the count of those in flight; the cell with its end, which had replaced the flag, doesn't promise one. Found by reading, not seen in a run. The tests of shutdowns pass.

--- a/crates/dewspring/src/entry/context.rs
+++ b/crates/dewspring/src/entry/context.rs
@@ -1,6 +1,6 @@
 //! State shared by all requests of one entry.
 
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -74,6 +74,8 @@
     pub decisions: DecisionLog,
     /// Decides which request bodies are read.
     pub uploads: Arc<UploadGate>,
+    /// Whether new requests are refused because the VM shuts down.
+    draining: AtomicBool,
     /// When the remaining requests are ended, once the VM shuts down.
     drain_end: OnceLock<Instant>,
     /// Whether the remaining requests are ended.
@@ -102,6 +104,7 @@
             claims,
             metrics,
             decisions,
+            draining: AtomicBool::new(false),
             drain_end: OnceLock::new(),
             ended: watch::Sender::new(false),
             in_flight: AtomicUsize::new(0),
@@ -113,11 +116,13 @@
     /// take until `end`.
     pub(super) fn start_draining(&self, end: Instant) {
         self.drain_end.get_or_init(|| end);
+        // Ordered with the count of requests in flight, which is read after it.
+        self.draining.store(true, Ordering::SeqCst);
     }
 
     /// Returns whether new requests are refused because the VM shuts down.
     pub fn is_draining(&self) -> bool {
-        self.drain_end.get().is_some()
+        self.draining.load(Ordering::SeqCst)
     }
 
     /// Answers the requests in flight whose responses haven't begun.
