--- a/crates/dewedge/src/serve/mod.rs
+++ b/crates/dewedge/src/serve/mod.rs
@@ -15,6 +15,7 @@
 //! - [`recording`]: records versions and origins of streams in the store.
 //! - [`silence`]: servers that fall silent while they run a request.
 //! - [`responses`]: writes responses to callers.
+//! - [`response_channel`]: connections that send nothing but encoded responses.
 //! - [`backpressure`]: slows servers down whose callers read slowly.
 //! - [`stopping`]: ends callers' connections while the process stops.
 //! - [`admin`]: readiness checks and metrics.
