--- a/crates/dewedge/src/lib.rs
+++ b/crates/dewedge/src/lib.rs
@@ -22,7 +22,6 @@
 pub mod ended_notices;
 pub mod fact_notices;
 pub mod format;
-pub mod http;
 pub mod keys;
 mod limit_notices;
 pub mod load_notices;
@@ -43,4 +42,5 @@
 pub mod tables;
 pub mod versions;
 
+pub use dewhttp as http;
 pub use serve::{EdgeLoop, EdgeOptions, ServeError, SettingsSource};
--- a/crates/dewedge/src/http/body.rs
+++ b/crates/dewhttp/src/body.rs
@@ -49,7 +49,7 @@
     /// # Examples
     ///
     /// ```
-    /// use dewedge::http::{BodyDecoder, BodyLength};
+    /// use dewhttp::{BodyDecoder, BodyLength};
     ///
     /// let mut decoder = BodyDecoder::new(BodyLength::Chunked);
     /// let mut body = Vec::new();
--- a/crates/dewedge/src/http/head.rs
+++ b/crates/dewhttp/src/head.rs
@@ -200,7 +200,7 @@
 /// # Examples
 ///
 /// ```
-/// use dewedge::http::parse_request;
+/// use dewhttp::parse_request;
 ///
 /// let head = parse_request(b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n", 1024).unwrap().unwrap();
 /// assert_eq!(head.target, "/a/");
@@ -277,7 +277,7 @@
 /// # Examples
 ///
 /// ```
-/// use dewedge::http::{BodyLength, parse_response};
+/// use dewhttp::{BodyLength, parse_response};
 ///
 /// let bytes = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 /// let head = parse_response(bytes, "GET", 1024).unwrap().unwrap();
--- a/crates/dewedge/src/http/response.rs
+++ b/crates/dewhttp/src/response.rs
@@ -22,7 +22,7 @@
     /// # Examples
     ///
     /// ```
-    /// use dewedge::http::MethodKind;
+    /// use dewhttp::MethodKind;
     ///
     /// assert_eq!(MethodKind::of("HEAD"), MethodKind::Head);
     /// // Methods are case-sensitive.
@@ -41,7 +41,7 @@
     /// # Examples
     ///
     /// ```
-    /// use dewedge::http::MethodKind;
+    /// use dewhttp::MethodKind;
     ///
     /// assert_eq!(MethodKind::of_request(b"\r\nHEAD /a"), MethodKind::Head);
     /// assert_eq!(MethodKind::of_request(b"HEAD"), MethodKind::Unknown);
@@ -116,7 +116,7 @@
 /// # Examples
 ///
 /// ```
-/// use dewedge::http::{ContentFraming, MethodKind, ResponseEncoder, ResponseStart};
+/// use dewhttp::{ContentFraming, MethodKind, ResponseEncoder, ResponseStart};
 ///
 /// let start = ResponseStart {
 ///     status: 404,
--- a/crates/dewedge/tests/http.rs
+++ b/crates/dewhttp/tests/parsing.rs
@@ -1,6 +1,6 @@
 //! Parsing of HTTP heads and bodies.
 
-use dewedge::http::{BodyDecoder, BodyLength, HeadError, parse_request, parse_response};
+use dewhttp::{BodyDecoder, BodyLength, HeadError, parse_request, parse_response};
 use quickcheck::quickcheck;
 
 struct RequestCase {
