Accept a response without a length only after an orderly end

Callers of dewnode got part of a response as the complete one: a server answered a long upload at once without a length, sent part of the content and reset the connection while the upload was still being written.

Cause: Linux reports an error of a socket once. A write got the reset, and reading then ended as if in order; the entry looked at the write's result only while reading hadn't ended. After an orderly end of the stream, a read reports no error at all.

Now ResponseReader (dewhttp) decides for all responses of servers whether they are complete. A connection keeps the first error of either direction and asks for the pending one at the end of the stream, and while the request is still being written, the end of the stream completes nothing. So it doesn't matter which call gets the error, or in which order. Broken responses are counted by their reason.

Evidence: platform/tests/path/broken.rs stops the process while the part and the reset arrive.

--- a/crates/dewedge/src/call_connection.rs
+++ b/crates/dewedge/src/call_connection.rs
@@ -12,8 +12,8 @@
 
 use crate::clock::Moment;
 use crate::format::EncodedCall;
-use crate::http::{BodyDecoder, ResponseHead, parse_response};
-use crate::net::{ReadState, TcpChannel};
+use crate::http::{BodyDecoder, ConnectionState, ResponseHead, parse_response};
+use crate::net::TcpChannel;
 
 /// Shortest time between a failed call and the next one.
 pub(crate) const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -153,12 +153,13 @@
         let Some(channel) = &mut self.channel else {
             return CallOutcome::Pending;
         };
-        let flushed = channel.flush();
+        // Filling the buffer reports the error again.
+        let _ = channel.flush();
         let buffered = channel.inbound.len();
-        let read_state = channel.fill(MAX_RESPONSE, closing);
+        let connection = channel.fill(MAX_RESPONSE, closing);
         let received = channel.inbound.len() > buffered;
         let Some(pending) = &mut self.pending else {
-            if read_state != ReadState::Open || !channel.inbound.is_empty() {
+            if connection != ConnectionState::Open || !channel.inbound.is_empty() {
                 self.channel = None;
             }
             return CallOutcome::Pending;
@@ -170,13 +171,8 @@
         match read_response(pending, channel) {
             Err(reason) => return self.fail(reason),
             Ok(true) => {}
-            Ok(false) if read_state != ReadState::Open => return self.fail("closed"),
-            Ok(false) => {
-                if flushed.is_err() && channel.stream.peer_addr().is_ok() {
-                    return self.fail("broken");
-                }
-                return CallOutcome::Pending;
-            }
+            Ok(false) if connection != ConnectionState::Open => return self.fail("closed"),
+            Ok(false) => return CallOutcome::Pending,
         }
         let Some(pending) = self.pending.take() else {
             return CallOutcome::Pending;
@@ -184,7 +180,7 @@
         let Some((head, _)) = pending.head else {
             return CallOutcome::Pending;
         };
-        let reusable = read_state == ReadState::Open
+        let reusable = connection == ConnectionState::Open
             && channel.inbound.is_empty()
             && !head.fields.has_list_element("connection", "close");
         if !reusable {
--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -50,6 +50,11 @@
     pub(crate) part: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ReasonLabels {
+    pub(crate) reason: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct ResponseLabels {
     pub(crate) source: &'static str,
@@ -64,6 +69,7 @@
     pub(crate) requests: Family<OutcomeLabels, Counter>,
     pub(crate) attempts: Family<OutcomeLabels, Counter>,
     pub(crate) responses: Family<ResponseLabels, Counter>,
+    broken_responses: Family<ReasonLabels, Counter>,
     pub(crate) resumptions: Family<OutcomeLabels, Counter>,
     pub(crate) first_byte: Family<ServiceLabels, Histogram>,
     pub(crate) queue_wait: Family<ServiceLabels, Histogram>,
@@ -111,6 +117,12 @@
             "Responses to callers, by their source, the method and whether content followed",
             responses.clone(),
         );
+        let broken_responses = Family::default();
+        registry.register(
+            "broken_responses",
+            "Responses of servers that were incomplete or broke the protocol, by the reason",
+            broken_responses.clone(),
+        );
         let resumptions = Family::default();
         registry.register(
             "resumptions",
@@ -256,6 +268,7 @@
             requests,
             attempts,
             responses,
+            broken_responses,
             resumptions,
             first_byte,
             queue_wait,
@@ -283,6 +296,12 @@
         }
     }
 
+    /// Counts a server's response that is incomplete or breaks the protocol.
+    pub(crate) fn count_broken_response(&self, reason: &'static str) {
+        let label = ReasonLabels { reason };
+        self.broken_responses.get_or_create(&label).inc();
+    }
+
     /// Counts a change of a duty of this VM.
     pub(crate) fn count_duty_change(&self, duty: &'static str, outcome: &'static str) {
         let label = DutyLabels { duty, outcome };
--- a/crates/dewedge/src/net.rs
+++ b/crates/dewedge/src/net.rs
@@ -1,9 +1,10 @@
 //! Buffered non-blocking TCP connections.
 //!
 //! The main invariant: bytes are written in the order in which they were
-//! queued, and a closed or broken connection delivers no more bytes. Buffers hold
-//! no more than what they contain, and their bytes are charged to the account of
-//! the process.
+//! queued, and a closed or broken connection delivers no more bytes. A connection on
+//! which reading or writing has failed is broken, also if its end is read after the
+//! failure. Buffers hold no more than what they contain, and their bytes are charged
+//! to the account of the process.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -13,6 +14,7 @@
 use std::time::Duration;
 
 use dewbudget::{ByteCharge, SegmentedBody};
+use dewhttp::ConnectionState;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use socket2::{SockRef, TcpKeepalive};
@@ -59,17 +61,6 @@
 /// Unanswered keepalive probes after which a connection is aborted.
 const KEEPALIVE_PROBES: u32 = 3;
 
-/// State of the receiving direction of a connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum ReadState {
-    /// More bytes may follow.
-    Open,
-    /// The peer closed its sending direction.
-    Closed,
-    /// Reading failed.
-    Broken,
-}
-
 /// Queued bytes.
 #[derive(Debug)]
 enum OutboundPiece {
@@ -110,10 +101,13 @@
     charges: ChannelCharges,
     /// Whether the kernel's receive buffer is small because nothing is read.
     is_held_back: bool,
-    read_state: ReadState,
+    /// Whether the peer closed its sending direction.
+    is_closed: bool,
     /// Whether the last [`Self::fill`] may have left bytes in the socket.
     may_have_more: bool,
-    /// Kind of the error that broke the connection.
+    /// Whether reading has failed.
+    is_read_broken: bool,
+    /// Kind of the first error of either direction.
     broken_by: Option<io::ErrorKind>,
 }
 
@@ -130,8 +124,9 @@
             owned: 0,
             charges,
             is_held_back: false,
-            read_state: ReadState::Open,
+            is_closed: false,
             may_have_more: false,
+            is_read_broken: false,
             broken_by: None,
         }
     }
@@ -235,23 +230,27 @@
                 continue;
             }
             match self.stream.write(&bytes[self.written..]) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(0) => return Err(self.record_failure(io::ErrorKind::WriteZero.into())),
                 Ok(count) => {
                     self.written += count;
                     self.unsent -= count;
                     self.sent += count as u64;
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if is_not_ready(&error) => return Ok(()),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => {
-                    self.broken_by.get_or_insert(error.kind());
-                    return Err(error);
-                }
+                Err(error) => return Err(self.record_failure(error)),
             }
         }
         Ok(())
     }
 
+    /// Records an error of either direction. The kernel reports the reset of a
+    /// connection once: if a write does, reading ends as if in order.
+    fn record_failure(&mut self, error: io::Error) -> io::Error {
+        self.broken_by.get_or_insert(error.kind());
+        error
+    }
+
     /// Charges what the buffers hold now.
     fn update_charges(&mut self) {
         self.charges.inbound.set(self.inbound.capacity());
@@ -279,10 +278,10 @@
     /// `closing`, continues, because the end of the stream follows. If
     /// [`Self::may_have_more`] holds afterwards, the caller must call it again
     /// once it has processed the bytes: no event announces the rest.
-    pub(crate) fn fill(&mut self, limit: usize, closing: bool) -> ReadState {
+    pub(crate) fn fill(&mut self, limit: usize, closing: bool) -> ConnectionState {
         self.may_have_more = true;
         READ_BUFFER.with_borrow_mut(|buffer| {
-            while self.read_state == ReadState::Open && self.inbound.len() < limit {
+            while !self.has_ended() && self.inbound.len() < limit {
                 let size = READ_BYTES.min(limit - self.inbound.len());
                 if !self.read_once(&mut buffer[..size], closing) {
                     self.may_have_more = false;
@@ -290,16 +289,40 @@
                 }
             }
         });
-        self.may_have_more &= self.read_state == ReadState::Open;
+        self.may_have_more &= !self.has_ended();
         self.update_charges();
-        self.read_state
+        self.state()
+    }
+
+    /// Returns whether no more bytes can be read. A failed write doesn't end reading:
+    /// the kernel still has the bytes that arrived before.
+    fn has_ended(&self) -> bool {
+        self.is_closed || self.is_read_broken
+    }
+
+    /// Returns the state of the connection; bytes that weren't read yet come first.
+    fn state(&mut self) -> ConnectionState {
+        if self.may_have_more {
+            return ConnectionState::Open;
+        }
+        if self.is_closed && self.broken_by.is_none() {
+            // After the end of the stream, reading reports no error any more.
+            let pending = self.stream.take_error().unwrap_or_else(Some);
+            self.broken_by = pending.map(|error| error.kind());
+        }
+        match (self.broken_by, self.is_closed, self.unsent) {
+            (Some(_), _, _) => ConnectionState::Broken,
+            (None, false, _) => ConnectionState::Open,
+            (None, true, 0) => ConnectionState::Ended,
+            (None, true, _) => ConnectionState::Closed,
+        }
     }
 
     /// Reads once; returns whether the socket may hold more.
     fn read_once(&mut self, buffer: &mut [u8], closing: bool) -> bool {
         let size = buffer.len();
         match self.stream.read(buffer) {
-            Ok(0) => self.read_state = ReadState::Closed,
+            Ok(0) => self.is_closed = true,
             Ok(count) => {
                 let room = self.inbound.capacity() - self.inbound.len();
                 if room < count {
@@ -313,8 +336,8 @@
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             Err(error) => {
-                self.broken_by.get_or_insert(error.kind());
-                self.read_state = ReadState::Broken;
+                self.record_failure(error);
+                self.is_read_broken = true;
             }
         }
         true
@@ -323,7 +346,7 @@
     /// Returns whether the connection is open and has no unread byte, also none
     /// that no event has announced yet.
     pub(crate) fn is_quiet(&self) -> bool {
-        let is_read = self.read_state == ReadState::Open && self.inbound.is_empty();
+        let is_read = !self.has_ended() && self.broken_by.is_none() && self.inbound.is_empty();
         let peeked = self.stream.peek(&mut [0]);
         is_read && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
@@ -359,6 +382,12 @@
     }
 }
 
+/// Returns whether a write has to wait, also for a connection that isn't established.
+fn is_not_ready(error: &io::Error) -> bool {
+    use io::ErrorKind::{NotConnected, WouldBlock};
+    matches!(error.kind(), NotConnected | WouldBlock)
+}
+
 /// Bounds what the kernel holds for each connection of a listener; accepted
 /// connections inherit it.
 pub(crate) fn set_listener_options(listener: &mio::net::TcpListener) {
--- a/crates/dewedge/src/serve/admin.rs
+++ b/crates/dewedge/src/serve/admin.rs
@@ -8,10 +8,11 @@
 
 use crate::format::PlatformFormat;
 use crate::http::{
-    BodyDecoder, BodyLength, ContentFraming, HeadError, ResponseStart, parse_request,
+    BodyDecoder, BodyLength, ConnectionState, ContentFraming, HeadError, ResponseStart,
+    parse_request,
 };
 use crate::metrics::PartLabels;
-use crate::net::{ReadState, TcpChannel};
+use crate::net::TcpChannel;
 
 use super::response_channel::ResponseChannel;
 use super::state::{AdminConn, EdgeState, TokenKind, token_of};
@@ -111,7 +112,7 @@
                 // The next response follows once this one is taken.
                 return;
             }
-            let read_state = conn.channel.fill(MAX_HEAD, closing);
+            let connection = conn.channel.fill(MAX_HEAD, closing);
             let parsed = match conn.content.discard(&mut conn.channel) {
                 Ok(true) => {
                     conn.channel.expect_request();
@@ -143,7 +144,7 @@
                         return;
                     }
                 }
-                Ok(None) if read_state == ReadState::Open && flushed.is_ok() => return,
+                Ok(None) if connection == ConnectionState::Open && flushed.is_ok() => return,
                 _ => {
                     self.admin_conns.remove(conn_id);
                     return;
--- a/crates/dewedge/src/serve/callers.rs
+++ b/crates/dewedge/src/serve/callers.rs
@@ -10,8 +10,10 @@
 
 use crate::clock::Moment;
 use crate::format::PlatformFormat;
-use crate::http::{BodyDecoder, BodyLength, HeadError, RequestHead, parse_request};
-use crate::net::{ReadState, TcpChannel, set_caller_options};
+use crate::http::{
+    BodyDecoder, BodyLength, ConnectionState, HeadError, RequestHead, parse_request,
+};
+use crate::net::{TcpChannel, set_caller_options};
 
 use super::backpressure::{STALL_CHECK_INTERVAL, SendProgress};
 use super::memory::MAX_BODY_READ;
@@ -110,7 +112,7 @@
                 CallerPhase::Busy(_) => MAX_PIPELINED,
                 CallerPhase::Body(_) | CallerPhase::Lingering => MAX_BODY_READ,
             };
-            let read_state = conn.channel.fill(limit, closing);
+            let connection = conn.channel.fill(limit, closing);
             if let CallerPhase::Lingering = conn.phase {
                 if !conn.channel.inbound.is_empty() {
                     conn.discarded_at = now;
@@ -127,7 +129,7 @@
             }
             let is_full = conn.channel.inbound.len() >= MAX_PIPELINED;
             conn.channel.hold_back(is_busy && is_full);
-            if read_state != ReadState::Open || closing {
+            if connection != ConnectionState::Open || closing {
                 // The caller can't read a response to requests that are still
                 // buffered.
                 self.close_caller(caller, "caller left");
--- a/crates/dewedge/src/serve/outcomes.rs
+++ b/crates/dewedge/src/serve/outcomes.rs
@@ -251,6 +251,7 @@
         };
         if stream.splitter.has_partial() {
             let reason = "event cut off";
+            self.metrics.count_broken_response(reason);
             self.handle_outcome(exchange_id, AttemptOutcome::Unknown { replica, reason });
             return;
         }
--- a/crates/dewedge/src/serve/response_channel.rs
+++ b/crates/dewedge/src/serve/response_channel.rs
@@ -9,8 +9,8 @@
 use dewbudget::SegmentedBody;
 use mio::{Registry, Token};
 
-use crate::http::{MethodKind, ResponseEncoder, ResponseStart};
-use crate::net::{ReadState, TcpChannel};
+use crate::http::{ConnectionState, MethodKind, ResponseEncoder, ResponseStart};
+use crate::net::TcpChannel;
 
 /// A TCP connection with the encoder of its responses.
 #[derive(Debug)]
@@ -87,7 +87,7 @@
     }
 
     /// See [`TcpChannel::fill`].
-    pub(crate) fn fill(&mut self, limit: usize, closing: bool) -> ReadState {
+    pub(crate) fn fill(&mut self, limit: usize, closing: bool) -> ConnectionState {
         self.channel.fill(limit, closing)
     }
 
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -9,9 +9,8 @@
 use dewbudget::{AccountPart, SegmentedBody};
 
 use crate::directory::stable_hash;
-use crate::format::{PlatformFormat, ResponseMetadata};
-use crate::http::{BodyDecoder, ResponseHead, parse_response};
-use crate::net::ReadState;
+use crate::format::PlatformFormat;
+use crate::http::{ConnectionState, ResponseHead, ResponseProgress, ResponseReader};
 use crate::policy::ended_servers::EndedKind;
 use crate::policy::health::AttemptResult;
 use crate::stream::{EventError, EventSplitter};
@@ -27,9 +26,6 @@
 /// Content type of event streams.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
-/// Maximum interim responses before the final one.
-const MAX_INTERIM_RESPONSES: u32 = 16;
-
 /// Statuses that promise callers that their request never runs. A server states
 /// that by a mark, so that one without it must not reach the caller.
 const PROMISED_NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -58,15 +54,6 @@
 /// time to reach the server.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 
-/// Result of parsing the received bytes of a response.
-enum ResponseStep {
-    Wait,
-    /// The bytes aren't a valid response to the request.
-    Invalid(&'static str),
-    /// The response is complete.
-    Complete,
-}
-
 /// Returns whether a response is declared as an event stream; `None` if it
 /// declares no type.
 fn declares_event_stream(head: &ResponseHead) -> Option<bool> {
@@ -112,16 +99,17 @@
         let Some(conn) = self.server_conns.get_mut(conn_id) else {
             return false;
         };
-        let flushed = conn.channel.flush();
+        // Filling the buffer reports the error again.
+        let _ = conn.channel.flush();
         if let Some(exchange_id) = conn.exchange_id
             && self.is_paused(exchange_id, conn_id)
         {
             return false;
         }
         let conn = &mut self.server_conns[conn_id];
-        let read_state = conn.channel.fill(MAX_INBOUND, closing);
+        let connection = conn.channel.fill(MAX_INBOUND, closing);
         if conn.exchange_id.is_none() {
-            if read_state != ReadState::Open || !conn.channel.inbound.is_empty() {
+            if connection != ConnectionState::Open || !conn.channel.inbound.is_empty() {
                 self.close_server_conn(conn_id);
             }
             return false;
@@ -134,7 +122,7 @@
             if received {
                 self.swap_standby(exchange_id);
             } else {
-                if read_state != ReadState::Open || flushed.is_err() {
+                if connection != ConnectionState::Open {
                     self.end_standby(exchange_id, end_reason);
                 }
                 return false;
@@ -144,13 +132,7 @@
             self.directory.get_mut(replica).last_received = Some(self.now);
             self.record_reached();
         }
-        let has_more = self.server_conns[conn_id].channel.may_have_more();
-        let read_state = if flushed.is_err() && read_state == ReadState::Open && !has_more {
-            ReadState::Broken
-        } else {
-            read_state
-        };
-        self.read_server_response(conn_id, read_state);
+        self.read_server_response(conn_id, connection);
         // The response may have ended, and the id may be in use again.
         let conn = self.server_conns.get(conn_id);
         conn.is_some_and(|conn| {
@@ -213,53 +195,48 @@
     }
 
     /// Reads the response on a connection.
-    fn read_server_response(&mut self, conn_id: ServerConnId, read_state: ReadState) {
-        loop {
-            let step = match self.read_response_head(conn_id) {
-                Ok(true) => self.read_response_body(conn_id, read_state),
-                Ok(false) => ResponseStep::Wait,
-                Err(reason) => ResponseStep::Invalid(reason),
-            };
-            match step {
-                ResponseStep::Complete => {
-                    let interim = self
-                        .server_conns
-                        .get(conn_id)
-                        .and_then(|conn| conn.head.as_ref())
-                        .is_some_and(|head| head.status < 200);
-                    if interim {
-                        let conn = &mut self.server_conns[conn_id];
-                        conn.head = None;
-                        conn.decoder = None;
-                        conn.interim_responses += 1;
-                        if conn.interim_responses > MAX_INTERIM_RESPONSES {
-                            self.abort_attempt(conn_id, "too many interim responses");
-                            return;
-                        }
-                        continue;
-                    }
-                    self.complete_response(conn_id, read_state);
-                }
-                ResponseStep::Invalid(reason) => self.abort_attempt(conn_id, reason),
-                ResponseStep::Wait if read_state != ReadState::Open => {
-                    let reason = self
-                        .server_conns
-                        .get(conn_id)
-                        .map_or("closed", |conn| conn.channel.end_reason());
-                    self.abort_attempt(conn_id, reason);
-                }
-                ResponseStep::Wait => {}
+    fn read_server_response(&mut self, conn_id: ServerConnId, connection: ConnectionState) {
+        let progress = match self.read_response_head(conn_id) {
+            Ok(true) => self.read_response_body(conn_id, connection),
+            Ok(false) => Ok(self.response_progress(conn_id, connection)),
+            Err(reason) => Err(reason),
+        };
+        match progress {
+            Ok(ResponseProgress::Complete) => self.complete_response(conn_id, connection),
+            Ok(ResponseProgress::Incomplete) => {}
+            Ok(ResponseProgress::BrokenOff) => {
+                let conn = self.server_conns.get(conn_id);
+                let reason = conn.map_or("closed", |conn| conn.channel.end_reason());
+                self.reject_response(conn_id, reason);
             }
-            return;
+            Err(reason) => self.reject_response(conn_id, reason),
         }
     }
 
+    /// Ends an attempt whose response is incomplete or isn't one.
+    fn reject_response(&mut self, conn_id: ServerConnId, reason: &'static str) {
+        self.metrics.count_broken_response(reason);
+        self.abort_attempt(conn_id, reason);
+    }
+
+    fn response_progress(
+        &self,
+        conn_id: ServerConnId,
+        connection: ConnectionState,
+    ) -> ResponseProgress {
+        let conn = self.server_conns.get(conn_id);
+        let reader = conn.and_then(|conn| conn.reader.as_ref());
+        reader.map_or(ResponseProgress::Incomplete, |reader| {
+            reader.progress(connection)
+        })
+    }
+
     /// Reads the response head; returns whether it is complete.
     fn read_response_head(&mut self, conn_id: ServerConnId) -> Result<bool, &'static str> {
         let Some(conn) = self.server_conns.get_mut(conn_id) else {
             return Ok(false);
         };
-        if conn.head.is_some() {
+        if conn.head().is_some() {
             return Ok(true);
         }
         let Some(exchange) = conn
@@ -268,81 +245,81 @@
         else {
             return Err("no request");
         };
-        let head = match parse_response(&conn.channel.inbound, &exchange.method, MAX_HEAD) {
-            Err(_) => return Err("not an answer"),
-            Ok(None) => return Ok(false),
-            Ok(Some(head)) => head,
+        let reader = conn
+            .reader
+            .get_or_insert_with(|| ResponseReader::new(&exchange.method, MAX_HEAD));
+        let used = reader
+            .read_head(&conn.channel.inbound)
+            .map_err(|error| error.reason())?;
+        conn.channel.consume(used);
+        let Some(head) = reader.head() else {
+            return Ok(false);
         };
-        let mut metadata = ResponseMetadata::default();
-        if head.status >= 200 {
-            metadata = F::response_metadata(&head.fields);
-            if metadata.attempt.as_deref() != Some(exchange.metadata.attempt.as_str()) {
-                return Err("answer to another request");
-            }
-            conn.is_stream = exchange.route.kind == RequestKind::Streaming
-                && (200..300).contains(&head.status)
-                && !metadata.not_run;
-            if conn.is_stream
-                && exchange.last_event_id().is_some()
-                && declares_event_stream(&head) == Some(false)
-            {
-                return Err("not an event stream");
-            }
-            if conn.is_stream && exchange.stream.is_none() {
-                exchange.stream = Some(CallerStream {
-                    splitter: event_splitter(exchange),
-                    charge: self.account.charge(AccountPart::Responses),
-                    head_sent: false,
-                    last_event_at: self.now,
-                    backlog_ms: 0.0,
-                });
-            }
+        let metadata = F::response_metadata(&head.fields);
+        if metadata.attempt.as_deref() != Some(exchange.metadata.attempt.as_str()) {
+            return Err("answer to another request");
+        }
+        conn.is_stream = exchange.route.kind == RequestKind::Streaming
+            && (200..300).contains(&head.status)
+            && !metadata.not_run;
+        if conn.is_stream
+            && exchange.last_event_id().is_some()
+            && declares_event_stream(head) == Some(false)
+        {
+            return Err("not an event stream");
+        }
+        if conn.is_stream && exchange.stream.is_none() {
+            exchange.stream = Some(CallerStream {
+                splitter: event_splitter(exchange),
+                charge: self.account.charge(AccountPart::Responses),
+                head_sent: false,
+                last_event_at: self.now,
+                backlog_ms: 0.0,
+            });
         }
         let (replica, status, sent) = (conn.replica, head.status, exchange.sent_load.sent);
-        conn.channel.consume(head.length);
-        conn.decoder = Some(BodyDecoder::new(head.body));
-        conn.head = Some(head);
-        if status >= 200 && status != 421 {
+        if status != 421 {
             self.record_server_bytes(replica, sent);
         }
         self.apply_server_notices(replica, status, &metadata);
         Ok(true)
     }
 
-    fn read_response_body(&mut self, conn_id: ServerConnId, read_state: ReadState) -> ResponseStep {
+    fn read_response_body(
+        &mut self,
+        conn_id: ServerConnId,
+        connection: ConnectionState,
+    ) -> Result<ResponseProgress, &'static str> {
         let conn = &mut self.server_conns[conn_id];
-        let Some(decoder) = &mut conn.decoder else {
-            return ResponseStep::Invalid("no head");
-        };
-        let Ok(used) = decoder.decode(&conn.channel.inbound, &mut conn.body) else {
-            return ResponseStep::Invalid("malformed body");
+        let Some(reader) = &mut conn.reader else {
+            return Err("no head");
         };
+        let used = reader
+            .read_content(&conn.channel.inbound, &mut conn.body)
+            .map_err(|error| error.reason())?;
         conn.channel.consume(used);
-        let ends_now = decoder.ends_with_connection() && read_state == ReadState::Closed;
-        let done = decoder.is_done() || ends_now;
+        let progress = reader.progress(connection);
+        let is_framed = reader.is_framed();
         if conn.is_stream {
-            if let Err(reason) = self.forward_events(conn_id) {
-                return ResponseStep::Invalid(reason);
-            }
+            self.forward_events(conn_id)?;
             if !self.has_response_capacity(conn_id) {
-                return ResponseStep::Invalid("no memory for the answer");
+                return Err("no memory for the answer");
             }
-            if done && !self.has_response_begun(conn_id) && !self.may_be_empty(conn_id) {
-                return ResponseStep::Invalid(match ends_now {
-                    true => "closed before the first event",
-                    false => "empty stream",
+            if progress == ResponseProgress::Complete
+                && !self.has_response_begun(conn_id)
+                && !self.may_be_empty(conn_id)
+            {
+                return Err(match is_framed {
+                    true => "empty stream",
+                    false => "closed before the first event",
                 });
             }
         } else if conn.body.len() > MAX_BODY {
-            return ResponseStep::Invalid("answer too long");
+            return Err("answer too long");
         } else if !self.has_response_capacity(conn_id) {
-            return ResponseStep::Invalid("no memory for the answer");
-        }
-        if done {
-            ResponseStep::Complete
-        } else {
-            ResponseStep::Wait
+            return Err("no memory for the answer");
         }
+        Ok(progress)
     }
 
     /// Returns whether the caller has an event of the response on a connection.
@@ -359,10 +336,9 @@
         let exchange_id = conn.exchange_id;
         let exchange = exchange_id.and_then(|exchange_id| self.exchanges.get(exchange_id));
         let continues = exchange.is_some_and(|exchange| exchange.last_event_id().is_some());
-        let is_framed = conn.decoder.as_ref().is_some_and(BodyDecoder::is_done);
+        let is_framed = conn.reader.as_ref().is_some_and(ResponseReader::is_framed);
         let is_declared = conn
-            .head
-            .as_ref()
+            .head()
             .is_some_and(|head| head.status != 204 && declares_event_stream(head) == Some(true));
         is_framed && (is_declared || !continues)
     }
@@ -421,7 +397,7 @@
         }
         let first = !std::mem::replace(&mut stream.head_sent, true);
         let (caller, load) = (exchange.caller, exchange.sent_load);
-        if first && let Some(head) = conn.head.clone() {
+        if first && let Some(head) = conn.head().cloned() {
             self.write_stream_head(caller, &head);
         }
         self.record_server_bytes(load.replica, load.sent);
@@ -439,9 +415,12 @@
 
     /// Handles a complete response: releases the connection and reports the
     /// outcome.
-    fn complete_response(&mut self, conn_id: ServerConnId, read_state: ReadState) {
+    fn complete_response(&mut self, conn_id: ServerConnId, connection: ConnectionState) {
         let conn = &mut self.server_conns[conn_id];
-        let (Some(head), Some(exchange_id)) = (conn.head.take(), conn.exchange_id.take()) else {
+        let reader = conn.reader.take();
+        let framed = reader.as_ref().is_some_and(ResponseReader::is_framed);
+        let head = reader.and_then(ResponseReader::into_head);
+        let (Some(head), Some(exchange_id)) = (head, conn.exchange_id.take()) else {
             self.close_server_conn(conn_id);
             return;
         };
@@ -449,9 +428,8 @@
         let body = std::mem::replace(&mut conn.body, next);
         let is_stream = conn.is_stream;
         let replica = conn.replica;
-        let framed = conn.decoder.take().is_some_and(|decoder| decoder.is_done());
         let reusable = framed
-            && read_state == ReadState::Open
+            && connection == ConnectionState::Open
             && conn.channel.inbound.is_empty()
             && !conn.channel.may_have_more()
             && conn.channel.unsent() == 0
@@ -516,7 +494,6 @@
             idle.saturating_sub(IDLE_TIMEOUT_MARGIN).max(idle / 3)
         });
         conn.is_stream = false;
-        conn.interim_responses = 0;
         conn.idle_since = now;
         conn.idle_until = now + time;
         let replica = conn.replica;
--- a/crates/dewedge/src/serve/state.rs
+++ b/crates/dewedge/src/serve/state.rs
@@ -18,7 +18,7 @@
 use crate::directory::{ReplicaDirectory, ReplicaIndex};
 use crate::ended_notices::{EndedQueue, ReporterLimits};
 use crate::format::{PlatformFormat, RequestMetadata};
-use crate::http::{BodyDecoder, RequestHead, ResponseHead};
+use crate::http::{BodyDecoder, RequestHead, ResponseHead, ResponseReader};
 use crate::keys::KeyConfirmation;
 use crate::load_notices::NoticeQueue;
 use crate::logs::LogWriter;
@@ -270,12 +270,10 @@
     /// Whether it only tests whether the server runs.
     pub(crate) is_test: bool,
     pub(crate) exchange_id: Option<ExchangeId>,
-    pub(crate) head: Option<ResponseHead>,
-    pub(crate) decoder: Option<BodyDecoder>,
+    /// Reader of the response, once bytes of it have arrived.
+    pub(crate) reader: Option<ResponseReader>,
     pub(crate) body: SegmentedBody,
     pub(crate) is_stream: bool,
-    /// Interim responses to the request in progress.
-    pub(crate) interim_responses: u32,
     /// Hashes of the ids of the attempts that the server has refused on it.
     pub(crate) refused_attempts: Vec<u64>,
     pub(crate) opened: Moment,
@@ -284,6 +282,13 @@
     pub(crate) timer: LazyTimer,
 }
 
+impl ServerConn {
+    /// Returns the head of the response, once it has arrived.
+    pub(crate) fn head(&self) -> Option<&ResponseHead> {
+        self.reader.as_ref().and_then(ResponseReader::head)
+    }
+}
+
 /// An admin connection, for readiness checks and metrics.
 #[derive(Debug)]
 pub(crate) struct AdminConn {
--- a/crates/dewhttp/src/head.rs
+++ b/crates/dewhttp/src/head.rs
@@ -287,6 +287,15 @@
     bytes: &[u8],
     method: &str,
     max: usize,
+) -> Result<Option<ResponseHead>, HeadError> {
+    parse_response_to(bytes, MethodKind::of(method), max)
+}
+
+/// Parses the head of a response to a request with a method of this kind.
+pub(super) fn parse_response_to(
+    bytes: &[u8],
+    method: MethodKind,
+    max: usize,
 ) -> Result<Option<ResponseHead>, HeadError> {
     let Some(end) = find_head_end(bytes, max)? else {
         return Ok(None);
@@ -305,7 +314,7 @@
     if contains_status_line(reason) || fields.iter().any(is_broken) {
         return Err(HeadError::Malformed("a response within a head"));
     }
-    let has_content = permits_content(MethodKind::of(method), status);
+    let has_content = permits_content(method, status);
     let length = content_length(&fields)?;
     let body = match (length, is_chunked(&fields)?) {
         _ if !has_content => BodyLength::Exact(0),
--- a/crates/dewhttp/src/lib.rs
+++ b/crates/dewhttp/src/lib.rs
@@ -1,5 +1,7 @@
 //! Strict parsing of HTTP/1.1 heads and bodies, and encoding of responses.
 //!
+//! [`ResponseReader`] decides for all receivers of responses whether one is complete.
+//!
 //! Heads are parsed by a library; ambiguous messages that it accepts are
 //! rejected here.
 //!
@@ -8,8 +10,10 @@
 
 mod body;
 mod head;
+mod reader;
 mod response;
 
 pub use body::{BodyDecoder, BodyError, BodyLength};
 pub use head::{HeadError, HeaderFields, RequestHead, ResponseHead, parse_request, parse_response};
+pub use reader::{ConnectionState, ResponseError, ResponseProgress, ResponseReader};
 pub use response::{ContentFraming, MethodKind, ResponseEncoder, ResponseStart};
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,8 +4,11 @@
 //! and `fake-platform`. Their protocol is described in `docs/BACKENDS.md`.
 //! The [`process`] module runs the workspace's programs as child processes of
 //! tests, [`ports`] hands out the ports that they bind, [`crowd`] plays clients
-//! that don't behave, and [`framing`] reads responses strictly.
+//! that don't behave, [`framing`] reads responses strictly, and [`script`] and
+//! [`broken`] play broken
+//! ones.
 
+pub mod broken;
 pub mod crash;
 pub mod crowd;
 pub mod engine;
@@ -18,6 +21,7 @@
 pub mod ports;
 pub mod process;
 mod race;
+pub mod script;
 pub mod service;
 mod slots;
 #[cfg(test)]
--- /dev/null
+++ b/crates/standins/src/script.rs
@@ -0,0 +1,240 @@
+//! A server that responds soundly, except to requests that a test takes over.
+//!
+//! The receive buffers are small and the content of a request that is taken over
+//! isn't read, so that a long upload is still being written while the test plays
+//! its response.
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use socket2::SockRef;
+
+/// Size of the kernel's receive buffer of a connection, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 4 * 1024;
+
+/// Longest wait for a request that a test takes over.
+const TAKE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Content of a sound response.
+pub const SOUND: &str = "sound";
+
+/// How a connection ends after the bytes that a test sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectionEnd {
+    /// It stays open, and nothing more is read or written.
+    Open,
+    /// The request is read to its end, then both directions are closed in order.
+    Orderly,
+    /// The connection is reset.
+    Reset,
+    /// The sending direction is closed; after a pause, the connection is reset.
+    CloseAndReset(Duration),
+}
+
+/// A request whose response a test plays.
+#[derive(Debug)]
+pub struct TakenRequest {
+    reader: BufReader<TcpStream>,
+    /// The request line and the header lines.
+    pub head: Vec<String>,
+}
+
+impl TakenRequest {
+    /// Returns the value of a header field; empty if it is missing.
+    #[must_use]
+    pub fn field(&self, name: &str) -> &str {
+        field(&self.head, name)
+    }
+
+    /// Sends a part of the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer has closed the connection.
+    pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.reader.get_mut().write_all(bytes)
+    }
+
+    /// Ends the connection; one that stays open is returned.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer has closed the connection.
+    pub fn end(mut self, end: ConnectionEnd) -> io::Result<Option<Self>> {
+        match end {
+            ConnectionEnd::Open => return Ok(Some(self)),
+            ConnectionEnd::Orderly => {
+                self.reader.get_mut().shutdown(Shutdown::Write)?;
+                io::copy(&mut self.reader, &mut io::sink())?;
+            }
+            ConnectionEnd::Reset => reset(self.reader.into_inner())?,
+            ConnectionEnd::CloseAndReset(pause) => {
+                let stream = self.reader.into_inner();
+                stream.shutdown(Shutdown::Write)?;
+                thread::sleep(pause);
+                reset(stream)?;
+            }
+        }
+        Ok(None)
+    }
+}
+
+/// Resets a connection.
+fn reset(stream: TcpStream) -> io::Result<()> {
+    // With a linger time of zero, the kernel sends a reset when the only handle of
+    // the socket is dropped.
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct ScriptedServer {
+    address: SocketAddr,
+    /// Whether the next request is taken over.
+    takes_next: Arc<AtomicBool>,
+    taken: Mutex<Receiver<TakenRequest>>,
+    served: Arc<AtomicUsize>,
+}
+
+impl ScriptedServer {
+    /// Starts a server, which runs until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port is free.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use standins::script::ScriptedServer;
+    ///
+    /// let server = ScriptedServer::spawn().unwrap();
+    /// assert!(server.address().ip().is_loopback());
+    /// ```
+    pub fn spawn() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        // Accepted connections inherit it.
+        SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        let address = listener.local_addr()?;
+        let (sender, taken) = channel();
+        let (takes_next, served) = (Arc::default(), Arc::default());
+        let server = Self {
+            address,
+            takes_next: Arc::clone(&takes_next),
+            taken: Mutex::new(taken),
+            served: Arc::clone(&served),
+        };
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (takes_next, sender) = (Arc::clone(&takes_next), sender.clone());
+                let served = Arc::clone(&served);
+                // An error ends the connection.
+                thread::spawn(move || serve(stream, &takes_next, &served, &sender));
+            }
+        });
+        Ok(server)
+    }
+
+    /// Returns the server's address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns how many requests it has received, without those for reports.
+    #[must_use]
+    pub fn request_count(&self) -> usize {
+        self.served.load(Ordering::SeqCst)
+    }
+
+    /// Lets [`Self::take`] take over the next request.
+    pub fn take_next(&self) {
+        self.takes_next.store(true, Ordering::SeqCst);
+    }
+
+    /// Waits for the request that is taken over.
+    ///
+    /// # Panics
+    ///
+    /// Panics if none arrives within 5 s.
+    #[must_use]
+    pub fn take(&self) -> TakenRequest {
+        let taken = self.taken.lock().expect("no test panicked here");
+        taken.recv_timeout(TAKE_TIMEOUT).expect("a request arrives")
+    }
+}
+
+/// Responds to the requests of a connection, until one is taken over.
+fn serve(
+    stream: TcpStream,
+    takes_next: &AtomicBool,
+    served: &AtomicUsize,
+    sender: &Sender<TakenRequest>,
+) -> io::Result<()> {
+    let mut reader = BufReader::new(stream);
+    loop {
+        let head = read_head(&mut reader)?;
+        let is_report = head[0].starts_with("GET /load");
+        if !is_report {
+            served.fetch_add(1, Ordering::SeqCst);
+            if takes_next.swap(false, Ordering::SeqCst) {
+                // The test may have ended.
+                let _ = sender.send(TakenRequest { reader, head });
+                return Ok(());
+            }
+        }
+        let length = field(&head, "content-length").parse().unwrap_or(0);
+        io::copy(&mut (&mut reader).take(length), &mut io::sink())?;
+        let status = if is_report { 404 } else { 200 };
+        let response = sound_response(&head, status);
+        reader.get_mut().write_all(response.as_bytes())?;
+    }
+}
+
+fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<Vec<String>> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            return Ok(lines);
+        }
+        lines.push(line.to_string());
+    }
+}
+
+fn field<'a>(head: &'a [String], name: &str) -> &'a str {
+    let mut fields = head.iter().filter_map(|line| line.split_once(':'));
+    let found = fields.find(|(other, _)| other.eq_ignore_ascii_case(name));
+    found.map_or("", |(_, value)| value.trim())
+}
+
+/// Returns a complete response to a request.
+fn sound_response(head: &[String], status: u16) -> String {
+    let attempt = field(head, "x-attempt-id");
+    let fields = format!("HTTP/1.1 {status} X\r\nX-Attempt-Id: {attempt}\r\n");
+    let line = &head[0];
+    if line.contains(" /once/") || line.contains(" /brief/") {
+        let last: u64 = field(head, "last-event-id").parse().unwrap_or(0);
+        let event = format!("id: {}\ndata: {SOUND}\n\n", last + 1);
+        let content = match line.starts_with("HEAD ") {
+            true => String::new(),
+            false => format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len()),
+        };
+        let framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
+        return format!("{fields}{framing}\r\n\r\n{content}");
+    }
+    let content = match line.starts_with("HEAD ") {
+        true => "",
+        false => SOUND,
+    };
+    format!("{fields}Content-Length: {}\r\n\r\n{content}", SOUND.len())
+}
