Reject responses whose status none can have

Callers of dewnode got responses with statuses from 600 to 999 as answers. A head with a status from 000 to 099, or 101, was taken for an interim response, so that what followed on the connection was taken for the answer, or the caller waited until its deadline.

Cause: the parser's library checks that a status has three digits and leaves its range to its user, and the entry took all below 200 for interim responses.

parse_response now rejects statuses outside of 100 to 599, and 101, since no request asks for another protocol. All receivers of heads call it, so that such a head is a broken response everywhere in dewnode.

--- a/crates/dewhttp/src/head.rs
+++ b/crates/dewhttp/src/head.rs
@@ -1,6 +1,6 @@
 //! Parsing of request and response heads.
 
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 
 use thiserror::Error;
 
@@ -10,6 +10,12 @@
 /// Maximum header fields of a head; common servers have a similar limit.
 const MAX_FIELDS: usize = 96;
 
+/// Statuses that a response may have (RFC 9110, section 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
+/// Status that ends HTTP on a connection at the request of the client.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Why a head is rejected.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum HeadError {
@@ -308,6 +314,13 @@
         return Err(HeadError::Malformed("syntax"));
     }
     let status = response.code.unwrap_or_default();
+    if !STATUSES.contains(&status) {
+        return Err(HeadError::Malformed("status"));
+    }
+    // What follows would belong to the other protocol.
+    if status == SWITCHING_PROTOCOLS {
+        return Err(HeadError::Unsupported("upgrade"));
+    }
     let fields = HeaderFields::new(bytes, response.headers);
     let reason = response.reason.unwrap_or_default().as_bytes();
     let is_broken = |(_, value): (&str, &[u8])| contains_status_line(value);
--- a/crates/dewhttp/tests/parsing.rs
+++ b/crates/dewhttp/tests/parsing.rs
@@ -177,6 +177,57 @@
     }
 }
 
+/// Guards against a response with a status that none can have.
+#[test]
+fn a_status_has_three_digits_from_100_to_599() {
+    let parse = |status: &str| {
+        let head = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+        parse_response(head.as_bytes(), "GET", 1024)
+    };
+    for number in 0..1000 {
+        // No request asks for the protocol that a 101 would begin.
+        let is_valid = (100..600).contains(&number) && number != 101;
+        let found = parse(&format!("{number:03}")).map(|head| head.map(|head| head.status));
+        assert_eq!(found.ok(), is_valid.then_some(Some(number)), "{number}");
+    }
+    for status in [
+        "20", "2000", "0200", "2x0", "+20", "-20", " 200", "2 0", "", "\u{b2}00",
+    ] {
+        assert!(parse(status).is_err(), "{status:?}");
+    }
+}
+
+/// Guards against a field whose name isn't a token or whose value holds a control
+/// byte.
+#[test]
+fn a_field_has_a_token_as_its_name_and_no_control_byte_in_its_value() {
+    let mut lines = vec![
+        ("A: b".to_string(), true),
+        ("A:b".to_string(), true),
+        ("A:\tb c\td ".to_string(), true),
+        ("A:".to_string(), true),
+        (": b".to_string(), false),
+        ("A".to_string(), false),
+        (" A: b".to_string(), false),
+        ("A: b\r\n c".to_string(), false),
+    ];
+    for byte in 0..=127 {
+        let byte = char::from(byte);
+        let is_token = byte.is_ascii_alphanumeric() || "!#$%&'*+-.^_`|~".contains(byte);
+        // A colon ends the name.
+        lines.push((format!("A{byte}B: c"), is_token || byte == ':'));
+        lines.push((
+            format!("A: b{byte}c"),
+            !byte.is_ascii_control() || byte == '\t',
+        ));
+    }
+    for (line, is_valid) in lines {
+        let head = format!("HTTP/1.1 200 X\r\n{line}\r\nContent-Length: 0\r\n\r\n");
+        let parsed = parse_response(head.as_bytes(), "GET", 1024);
+        assert_eq!(parsed.is_ok(), is_valid, "{line:?}");
+    }
+}
+
 struct ChunkCase {
     name: &'static str,
     bytes: &'static str,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,8 +5,7 @@
 //! The [`process`] module runs the workspace's programs as child processes of
 //! tests, [`ports`] hands out the ports that they bind, [`crowd`] plays clients
 //! that don't behave, [`framing`] reads responses strictly, and [`script`] and
-//! [`broken`] play broken
-//! ones.
+//! [`broken`] play broken ones.
 
 pub mod broken;
 pub mod crash;
