Read the responses of the store and the API like those of servers

A VM whose store sends an interim response (1xx) before the final one never became ready, and its final responses stood before those to later calls. A response of the platform's API with an interim head, or with a status that none can have, was taken for a rejection, which is final, so that the report of a window wasn't repeated. A response without a length was taken for lost.

Cause: the loop that reads a response stood in two places; the one for calls knew no interim responses and no end by the connection.

Calls now read their responses with ResponseReader. A broken one is a failed call: it is repeated, logged and counted by its reason, and nothing that the VM knows changes.

--- a/crates/dewedge/src/call_connection.rs
+++ b/crates/dewedge/src/call_connection.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::Moment;
 use crate::format::EncodedCall;
-use crate::http::{BodyDecoder, ConnectionState, ResponseHead, parse_response};
+use crate::http::{ConnectionState, ResponseHead, ResponseProgress, ResponseReader};
 use crate::net::TcpChannel;
 
 /// Shortest time between a failed call and the next one.
@@ -52,7 +52,7 @@
     /// When the call times out. On a connection to the store, a response that has
     /// begun postpones it.
     pub(crate) deadline: Moment,
-    head: Option<(ResponseHead, BodyDecoder)>,
+    reader: ResponseReader,
     body: Vec<u8>,
 }
 
@@ -115,7 +115,7 @@
             call,
             sent,
             deadline,
-            head: None,
+            reader: ResponseReader::new(bytes.method, MAX_HEAD),
             body: Vec::new(),
         });
         if self.address.replace(address) != Some(address) {
@@ -168,16 +168,19 @@
             // A large response takes longer than a call on a narrow link.
             pending.deadline = pending.deadline.max(now + PROGRESS_TIMEOUT);
         }
-        match read_response(pending, channel) {
+        match read_response(pending, channel, connection) {
             Err(reason) => return self.fail(reason),
-            Ok(true) => {}
-            Ok(false) if connection != ConnectionState::Open => return self.fail("closed"),
-            Ok(false) => return CallOutcome::Pending,
+            Ok(ResponseProgress::Complete) => {}
+            Ok(ResponseProgress::Incomplete) => return CallOutcome::Pending,
+            Ok(ResponseProgress::BrokenOff) => {
+                let reason = channel.end_reason();
+                return self.fail(reason);
+            }
         }
         let Some(pending) = self.pending.take() else {
             return CallOutcome::Pending;
         };
-        let Some((head, _)) = pending.head else {
+        let Some(head) = pending.reader.into_head() else {
             return CallOutcome::Pending;
         };
         let reusable = connection == ConnectionState::Open
@@ -202,7 +205,7 @@
     /// Lets the call in progress time out at `due` unless a response begins.
     pub(crate) fn expect_response(&mut self, due: Moment) {
         if let Some(pending) = &mut self.pending
-            && pending.head.is_none()
+            && pending.reader.head().is_none()
         {
             pending.deadline = pending.deadline.min(due);
         }
@@ -225,31 +228,23 @@
     }
 }
 
-/// Reads more of a response; returns whether it is complete.
+/// Reads more of a response; returns how much of it has arrived.
 fn read_response<C>(
     pending: &mut PendingCall<C>,
     channel: &mut TcpChannel,
-) -> Result<bool, &'static str> {
-    if pending.head.is_none() {
-        match parse_response(&channel.inbound, "GET", MAX_HEAD) {
-            Err(_) => return Err("malformed"),
-            Ok(None) => return Ok(false),
-            Ok(Some(head)) => {
-                channel.consume(head.length);
-                let decoder = BodyDecoder::new(head.body);
-                pending.head = Some((head, decoder));
-            }
-        }
-    }
-    let Some((_, decoder)) = &mut pending.head else {
-        return Ok(false);
-    };
-    let used = decoder
-        .decode(&channel.inbound, &mut pending.body)
+    connection: ConnectionState,
+) -> Result<ResponseProgress, &'static str> {
+    let reader = &mut pending.reader;
+    let used = reader
+        .read_head(&channel.inbound)
+        .map_err(|_| "malformed")?;
+    channel.consume(used);
+    let used = reader
+        .read_content(&channel.inbound, &mut pending.body)
         .map_err(|_| "malformed")?;
     channel.consume(used);
     if pending.body.len() > MAX_RESPONSE {
         return Err("oversized");
     }
-    Ok(decoder.is_done())
+    Ok(reader.progress(connection))
 }
