Reject malformed trailers and chunk lines

A chunked response counted as complete whatever its trailers and the extensions of its chunks were: lines that are no fields, and control bytes. Callers of dewnode got its content; a VM followed such tables of the store and took such a response of the platform's API for accepted.

Cause: the decoder discards both and looked only for line ends.

Lines of trailers are now parsed like fields of heads, and chunk lines hold no control bytes but tabs. The decoder is the one of all messages, so that a request with such a body gets 400.

--- a/crates/dewhttp/src/body.rs
+++ b/crates/dewhttp/src/body.rs
@@ -23,7 +23,7 @@
 
 /// The framing of a body is malformed.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-#[error("malformed chunk")]
+#[error("malformed chunk or trailer")]
 pub struct BodyError;
 
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -142,13 +142,12 @@
                     return Err(BodyError);
                 }
                 if input[0] == b'\n' {
-                    if !line.ends_with(b"\r\n") {
-                        return Err(BodyError);
-                    }
-                    if line.len() == 2 {
-                        self.state = DecoderState::Done;
-                    } else {
-                        line.clear();
+                    match line.as_slice() {
+                        b"\r\n" => self.state = DecoderState::Done,
+                        field => {
+                            check_trailer(field)?;
+                            line.clear();
+                        }
                     }
                 }
                 Ok(1)
@@ -165,10 +164,23 @@
     count
 }
 
+/// Checks that a line of the trailers is a field.
+fn check_trailer(line: &[u8]) -> Result<(), BodyError> {
+    // The parser takes a line that ends without CR, too.
+    let field = line.strip_suffix(b"\r\n").ok_or(BodyError)?;
+    let section = [field, b"\r\n\r\n"].concat();
+    let mut headers = [httparse::EMPTY_HEADER; 1];
+    match httparse::parse_headers(&section, &mut headers) {
+        Ok(httparse::Status::Complete((length, [_]))) if length == section.len() => Ok(()),
+        _ => Err(BodyError),
+    }
+}
+
 /// Parses a chunk size; chunk extensions are ignored.
 fn chunk_size(line: &[u8]) -> Result<u64, BodyError> {
     let line = line.strip_suffix(b"\r\n").ok_or(BodyError)?;
-    if line.contains(&b'\r') {
+    let is_control = |byte: &u8| byte.is_ascii_control() && *byte != b'\t';
+    if line.iter().any(is_control) {
         return Err(BodyError);
     }
     let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
--- a/crates/dewhttp/tests/parsing.rs
+++ b/crates/dewhttp/tests/parsing.rs
@@ -233,7 +233,7 @@
     bytes: &'static str,
 }
 
-const BAD_CHUNKS: [ChunkCase; 6] = [
+const BAD_CHUNKS: [ChunkCase; 13] = [
     ChunkCase {
         name: "an empty size line",
         bytes: "\r\n",
@@ -254,6 +254,34 @@
         name: "bytes after the chunk",
         bytes: "3\r\nabcd\r\n0\r\n\r\n",
     },
+    ChunkCase {
+        name: "a control byte in an extension",
+        bytes: "3;a=\u{1}\r\nabc\r\n0\r\n\r\n",
+    },
+    ChunkCase {
+        name: "a null byte after the size",
+        bytes: "3\0\r\nabc\r\n0\r\n\r\n",
+    },
+    ChunkCase {
+        name: "a trailer whose name holds a blank",
+        bytes: "0\r\nA b: c\r\n\r\n",
+    },
+    ChunkCase {
+        name: "a trailer whose name holds a control byte",
+        bytes: "0\r\nA\u{7f}: c\r\n\r\n",
+    },
+    ChunkCase {
+        name: "a trailer whose value holds a control byte",
+        bytes: "0\r\nA: b\u{1}c\r\n\r\n",
+    },
+    ChunkCase {
+        name: "a trailer whose value holds a CR",
+        bytes: "0\r\nA: b\rc\r\n\r\n",
+    },
+    ChunkCase {
+        name: "a trailer without a name",
+        bytes: "0\r\nA\r\n\r\n",
+    },
     ChunkCase {
         name: "a bare LF in the trailers",
         bytes: "0\r\nA: b\n\r\n",
--- a/crates/standins/src/broken.rs
+++ b/crates/standins/src/broken.rs
@@ -48,6 +48,16 @@
     "X-Broken: a\r\n b",
 ];
 
+/// Extensions of a chunk and lines of trailers, one of which is none.
+const CHUNKS: [(&str, &str); 6] = [
+    (";a=\u{1}", "A: b"),
+    ("\0", "A: b"),
+    ("", "A b: c"),
+    ("", "A\u{7f}: c"),
+    ("", "A: b\u{1}c"),
+    ("", "A"),
+];
+
 /// A response, and how its connection ends.
 #[derive(Clone, Debug)]
 pub struct ResponseCase {
@@ -316,9 +326,9 @@
     faults
 }
 
-/// Responses whose heads break the protocol.
+/// Responses whose heads, chunk lines or trailers break the protocol.
 #[must_use]
-pub fn head_cases() -> Vec<ResponseCase> {
+pub fn malformed_cases() -> Vec<ResponseCase> {
     let mut cases = Vec::new();
     let mut add = |name: String, response: String| {
         cases.push(ResponseCase::new(name, response, ConnectionEnd::Open));
@@ -338,5 +348,11 @@
         let interim = format!("HTTP/1.1 103 X\r\n{line}\r\n\r\n{sound}");
         add(format!("interim line {line:?}"), interim);
     }
+    for (extension, trailer) in CHUNKS {
+        let head = "HTTP/1.1 200 X\r\n{fields}\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let chunks = format!("6{extension}\r\nbroken\r\n0\r\n{trailer}\r\n\r\n");
+        let name = format!("chunk {extension:?}, trailer {trailer:?}");
+        add(name, format!("{head}{chunks}"));
+    }
     cases
 }
