--- a/crates/dewhttp/src/head.rs
+++ b/crates/dewhttp/src/head.rs
@@ -7,8 +7,11 @@
 use super::body::BodyLength;
 use super::response::{MethodKind, permits_content};
 
-/// Maximum header fields of a head; common servers have a similar limit.
-const MAX_FIELDS: usize = 96;
+/// Maximum header fields of a request; common servers have a similar limit.
+const MAX_REQUEST_FIELDS: usize = 96;
+
+/// Maximum header fields of a response.
+const MAX_RESPONSE_FIELDS: usize = 100;
 
 /// Statuses that a response may have (RFC 9110, section 15).
 const STATUSES: RangeInclusive<u16> = 100..=599;
@@ -217,7 +220,7 @@
         return Ok(None);
     };
     let bytes = &bytes[..end];
-    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut headers = [httparse::EMPTY_HEADER; MAX_REQUEST_FIELDS];
     let mut request = httparse::Request::new(&mut headers);
     let status = request.parse(bytes).map_err(parse_error)?;
     if status.is_partial() {
@@ -307,7 +310,7 @@
         return Ok(None);
     };
     let bytes = &bytes[..end];
-    let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut headers = [httparse::EMPTY_HEADER; MAX_RESPONSE_FIELDS];
     let mut response = httparse::Response::new(&mut headers);
     let parsed = response.parse(bytes).map_err(parse_error)?;
     if parsed.is_partial() {
--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -73,7 +73,13 @@
             peers.clone(),
             metrics.clone(),
         );
-        let poller = spawn_poller(&settings, &applied, &brokers.own, peers.clone());
+        let poller = spawn_poller(
+            &settings,
+            &applied,
+            &brokers.own,
+            peers.clone(),
+            metrics.clone(),
+        );
         let marker = ServerMarker::spawn(directory, keeper, all_brokers);
 
         let context = Arc::new(EntryContext::new(
@@ -231,13 +237,20 @@
     applied: &AppliedConfig,
     broker: &BrokerHandle,
     peers: PeerHandle,
+    metrics: DaemonMetrics,
 ) -> ReportPoller {
     let poller_settings = PollerSettings {
         interval: settings.report_interval,
         timeout: settings.connect_timeout,
     };
     let is_own = move |pool: &PoolName| peers.broker_location(pool) == BrokerLocation::Local;
-    ReportPoller::spawn(poller_settings, applied.clone(), broker.clone(), is_own)
+    ReportPoller::spawn(
+        poller_settings,
+        applied.clone(),
+        broker.clone(),
+        metrics,
+        is_own,
+    )
 }
 
 fn bind_entry(
--- a/crates/dewspring/src/entry/exchange.rs
+++ b/crates/dewspring/src/entry/exchange.rs
@@ -232,6 +232,7 @@
                         (AttemptOutcome::NotRun, AttemptFailure::NotRun(text))
                     }
                     UpstreamError::BrokenOff(text) => {
+                        self.context.metrics.count_broken_response("server");
                         attempt.finish_broken();
                         return Err(AttemptFailure::BrokenOff(text));
                     }
--- a/crates/dewspring/src/entry/pump.rs
+++ b/crates/dewspring/src/entry/pump.rs
@@ -17,7 +17,7 @@
 use super::grants::GrantSource;
 use super::meter::ResponseMeter;
 use super::problem::RanState;
-use super::upstream::UpstreamStream;
+use super::upstream::{UpstreamStream, describe};
 use crate::broker::AttemptOutcome;
 use crate::ids::TokenCount;
 use crate::observe::WasteCause;
@@ -97,6 +97,8 @@
 
     /// Resumes a broken stream, unless its caller disconnects meanwhile.
     async fn handle_break(&mut self, text: String) -> PumpStep {
+        let metrics = &self.exchange.context.metrics;
+        metrics.count_broken_response("server");
         self.attempt.test_server();
         let sender = self.sender.clone();
         // The future is large and seldom needed, so it is boxed.
@@ -125,7 +127,7 @@
             frame = timeout(wait, body.frame()) => match frame {
                 Err(_) => PumpStep::Broken("the server sent nothing in time".into()),
                 Ok(None) => PumpStep::End,
-                Ok(Some(Err(error))) => PumpStep::Broken(error.to_string()),
+                Ok(Some(Err(error))) => PumpStep::Broken(describe(&error)),
                 Ok(Some(Ok(frame))) => {
                     PumpStep::Chunk(frame.into_data().unwrap_or_default())
                 }
--- a/crates/dewspring/src/entry/upstream.rs
+++ b/crates/dewspring/src/entry/upstream.rs
@@ -4,6 +4,7 @@
 //! request certainly did not run. Dropping an [`UpstreamResponse`] closes the
 //! connection at once, which cancels the request at the server.
 
+use std::error::Error as _;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::head_limit::HeadLimitedStream;
+use super::inspected::InspectedStream;
 
 /// Maximum size of the read buffer of a connection to a server, in bytes.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -99,7 +100,7 @@
     stream
         .set_nodelay(true)
         .map_err(|error| not_sent(error.to_string()))?;
-    let (stream, head_limit) = HeadLimitedStream::new(stream);
+    let stream = InspectedStream::new(stream, request.method().as_str());
     let (mut sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -109,19 +110,25 @@
 
     match timeout_at(deadline, sender.try_send_request(request)).await {
         Err(_) => Err(UpstreamError::TimedOut),
-        Ok(Ok(response)) => {
-            head_limit.lift();
-            Ok(UpstreamResponse {
-                response,
-                _connection: connection,
-            })
-        }
+        Ok(Ok(response)) => Ok(UpstreamResponse {
+            response,
+            _connection: connection,
+        }),
         Ok(Err(mut error)) => {
             if error.take_message().is_some() {
                 Err(not_sent("the connection closed".into()))
             } else {
-                Err(UpstreamError::BrokenOff(error.into_error().to_string()))
+                Err(UpstreamError::BrokenOff(describe(&error.into_error())))
             }
         }
     }
 }
+
+/// Returns the text of an error with that of its first cause, which names what is
+/// wrong with a response.
+pub(super) fn describe(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
--- a/crates/dewspring/src/observe/metrics.rs
+++ b/crates/dewspring/src/observe/metrics.rs
@@ -52,6 +52,11 @@
     cause: WasteCause,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct SourceLabels {
+    source: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct LimitLabels {
     limit: &'static str,
@@ -88,6 +93,7 @@
     token_interval: HistogramFamily,
     connections: Gauge,
     limits_met: Family<LimitLabels, Counter>,
+    broken_responses: Family<SourceLabels, Counter>,
     revision: Gauge,
 }
 
@@ -114,6 +120,7 @@
         let token_interval = histogram_family();
         let connections = Gauge::default();
         let limits_met = Family::default();
+        let broken_responses = Family::default();
         let revision = Gauge::default();
 
         registry.register("requests", "Requests routed", requests.clone());
@@ -160,6 +167,11 @@
             "Limits on callers that were met, by what followed",
             limits_met.clone(),
         );
+        registry.register(
+            "broken_responses",
+            "Responses that were incomplete or broke the protocol, by their sender",
+            broken_responses.clone(),
+        );
         registry.register("revision", "Configuration in force", revision.clone());
 
         Self {
@@ -177,6 +189,7 @@
             token_interval,
             connections,
             limits_met,
+            broken_responses,
             revision,
         }
     }
@@ -249,6 +262,12 @@
         self.limits_met.get_or_create(&labels).inc();
     }
 
+    /// Counts a response that is incomplete or breaks the protocol.
+    pub fn count_broken_response(&self, source: &'static str) {
+        let labels = SourceLabels { source };
+        self.broken_responses.get_or_create(&labels).inc();
+    }
+
     /// Sets the revision in force.
     pub fn set_revision(&self, revision: u64) {
         self.revision
--- a/crates/dewspring/src/reports/poller.rs
+++ b/crates/dewspring/src/reports/poller.rs
@@ -17,8 +17,9 @@
 
 use super::report::{CacheEvents, LoadReport};
 use crate::broker::BrokerHandle;
-use crate::entry::{ConfigSource, send_request};
+use crate::entry::{ConfigSource, UpstreamError, send_request};
 use crate::ids::{PoolName, ServerName};
+use crate::observe::DaemonMetrics;
 use crate::tables::{PoolKind, ServerRow};
 
 /// Maximum size of a report, in bytes.
@@ -50,12 +51,20 @@
         settings: PollerSettings,
         config: impl ConfigSource,
         broker: BrokerHandle,
+        metrics: DaemonMetrics,
         is_own: impl Fn(&PoolName) -> bool + Send + 'static,
     ) -> Self {
         let (stop, stopped) = bounded(1);
         let thread = std::thread::Builder::new()
             .name("reports".into())
-            .spawn(move || run(settings, &config, &broker, is_own, &stopped))
+            .spawn(move || {
+                let poll = ReportPoll {
+                    settings,
+                    broker: &broker,
+                    metrics: &metrics,
+                };
+                run(poll, &config, is_own, &stopped);
+            })
             .expect("the thread can be spawned");
         Self { stop, thread }
     }
@@ -81,9 +90,8 @@
 }
 
 fn run(
-    settings: PollerSettings,
+    poll: ReportPoll<'_>,
     config: &impl ConfigSource,
-    broker: &BrokerHandle,
     is_own: impl Fn(&PoolName) -> bool,
     stopped: &Receiver<()>,
 ) {
@@ -95,9 +103,9 @@
         }
     };
     let mut last_events: IndexMap<ServerName, u64> = IndexMap::new();
-    while stopped.recv_timeout(settings.interval) == Err(RecvTimeoutError::Timeout) {
+    while stopped.recv_timeout(poll.settings.interval) == Err(RecvTimeoutError::Timeout) {
         let servers = polled_servers(config, &is_own, &last_events);
-        last_events = poll_all(&runtime, settings, broker, servers);
+        last_events = poll.poll_all(&runtime, servers);
     }
 }
 
@@ -119,62 +127,88 @@
         .collect()
 }
 
-fn poll_all(
-    runtime: &Runtime,
+/// What polls of servers need.
+#[derive(Clone, Copy, Debug)]
+struct ReportPoll<'a> {
     settings: PollerSettings,
-    broker: &BrokerHandle,
-    servers: Vec<PolledServer>,
-) -> IndexMap<ServerName, u64> {
-    let polls = servers
-        .into_iter()
-        .map(|server| poll(settings, broker, server));
-    runtime.block_on(join_all(polls)).into_iter().collect()
+    broker: &'a BrokerHandle,
+    metrics: &'a DaemonMetrics,
 }
 
-async fn poll(
-    settings: PollerSettings,
-    broker: &BrokerHandle,
-    server: PolledServer,
-) -> (ServerName, u64) {
-    let deadline = Instant::now() + settings.timeout;
-    let load: Option<LoadReport> = fetch(server.address, "/load".into(), deadline).await;
-    let Some(load) = load else {
-        log::debug!("reports: Server {} sent no load report.", server.name);
-        return (server.name, server.last_event);
-    };
-    let events: CacheEvents = match server.kind {
-        PoolKind::Engine => {
-            let path = format!("/cache_events?after={}", server.last_event);
-            fetch(server.address, path, deadline)
-                .await
-                .unwrap_or_default()
-        }
-        PoolKind::Service => CacheEvents::default(),
-    };
-    broker.report(load.into_server_report(server.name.clone(), &events));
-    (server.name, events.next.max(server.last_event))
+impl ReportPoll<'_> {
+    fn poll_all(self, runtime: &Runtime, servers: Vec<PolledServer>) -> IndexMap<ServerName, u64> {
+        let polls = servers.into_iter().map(|server| self.poll(server));
+        runtime.block_on(join_all(polls)).into_iter().collect()
+    }
+
+    /// Polls a server; returns its position in its cache events.
+    async fn poll(self, server: PolledServer) -> (ServerName, u64) {
+        let deadline = Instant::now() + self.settings.timeout;
+        let load: Option<LoadReport> = self.fetch(&server, "/load".into(), deadline).await;
+        let Some(load) = load else {
+            log::debug!("reports: Server {} sent no load report.", server.name);
+            return (server.name, server.last_event);
+        };
+        let events: CacheEvents = match server.kind {
+            PoolKind::Engine => {
+                let path = format!("/cache_events?after={}", server.last_event);
+                let events = self.fetch(&server, path, deadline).await;
+                events.unwrap_or_default()
+            }
+            PoolKind::Service => CacheEvents::default(),
+        };
+        self.broker
+            .report(load.into_server_report(server.name.clone(), &events));
+        (server.name, events.next.max(server.last_event))
+    }
+
+    /// Fetches a document of a server; returns `None` if there is none, or a broken
+    /// one.
+    async fn fetch<T: DeserializeOwned>(
+        self,
+        server: &PolledServer,
+        path: String,
+        deadline: Instant,
+    ) -> Option<T> {
+        let document = fetch(server.address, path, deadline).await;
+        document.unwrap_or_else(|reason| {
+            self.metrics.count_broken_response("report");
+            let name = &server.name;
+            log::debug!("reports: Ignored a broken report of server {name}: {reason}.");
+            None
+        })
+    }
 }
 
-/// Fetches a small JSON document; returns `None` if the server doesn't send a
-/// valid one in time.
+/// Fetches a small JSON document; returns `None` if the server sends none in time.
+///
+/// # Errors
+///
+/// Returns what is wrong with a document that is incomplete or malformed.
 async fn fetch<T: DeserializeOwned>(
     address: SocketAddr,
     path: String,
     deadline: Instant,
-) -> Option<T> {
+) -> Result<Option<T>, String> {
     let mut request = Request::get(path)
         .body(Full::<Bytes>::default())
         .expect("the path is valid");
     let host = HeaderValue::from_str(&address.to_string()).expect("an address is plain text");
     request.headers_mut().insert(HOST, host);
     let connect_timeout = deadline.saturating_duration_since(Instant::now());
-    let upstream = send_request(address, request, connect_timeout, deadline)
-        .await
-        .ok()?;
+    let upstream = match send_request(address, request, connect_timeout, deadline).await {
+        Ok(upstream) => upstream,
+        Err(UpstreamError::BrokenOff(reason)) => return Err(reason),
+        Err(UpstreamError::NotSent(_) | UpstreamError::TimedOut) => return Ok(None),
+    };
     if !upstream.response.status().is_success() {
-        return None;
+        return Ok(None);
     }
     let body = Limited::new(upstream.response.into_body(), MAX_REPORT_BYTES);
-    let collected = timeout_at(deadline, body.collect()).await.ok()?.ok()?;
-    serde_json::from_slice(&collected.to_bytes()).ok()
+    let Ok(collected) = timeout_at(deadline, body.collect()).await else {
+        return Ok(None);
+    };
+    let collected = collected.map_err(|error| error.to_string())?;
+    let document = serde_json::from_slice(&collected.to_bytes());
+    document.map(Some).map_err(|error| error.to_string())
 }
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -99,6 +99,7 @@
     takes_next: Arc<AtomicBool>,
     taken: Mutex<Receiver<TakenRequest>>,
     served: Arc<AtomicUsize>,
+    report: Arc<Mutex<Option<String>>>,
 }
 
 impl ScriptedServer {
@@ -122,19 +123,24 @@
         SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
         let address = listener.local_addr()?;
         let (sender, taken) = channel();
-        let (takes_next, served) = (Arc::default(), Arc::default());
+        let requests = ScriptedRequests {
+            takes_next: Arc::default(),
+            sender,
+            served: Arc::default(),
+            report: Arc::default(),
+        };
         let server = Self {
             address,
-            takes_next: Arc::clone(&takes_next),
+            takes_next: Arc::clone(&requests.takes_next),
             taken: Mutex::new(taken),
-            served: Arc::clone(&served),
+            served: Arc::clone(&requests.served),
+            report: Arc::clone(&requests.report),
         };
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (takes_next, sender) = (Arc::clone(&takes_next), sender.clone());
-                let served = Arc::clone(&served);
+                let requests = requests.clone();
                 // An error ends the connection.
-                thread::spawn(move || serve(stream, &takes_next, &served, &sender));
+                thread::spawn(move || requests.serve(stream));
             }
         });
         Ok(server)
@@ -152,6 +158,15 @@
         self.served.load(Ordering::SeqCst)
     }
 
+    /// Sets all bytes of the response to polls of its load; without them it is 404.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a thread that responds has panicked.
+    pub fn set_report(&self, response: impl Into<String>) {
+        *self.report.lock().expect("no test panicked here") = Some(response.into());
+    }
+
     /// Lets [`Self::take`] take over the next request.
     pub fn take_next(&self) {
         self.takes_next.store(true, Ordering::SeqCst);
@@ -169,30 +184,41 @@
     }
 }
 
-/// Responds to the requests of a connection, until one is taken over.
-fn serve(
-    stream: TcpStream,
-    takes_next: &AtomicBool,
-    served: &AtomicUsize,
-    sender: &Sender<TakenRequest>,
-) -> io::Result<()> {
-    let mut reader = BufReader::new(stream);
-    loop {
-        let head = read_head(&mut reader)?;
-        let is_report = head[0].starts_with("GET /load");
-        if !is_report {
-            served.fetch_add(1, Ordering::SeqCst);
-            if takes_next.swap(false, Ordering::SeqCst) {
-                // The test may have ended.
-                let _ = sender.send(TakenRequest { reader, head });
-                return Ok(());
+/// What the threads of the connections share.
+#[derive(Clone, Debug)]
+struct ScriptedRequests {
+    takes_next: Arc<AtomicBool>,
+    sender: Sender<TakenRequest>,
+    served: Arc<AtomicUsize>,
+    report: Arc<Mutex<Option<String>>>,
+}
+
+impl ScriptedRequests {
+    /// Responds to the requests of a connection, until one is taken over.
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        let mut reader = BufReader::new(stream);
+        loop {
+            let head = read_head(&mut reader)?;
+            let is_report = head[0].starts_with("GET /load");
+            if !is_report {
+                self.served.fetch_add(1, Ordering::SeqCst);
+                if self.takes_next.swap(false, Ordering::SeqCst) {
+                    // The test may have ended.
+                    let _ = self.sender.send(TakenRequest { reader, head });
+                    return Ok(());
+                }
             }
+            let length = field(&head, "content-length").parse().unwrap_or(0);
+            io::copy(&mut (&mut reader).take(length), &mut io::sink())?;
+            let response = match is_report {
+                true => {
+                    let report = self.report.lock().expect("no test panicked here").clone();
+                    report.unwrap_or_else(|| sound_response(&head, 404))
+                }
+                false => sound_response(&head, 200),
+            };
+            reader.get_mut().write_all(response.as_bytes())?;
         }
-        let length = field(&head, "content-length").parse().unwrap_or(0);
-        io::copy(&mut (&mut reader).take(length), &mut io::sink())?;
-        let status = if is_report { 404 } else { 200 };
-        let response = sound_response(&head, status);
-        reader.get_mut().write_all(response.as_bytes())?;
     }
 }
 
