Decide by the status of a call only once its response is complete

dewctl, dewload and the calls of dewspringd to the platform took broken responses for statements: a 429 of the store that broke off meant a write without an effect, a 404 of a daemon that broke off an unknown request, and a response that broke off or had the status 600 a refusal. Interim responses were taken for final ones, and those without a length for empty ones.

Cause: the users of the HTTP client decided as soon as they had the status, and the library reports the head before the content, knows no interim responses and no end by the connection.

dewhttp has a blocking client on top of ResponseReader, which these programs now use. They decide once the content is complete. A broken response to a write counts as lost, since it may have had an effect. dewspringd counts broken responses of the store and of the list of VMs.

Evidence: one table of 19 responses.

--- a/crates/dewctl/src/admin.rs
+++ b/crates/dewctl/src/admin.rs
@@ -1,21 +1,21 @@
 //! HTTP client of the daemons' admin addresses.
 
-use std::io::Read;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
+use dewhttp::{CallRequest, reason_phrase};
 use dewspring::admin::{DrainReport, ExplainReport, StatusReport};
-use oxhttp::Client;
-use oxhttp::model::header::AUTHORIZATION;
-use oxhttp::model::{Body, Method, Request, StatusCode};
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
 use crate::duties::DutyReport;
 
-/// Maximum length of a response body; the rest is not read.
-const MAX_RESPONSE_BYTES: u64 = 16 << 20;
+/// Maximum length of a response body.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
+/// Status of a request for what a daemon doesn't know.
+const NOT_FOUND: u16 = 404;
 
 /// Maximum number of concurrent requests to daemons.
 const MAX_PARALLEL_CALLS: usize = 32;
@@ -75,20 +75,20 @@
 
     /// Fetches the status of all daemons, in the order of the addresses.
     pub fn fetch_statuses(&self) -> Vec<DaemonAnswer<StatusReport>> {
-        self.call_all(|address| self.call(address, Method::GET, "/v1/status"))
+        self.call_all(|address| self.call(address, "GET", "/v1/status"))
     }
 
     /// Fetches the explanations of a request from all daemons; `None` if a daemon
     /// doesn't know the request.
     pub fn fetch_explanations(&self, request: &str) -> Vec<DaemonAnswer<Option<ExplainReport>>> {
         let path = format!("/v1/explain/{request}");
-        self.call_all(|address| self.call_optional(address, Method::GET, &path))
+        self.call_all(|address| self.call_optional(address, "GET", &path))
     }
 
     /// Fetches the duties that `dewnode` VMs show on their ready addresses, in the
     /// order of the addresses.
     pub fn fetch_duties(&self) -> Vec<DaemonAnswer<DutyReport>> {
-        self.call_all(|address| self.call(address, Method::GET, "/duties"))
+        self.call_all(|address| self.call(address, "GET", "/duties"))
     }
 
     /// Starts the drain of one daemon.
@@ -97,7 +97,7 @@
     ///
     /// [`AdminError`]; the daemon may have started to drain nevertheless.
     pub fn drain(&self, address: SocketAddr) -> Result<DrainReport, AdminError> {
-        self.call(address, Method::POST, "/v1/drain")
+        self.call(address, "POST", "/v1/drain")
     }
 
     fn call_all<T: Send>(
@@ -124,53 +124,56 @@
     fn call<T: DeserializeOwned>(
         &self,
         address: SocketAddr,
-        method: Method,
+        method: &str,
         path: &str,
     ) -> Result<T, AdminError> {
         let answer = self.call_optional(address, method, path)?;
-        answer.ok_or_else(|| admin_error(address, "response status 404 Not Found"))
+        answer.ok_or_else(|| admin_error(address, status_text(NOT_FOUND)))
     }
 
     /// Sends one request; `None` if the response status is 404 Not Found.
     fn call_optional<T: DeserializeOwned>(
         &self,
         address: SocketAddr,
-        method: Method,
+        method: &str,
         path: &str,
     ) -> Result<Option<T>, AdminError> {
-        let mut request = Request::builder()
-            .method(method)
-            .uri(format!("http://{address}{path}"));
-        if !self.secret.is_empty() {
-            request = request.header(AUTHORIZATION, format!("Bearer {}", self.secret));
-        }
-        let request = request
-            .body(Body::empty())
+        let token = format!("Bearer {}", self.secret);
+        let authorization = [("Authorization", token.as_str())];
+        let request = CallRequest {
+            method,
+            target: path,
+            fields: match self.secret.is_empty() {
+                true => &[],
+                false => &authorization,
+            },
+            content: b"",
+        };
+        let response = request
+            .send(address, self.timeout)
             .map_err(|error| admin_error(address, error))?;
-        let client = Client::new().with_global_timeout(self.timeout);
-        let response = client
-            .request(request)
+        let status = response.status();
+        // Also the status of a broken response says nothing.
+        let content = response
+            .read_all(MAX_RESPONSE_BYTES)
             .map_err(|error| admin_error(address, error))?;
-        match response.status() {
-            StatusCode::NOT_FOUND => return Ok(None),
-            status if !status.is_success() => {
-                return Err(admin_error(address, format!("response status {status}")));
-            }
-            _ => {}
+        match status {
+            200..300 => {}
+            NOT_FOUND => return Ok(None),
+            _ => return Err(admin_error(address, status_text(status))),
         }
-        let mut bytes = Vec::new();
-        response
-            .into_body()
-            .take(MAX_RESPONSE_BYTES)
-            .read_to_end(&mut bytes)
-            .map_err(|error| admin_error(address, error))?;
-        let answer = serde_json::from_slice(&bytes);
+        let answer = serde_json::from_slice(&content);
         answer
             .map(Some)
             .map_err(|error| admin_error(address, error))
     }
 }
 
+/// Returns the text of an error for a status.
+fn status_text(status: u16) -> String {
+    format!("response status {status} {}", reason_phrase(status))
+}
+
 fn admin_error(address: SocketAddr, reason: impl ToString) -> AdminError {
     AdminError {
         address,
--- a/crates/dewctl/tests/dewctl/main.rs
+++ b/crates/dewctl/tests/dewctl/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the command line and its modules.
 
+mod broken;
 mod command_line;
 mod commit;
 mod duties;
--- a/crates/dewhttp/src/lib.rs
+++ b/crates/dewhttp/src/lib.rs
@@ -1,6 +1,7 @@
 //! Strict parsing of HTTP/1.1 heads and bodies, and encoding of responses.
 //!
 //! [`ResponseReader`] decides for all receivers of responses whether one is complete.
+//! [`CallRequest`] is for threads that wait for a response.
 //!
 //! Heads are parsed by a library; ambiguous messages that it accepts are
 //! rejected here.
@@ -9,11 +10,13 @@
 //! end two parsers could see in different places is rejected.
 
 mod body;
+mod client;
 mod head;
 mod reader;
 mod response;
 
 pub use body::{BodyDecoder, BodyError, BodyLength};
+pub use client::{CallRequest, CallResponse};
 pub use head::{HeadError, HeaderFields, RequestHead, ResponseHead, parse_request, parse_response};
 pub use reader::{ConnectionState, ResponseError, ResponseProgress, ResponseReader};
-pub use response::{ContentFraming, MethodKind, ResponseEncoder, ResponseStart};
+pub use response::{ContentFraming, MethodKind, ResponseEncoder, ResponseStart, reason_phrase};
--- a/crates/dewhttp/src/response.rs
+++ b/crates/dewhttp/src/response.rs
@@ -223,8 +223,14 @@
     }
 }
 
-/// Returns the reason phrase of a status; callers depend only on the status.
-fn reason_phrase(status: u16) -> &'static str {
+/// Returns the reason phrase of a status; receivers depend only on the status.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(dewhttp::reason_phrase(401), "Unauthorized");
+/// ```
+pub fn reason_phrase(status: u16) -> &'static str {
     match status {
         100 => "Continue",
         200 => "OK",
--- a/crates/dewload/src/client/exchange.rs
+++ b/crates/dewload/src/client/exchange.rs
@@ -1,17 +1,18 @@
 //! Sending of one request and reading of its response.
 
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind, Read as _};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use oxhttp::Client;
-use oxhttp::model::{Body, Request, Response};
+use dewhttp::{CallRequest, CallResponse};
 use serde_json::Value;
 
 use super::events::{StreamCheck, StreamResult};
 use super::outcome::{RequestOutcome, ResponseRecord, ResponseTimes};
 
 const READ_BUFFER_BYTES: usize = 16 << 10;
+/// Maximum bytes of a response that isn't a success.
+const MAX_ERROR_BYTES: usize = 1 << 20;
 const RAN_HEADER: &str = "x-dewspring-ran";
 const RAN_UNKNOWN: &str = "unknown";
 const RAN_NOT_REPORTED: &str = "-";
@@ -51,16 +52,16 @@
         };
         let request_id = header(&response, REQUEST_ID_HEADER);
         let status = response.status();
-        if !status.is_success() {
+        if !(200..300).contains(&status) {
             let ran = header(&response, RAN_HEADER).unwrap_or_else(|| RAN_NOT_REPORTED.to_owned());
+            if let Err(error) = response.read_all(MAX_ERROR_BYTES) {
+                return self.error_record(&error);
+            }
             let outcome = match ran.as_str() {
                 RAN_UNKNOWN => RequestOutcome::Unknown {
-                    reason: status.as_u16().to_string(),
-                },
-                _ => RequestOutcome::Refused {
-                    status: status.as_u16(),
-                    ran,
+                    reason: status.to_string(),
                 },
+                _ => RequestOutcome::Refused { status, ran },
             };
             return self.failed_record(outcome, request_id);
         }
@@ -72,18 +73,18 @@
         record
     }
 
-    fn send(&self, request: &PreparedRequest) -> io::Result<Response<Body>> {
-        let uri = format!("http://{}{}", request.address, request.path);
-        let mut builder = Request::builder().method(request.method.as_str()).uri(uri);
-        for (name, value) in &request.headers {
-            builder = builder.header(*name, value);
-        }
-        let http_request = builder
-            .body(Body::from(request.body.clone()))
-            .map_err(io::Error::other)?;
-        Client::new()
-            .with_global_timeout(self.timeout)
-            .request(http_request)
+    fn send(&self, request: &PreparedRequest) -> io::Result<CallResponse> {
+        let headers = request.headers.iter();
+        let fields: Vec<(&str, &str)> = headers
+            .map(|(name, value)| (*name, value.as_str()))
+            .collect();
+        let call = CallRequest {
+            method: &request.method,
+            target: &request.path,
+            fields: &fields,
+            content: request.body.as_bytes(),
+        };
+        call.send(request.address, self.timeout)
     }
 
     fn failed_record(&self, outcome: RequestOutcome, request_id: Option<String>) -> ResponseRecord {
@@ -111,14 +112,14 @@
     fn read_stream(
         &self,
         request: &PreparedRequest,
-        response: Response<Body>,
+        response: CallResponse,
         request_id: Option<&str>,
     ) -> ResponseRecord {
         let expected_id = request_id.unwrap_or_default();
         let mut check = StreamCheck::new(expected_id, request.answer_tokens);
         let mut times = ResponseTimes::default();
         let mut last = None;
-        let is_complete = self.read(response.into_body(), |bytes| {
+        let is_complete = self.read(response, |bytes| {
             let tokens = check.push(bytes);
             let now = self.started.elapsed();
             for _ in 0..tokens {
@@ -144,12 +145,12 @@
     fn read_document(
         &self,
         request: &PreparedRequest,
-        response: Response<Body>,
+        response: CallResponse,
         request_id: Option<&str>,
     ) -> ResponseRecord {
         let mut times = ResponseTimes::default();
         let mut document = Vec::new();
-        let is_complete = self.read(response.into_body(), |bytes| {
+        let is_complete = self.read(response, |bytes| {
             times.first_token.get_or_insert(self.started.elapsed());
             document.extend_from_slice(bytes);
         });
@@ -171,7 +172,7 @@
 
     /// Reads a body to its end; returns false if it is cut off or takes longer
     /// than the timeout.
-    fn read(&self, mut body: Body, mut handle_bytes: impl FnMut(&[u8])) -> bool {
+    fn read(&self, mut body: CallResponse, mut handle_bytes: impl FnMut(&[u8])) -> bool {
         let mut buffer = vec![0; READ_BUFFER_BYTES];
         loop {
             match body.read(&mut buffer) {
@@ -205,7 +206,6 @@
     has_own_body && has_own_identity
 }
 
-fn header(response: &Response<Body>, name: &str) -> Option<String> {
-    let value = response.headers().get(name)?.to_str().ok()?;
-    Some(value.to_owned())
+fn header(response: &CallResponse, name: &str) -> Option<String> {
+    response.field(name).map(str::to_owned)
 }
--- a/crates/dewload/src/client/tests.rs
+++ b/crates/dewload/src/client/tests.rs
@@ -1,8 +1,15 @@
 //! Tests of the check of streamed completions and of request bodies.
 
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
 use quickcheck::{Gen, QuickCheck};
+use standins::broken::call_cases;
+use standins::script::ScriptedServer;
 
 use super::events::{StreamCheck, StreamResult};
+use super::exchange::{HttpExchange, PreparedRequest};
+use super::outcome::RequestOutcome;
 use super::request_body;
 use crate::plan::plan_requests;
 use crate::workload::WorkloadSpec;
@@ -143,3 +150,41 @@
     assert_eq!(message(0, 0).len(), 240);
     assert_ne!(message(0, 1), message(1, 1));
 }
+
+/// Guards against a broken response that counts as completed or refused.
+#[test]
+fn a_broken_response_has_no_outcome_of_its_own() {
+    let server = Arc::new(ScriptedServer::spawn().expect("a port is free"));
+    let request = PreparedRequest {
+        address: server.address(),
+        method: "POST".into(),
+        path: "/archive/a".into(),
+        headers: Vec::new(),
+        body: "hi".into(),
+        is_model: false,
+        answer_tokens: None,
+        key: Some("k".into()),
+    };
+    let document = r#"{"body_bytes":2,"idempotency_key":"k"}"#;
+    let mut faults = Vec::new();
+    for (status, content) in [(200, document), (503, "{}")] {
+        for (case, is_whole) in call_cases(status, content) {
+            server.respond_next(&case.parts[0], case.end);
+            let exchange = HttpExchange {
+                started: Instant::now(),
+                timeout: Duration::from_secs(1),
+            };
+            let outcome = exchange.run(&request).outcome;
+            let is_as_expected = match &outcome {
+                RequestOutcome::Completed => is_whole && status == 200,
+                RequestOutcome::Refused { status: found, .. } => is_whole && *found == status,
+                RequestOutcome::Broken | RequestOutcome::Unknown { .. } => !is_whole,
+                _ => false,
+            };
+            if !is_as_expected {
+                faults.push(format!("{status}, {}: {outcome:?}", case.name));
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
--- a/crates/dewload/src/runner/faults.rs
+++ b/crates/dewload/src/runner/faults.rs
@@ -5,14 +5,16 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use oxhttp::Client;
-use oxhttp::model::{Body, Request};
+use dewhttp::CallRequest;
 
 use crate::target::NamedServer;
 use crate::workload::FaultSpec;
 
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum bytes of the response to a command.
+const MAX_CONTROL_BYTES: usize = 1 << 20;
+
 /// One fault with the address of its server.
 struct ScheduledFault {
     at: Duration,
@@ -64,14 +66,17 @@
 }
 
 fn send(fault: &ScheduledFault) -> io::Result<()> {
-    let request = Request::post(format!("http://{}/control", fault.address))
-        .body(Body::from(fault.body.clone()))
-        .map_err(io::Error::other)?;
-    let response = Client::new()
-        .with_global_timeout(CONTROL_TIMEOUT)
-        .request(request)?;
-    match response.status().is_success() {
-        true => Ok(()),
-        false => Err(io::Error::other(format!("status {}", response.status()))),
+    let request = CallRequest {
+        method: "POST",
+        target: "/control",
+        fields: &[],
+        content: fault.body.as_bytes(),
+    };
+    let response = request.send(fault.address, CONTROL_TIMEOUT)?;
+    let status = response.status();
+    response.read_all(MAX_CONTROL_BYTES)?;
+    match status {
+        200..300 => Ok(()),
+        _ => Err(io::Error::other(format!("status {status}"))),
     }
 }
--- a/crates/dewload/src/runner/servers.rs
+++ b/crates/dewload/src/runner/servers.rs
@@ -4,13 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dewhttp::CallRequest;
 use indexmap::IndexMap;
-use oxhttp::Client;
-use oxhttp::model::{Body, Request};
 use serde::Deserialize;
 
 const COUNTS_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Maximum bytes of the counts of a stand-in.
+const MAX_COUNTS_BYTES: usize = 1 << 30;
+
 /// Counts of one server, or the sum over several.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(default)]
@@ -72,12 +74,13 @@
 
 /// Fetches the counts of a stand-in.
 pub(crate) fn read_counts(address: SocketAddr) -> io::Result<ServerCounts> {
-    let request = Request::get(format!("http://{address}/executions"))
-        .body(Body::empty())
-        .map_err(io::Error::other)?;
-    let response = Client::new()
-        .with_global_timeout(COUNTS_TIMEOUT)
-        .request(request)?;
-    let document = response.into_body().to_vec()?;
+    let request = CallRequest {
+        method: "GET",
+        target: "/executions",
+        fields: &[],
+        content: b"",
+    };
+    let response = request.send(address, COUNTS_TIMEOUT)?;
+    let document = response.read_all(MAX_COUNTS_BYTES)?;
     Ok(serde_json::from_slice(&document)?)
 }
--- a/crates/dewspring/src/daemon/run.rs
+++ b/crates/dewspring/src/daemon/run.rs
@@ -53,8 +53,9 @@
     /// start, or the table files can't be read or are invalid.
     pub fn spawn(settings: DaemonSettings) -> Result<Self, DaemonError> {
         let boot: BootId = rand::random();
-        let store = open_store(&settings)?;
-        let directory = CachedDirectory::new(open_directory(&settings));
+        let metrics = DaemonMetrics::new();
+        let store = open_store(&settings, &metrics)?;
+        let directory = CachedDirectory::new(open_directory(&settings, &metrics));
         let keeper_settings = KeeperSettings::new(settings.fleet.clone(), boot);
         let keeper = ConfigKeeper::spawn(store.clone(), keeper_settings);
         let ledger_settings =
@@ -62,7 +63,6 @@
         let ledger = ClaimLedger::spawn(store, ledger_settings);
         let brokers = spawn_brokers(&settings, boot);
         let peers = spawn_peers(&settings, boot, &keeper, directory.clone(), &brokers.own)?;
-        let metrics = DaemonMetrics::new();
         let all_brokers = vec![brokers.own.clone(), brokers.fallback.clone()];
         // The follower's thread ends with the keeper, so it needs no handle.
         let applied = AppliedConfig::new(keeper.clone());
@@ -203,11 +203,11 @@
     )?)
 }
 
-fn open_store(settings: &DaemonSettings) -> Result<AnyStore, DaemonError> {
+fn open_store(settings: &DaemonSettings, metrics: &DaemonMetrics) -> Result<AnyStore, DaemonError> {
     match &settings.platform {
         PlatformKind::Gateway(address) => {
             let store = GatewayStore::open(*address, settings.platform_timeout);
-            Ok(AnyStore::Gateway(store))
+            Ok(AnyStore::Gateway(store.counted_by(metrics.clone())))
         }
         PlatformKind::Embedded { routes, pools } => {
             let document = load_table_files(routes, pools)?;
@@ -220,11 +220,11 @@
     }
 }
 
-fn open_directory(settings: &DaemonSettings) -> AnyDirectory {
+fn open_directory(settings: &DaemonSettings, metrics: &DaemonMetrics) -> AnyDirectory {
     match &settings.platform {
         PlatformKind::Gateway(address) => {
             let directory = GatewayDirectory::open(*address, settings.platform_timeout);
-            AnyDirectory::Gateway(directory)
+            AnyDirectory::Gateway(directory.counted_by(metrics.clone()))
         }
         PlatformKind::Embedded { .. } => {
             AnyDirectory::Embedded(EmbeddedDirectory::open(Vec::new()))
--- a/crates/dewspring/src/store/gateway.rs
+++ b/crates/dewspring/src/store/gateway.rs
@@ -6,6 +6,7 @@
 
 use std::io::{self, ErrorKind, Read};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::embedded::check_value_size;
@@ -19,6 +20,7 @@
     ExpectedVersion, LeaseGrant, LeaseId, PlatformStore, StoreEntry, StoreError, StoreVersion,
     SwapOutcome,
 };
+use crate::observe::DaemonMetrics;
 
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -46,9 +48,20 @@
     /// No connection is opened before the first call.
     pub fn open(address: SocketAddr, timeout: Duration) -> Self {
         Self {
-            target: CallTarget { address, timeout },
+            target: CallTarget {
+                address,
+                timeout,
+                metrics: None,
+            },
         }
     }
+
+    /// Counts broken responses in these metrics.
+    #[must_use]
+    pub fn counted_by(mut self, metrics: DaemonMetrics) -> Self {
+        self.target.metrics = Some(Arc::new(metrics));
+        self
+    }
 }
 
 impl PlatformStore for GatewayStore {
@@ -99,9 +112,9 @@
             Err(StoreError::Unavailable(_)) if Instant::now() >= deadline => return Ok(None),
             Err(error) => return Err(error),
         };
-        let mut stream = WatchStream::new(response.into_body(), deadline);
+        let mut stream = WatchStream::new(response, deadline);
         loop {
-            match stream.next_line()? {
+            match stream.next_line(&self.target)? {
                 WatchItem::Line(line) => {
                     if let Some(entry) = newest_event(&line, key, after)? {
                         return Ok(Some(entry));
@@ -222,7 +235,7 @@
         }
     }
 
-    fn next_line(&mut self) -> Result<WatchItem, StoreError> {
+    fn next_line(&mut self, target: &CallTarget) -> Result<WatchItem, StoreError> {
         let mut searched = 0;
         loop {
             if let Some(end) = find_newline(&self.pending[searched..]) {
@@ -242,7 +255,7 @@
                 Ok(0) => return self.finish(),
                 Ok(_) => {}
                 Err(error) if is_timeout(&error) => return Ok(WatchItem::Ended),
-                Err(error) => return Err(CallKind::Read.lost_response_error(error)),
+                Err(error) => return Err(target.failure(CallKind::Read, &error)),
             }
         }
     }
--- a/crates/dewspring/src/store/gateway_call.rs
+++ b/crates/dewspring/src/store/gateway_call.rs
@@ -4,24 +4,31 @@
 //! I/O errors only a refused connection implies that a call had no effect. A
 //! body that arrives slowly is abandoned at the deadline of the whole call.
 
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::time::Duration;
 
-use oxhttp::Client;
-use oxhttp::model::header::CONTENT_TYPE;
-use oxhttp::model::{Body, Request, Response, StatusCode};
+use dewhttp::{CallRequest, CallResponse};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::gateway_messages::ErrorResponse;
 use super::platform::{MAX_VALUE_BYTES, StoreError};
+use crate::observe::DaemonMetrics;
 
 /// Largest response body, in bytes: a value in base64, and 64 KiB for the fields
 /// around it.
 pub(super) const MAX_RESPONSE_BYTES: usize = MAX_VALUE_BYTES / 3 * 4 + 64 * 1024;
 
-const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Largest body of an error response, in bytes.
+const MAX_ERROR_BYTES: usize = 16 * 1024;
+
+/// Status of a response with a result.
+pub(super) const OK: u16 = 200;
+
+/// Status of a call that was refused without an effect.
+const TOO_MANY_REQUESTS: u16 = 429;
 
 /// Part of the gateway's error message for an unknown lease.
 const LEASE_NOT_FOUND: &str = "requested lease not found";
@@ -74,6 +81,8 @@
 pub(super) struct CallTarget {
     pub address: SocketAddr,
     pub timeout: Duration,
+    /// Counter of broken responses.
+    pub metrics: Option<Arc<DaemonMetrics>>,
 }
 
 impl CallTarget {
@@ -84,11 +93,14 @@
         path: &str,
         message: &impl Serialize,
     ) -> Result<T, StoreError> {
-        let deadline = Instant::now() + self.timeout;
         let response = self.post(kind, path, message, self.timeout)?;
-        let body = read_bounded(response.into_body(), deadline, MAX_RESPONSE_BYTES)
-            .map_err(|error| kind.io_error(&error))?;
-        serde_json::from_slice(&body).map_err(|error| kind.parse_error(&error))
+        let body = response
+            .read_all(MAX_RESPONSE_BYTES)
+            .map_err(|error| self.failure(kind, &error))?;
+        serde_json::from_slice(&body).map_err(|error| {
+            self.count_broken();
+            kind.parse_error(&error)
+        })
     }
 
     /// Calls a method of the gateway and returns its response with an unread
@@ -99,73 +111,64 @@
         path: &str,
         message: &impl Serialize,
         timeout: Duration,
-    ) -> Result<Response<Body>, StoreError> {
+    ) -> Result<CallResponse, StoreError> {
         let body = serde_json::to_vec(message).expect("the messages are plain JSON");
-        let request = Request::post(format!("http://{}{path}", self.address))
-            .header(CONTENT_TYPE, "application/json")
-            .body(Body::from(body))
-            .expect("an address and a path are a valid URI");
-        let response = Client::new()
-            .with_global_timeout(timeout)
-            .request(request)
-            .map_err(|error| kind.io_error(&error))?;
-        if response.status() == StatusCode::OK {
-            return Ok(response);
+        let request = CallRequest {
+            method: "POST",
+            target: path,
+            fields: &[("Content-Type", "application/json")],
+            content: &body,
+        };
+        let response = request
+            .send(self.address, timeout)
+            .map_err(|error| self.failure(kind, &error))?;
+        match response.status() {
+            OK => Ok(response),
+            _ => Err(self.read_error_response(kind, response)),
         }
-        Err(read_error_response(
-            kind,
-            response,
-            Instant::now() + timeout,
-        ))
     }
-}
 
-/// Reads a response with an error status and converts it to an error.
-fn read_error_response(kind: CallKind, response: Response<Body>, deadline: Instant) -> StoreError {
-    let status = response.status();
-    let message = read_bounded(response.into_body(), deadline, READ_BUFFER_BYTES)
-        .ok()
-        .and_then(|body| serde_json::from_slice::<ErrorResponse>(&body).ok())
-        .unwrap_or_default()
-        .message;
-    if message.contains(LEASE_NOT_FOUND) {
-        return StoreError::LeaseExpired;
-    }
-    let why = format!("status {status}: {message}");
-    if status == StatusCode::TOO_MANY_REQUESTS {
-        return StoreError::Unavailable(why);
+    /// Reads a response with an error status and converts it to an error. A broken
+    /// one says nothing.
+    fn read_error_response(&self, kind: CallKind, response: CallResponse) -> StoreError {
+        let status = response.status();
+        let body = match response.read_all(MAX_ERROR_BYTES) {
+            Ok(body) => body,
+            Err(error) => {
+                self.record_error(&error);
+                return kind.lost_response_error(error);
+            }
+        };
+        let error: ErrorResponse = serde_json::from_slice(&body).unwrap_or_default();
+        let message = error.message;
+        if message.contains(LEASE_NOT_FOUND) {
+            return StoreError::LeaseExpired;
+        }
+        let why = format!("status {status}: {message}");
+        match status {
+            TOO_MANY_REQUESTS => StoreError::Unavailable(why),
+            400..500 => StoreError::InvalidResponse(why),
+            _ => kind.lost_response_error(why),
+        }
     }
-    if status.is_client_error() {
-        return StoreError::InvalidResponse(why);
+
+    /// Converts an error of a call, and counts it if its response is broken.
+    pub fn failure(&self, kind: CallKind, error: &io::Error) -> StoreError {
+        self.record_error(error);
+        kind.io_error(error)
     }
-    kind.lost_response_error(why)
-}
 
-/// Reads a whole body of at most `limit` bytes until `deadline`.
-///
-/// # Errors
-///
-/// `InvalidData` above the limit, `TimedOut` after the deadline, and any error
-/// of the connection.
-pub(super) fn read_bounded(
-    mut body: impl Read,
-    deadline: Instant,
-    limit: usize,
-) -> io::Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    let mut buffer = vec![0; READ_BUFFER_BYTES];
-    loop {
-        let count = body.read(&mut buffer)?;
-        if count == 0 {
-            return Ok(bytes);
-        }
-        bytes.extend_from_slice(&buffer[..count]);
-        if bytes.len() > limit {
-            let why = format!("a response of more than {limit} bytes");
-            return Err(io::Error::new(ErrorKind::InvalidData, why));
+    /// Counts an error of a call if it means that the response is broken.
+    pub fn record_error(&self, error: &io::Error) {
+        use ErrorKind::{ConnectionRefused, TimedOut};
+        if !matches!(error.kind(), ConnectionRefused | TimedOut) {
+            self.count_broken();
         }
-        if Instant::now() >= deadline {
-            return Err(ErrorKind::TimedOut.into());
+    }
+
+    fn count_broken(&self) {
+        if let Some(metrics) = &self.metrics {
+            metrics.count_broken_response("store");
         }
     }
 }
--- a/crates/dewspring/src/store/gateway_directory.rs
+++ b/crates/dewspring/src/store/gateway_directory.rs
@@ -1,14 +1,16 @@
 //! The client of the platform's list of VMs.
 
+use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::time::Duration;
 
-use oxhttp::Client;
-use oxhttp::model::{Body, Request, StatusCode};
+use dewhttp::CallRequest;
 use serde_json::value::RawValue;
 
-use super::gateway_call::{CallTarget, MAX_RESPONSE_BYTES, read_bounded};
+use super::gateway_call::{CallTarget, MAX_RESPONSE_BYTES, OK};
 use super::platform::{DirectoryError, VmDirectory, VmEntry};
+use crate::observe::DaemonMetrics;
 
 /// The platform's list of VMs, reached over HTTP.
 ///
@@ -32,26 +34,42 @@
     /// Opens a client whose calls take at most about `timeout` each.
     pub fn open(address: SocketAddr, timeout: Duration) -> Self {
         Self {
-            target: CallTarget { address, timeout },
+            target: CallTarget {
+                address,
+                timeout,
+                metrics: None,
+            },
         }
     }
+
+    /// Counts broken responses in these metrics.
+    #[must_use]
+    pub fn counted_by(mut self, metrics: DaemonMetrics) -> Self {
+        self.target.metrics = Some(Arc::new(metrics));
+        self
+    }
 }
 
 impl VmDirectory for GatewayDirectory {
     fn list(&self) -> Result<Vec<VmEntry>, DirectoryError> {
-        let deadline = Instant::now() + self.target.timeout;
-        let request = Request::get(format!("http://{}/vms", self.target.address))
-            .body(Body::empty())
-            .expect("an address and a path are a valid URI");
-        let response = Client::new()
-            .with_global_timeout(self.target.timeout)
-            .request(request)
-            .map_err(|error| DirectoryError(error.to_string()))?;
-        if response.status() != StatusCode::OK {
-            return Err(DirectoryError(format!("status {}", response.status())));
+        let request = CallRequest {
+            method: "GET",
+            target: "/vms",
+            fields: &[],
+            content: b"",
+        };
+        let failed = |error: io::Error| {
+            self.target.record_error(&error);
+            DirectoryError(error.to_string())
+        };
+        let response = request
+            .send(self.target.address, self.target.timeout)
+            .map_err(failed)?;
+        let status = response.status();
+        if status != OK {
+            return Err(DirectoryError(format!("status {status}")));
         }
-        let body = read_bounded(response.into_body(), deadline, MAX_RESPONSE_BYTES)
-            .map_err(|error| DirectoryError(error.to_string()))?;
+        let body = response.read_all(MAX_RESPONSE_BYTES).map_err(failed)?;
         read_vms(&body).map_err(|error| DirectoryError(error.to_string()))
     }
 }
--- a/crates/dewspring/src/store/tests/gateway.rs
+++ b/crates/dewspring/src/store/tests/gateway.rs
@@ -1,14 +1,18 @@
 //! Tests of the gateway clients against servers with valid and faulty responses.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::json;
+use standins::broken::call_cases;
 use standins::ports::free_address;
+use standins::script;
 
 use super::servers::{ScriptedServer, serve_raw};
+use crate::observe::DaemonMetrics;
 use crate::store::{
     ExpectedVersion, GatewayDirectory, GatewayStore, MAX_VALUE_BYTES, PlatformStore, StoreEntry,
     StoreError, SwapOutcome, VmDirectory, VmState,
@@ -402,3 +406,37 @@
             .is_err()
     );
 }
+
+/// Guards against a broken response that passes for what the store says: a write
+/// whose response is broken may have had an effect, whatever its status.
+#[test]
+fn a_broken_response_says_nothing() {
+    let server = Arc::new(script::ScriptedServer::spawn().expect("a port is free"));
+    let swapped = r#"{"header":{"revision":"9"},"succeeded":true}"#;
+    let expired = r#"{"code":5,"message":"etcdserver: requested lease not found"}"#;
+    let metrics = DaemonMetrics::new();
+    let store = open(server.address()).counted_by(metrics.clone());
+    let (mut faults, mut broken) = (Vec::new(), 0);
+    for (status, content, whole) in [
+        (200, swapped, CallResult::Done),
+        (429, "{}", CallResult::Unavailable),
+        (400, "{}", CallResult::InvalidResponse),
+        (404, expired, CallResult::LeaseExpired),
+    ] {
+        for (case, is_whole) in call_cases(status, content) {
+            server.respond_next(&case.parts[0], case.end);
+            let found = CallResult::of(&swap(&store));
+            broken += usize::from(!is_whole);
+            let expected = match is_whole {
+                true => whole,
+                false => CallResult::ResponseLost,
+            };
+            if found != expected {
+                faults.push(format!("{status}, {}: {found:?}", case.name));
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+    let line = format!("dewspring_broken_responses_total{{source=\"store\"}} {broken}\n");
+    assert!(metrics.to_text().contains(&line), "{}", metrics.to_text());
+}
--- a/crates/standins/src/broken.rs
+++ b/crates/standins/src/broken.rs
@@ -356,3 +356,84 @@
     }
     cases
 }
+
+/// Returns responses to a call with this status and content, each with whether it is
+/// complete and keeps to the protocol.
+#[must_use]
+pub fn call_cases(status: u16, content: &str) -> Vec<(ResponseCase, bool)> {
+    let length = content.len();
+    let head = format!("HTTP/1.1 {status} X\r\n");
+    let sound = format!("{head}Content-Length: {length}\r\n\r\n{content}");
+    let chunked = |extension: &str, trailer: &str| {
+        format!(
+            "{head}Transfer-Encoding: chunked\r\n\r\n{length:x}{extension}\r\n{content}\r\n0\r\n\
+             {trailer}\r\n\r\n"
+        )
+    };
+    let line = |line: &str| sound.replace("Content", &format!("{line}\r\nContent"));
+    let longer = sound.replace(&format!(": {length}"), &format!(": {}", length + 5));
+    let (orderly, reset) = (ConnectionEnd::Orderly, ConnectionEnd::Reset);
+    let cases = [
+        ("length", sound.clone(), orderly, true),
+        (
+            "interim",
+            format!("HTTP/1.1 103 X\r\n\r\n{sound}"),
+            orderly,
+            true,
+        ),
+        ("chunks", chunked(";a=b", "A: b"), orderly, true),
+        ("unframed", format!("{head}\r\n{content}"), orderly, true),
+        (
+            "unframed, reset",
+            format!("{head}\r\n{content}"),
+            reset,
+            false,
+        ),
+        ("cut off", longer, orderly, false),
+        (
+            "cut off chunks",
+            chunked("", "A: b").replace("\r\n0\r\n", "\r\n"),
+            orderly,
+            false,
+        ),
+        ("cut off head", format!("{head}Content-Le"), orderly, false),
+        (
+            "interim only",
+            "HTTP/1.1 103 X\r\n\r\n".into(),
+            orderly,
+            false,
+        ),
+        (
+            "interim 000",
+            format!("HTTP/1.1 000 X\r\n\r\n{sound}"),
+            orderly,
+            false,
+        ),
+        (
+            "status 000",
+            sound.replacen(&status.to_string(), "000", 1),
+            orderly,
+            false,
+        ),
+        (
+            "status 600",
+            sound.replacen(&status.to_string(), "600", 1),
+            orderly,
+            false,
+        ),
+        ("name", line("A b: c"), orderly, false),
+        ("value", line("A: b\u{1}c"), orderly, false),
+        ("two lengths", line("Content-Length: 1"), orderly, false),
+        (
+            "length and chunks",
+            line("Transfer-Encoding: chunked"),
+            orderly,
+            false,
+        ),
+        ("signed length", sound.replace(": ", ": +"), orderly, false),
+        ("extension", chunked(";a=\u{1}", "A: b"), orderly, false),
+        ("trailer", chunked("", "A b: c"), orderly, false),
+    ];
+    let case = |(name, response, end, is_whole)| (ResponseCase::new(name, response, end), is_whole);
+    cases.map(case).into()
+}
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -172,6 +172,18 @@
         self.takes_next.store(true, Ordering::SeqCst);
     }
 
+    /// Responds to the next request with these bytes, and ends its connection.
+    pub fn respond_next(self: &Arc<Self>, response: impl Into<String>, end: ConnectionEnd) {
+        self.take_next();
+        let (server, response) = (Arc::clone(self), response.into());
+        thread::spawn(move || {
+            let mut request = server.take();
+            // The peer may have closed the connection.
+            let _ = request.send(response.as_bytes());
+            let _ = request.end(end);
+        });
+    }
+
     /// Waits for the request that is taken over.
     ///
     /// # Panics
