Count datagrams of other VMs that can't be read

A malformed datagram of a known VM changed nothing, but left no trace either, but for kinds that have a counter of their own, so that VMs that don't understand each other looked sound.

Cause: such datagrams shared a branch with those that the VM has sent itself.

They are now counted, and the first one is logged with its sender; a VM with other software may send many.

--- a/crates/dewedge/src/metrics.rs
+++ b/crates/dewedge/src/metrics.rs
@@ -87,6 +87,7 @@
     pub(crate) caller_connections: Gauge,
     pub(crate) connects: Counter,
     pub(crate) foreign_datagrams: Counter,
+    pub(crate) malformed_datagrams: Counter,
     pub(crate) server_crashes: Counter,
     pub(crate) blocked_causes: Gauge,
     block_lifts: Family<NoticeLabels, Counter>,
@@ -221,6 +222,12 @@
             "Datagrams that were ignored because no known VM sent them",
             foreign_datagrams.clone(),
         );
+        let malformed_datagrams = Counter::default();
+        registry.register(
+            "malformed_datagrams",
+            "Datagrams of known VMs that could not be read",
+            malformed_datagrams.clone(),
+        );
         let server_crashes = Counter::default();
         registry.register(
             "server_crashes",
@@ -286,6 +293,7 @@
             caller_connections,
             connects,
             foreign_datagrams,
+            malformed_datagrams,
             server_crashes,
             blocked_causes,
             block_lifts,
--- a/crates/dewedge/src/peers.rs
+++ b/crates/dewedge/src/peers.rs
@@ -75,8 +75,10 @@
 /// A datagram from another VM.
 #[derive(Clone, Debug)]
 pub(crate) enum PeerMessage {
-    /// It can't be read, or this VM sent it.
-    Invalid,
+    /// It can't be read.
+    Malformed,
+    /// This VM sent it.
+    Own,
     /// A digest, or origins alone.
     Digest {
         /// Whether the load is newer than what was known.
@@ -335,7 +337,7 @@
         if let Some(stream) = bytes.strip_prefix(&QUERY_MAGIC) {
             return match stream.try_into() {
                 Ok(stream) => PeerMessage::OriginQuery(u64::from_be_bytes(stream)),
-                Err(_) => PeerMessage::Invalid,
+                Err(_) => PeerMessage::Malformed,
             };
         }
         if let Some(origins) = bytes.strip_prefix(&ORIGIN_MAGIC) {
@@ -344,22 +346,22 @@
                     is_new: false,
                     origins,
                 },
-                None => PeerMessage::Invalid,
+                None => PeerMessage::Malformed,
             };
         }
         if let Some(batch) = bytes.strip_prefix(&RECORD_MAGIC) {
-            return decode_batch(batch).unwrap_or(PeerMessage::Invalid);
+            return decode_batch(batch).unwrap_or(PeerMessage::Malformed);
         }
         if let Some(number) = bytes.strip_prefix(&RECORDED_MAGIC) {
             return match number.try_into() {
                 Ok(number) => PeerMessage::OriginsRecorded(u32::from_be_bytes(number)),
-                Err(_) => PeerMessage::Invalid,
+                Err(_) => PeerMessage::Malformed,
             };
         }
         if let Some(notices) = bytes.strip_prefix(&LIMIT_MAGIC) {
             return match decode_notices(notices, now) {
                 Some(notices) => PeerMessage::Limits(notices),
-                None => PeerMessage::Invalid,
+                None => PeerMessage::Malformed,
             };
         }
         if let Some(notices) = bytes.strip_prefix(&LoadNotice::MAGIC) {
@@ -374,14 +376,14 @@
         if let Some(notices) = bytes.strip_prefix(&CRASH_MAGIC) {
             return match decode_crash_notices(notices, now) {
                 Some(notices) => PeerMessage::Crashes(notices),
-                None => PeerMessage::Invalid,
+                None => PeerMessage::Malformed,
             };
         }
         let Some((sender, digest, origins)) = decode(bytes, now) else {
-            return PeerMessage::Invalid;
+            return PeerMessage::Malformed;
         };
         if sender == self.own_hash {
-            return PeerMessage::Invalid;
+            return PeerMessage::Own;
         }
         let is_new = self.record(sender, digest, now);
         PeerMessage::Digest { is_new, origins }
--- a/crates/dewedge/src/serve/updates.rs
+++ b/crates/dewedge/src/serve/updates.rs
@@ -432,7 +432,8 @@
                 continue;
             }
             match self.peers.receive(&buffer[..length], self.now) {
-                PeerMessage::Invalid => {}
+                PeerMessage::Malformed => self.record_malformed_datagram(sender),
+                PeerMessage::Own => {}
                 PeerMessage::Limits(notices) => self.apply_limit_notices(&notices),
                 PeerMessage::Reports(notices) => self.apply_load_notices(notices),
                 PeerMessage::Ended(received) => self.apply_ended_notices(received, sender),
@@ -456,6 +457,16 @@
         self.bind_awaiting();
     }
 
+    /// Counts a datagram that can't be read. Only the first one is logged: a VM with
+    /// other software may send many.
+    fn record_malformed_datagram(&mut self, sender: SocketAddr) {
+        if self.metrics.malformed_datagrams.inc() == 0 {
+            self.logs
+                .system("peers", "malformed_datagram")
+                .text("sender", &sender.to_string());
+        }
+    }
+
     fn apply_limit_notices(&mut self, notices: &[LimitNotice]) {
         for notice in notices {
             if let Some(index) = self.directory.by_hash(notice.server) {
