Apply what a response says of its server once it is complete

A response whose content broke off counted for nothing to its caller, but its head was believed: a server that had sent Server-Leaving, or Retry-After with a 503, got no more requests, so that callers got 503.

Cause: the fields were applied in the function that reads the head.

They are applied when the response is complete, and for streams when the head arrives, since they may go on for minutes.

Evidence: a_response_that_breaks_off_changes_no_routing: "Server-Leaving: 1" and "Retry-After: 9" with content that broke off kept the next requests away on the commit before, and don't now; whole responses do in both.

--- a/crates/dewedge/src/serve/announcements.rs
+++ b/crates/dewedge/src/serve/announcements.rs
@@ -2,7 +2,8 @@
 //! times in which they accept nothing.
 //!
 //! The main invariant: only the server that a request was sent to changes what is
-//! known of it, and only by a final response.
+//! known of it, and only by a final response that is complete, or by the head of a
+//! stream.
 
 use crate::clock::Moment;
 use crate::format::{PlatformFormat, RateNotice, ResponseMetadata};
--- a/crates/dewedge/src/serve/servers.rs
+++ b/crates/dewedge/src/serve/servers.rs
@@ -202,7 +202,10 @@
             Err(reason) => Err(reason),
         };
         match progress {
-            Ok(ResponseProgress::Complete) => self.complete_response(conn_id, connection),
+            Ok(ResponseProgress::Complete) => {
+                self.apply_response_notices(conn_id);
+                self.complete_response(conn_id, connection);
+            }
             Ok(ResponseProgress::Incomplete) => {}
             Ok(ResponseProgress::BrokenOff) => {
                 let conn = self.server_conns.get(conn_id);
@@ -213,6 +216,20 @@
         }
     }
 
+    /// Applies what a complete response announces, unless its head has been applied.
+    fn apply_response_notices(&mut self, conn_id: ServerConnId) {
+        let Some(conn) = self.server_conns.get(conn_id) else {
+            return;
+        };
+        if let Some(head) = conn.head()
+            && !conn.is_stream
+        {
+            let (replica, status) = (conn.replica, head.status);
+            let metadata = F::response_metadata(&head.fields);
+            self.apply_server_notices(replica, status, &metadata);
+        }
+    }
+
     /// Ends an attempt whose response is incomplete or isn't one.
     fn reject_response(&mut self, conn_id: ServerConnId, reason: &'static str) {
         self.metrics.count_broken_response(reason);
@@ -278,10 +295,14 @@
             });
         }
         let (replica, status, sent) = (conn.replica, head.status, exchange.sent_load.sent);
+        let is_stream = conn.is_stream;
         if status != 421 {
             self.record_server_bytes(replica, sent);
         }
-        self.apply_server_notices(replica, status, &metadata);
+        if is_stream {
+            // It may go on for long.
+            self.apply_server_notices(replica, status, &metadata);
+        }
         Ok(true)
     }
 
@@ -416,7 +437,9 @@
     /// Handles a complete response: releases the connection and reports the
     /// outcome.
     fn complete_response(&mut self, conn_id: ServerConnId, connection: ConnectionState) {
-        let conn = &mut self.server_conns[conn_id];
+        let Some(conn) = self.server_conns.get_mut(conn_id) else {
+            return;
+        };
         let reader = conn.reader.take();
         let framed = reader.as_ref().is_some_and(ResponseReader::is_framed);
         let head = reader.and_then(ResponseReader::into_head);
@@ -428,13 +451,13 @@
         let body = std::mem::replace(&mut conn.body, next);
         let is_stream = conn.is_stream;
         let replica = conn.replica;
+        let metadata = F::response_metadata(&head.fields);
         let reusable = framed
             && connection == ConnectionState::Open
             && conn.channel.inbound.is_empty()
             && !conn.channel.may_have_more()
             && conn.channel.unsent() == 0
             && !head.fields.has_list_element("connection", "close");
-        let metadata = F::response_metadata(&head.fields);
         if metadata.not_run {
             let attempt = &self.exchanges[exchange_id].metadata.attempt;
             conn.refused_attempts.push(stable_hash(attempt.as_bytes()));
