Believe a refusal only if it is complete

In a pool with refusal_means_not_run, callers of dewspringd were told that their request hadn't run if the server's 429 or 503 broke off, and a request that must not run twice could go to a second server.

Cause: the status decided before the content was read.

The content of a refusal is now read to its end. If it is broken, the request may have run: 502 with x-dewspring-ran: unknown, and no second server unless the route is idempotent.

--- a/crates/dewspring/src/entry/exchange.rs
+++ b/crates/dewspring/src/entry/exchange.rs
@@ -6,12 +6,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use siphasher::sip::SipHasher13;
+use tokio::time::timeout;
 
 use super::attempt::AttemptGuard;
 use super::body::ResponseBody;
@@ -38,6 +39,9 @@
 
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Maximum bytes of the content of a server's refusal.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+
 /// One request and the state of its processing, from its route to its response.
 #[derive(Debug)]
 pub(super) struct Exchange<C: ConfigSource, G: GrantSource> {
@@ -225,7 +229,7 @@
         let address = attempt.grant().address;
         let connect_timeout = self.context.settings.connect_timeout;
         match send_request(address, request, connect_timeout, self.deadline()).await {
-            Ok(upstream) => self.check_response(attempt, upstream),
+            Ok(upstream) => self.check_response(attempt, upstream).await,
             Err(error) => {
                 let (outcome, failure) = match error {
                     UpstreamError::NotSent(text) => {
@@ -282,7 +286,7 @@
         is_expired.then_some("the claim is too old")
     }
 
-    fn check_response(
+    async fn check_response(
         &self,
         mut attempt: AttemptGuard<C, G>,
         upstream: UpstreamResponse,
@@ -293,13 +297,43 @@
         }
         let status = upstream.response.status();
         if is_refusal(status) && self.pool().refusal_means_not_run {
-            attempt.finish(AttemptOutcome::NotRun);
-            let text = format!("the server refused with {}", status.as_u16());
-            return Err(AttemptFailure::NotRun(text));
+            return Err(self.check_refusal(attempt, upstream).await);
         }
         Ok(StartedResponse { attempt, upstream })
     }
 
+    /// Reads a refusal to its end: one that is broken doesn't show that the request
+    /// hasn't run.
+    async fn check_refusal(
+        &self,
+        attempt: AttemptGuard<C, G>,
+        upstream: UpstreamResponse,
+    ) -> AttemptFailure {
+        let UpstreamResponse {
+            response,
+            _connection,
+        } = upstream;
+        let status = response.status();
+        let silence = self.context.settings.silence_timeout;
+        let content = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
+        match timeout(silence.min(self.time_left()), content).await {
+            Ok(Ok(_)) => {
+                attempt.finish(AttemptOutcome::NotRun);
+                AttemptFailure::NotRun(format!("the server refused with {}", status.as_u16()))
+            }
+            Ok(Err(error)) => {
+                self.context.metrics.count_broken_response("server");
+                attempt.finish_broken();
+                AttemptFailure::BrokenOff(format!("a refusal broke off: {error}"))
+            }
+            Err(_) => {
+                let outcome = self.timeout_outcome(&attempt);
+                attempt.finish(outcome);
+                AttemptFailure::TimedOut
+            }
+        }
+    }
+
     fn upstream_request(
         &self,
         grant: &Grant,
--- a/crates/dewspringd/tests/broken.rs
+++ b/crates/dewspringd/tests/broken.rs
@@ -3,13 +3,14 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use common::{DEFAULT_ROUTES, FleetPlan, SECRET, TestFleet, wait_until};
 use standins::broken::{
-    ForwardingSystem, LONG_UPLOAD, RequestForm, ResponseCase, malformed_cases, play_all,
-    play_unframed,
+    ForwardingSystem, LONG_UPLOAD, RequestForm, ResponseCase, call_cases, malformed_cases,
+    play_all, play_unframed,
 };
 use standins::framing::StrictClient;
 use standins::script::{ConnectionEnd, ScriptedServer};
@@ -18,7 +19,7 @@
 
 struct System {
     fleet: TestFleet,
-    server: ScriptedServer,
+    server: Arc<ScriptedServer>,
 }
 
 impl ForwardingSystem for System {
@@ -41,7 +42,12 @@
 
 /// Starts a daemon whose services are one scripted server.
 fn start() -> System {
-    let server = ScriptedServer::spawn().expect("a port is free");
+    start_with("")
+}
+
+/// Starts such a daemon with further keys of the pool, in TOML.
+fn start_with(service_pool: &str) -> System {
+    let server = Arc::new(ScriptedServer::spawn().expect("a port is free"));
     let limit = format!(
         "pool = \"services\"\nmax_body_bytes = {}\n",
         LONG_UPLOAD + 1000
@@ -49,6 +55,7 @@
     let mut fleet = TestFleet::start(FleetPlan {
         daemons: 1,
         engines: 1,
+        service_pool: service_pool.into(),
         routes: DEFAULT_ROUTES.replace("pool = \"services\"\n", &limit),
         ..FleetPlan::default()
     });
@@ -134,3 +141,25 @@
         broken_responses(&system, "report") == before
     });
 }
+
+/// Guards against a refusal that breaks off and passes for the statement that the
+/// request hasn't run.
+#[test]
+fn a_broken_refusal_promises_nothing() {
+    let system = start_with("refusal_means_not_run = true\n");
+    let mut faults = Vec::new();
+    for (case, is_whole) in call_cases(503, "{}") {
+        system.server.respond_next(&case.parts[0], case.end);
+        let mut client = StrictClient::open(system.entry()).expect("the daemon listens");
+        client.send(b"POST /payment/a HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhi");
+        let response = client.read("POST").expect("a response arrives");
+        let expected = match is_whole {
+            true => (503, Some("no")),
+            false => (502, Some("unknown")),
+        };
+        if (response.status, response.field("x-dewspring-ran")) != expected {
+            faults.push(format!("{}: {response:?}", case.name));
+        }
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
