--- a/crates/dewspringd/tests/broken.rs
+++ b/crates/dewspringd/tests/broken.rs
@@ -13,7 +13,7 @@
     play_all, play_unframed,
 };
 use standins::framing::StrictClient;
-use standins::script::{ConnectionEnd, ScriptedServer};
+use standins::script::{ConnectionEnd, ScriptedServer, TakenRequest};
 
 const ROUTES: [&str; 2] = ["/archive", "/payment"];
 
@@ -35,6 +35,10 @@
         self.fleet.daemons[0].process.pid()
     }
 
+    fn response_fields(&self, _request: &TakenRequest) -> String {
+        "X-Any: a".into()
+    }
+
     fn request_head(&self, form: &RequestForm, _attempt: &str) -> String {
         format!("{} {}/a HTTP/1.1\r\nhost: x\r\n", form.method, form.route)
     }
--- a/crates/standins/src/broken.rs
+++ b/crates/standins/src/broken.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use crate::framing::{StrictClient, StrictResponse};
-use crate::script::{ConnectionEnd, SOUND, ScriptedServer};
+use crate::script::{ConnectionEnd, SOUND, ScriptedServer, TakenRequest};
 
 /// Time in which a program fills the kernel's buffers of a connection, and in which
 /// a signal or a reset takes effect.
@@ -94,6 +94,9 @@
     /// Returns the id of the process.
     fn pid(&self) -> u32;
 
+    /// Returns the fields that make a response one of the request's.
+    fn response_fields(&self, request: &TakenRequest) -> String;
+
     /// Returns the head of a request without its framing.
     fn request_head(&self, form: &RequestForm, attempt: &str) -> String;
 }
@@ -179,8 +182,7 @@
         server.take_next();
         client.send(&self.bytes(system, "second"));
         let mut request = server.take();
-        let attempt = request.field("x-attempt-id");
-        let fields = format!("X-Attempt-Id: {attempt}\r\nX-Server-Seal: seal");
+        let fields = system.response_fields(&request);
         for (index, part) in case.parts.iter().enumerate() {
             thread::sleep(SETTLE_TIME);
             if index + 1 == case.parts.len() {
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -118,6 +118,15 @@
     /// assert!(server.address().ip().is_loopback());
     /// ```
     pub fn spawn() -> io::Result<Self> {
+        Self::spawn_repeating("")
+    }
+
+    /// Starts a server whose sound responses repeat this field of their requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port is free.
+    pub fn spawn_repeating(field: &'static str) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         // Accepted connections inherit it.
         SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
@@ -128,6 +137,7 @@
             sender,
             served: Arc::default(),
             report: Arc::default(),
+            repeated: field,
         };
         let server = Self {
             address,
@@ -203,6 +213,8 @@
     sender: Sender<TakenRequest>,
     served: Arc<AtomicUsize>,
     report: Arc<Mutex<Option<String>>>,
+    /// Name of a field that sound responses repeat.
+    repeated: &'static str,
 }
 
 impl ScriptedRequests {
@@ -225,13 +237,38 @@
             let response = match is_report {
                 true => {
                     let report = self.report.lock().expect("no test panicked here").clone();
-                    report.unwrap_or_else(|| sound_response(&head, 404))
+                    report.unwrap_or_else(|| self.sound_response(&head, 404))
                 }
-                false => sound_response(&head, 200),
+                false => self.sound_response(&head, 200),
             };
             reader.get_mut().write_all(response.as_bytes())?;
         }
     }
+
+    /// Returns a complete response to a request, below `/once/` and `/brief/` a stream
+    /// of one event.
+    fn sound_response(&self, head: &[String], status: u16) -> String {
+        let fields = match self.repeated {
+            "" => format!("HTTP/1.1 {status} X\r\n"),
+            name => format!("HTTP/1.1 {status} X\r\n{name}: {}\r\n", field(head, name)),
+        };
+        let line = &head[0];
+        if line.contains(" /once/") || line.contains(" /brief/") {
+            let last: u64 = field(head, "last-event-id").parse().unwrap_or(0);
+            let event = format!("id: {}\ndata: {SOUND}\n\n", last + 1);
+            let content = match line.starts_with("HEAD ") {
+                true => String::new(),
+                false => format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len()),
+            };
+            let framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
+            return format!("{fields}{framing}\r\n\r\n{content}");
+        }
+        let content = match line.starts_with("HEAD ") {
+            true => "",
+            false => SOUND,
+        };
+        format!("{fields}Content-Length: {}\r\n\r\n{content}", SOUND.len())
+    }
 }
 
 fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<Vec<String>> {
@@ -254,25 +291,3 @@
     let found = fields.find(|(other, _)| other.eq_ignore_ascii_case(name));
     found.map_or("", |(_, value)| value.trim())
 }
-
-/// Returns a complete response to a request.
-fn sound_response(head: &[String], status: u16) -> String {
-    let attempt = field(head, "x-attempt-id");
-    let fields = format!("HTTP/1.1 {status} X\r\nX-Attempt-Id: {attempt}\r\n");
-    let line = &head[0];
-    if line.contains(" /once/") || line.contains(" /brief/") {
-        let last: u64 = field(head, "last-event-id").parse().unwrap_or(0);
-        let event = format!("id: {}\ndata: {SOUND}\n\n", last + 1);
-        let content = match line.starts_with("HEAD ") {
-            true => String::new(),
-            false => format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len()),
-        };
-        let framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
-        return format!("{fields}{framing}\r\n\r\n{content}");
-    }
-    let content = match line.starts_with("HEAD ") {
-        true => "",
-        false => SOUND,
-    };
-    format!("{fields}Content-Length: {}\r\n\r\n{content}", SOUND.len())
-}
