--- a/review/standins-3/busy_callers.py
+++ b/review/standins-3/busy_callers.py
@@ -1,7 +1,8 @@
 """Callers that send their next request as soon as they have an answer.
 
-Arguments: port, connections, seconds, name, path, key. Each connection is kept; whatever the
-answer says, the next request follows at once. Prints the answers by status.
+Arguments: port, connections, seconds, name, path, key. All connections are opened before
+the first request, a second and a half after the start. Each is kept; whatever the answer
+says, the next request follows at once. Prints the answers by status.
 """
 
 import selectors
@@ -9,8 +10,11 @@
 import sys
 import time
 
+START_S = 1.5
+
 
 def main():
+    starts = time.monotonic() + START_S
     port, connections, ends = int(sys.argv[1]), int(sys.argv[2]), time.monotonic() + float(sys.argv[3])
     name, path, key = sys.argv[4:7]
     selector = selectors.DefaultSelector()
@@ -26,10 +30,12 @@
         sock = socket.create_connection(("127.0.0.1", port), 2)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         selector.register(sock, selectors.EVENT_READ)
-        send(sock)
+        return sock
 
-    for _ in range(connections):
-        connect()
+    socks = [connect() for _ in range(connections)]
+    time.sleep(max(0.0, starts - time.monotonic()))
+    for sock in socks:
+        send(sock)
     while time.monotonic() < ends:
         for selected, _ in selector.select(0.1):
             sock = selected.fileobj
@@ -45,7 +51,7 @@
                 selector.unregister(sock)
                 sock.close()
                 try:
-                    connect()
+                    send(connect())
                 except OSError:
                     pass
     print(f"{name}: {sent} requests, answers {counts}", flush=True)
